--- /dev/null
+++ b/Makefile
@@ -0,0 +1,91 @@
+PACKAGES = libcivetweb-dev liburcu-dev libtirpc-dev libcmocka-dev \
+	libcyaml-dev libyaml-dev libjansson-dev libcurl4-openssl-dev libssl-dev \
+	libxxhash-dev uthash-dev rpcsvc-proto pkg-config \
+	curl clang-format clang-tidy make gcc
+MODULES = liburcu-bp libtirpc libcyaml yaml-0.1 jansson libcurl libcrypto libxxhash
+
+BUILD ?= build
+CFLAGS ?= -O2 -g
+WARNINGS = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -Iinclude -Isrc -pthread \
+	$(shell pkg-config --cflags $(MODULES))
+LIBS = -lcivetweb $(shell pkg-config --libs $(MODULES)) -lm -pthread
+
+PROGRAMS = router config
+EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
+CORE_DIRS = base rpc config view member fair dispatch guard once entry node \
+	http platform library
+CORE_SOURCES = $(foreach d,$(CORE_DIRS),$(wildcard src/$(d)/*.c))
+CORE_OBJECTS = $(CORE_SOURCES:%.c=$(BUILD)/%.o)
+CORE = $(BUILD)/libcore.a
+
+PROGRAM_FILES = $(PROGRAMS:%=$(BUILD)/monsoonspur-%)
+STANDINS = $(patsubst tests/standins/%.c,$(BUILD)/standin-%,\
+	$(wildcard tests/standins/*.c))
+TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
+
+all: $(PROGRAM_FILES) $(STANDINS) $(EXAMPLES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/src/rpc/peer_xdr.o: WARNINGS =
+
+$(CORE): $(CORE_OBJECTS)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+define program
+$(BUILD)/monsoonspur-$(1): $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/$(2)/*.c)) $(CORE)
+	$$(CC) $$(ALL_CFLAGS) -o $$@ $$^ $$(LIBS)
+endef
+$(eval $(call program,router,router))
+$(eval $(call program,config,configtool))
+
+$(BUILD)/example-%: $(BUILD)/examples/%.o $(CORE)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/tests/standins/%.o $(CORE)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/test_%: $(BUILD)/tests/test_%.o $(CORE)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs cmocka)
+
+# Installs only what is missing, so that a second run needs no network.
+install-packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 \
+	  || { apt-get update && apt-get install -y $(PACKAGES); }
+
+demo: install-packages
+	$(MAKE) all
+	BUILD=$(BUILD) sh tests/demo.sh
+
+check: install-packages
+	$(MAKE) check-units
+	$(MAKE) check-e2e
+
+check-units: $(TESTS)
+	@for t in $(TESTS); do $$t || exit 1; done
+
+check-e2e: all
+	BUILD=$(BUILD) sh tests/e2e.sh
+
+FORMATTED = $(filter-out src/rpc/peer.h src/rpc/peer_xdr.c,\
+	$(shell find src include tests examples -name '*.[ch]'))
+
+lint: install-packages
+	clang-format --dry-run -Werror $(FORMATTED)
+	printf '%s\n' $(filter %.c,$(FORMATTED)) | xargs -P 8 -n 4 sh -c \
+	  'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) 2>/dev/null' tidy
+
+format:
+	clang-format -i $(FORMATTED)
+
+clean:
+	rm -rf build build-asan
+
+.PHONY: all install-packages demo check check-units check-e2e lint format clean
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/base/file.c
@@ -0,0 +1,56 @@
+#include "base/file.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_FILE_BYTES (256u << 20)
+
+static enum ms_status
+read_all (FILE *file, const char *path, char **text, size_t *length)
+{
+  size_t space = 65536;
+  size_t used = 0;
+  char *data = malloc (space);
+
+  while (data)
+    {
+      size_t n = fread (data + used, 1, space - used - 1, file);
+
+      used += n;
+      if (!n)
+        break;
+      if (used + 1 < space)
+        continue;
+      if (space >= MAX_FILE_BYTES)
+        {
+          free (data);
+          return ms_fail (MS_NO_SPACE, "%s: the file is too large", path);
+        }
+      space *= 2;
+      data = realloc (data, space);
+    }
+  if (!data)
+    abort ();
+  data[used] = '\0';
+  *text = data;
+  *length = used;
+  return MS_OK;
+}
+
+enum ms_status
+ms_file_read (const char *path, char **text, size_t *length)
+{
+  enum ms_status status;
+  FILE *file;
+
+  if (strcmp (path, "-") == 0)
+    return read_all (stdin, path, text, length);
+  file = fopen (path, "r");
+  if (!file)
+    return ms_fail (MS_NOT_FOUND, "%s: %s", path, strerror (errno));
+  status = read_all (file, path, text, length);
+  fclose (file);
+  return status;
+}
--- /dev/null
+++ b/src/base/str.c
@@ -0,0 +1,42 @@
+#include "base/str.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct ms_str
+ms_str (const char *text)
+{
+  return (struct ms_str){ .data = text, .length = text ? strlen (text) : 0 };
+}
+
+bool
+ms_str_equal (struct ms_str a, struct ms_str b)
+{
+  return a.length == b.length && memcmp (a.data, b.data, a.length) == 0;
+}
+
+uint64_t
+ms_id (struct ms_str name)
+{
+  uint64_t id = XXH3_64bits (name.data, name.length);
+
+  return id ? id : 1;
+}
+
+uint64_t
+ms_id_pair (uint64_t a, uint64_t b)
+{
+  uint64_t pair[2] = { a, b };
+
+  return XXH3_64bits (pair, sizeof pair);
+}
+
+struct ms_name
+ms_name (const char *text)
+{
+  struct ms_name name = { 0 };
+
+  name.length = strnlen (text, MS_NAME_BYTES - 1);
+  memcpy (name.data, text, name.length);
+  return name;
+}
--- /dev/null
+++ b/src/config/yaml.c
@@ -0,0 +1,95 @@
+#include "config/yaml.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MESSAGE_BYTES 400
+
+struct log_text
+{
+  char text[MESSAGE_BYTES];
+  size_t length;
+};
+
+/* Collect the parser's messages on one line.  */
+static void
+collect (cyaml_log_t level, void *context, const char *format, va_list args)
+{
+  struct log_text *log = context;
+  size_t space = sizeof log->text - log->length;
+  int n;
+
+  if (level < CYAML_LOG_ERROR || space < 3)
+    return;
+  n = vsnprintf (log->text + log->length, space, format, args);
+  if (n < 0)
+    return;
+  log->length += (size_t)n < space ? (size_t)n : space - 1;
+  while (log->length && log->text[log->length - 1] == '\n')
+    log->length--;
+  if (log->length + 3 < sizeof log->text)
+    {
+      log->text[log->length++] = ';';
+      log->text[log->length++] = ' ';
+    }
+  log->text[log->length] = '\0';
+}
+
+static cyaml_config_t
+parser_config (struct log_text *log)
+{
+  return (cyaml_config_t){
+    .log_fn = collect,
+    .log_ctx = log,
+    .mem_fn = cyaml_mem,
+    .log_level = CYAML_LOG_ERROR,
+    .flags = CYAML_CFG_DEFAULT,
+  };
+}
+
+enum ms_status
+ms_yaml_load (struct ms_str text, const char *origin,
+              const cyaml_schema_value_t *schema, void **data)
+{
+  struct log_text log = { 0 };
+  cyaml_config_t config = parser_config (&log);
+  cyaml_err_t err;
+
+  *data = NULL;
+  err = cyaml_load_data ((const uint8_t *)text.data, text.length, &config,
+                         schema, data, NULL);
+  if (err != CYAML_OK)
+    return ms_fail (MS_INVALID, "%s: %s: %s", origin, cyaml_strerror (err),
+                    log.text);
+  if (!*data)
+    return ms_fail (MS_INVALID, "%s: line 1: the document is empty", origin);
+  return MS_OK;
+}
+
+void
+ms_yaml_free (const cyaml_schema_value_t *schema, void *data)
+{
+  struct log_text log = { 0 };
+  cyaml_config_t config = parser_config (&log);
+
+  cyaml_free (&config, schema, data, 0);
+}
+
+unsigned
+ms_yaml_line (struct ms_str text, const char *key, const char *value)
+{
+  char wanted[160];
+  unsigned line = 1;
+  size_t length;
+
+  snprintf (wanted, sizeof wanted, "%s: %s", key, value);
+  length = strlen (wanted);
+  for (size_t i = 0; i + length <= text.length; i++)
+    {
+      if (memcmp (text.data + i, wanted, length) == 0)
+        return line;
+      line += text.data[i] == '\n';
+    }
+  return 0;
+}
--- /dev/null
+++ b/src/configtool/published.c
@@ -0,0 +1,206 @@
+#include "configtool/published.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/log.h"
+#include "config/follower.h"
+#include "node/effect.h"
+#include "platform/platform.h"
+
+#define READ_WAIT_MS 100
+#define READ_BACK_TRIES 20
+
+/* A reader of the control stream that keeps only the configuration.  */
+struct reader
+{
+  struct ms_view *view;
+  struct ms_follower *follower;
+  struct ms_random random;
+  uint64_t next;
+};
+
+static void
+discard (void *context, const struct ms_effect *effect)
+{
+  (void)context;
+  (void)effect;
+}
+
+static const struct ms_sink no_effects = { discard, NULL };
+
+static void
+reader_open (struct reader *reader)
+{
+  memset (reader, 0, sizeof *reader);
+  reader->view = ms_view_create (1, 1, 1);
+  reader->follower
+      = ms_follower_create (reader->view, &no_effects, &reader->random);
+}
+
+static void
+reader_close (struct reader *reader)
+{
+  ms_follower_destroy (reader->follower);
+  ms_view_destroy (reader->view);
+}
+
+static void
+take (void *context, uint64_t offset, struct ms_str text)
+{
+  struct reader *reader = context;
+  struct ms_record record;
+
+  if (ms_record_parse (text, &record) != MS_OK)
+    return;
+  if (record.kind == MS_RECORD_CONFIG || record.kind == MS_RECORD_CONFIG_COPY)
+    ms_follower_record (reader->follower, &record, offset, 0);
+  ms_record_clear (&record);
+}
+
+/* Read on to the stream's end.  */
+static enum ms_status
+read_on (struct reader *reader, const struct ms_log_client *log)
+{
+  bool at_end = false;
+
+  while (!at_end)
+    {
+      uint64_t first;
+      enum ms_status status = log->read (
+          log->context, ms_stream_names[MS_STREAM_CONTROL], reader->next,
+          READ_WAIT_MS, take, reader, &first, &reader->next, &at_end);
+
+      if (status != MS_OK)
+        return status;
+    }
+  return MS_OK;
+}
+
+static uint64_t
+generation_of (const struct reader *reader)
+{
+  return reader->view->config ? reader->view->config->generation : 0;
+}
+
+enum ms_status
+ms_published_read (const char *log_url, struct ms_published *published)
+{
+  const struct ms_log_client log = ms_http_log (log_url);
+  struct reader reader;
+  enum ms_status status;
+
+  memset (published, 0, sizeof *published);
+  reader_open (&reader);
+  status = read_on (&reader, &log);
+  if (status == MS_OK && reader.view->config)
+    {
+      published->generation = generation_of (&reader);
+      published->length = reader.view->config->text_length;
+      published->text = strdup (reader.view->config->text);
+    }
+  reader_close (&reader);
+  return status;
+}
+
+void
+ms_published_clear (struct ms_published *published)
+{
+  free (published->text);
+  published->text = NULL;
+}
+
+/* The line of TEXT at *AT, which moves on to the next; false at the end.  */
+static bool
+next_line (const char *text, size_t *at, struct ms_str *line)
+{
+  const char *end;
+
+  if (!text || !text[*at])
+    return false;
+  end = strchr (text + *at, '\n');
+  line->data = text + *at;
+  line->length = end ? (size_t)(end - line->data) : strlen (line->data);
+  *at += line->length + (end ? 1 : 0);
+  return true;
+}
+
+static bool
+has_line (const char *text, struct ms_str wanted)
+{
+  struct ms_str line;
+  size_t at = 0;
+
+  while (next_line (text, &at, &line))
+    if (ms_str_equal (line, wanted))
+      return true;
+  return false;
+}
+
+static unsigned
+print_missing (const char *from, const char *in, char sign, FILE *file)
+{
+  struct ms_str line;
+  size_t at = 0;
+  unsigned count = 0;
+
+  while (next_line (from, &at, &line))
+    if (!has_line (in, line))
+      {
+        fprintf (file, "%c%.*s\n", sign, (int)line.length, line.data);
+        count++;
+      }
+  return count;
+}
+
+unsigned
+ms_published_diff (const struct ms_published *published,
+                   const struct ms_config *config, FILE *file)
+{
+  unsigned count = print_missing (published->text, config->text, '-', file);
+
+  count += print_missing (config->text, published->text, '+', file);
+  if (!count && published->text && strcmp (published->text, config->text) != 0)
+    {
+      fprintf (file, "the same lines in another order\n");
+      count = 1;
+    }
+  return count;
+}
+
+enum ms_status
+ms_publish (const char *log_url, const struct ms_config *config, uint64_t base,
+            uint64_t *generation)
+{
+  const struct ms_log_client log = ms_http_log (log_url);
+  struct ms_record record = { .kind = MS_RECORD_CONFIG,
+                              .generation = base,
+                              .text = config->text,
+                              .text_length = config->text_length };
+  char *text = ms_record_print (&record);
+  struct reader reader;
+  uint64_t offset = 0;
+  enum ms_status status = log.append (
+      log.context, ms_stream_names[MS_STREAM_CONTROL], text, &offset);
+
+  free (text);
+  if (status != MS_OK)
+    return ms_fail (MS_UNAVAILABLE,
+                    "the append was not confirmed; run diff to see whether "
+                    "it took effect");
+  *generation = offset + 1;
+  reader_open (&reader);
+  for (int i = 0; i < READ_BACK_TRIES && reader.next <= offset; i++)
+    status = read_on (&reader, &log);
+  if (status != MS_OK || reader.next <= offset)
+    status = ms_fail (MS_UNAVAILABLE, "the log could not be read back");
+  else if (generation_of (&reader) < *generation)
+    status = ms_fail (MS_CONFLICT,
+                      "another publication was first; in force is %llu, "
+                      "this one was made from %llu",
+                      (unsigned long long)generation_of (&reader),
+                      (unsigned long long)base);
+  reader_close (&reader);
+  return status;
+}
--- /dev/null
+++ b/src/dispatch/demand.c
@@ -0,0 +1,76 @@
+#include <stdlib.h>
+
+#include "dispatch/internal.h"
+
+static struct demand *
+find_demand (struct ms_dispatch *dispatch, const struct demand_key *key)
+{
+  struct demand *demand;
+
+  HASH_FIND (hh, dispatch->demands, key, sizeof *key, demand);
+  return demand;
+}
+
+static void
+take_item (struct ms_dispatch *dispatch, const peer_message *message,
+           const peer_demand_item *item, ms_time now)
+{
+  const peer_demand *sent = &message->body.peer_body_u.demand;
+  struct demand_key key = { sent->cell, message->from, item->team };
+  struct demand *demand = find_demand (dispatch, &key);
+  bool wanted = item->interactive || item->batch || item->alone;
+
+  if (!demand && !wanted)
+    return;
+  if (!demand)
+    {
+      demand = calloc (1, sizeof *demand);
+      if (!demand)
+        abort ();
+      demand->key = key;
+      demand->since = now;
+      HASH_ADD (hh, dispatch->demands, key, sizeof demand->key, demand);
+    }
+  if (demand->entry_incarnation != message->incarnation)
+    {
+      demand->entry_incarnation = message->incarnation;
+      demand->pending = 0;
+      demand->echo = sent->sent_at;
+    }
+  if (sent->sent_at < demand->echo)
+    return;
+  demand->waiting[MS_LANE_INTERACTIVE] = item->interactive;
+  demand->waiting[MS_LANE_LONG] = item->batch;
+  demand->waiting[MS_LANE_ALONE] = item->alone;
+  demand->hint = item->hint;
+  demand->echo = sent->sent_at;
+  demand->received_at = now;
+}
+
+void
+ms_demand_take (struct ms_dispatch *dispatch, const peer_message *message,
+                ms_time now)
+{
+  const peer_demand *sent = &message->body.peer_body_u.demand;
+  struct held_cell *held = ms_dispatch_cell (dispatch, sent->cell);
+
+  if (!held || !held->held || dispatch->stopped)
+    return;
+  for (unsigned i = 0; i < sent->items.items_len; i++)
+    take_item (dispatch, message, &sent->items.items_val[i], now);
+  ms_grant_slots (dispatch, held, now);
+}
+
+void
+ms_demand_expire (struct ms_dispatch *dispatch, ms_time now)
+{
+  struct demand *demand, *next;
+
+  HASH_ITER (hh, dispatch->demands, demand, next)
+  {
+    if (now - demand->received_at <= DEMAND_LIFETIME)
+      continue;
+    HASH_DEL (dispatch->demands, demand);
+    free (demand);
+  }
+}
--- /dev/null
+++ b/src/dispatch/grant.c
@@ -0,0 +1,241 @@
+#include <stdlib.h>
+
+#include "dispatch/internal.h"
+
+/* Every so many grants of a team, a waiting long request goes first.  */
+#define LONG_TURN 4
+
+/* The teams of one cell that wait, gathered for one choice.  */
+#define MAX_CANDIDATES 1024
+
+struct choice
+{
+  struct ms_candidate candidates[MAX_CANDIDATES];
+  size_t count;
+};
+
+static uint32_t
+unmet (const struct demand *demand)
+{
+  uint32_t total = 0;
+
+  for (int lane = 0; lane < MS_LANES; lane++)
+    total += demand->waiting[lane];
+  return total > demand->pending ? total - demand->pending : 0;
+}
+
+static bool
+only_alone (const struct demand *demand)
+{
+  return !demand->waiting[MS_LANE_INTERACTIVE]
+         && !demand->waiting[MS_LANE_LONG];
+}
+
+/* Whether DEMAND can use a slot now; CAN_BE_ALONE tells whether one stands
+   empty.  */
+static bool
+eligible (const struct demand *demand, const struct held_cell *cell,
+          bool can_be_alone, ms_time now)
+{
+  if (demand->key.cell != cell->id || !unmet (demand))
+    return false;
+  if (now - demand->received_at > DEMAND_LIFETIME)
+    return false;
+  return can_be_alone || !only_alone (demand);
+}
+
+static void
+add_candidate (struct choice *choice, const struct demand *demand)
+{
+  for (size_t i = 0; i < choice->count; i++)
+    if (choice->candidates[i].team == demand->key.team)
+      {
+        if (demand->since < choice->candidates[i].since)
+          choice->candidates[i].since = demand->since;
+        return;
+      }
+  if (choice->count < MAX_CANDIDATES)
+    choice->candidates[choice->count++]
+        = (struct ms_candidate){ demand->key.team, demand->since };
+}
+
+static void
+gather (struct ms_dispatch *dispatch, const struct held_cell *cell,
+        bool can_be_alone, struct choice *choice, ms_time now)
+{
+  choice->count = 0;
+  for (struct demand *d = dispatch->demands; d; d = d->hh.next)
+    if (eligible (d, cell, can_be_alone, now))
+      add_candidate (choice, d);
+}
+
+/* Of the routers where TEAM waits, the one that has waited longest for a
+   grant.  */
+static struct demand *
+oldest_demand (struct ms_dispatch *dispatch, const struct held_cell *cell,
+               uint64_t team, bool can_be_alone, ms_time now)
+{
+  struct demand *best = NULL;
+
+  for (struct demand *d = dispatch->demands; d; d = d->hh.next)
+    if (d->key.team == team && eligible (d, cell, can_be_alone, now)
+        && (!best || d->since < best->since))
+      best = d;
+  return best;
+}
+
+static enum ms_lane
+choose_lane (struct held_cell *cell, const struct demand *demand,
+             bool can_be_alone)
+{
+  bool turn = cell->interactive_run >= LONG_TURN;
+
+  if (can_be_alone && demand->waiting[MS_LANE_ALONE])
+    return MS_LANE_ALONE;
+  if (demand->waiting[MS_LANE_LONG]
+      && (turn || !demand->waiting[MS_LANE_INTERACTIVE]))
+    return MS_LANE_LONG;
+  return MS_LANE_INTERACTIVE;
+}
+
+/* A suspect needs an endpoint that nothing runs on.  */
+static bool
+is_empty (const struct slot_state *slot)
+{
+  return !slot->granted && !slot->foreign;
+}
+
+static struct slot_state *
+least_loaded (struct slot_state *a, uint32_t free_a, struct slot_state *b,
+              uint32_t free_b)
+{
+  uint64_t load_a = (uint64_t)a->granted * (b->granted + free_b);
+  uint64_t load_b = (uint64_t)b->granted * (a->granted + free_a);
+
+  return load_b < load_a || (load_b == load_a && free_b > free_a) ? b : a;
+}
+
+/* The endpoint with the least part of its limit in use, or of two chosen by
+   chance; NULL if none has room.  */
+static struct slot_state *
+choose_slot (struct ms_dispatch *dispatch, const struct ms_cell *cell,
+             enum ms_placement_name placement, bool alone, ms_time now)
+{
+  struct slot_state *best = NULL;
+  uint32_t best_room = 0;
+  unsigned count = cell->endpoints_count;
+  unsigned start = (unsigned)ms_random_below (dispatch->random, count);
+  unsigned seen = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct slot_state *slot = ms_dispatch_slot (
+          dispatch, cell->endpoints[(start + i) % count]->id);
+      uint32_t room = slot ? ms_occupancy_free (dispatch, slot, now) : 0;
+
+      if (!room || (alone && !is_empty (slot)))
+        continue;
+      best = best ? least_loaded (best, best_room, slot, room) : slot;
+      best_room = best == slot ? room : best_room;
+      if (++seen == 2 && placement == MS_PLACE_TWO_CHOICES)
+        break;
+    }
+  return best;
+}
+
+static void
+issue (struct ms_dispatch *dispatch, struct held_cell *cell,
+       struct demand *demand, struct slot_state *slot, enum ms_lane lane,
+       ms_time now)
+{
+  struct team_service *service
+      = ms_dispatch_service (dispatch, cell->service, now);
+  struct grant *grant = calloc (1, sizeof *grant);
+  peer_message message = { .body = { .kind = PEER_GRANT } };
+  peer_grant *sent = &message.body.peer_body_u.grant;
+
+  if (!grant)
+    abort ();
+  grant->id = ms_id_pair (
+      ms_id_pair (dispatch->view->self, dispatch->view->incarnation),
+      ++dispatch->grant_sequence);
+  grant->entry = demand->key.entry;
+  grant->entry_incarnation = demand->entry_incarnation;
+  grant->team = demand->key.team;
+  grant->endpoint = slot->endpoint;
+  grant->cell = cell->id;
+  grant->service = cell->service;
+  grant->lane = lane;
+  grant->issued_at = now;
+  grant->heard_at = now;
+  grant->lapses_at = demand->received_at + MS_GRANT_LIFETIME;
+  grant->charged = ms_fair_estimate (service->fair, grant->team, demand->hint);
+  ms_fair_charge (service->fair, grant->team, grant->charged);
+  HASH_ADD (hh, dispatch->grants, id, sizeof grant->id, grant);
+  slot->granted++;
+  slot->exclusive = lane == MS_LANE_ALONE;
+  demand->pending++;
+  demand->since = now;
+  if (lane == MS_LANE_LONG)
+    cell->interactive_run = 0;
+  else
+    cell->interactive_run++;
+  *sent = (peer_grant){ .grant = grant->id,
+                        .cell = cell->id,
+                        .team = grant->team,
+                        .endpoint = grant->endpoint,
+                        .lane = lane,
+                        .warm = slot->limit.is_warm,
+                        .echo = demand->echo };
+  ms_dispatch_send (dispatch, grant->entry, &message);
+}
+
+static bool
+grant_one (struct ms_dispatch *dispatch, struct held_cell *held,
+           const struct ms_cell *cell, const struct ms_service *service,
+           ms_time now)
+{
+  static _Thread_local struct choice choice;
+  struct team_service *shared
+      = ms_dispatch_service (dispatch, held->service, now);
+  struct slot_state *empty
+      = choose_slot (dispatch, cell, service->placement, true, now);
+  struct slot_state *slot
+      = choose_slot (dispatch, cell, service->placement, false, now);
+  const struct ms_policy *policy = ms_policy (
+      ms_config_trial_cell (service, cell->index) ? service->trial->policy
+                                                  : service->policy);
+  struct demand *demand;
+  enum ms_lane lane;
+  size_t pick;
+
+  if (!slot)
+    return false;
+  gather (dispatch, held, empty != NULL, &choice, now);
+  if (!choice.count)
+    return false;
+  for (size_t i = 0; i < choice.count; i++)
+    ms_fair_waiting (shared->fair, choice.candidates[i].team, now);
+  pick = policy->pick (shared->fair, choice.candidates, choice.count);
+  demand = oldest_demand (dispatch, held, choice.candidates[pick].team,
+                          empty != NULL, now);
+  lane = choose_lane (held, demand, empty != NULL);
+  issue (dispatch, held, demand, lane == MS_LANE_ALONE ? empty : slot, lane,
+         now);
+  return true;
+}
+
+void
+ms_grant_slots (struct ms_dispatch *dispatch, struct held_cell *held,
+                ms_time now)
+{
+  const struct ms_cell *cell = ms_view_cell (dispatch->view, held->id);
+  const struct ms_service *service
+      = cell ? ms_config_service (dispatch->view->config, cell->service)
+             : NULL;
+
+  if (!service || !cell->endpoints_count || dispatch->stopped)
+    return;
+  while (grant_one (dispatch, held, cell, service, now))
+    continue;
+}
--- /dev/null
+++ b/src/entry/demand.c
@@ -0,0 +1,155 @@
+#include "entry/internal.h"
+
+#define ROUND_PERIOD (500 * MS_MSEC)
+
+/* A request that waited this long is made known to every cell.  */
+#define SPREAD_AFTER (50 * MS_MSEC)
+
+static bool
+has_usable (const struct ms_entry *entry, const struct ms_cell *cell)
+{
+  for (unsigned i = 0; i < cell->endpoints_count; i++)
+    if (ms_view_usable (entry->view, cell->endpoints[i]))
+      return true;
+  return false;
+}
+
+/* Whether TEAM's requests may go to CELL, by the service's trial.  */
+static bool
+allowed (const struct ms_service *service, const struct ms_cell *cell,
+         uint64_t team)
+{
+  if (!service->trial || service->trial->by != MS_TRIAL_BY_TEAM)
+    return true;
+  return ms_config_trial_cell (service, cell->index)
+         == ms_config_trial_team (service, team);
+}
+
+static unsigned
+fill_items (struct ms_entry *entry, const struct ms_cell *cell,
+            peer_demand_item *items)
+{
+  const struct ms_service *service
+      = ms_config_service (entry->view->config, cell->service);
+  unsigned count = 0;
+
+  for (struct queue *q = entry->queues; q && count < PEER_DEMANDS;
+       q = q->hh.next)
+    {
+      const struct request *first = NULL;
+
+      if (q->key.service != cell->service || !ms_queue_length (q)
+          || !allowed (service, cell, q->key.team))
+        continue;
+      for (int lane = 0; lane < MS_LANES && !first; lane++)
+        first = q->lanes[lane];
+      items[count++] = (peer_demand_item){
+        .team = q->key.team,
+        .interactive = q->count[MS_LANE_INTERACTIVE],
+        .batch = q->count[MS_LANE_LONG],
+        .alone = q->count[MS_LANE_ALONE],
+        .hint = first ? first->arrival.hint : 0,
+      };
+    }
+  return count;
+}
+
+void
+ms_demand_send (struct ms_entry *entry, const struct ms_cell *cell,
+                ms_time now)
+{
+  peer_demand_item items[PEER_DEMANDS];
+  peer_message message = { .body = { .kind = PEER_DEMAND } };
+  peer_demand *demand = &message.body.peer_body_u.demand;
+  uint64_t dispatcher = ms_view_dispatcher (entry->view, cell, now);
+  unsigned count;
+
+  if (!dispatcher || !entry->view->config)
+    return;
+  count = fill_items (entry, cell, items);
+  if (!count)
+    return;
+  demand->cell = cell->id;
+  demand->sent_at = now;
+  demand->items.items_val = items;
+  demand->items.items_len = count;
+  ms_entry_send (entry, dispatcher, &message);
+}
+
+/* A cell of SERVICE that can serve TEAM, the next from START on; NULL if
+   there is none.  NEAR asks for one in the router's own zone.  */
+static struct ms_cell *
+pick_cell (struct ms_entry *entry, const struct request *request, bool near,
+           const struct ms_cell *except)
+{
+  struct ms_view *view = entry->view;
+  const struct ms_service *service
+      = ms_config_service (view->config, request->arrival.service);
+  unsigned start
+      = (unsigned)ms_random_below (entry->random, view->cells_count);
+
+  for (unsigned i = 0; i < view->cells_count; i++)
+    {
+      struct ms_cell *cell = &view->cells[(start + i) % view->cells_count];
+
+      if (cell->service != request->arrival.service || cell == except
+          || (near && cell->zone != view->zone)
+          || !allowed (service, cell, request->arrival.team)
+          || !has_usable (entry, cell))
+        continue;
+      return cell;
+    }
+  return NULL;
+}
+
+void
+ms_demand_fresh (struct ms_entry *entry, const struct request *request,
+                 ms_time now)
+{
+  struct ms_cell *first;
+  struct ms_cell *second;
+
+  if (!entry->view->config || !entry->view->cells_count)
+    return;
+  first = pick_cell (entry, request, true, NULL);
+  second = pick_cell (entry, request, false, first);
+  if (first)
+    ms_demand_send (entry, first, now);
+  if (second)
+    ms_demand_send (entry, second, now);
+}
+
+static bool
+waited_long (const struct ms_entry *entry, uint64_t service, ms_time now)
+{
+  for (struct queue *q = entry->queues; q; q = q->hh.next)
+    for (int lane = 0; lane < MS_LANES; lane++)
+      if (q->key.service == service && q->lanes[lane]
+          && now - q->lanes[lane]->queued_at >= SPREAD_AFTER)
+        return true;
+  return false;
+}
+
+static void
+send_round (struct ms_entry *entry, uint64_t service, ms_time now)
+{
+  struct ms_view *view = entry->view;
+
+  for (unsigned i = 0; i < view->cells_count; i++)
+    if (view->cells[i].service == service
+        && has_usable (entry, &view->cells[i]))
+      ms_demand_send (entry, &view->cells[i], now);
+}
+
+void
+ms_demand_rounds (struct ms_entry *entry, ms_time now)
+{
+  for (struct service_round *r = entry->rounds; r; r = r->hh.next)
+    {
+      if (!r->waiting || now - r->last_round < ROUND_PERIOD
+          || !waited_long (entry, r->service, now))
+        continue;
+      r->last_round = now;
+      send_round (entry, r->service, now);
+    }
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,514 @@
+#include "entry/entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metrics.h"
+#include "entry/internal.h"
+
+/* The share of requests that may be tried again, and the reserve of it.  */
+#define RETRY_SHARE 0.1
+#define RETRY_RESERVE 20.0
+
+/* How long the log may take to decide on a key.  */
+#define INTENT_TIMEOUT (3 * MS_SEC)
+
+#define RUNNING_PERIOD (1 * MS_SEC)
+
+struct ms_entry *
+ms_entry_create (struct ms_view *view, const struct ms_sink *sink,
+                 struct ms_random *random, struct ms_guard *guard,
+                 struct ms_once *once)
+{
+  struct ms_entry *entry = calloc (1, sizeof *entry);
+
+  if (!entry)
+    abort ();
+  entry->view = view;
+  entry->sink = sink;
+  entry->random = random;
+  entry->guard = guard;
+  entry->once = once;
+  entry->retry_budget = RETRY_RESERVE;
+  return entry;
+}
+
+void
+ms_entry_destroy (struct ms_entry *entry)
+{
+  struct request *request, *next_request;
+  struct queue *queue, *next_queue;
+  struct service_round *round, *next_round;
+
+  if (!entry)
+    return;
+  HASH_ITER (hh, entry->requests, request, next_request)
+  {
+    HASH_DEL (entry->requests, request);
+    free (request);
+  }
+  HASH_ITER (hh, entry->queues, queue, next_queue)
+  {
+    HASH_DEL (entry->queues, queue);
+    free (queue);
+  }
+  HASH_ITER (hh, entry->rounds, round, next_round)
+  {
+    HASH_DEL (entry->rounds, round);
+    free (round);
+  }
+  free (entry);
+}
+
+void
+ms_entry_send (struct ms_entry *entry, uint64_t node, peer_message *message)
+{
+  struct ms_view *view = entry->view;
+  const struct ms_member *member = ms_view_member (view, node);
+  struct ms_effect effect
+      = { .kind = MS_EFFECT_SEND,
+          .send = { node, member ? member->peer_address : "", message } };
+
+  if (!member && node != view->self)
+    return;
+  message->from = view->self;
+  message->incarnation = view->incarnation;
+  message->applied = view->applied;
+  entry->sink->emit (entry->sink->context, &effect);
+}
+
+struct request *
+ms_entry_find (const struct ms_entry *entry, uint64_t id)
+{
+  struct request *request;
+
+  HASH_FIND (hh, entry->requests, &id, sizeof id, request);
+  return request;
+}
+
+static void
+emit_answer (struct ms_entry *entry, uint64_t request, enum ms_outcome outcome,
+             enum ms_reason reason, ms_time retry_after, uint64_t endpoint)
+{
+  static const enum ms_metric metrics[]
+      = { MS_M_ANSWERED, MS_M_NOT_RUN, MS_M_FAILED, MS_M_UNKNOWN };
+  struct ms_effect effect
+      = { .kind = MS_EFFECT_ANSWER,
+          .answer = { request, outcome, reason, retry_after, endpoint } };
+
+  ms_count (metrics[outcome], 1);
+  entry->sink->emit (entry->sink->context, &effect);
+}
+
+/* Whether coming back later may help.  */
+static bool
+may_return (enum ms_reason reason)
+{
+  return reason == MS_REASON_QUEUE_FULL || reason == MS_REASON_DEADLINE
+         || reason == MS_REASON_LOG_DOWN || reason == MS_REASON_DRAINING
+         || reason == MS_REASON_NO_CONFIG || reason == MS_REASON_NO_CAPACITY;
+}
+
+void
+ms_entry_answer (struct ms_entry *entry, struct request *request,
+                 enum ms_outcome outcome, enum ms_reason reason, ms_time now)
+{
+  ms_time retry_after = 0;
+
+  (void)now;
+  if (may_return (reason) && outcome == MS_NOT_RUN)
+    retry_after = ms_entry_retry_after (request->queue);
+  if (request->keyed)
+    ms_once_end (entry->once, request->arrival.key, request->id, outcome);
+  emit_answer (entry, request->id, outcome, reason, retry_after,
+               request->endpoint);
+  if (request->state == REQUEST_WAITING)
+    ms_entry_dequeue (entry, request);
+  HASH_DEL (entry->requests, request);
+  free (request);
+}
+
+static void
+refuse (struct ms_entry *entry, const struct ms_arrival *arrival,
+        enum ms_reason reason, const struct queue *queue)
+{
+  ms_time retry_after = may_return (reason) ? ms_entry_retry_after (queue) : 0;
+
+  emit_answer (entry, arrival->request, MS_NOT_RUN, reason, retry_after, 0);
+}
+
+static enum ms_reason
+check_arrival (struct ms_entry *entry, const struct ms_arrival *arrival,
+               ms_time now)
+{
+  const struct ms_config *config = entry->view->config;
+  const struct ms_service *service;
+  const struct queue *queue;
+
+  if (entry->draining)
+    return MS_REASON_DRAINING;
+  if (!config || !entry->view->read_once)
+    return MS_REASON_NO_CONFIG;
+  if (!ms_config_team (config, arrival->team))
+    return MS_REASON_UNKNOWN_TEAM;
+  service = ms_config_service (config, arrival->service);
+  if (!service)
+    return MS_REASON_UNKNOWN_SERVICE;
+  if (ms_guard_check (entry->guard, arrival->fingerprint, now)
+      == MS_QUARANTINED)
+    return MS_REASON_QUARANTINED;
+  queue = ms_entry_queue (entry, arrival->service, arrival->team);
+  if (ms_queue_length (queue) >= service->queue_limit)
+    return MS_REASON_QUEUE_FULL;
+  return MS_REASON_NONE;
+}
+
+static struct request *
+admit (struct ms_entry *entry, const struct ms_arrival *arrival, ms_time now)
+{
+  struct request *request = calloc (1, sizeof *request);
+
+  if (!request)
+    abort ();
+  request->id = arrival->request;
+  request->arrival = *arrival;
+  request->lane = arrival->lane;
+  request->arrived = now;
+  request->queue = ms_entry_queue (entry, arrival->service, arrival->team);
+  HASH_ADD (hh, entry->requests, id, sizeof request->id, request);
+  return request;
+}
+
+static void
+begin_waiting (struct ms_entry *entry, struct request *request, ms_time now)
+{
+  if (ms_guard_check (entry->guard, request->arrival.fingerprint, now)
+      == MS_SUSPECT)
+    request->lane = MS_LANE_ALONE;
+  ms_entry_enqueue (entry, request, false, now);
+  ms_demand_fresh (entry, request, now);
+}
+
+void
+ms_entry_arrive (struct ms_entry *entry, const struct ms_arrival *arrival,
+                 ms_time now)
+{
+  enum ms_reason reason = check_arrival (entry, arrival, now);
+  struct ms_once_verdict verdict;
+  struct request *request;
+
+  ms_count (MS_M_ACCEPTED, 1);
+  entry->retry_budget += RETRY_SHARE;
+  if (entry->retry_budget > RETRY_RESERVE)
+    entry->retry_budget = RETRY_RESERVE;
+  if (reason != MS_REASON_NONE)
+    {
+      refuse (entry, arrival, reason,
+              reason == MS_REASON_QUEUE_FULL
+                  ? ms_entry_queue (entry, arrival->service, arrival->team)
+                  : NULL);
+      return;
+    }
+  request = admit (entry, arrival, now);
+  if (arrival->idempotent || !arrival->key)
+    {
+      begin_waiting (entry, request, now);
+      return;
+    }
+  request->state = REQUEST_INTENT;
+  verdict = ms_once_begin (entry->once, arrival->key, request->id);
+  if (verdict.state == MS_ONCE_WAIT)
+    request->keyed = true;
+  else
+    ms_entry_verdict (entry, &verdict, now);
+}
+
+void
+ms_entry_verdict (struct ms_entry *entry,
+                  const struct ms_once_verdict *verdict, ms_time now)
+{
+  struct request *request = ms_entry_find (entry, verdict->request);
+
+  if (!request || request->state != REQUEST_INTENT)
+    return;
+  switch (verdict->state)
+    {
+    case MS_ONCE_RUN:
+      request->keyed = true;
+      begin_waiting (entry, request, now);
+      break;
+    case MS_ONCE_REPEAT:
+      request->keyed = false;
+      ms_entry_answer (entry, request, verdict->outcome, MS_REASON_REPEATED,
+                       now);
+      break;
+    case MS_ONCE_NOT_READY:
+      ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_LOG_DOWN, now);
+      break;
+    case MS_ONCE_WAIT:
+      break;
+    }
+}
+
+static void
+cancel (struct ms_entry *entry, struct request *request)
+{
+  struct ms_effect effect = { .kind = MS_EFFECT_CANCEL,
+                              .cancel = { request->id, request->attempts } };
+
+  if (request->cancelled)
+    return;
+  request->cancelled = true;
+  entry->sink->emit (entry->sink->context, &effect);
+}
+
+void
+ms_entry_caller_gone (struct ms_entry *entry, uint64_t id, ms_time now)
+{
+  struct request *request = ms_entry_find (entry, id);
+
+  if (!request)
+    return;
+  if (request->state == REQUEST_RUNNING)
+    {
+      request->caller_gone = true;
+      cancel (entry, request);
+      return;
+    }
+  ms_entry_answer (entry, request,
+                   request->may_have_run ? MS_UNKNOWN : MS_NOT_RUN,
+                   MS_REASON_CALLER_GONE, now);
+}
+
+void
+ms_entry_progress (struct ms_entry *entry, uint64_t id, uint32_t cost)
+{
+  struct request *request = ms_entry_find (entry, id);
+
+  if (request && request->state == REQUEST_RUNNING)
+    request->cost = cost;
+}
+
+static bool
+may_retry (struct ms_entry *entry, const struct request *request,
+           const struct ms_attempt_end *end, ms_time now)
+{
+  bool ran = end->result != MS_RESULT_CONNECT_FAILED;
+
+  if (end->sent_to_caller || request->caller_gone || request->cancelled)
+    return false;
+  if (ran && !request->arrival.idempotent)
+    return false;
+  if (request->attempts >= MAX_ATTEMPTS || now >= request->arrival.deadline)
+    return false;
+  if (ms_guard_check (entry->guard, request->arrival.fingerprint, now)
+      == MS_QUARANTINED)
+    return false;
+  return entry->retry_budget >= 1;
+}
+
+static void
+retry (struct ms_entry *entry, struct request *request, ms_time now)
+{
+  entry->retry_budget -= 1;
+  ms_count (MS_M_RETRIES, 1);
+  if (request->tried_count < MAX_ATTEMPTS)
+    request->tried[request->tried_count++] = request->endpoint;
+  request->lane = request->arrival.lane;
+  if (ms_guard_check (entry->guard, request->arrival.fingerprint, now)
+      == MS_SUSPECT)
+    request->lane = MS_LANE_ALONE;
+  request->endpoint = 0;
+  request->cost = 0;
+  request->cancelled = false;
+  ms_entry_enqueue (entry, request, true, now);
+  ms_demand_fresh (entry, request, now);
+}
+
+static void
+note_reset (struct ms_entry *entry, const struct request *request, ms_time now)
+{
+  uint64_t fingerprint = request->arrival.fingerprint;
+  unsigned deaths
+      = ms_guard_death (entry->guard, fingerprint, request->endpoint, now);
+
+  if (deaths)
+    ms_death_note (entry, fingerprint, deaths, false);
+}
+
+/* The outcome of a request whose last attempt gave no whole answer.  */
+static enum ms_outcome
+broken_outcome (const struct request *request)
+{
+  if (!request->may_have_run)
+    return MS_NOT_RUN;
+  return request->arrival.idempotent ? MS_FAILED : MS_UNKNOWN;
+}
+
+static void
+end_broken (struct ms_entry *entry, struct request *request,
+            const struct ms_attempt_end *end, ms_time now)
+{
+  enum ms_reason reason = MS_REASON_ENDPOINT;
+
+  if (end->result != MS_RESULT_CONNECT_FAILED)
+    request->may_have_run = true;
+  if (end->result == MS_RESULT_RESET)
+    note_reset (entry, request, now);
+  if (may_retry (entry, request, end, now))
+    {
+      retry (entry, request, now);
+      return;
+    }
+  if (!request->may_have_run)
+    reason = MS_REASON_NO_CAPACITY;
+  else if (request->caller_gone)
+    reason = MS_REASON_CALLER_GONE;
+  ms_entry_answer (entry, request, broken_outcome (request), reason, now);
+}
+
+/* The grant lapsed before the attempt began: nothing was sent.  */
+static void
+start_over (struct ms_entry *entry, struct request *request, ms_time now)
+{
+  request->attempts--;
+  request->endpoint = 0;
+  if (request->caller_gone || ++request->false_starts > MAX_FALSE_STARTS)
+    {
+      ms_entry_answer (
+          entry, request,
+          request->may_have_run ? broken_outcome (request) : MS_NOT_RUN,
+          request->caller_gone ? MS_REASON_CALLER_GONE : MS_REASON_NO_CAPACITY,
+          now);
+      return;
+    }
+  ms_entry_enqueue (entry, request, true, now);
+  ms_demand_fresh (entry, request, now);
+}
+
+void
+ms_entry_attempt_end (struct ms_entry *entry, const struct ms_attempt_end *end,
+                      ms_time now)
+{
+  struct request *request = ms_entry_find (entry, end->request);
+
+  if (!request || request->state != REQUEST_RUNNING
+      || request->attempts != end->attempt)
+    return;
+  request->cost = end->cost;
+  ms_binding_done (entry, request, end->result, end->duration);
+  switch (end->result)
+    {
+    case MS_RESULT_OK:
+      if (ms_guard_success (entry->guard, request->arrival.fingerprint))
+        ms_death_note (entry, request->arrival.fingerprint, 0, true);
+      ms_entry_answer (entry, request, MS_ANSWERED, MS_REASON_NONE, now);
+      break;
+    case MS_RESULT_NOT_STARTED:
+      start_over (entry, request, now);
+      break;
+    default:
+      end_broken (entry, request, end, now);
+      break;
+    }
+}
+
+void
+ms_entry_message (struct ms_entry *entry, const peer_message *message,
+                  ms_time now)
+{
+  const peer_death *death = &message->body.peer_body_u.death;
+  const struct ms_cell *cell;
+
+  switch (message->body.kind)
+    {
+    case PEER_GRANT:
+      ms_binding_grant (entry, message, now);
+      break;
+    case PEER_IDLE:
+      cell = ms_view_cell (entry->view, message->body.peer_body_u.idle.cell);
+      if (cell)
+        ms_demand_send (entry, cell, now);
+      break;
+    case PEER_DEATH:
+      ms_guard_told (entry->guard, death->fingerprint, death->deaths,
+                     death->cleared, now);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+end_overdue (struct ms_entry *entry, ms_time now)
+{
+  struct request *request, *next;
+
+  HASH_ITER (hh, entry->requests, request, next)
+  {
+    bool log_slow = request->state == REQUEST_INTENT
+                    && now - request->arrived > INTENT_TIMEOUT;
+
+    if (log_slow)
+      ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_LOG_DOWN, now);
+    else if (now < request->arrival.deadline)
+      continue;
+    else if (request->state == REQUEST_RUNNING)
+      cancel (entry, request);
+    else
+      ms_entry_answer (entry, request, broken_outcome (request),
+                       MS_REASON_DEADLINE, now);
+  }
+}
+
+void
+ms_entry_tick (struct ms_entry *entry, ms_time now)
+{
+  end_overdue (entry, now);
+  ms_demand_rounds (entry, now);
+  ms_death_repeat (entry);
+  if (now >= entry->next_running)
+    {
+      entry->next_running = now + RUNNING_PERIOD;
+      ms_binding_running (entry, now);
+    }
+}
+
+void
+ms_entry_drain (struct ms_entry *entry)
+{
+  entry->draining = true;
+}
+
+unsigned
+ms_entry_open (const struct ms_entry *entry)
+{
+  return HASH_COUNT (entry->requests);
+}
+
+bool
+ms_entry_status (const struct ms_entry *entry, uint64_t id, ms_time now,
+                 struct ms_request_status *status)
+{
+  static const char *const names[] = { "intent", "waiting", "running" };
+  const struct request *request = ms_entry_find (entry, id);
+
+  if (!request)
+    return false;
+  *status = (struct ms_request_status){ .state = names[request->state],
+                                        .attempts = request->attempts,
+                                        .endpoint = request->endpoint,
+                                        .waited = now - request->arrived };
+  if (request->state == REQUEST_WAITING)
+    for (const struct request *r = request->queue->lanes[request->lane];
+         r && r != request; r = r->next)
+      status->ahead++;
+  return true;
+}
+
+size_t
+ms_entry_bytes (const struct ms_entry *entry)
+{
+  return sizeof *entry + HASH_COUNT (entry->requests) * sizeof (struct request)
+         + HASH_COUNT (entry->queues) * sizeof (struct queue);
+}
--- /dev/null
+++ b/src/entry/queue.c
@@ -0,0 +1,90 @@
+#include <stdlib.h>
+
+#include "entry/internal.h"
+
+#define MIN_RETRY_AFTER (1 * MS_SEC)
+#define MAX_RETRY_AFTER (60 * MS_SEC)
+
+struct queue *
+ms_entry_queue (struct ms_entry *entry, uint64_t service, uint64_t team)
+{
+  struct queue_key key = { service, team };
+  struct queue *queue;
+
+  HASH_FIND (hh, entry->queues, &key, sizeof key, queue);
+  if (queue)
+    return queue;
+  queue = calloc (1, sizeof *queue);
+  if (!queue)
+    abort ();
+  queue->key = key;
+  HASH_ADD (hh, entry->queues, key, sizeof queue->key, queue);
+  return queue;
+}
+
+unsigned
+ms_queue_length (const struct queue *queue)
+{
+  unsigned length = 0;
+
+  for (int lane = 0; lane < MS_LANES; lane++)
+    length += queue->count[lane];
+  return length;
+}
+
+static struct service_round *
+round_of (struct ms_entry *entry, uint64_t service)
+{
+  struct service_round *round;
+
+  HASH_FIND (hh, entry->rounds, &service, sizeof service, round);
+  if (round)
+    return round;
+  round = calloc (1, sizeof *round);
+  if (!round)
+    abort ();
+  round->service = service;
+  HASH_ADD (hh, entry->rounds, service, sizeof round->service, round);
+  return round;
+}
+
+void
+ms_entry_enqueue (struct ms_entry *entry, struct request *request,
+                  bool at_head, ms_time now)
+{
+  struct queue *queue = request->queue;
+  struct request **lane = &queue->lanes[request->lane];
+
+  if (at_head)
+    DL_PREPEND (*lane, request);
+  else
+    DL_APPEND (*lane, request);
+  queue->count[request->lane]++;
+  round_of (entry, queue->key.service)->waiting++;
+  request->state = REQUEST_WAITING;
+  request->queued_at = now;
+}
+
+void
+ms_entry_dequeue (struct ms_entry *entry, struct request *request)
+{
+  struct queue *queue = request->queue;
+  struct request **lane = &queue->lanes[request->lane];
+
+  DL_DELETE (*lane, request);
+  queue->count[request->lane]--;
+  round_of (entry, queue->key.service)->waiting--;
+}
+
+ms_time
+ms_entry_retry_after (const struct queue *queue)
+{
+  ms_time wait;
+
+  if (!queue)
+    return MIN_RETRY_AFTER;
+  wait = queue->grant_interval * (ms_time)ms_queue_length (queue) / 2;
+  if (wait < MIN_RETRY_AFTER)
+    return MIN_RETRY_AFTER;
+  return wait > MAX_RETRY_AFTER ? MAX_RETRY_AFTER : wait;
+}
--- /dev/null
+++ b/src/fair/policy.c
@@ -0,0 +1,74 @@
+#include "fair/internal.h"
+
+/* Units added to each waiting team a round of the deficit policy, times its
+   weight.  */
+#define QUANTUM 100
+
+static size_t
+pick_fair (struct ms_fair *fair, const struct ms_candidate *candidates,
+           size_t count)
+{
+  size_t best = 0;
+  double lowest = ms_fair_counter (fair, candidates[0].team);
+
+  for (size_t i = 1; i < count; i++)
+    {
+      double value = ms_fair_counter (fair, candidates[i].team);
+
+      if (value > lowest
+          || (value == lowest
+              && candidates[i].since >= candidates[best].since))
+        continue;
+      best = i;
+      lowest = value;
+    }
+  return best;
+}
+
+static size_t
+pick_first_come (struct ms_fair *fair, const struct ms_candidate *candidates,
+                 size_t count)
+{
+  size_t best = 0;
+
+  (void)fair;
+  for (size_t i = 1; i < count; i++)
+    if (candidates[i].since < candidates[best].since)
+      best = i;
+  return best;
+}
+
+/* Weighted deficit round robin on estimated costs; it knows only what this
+   router charged.  */
+static size_t
+pick_deficit (struct ms_fair *fair, const struct ms_candidate *candidates,
+              size_t count)
+{
+  size_t best = 0;
+
+  for (size_t i = 1; i < count; i++)
+    if (ms_fair_account (fair, candidates[i].team)->deficit
+        > ms_fair_account (fair, candidates[best].team)->deficit)
+      best = i;
+  if (ms_fair_account (fair, candidates[best].team)->deficit <= 0)
+    for (size_t i = 0; i < count; i++)
+      {
+        struct account *a = ms_fair_account (fair, candidates[i].team);
+
+        a->deficit += (double)QUANTUM * a->weight;
+      }
+  ms_fair_account (fair, candidates[best].team)->deficit
+      -= ms_fair_estimate (fair, candidates[best].team, 0);
+  return best;
+}
+
+const struct ms_policy *
+ms_policy (enum ms_policy_name name)
+{
+  static const struct ms_policy policies[]
+      = { [MS_POLICY_FAIR] = { "fair", pick_fair },
+          [MS_POLICY_FIRST_COME] = { "first_come", pick_first_come },
+          [MS_POLICY_DEFICIT] = { "deficit", pick_deficit } };
+
+  return &policies[name];
+}
--- /dev/null
+++ b/src/member/liveness.c
@@ -0,0 +1,283 @@
+#include "member/liveness.h"
+
+#include <stdlib.h>
+
+#define PROBE_PERIOD (1 * MS_SEC)
+#define RETRY_PERIOD (400 * MS_MSEC)
+#define PROBES_PER_PERIOD 3
+#define SILENT_PROBES 3
+#define SILENT_AFTER (1200 * MS_MSEC)
+#define SUSPICION_LIFETIME (5 * MS_SEC)
+#define EXPIRE_PERIOD (3 * MS_SEC)
+#define CONNECTED_WITHIN (4 * MS_SEC)
+
+struct ms_liveness
+{
+  struct ms_view *view;
+  const struct ms_sink *sink;
+  struct ms_random *random;
+  ms_time next_probe;
+  ms_time next_retry;
+  ms_time last_expire;
+  uint64_t sequence;
+};
+
+struct ms_liveness *
+ms_liveness_create (struct ms_view *view, const struct ms_sink *sink,
+                    struct ms_random *random)
+{
+  struct ms_liveness *liveness = calloc (1, sizeof *liveness);
+
+  if (!liveness)
+    abort ();
+  liveness->view = view;
+  liveness->sink = sink;
+  liveness->random = random;
+  return liveness;
+}
+
+void
+ms_liveness_destroy (struct ms_liveness *liveness)
+{
+  free (liveness);
+}
+
+bool
+ms_liveness_silent (const struct ms_member *member, ms_time now)
+{
+  return member->probe_sent && member->probes_unanswered >= SILENT_PROBES
+         && now - member->probe_sent >= SILENT_AFTER;
+}
+
+static unsigned
+collect_suspects (struct ms_liveness *liveness, peer_suspect *suspects,
+                  ms_time now)
+{
+  struct ms_view *view = liveness->view;
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < view->members_count && count < PEER_SUSPECTS; i++)
+    if (view->members[i].id != view->self
+        && ms_liveness_silent (&view->members[i], now))
+      suspects[count++] = (peer_suspect){
+        .node = view->members[i].id,
+        .incarnation = view->members[i].incarnation,
+      };
+  return count;
+}
+
+static void
+send_probe (struct ms_liveness *liveness, const struct ms_member *member,
+            peer_kind kind, uint64_t sequence, ms_time now)
+{
+  struct ms_view *view = liveness->view;
+  peer_suspect suspects[PEER_SUSPECTS];
+  peer_message message = {
+    .from = view->self,
+    .incarnation = view->incarnation,
+    .applied = view->applied,
+    .body = { .kind = kind },
+  };
+  peer_probe *probe = &message.body.peer_body_u.probe;
+  struct ms_effect effect
+      = { .kind = MS_EFFECT_SEND,
+          .send = { member->id, member->peer_address, &message } };
+
+  probe->sequence = sequence;
+  probe->generation = view->config ? view->config->generation : 0;
+  probe->stale = ms_view_stale (view, now);
+  probe->suspects.suspects_val = suspects;
+  probe->suspects.suspects_len = collect_suspects (liveness, suspects, now);
+  liveness->sink->emit (liveness->sink->context, &effect);
+}
+
+static void
+probe (struct ms_liveness *liveness, struct ms_member *member, ms_time now)
+{
+  if (!member->probe_sent)
+    member->probe_sent = now;
+  member->probes_unanswered++;
+  send_probe (liveness, member, PEER_PROBE, ++liveness->sequence, now);
+}
+
+/* A few members by chance, so that the cost a router bears does not grow
+   with the fleet.  */
+static void
+probe_some (struct ms_liveness *liveness, ms_time now)
+{
+  struct ms_view *view = liveness->view;
+
+  for (int i = 0; i < PROBES_PER_PERIOD && view->members_count > 1; i++)
+    {
+      uint64_t pick = ms_random_below (liveness->random, view->members_count);
+      struct ms_member *member = &view->members[pick];
+
+      if (member->id != view->self && !member->probe_sent)
+        probe (liveness, member, now);
+    }
+}
+
+/* Ask again where an answer is owing or another router reports silence.  */
+static void
+probe_again (struct ms_liveness *liveness, ms_time now)
+{
+  struct ms_view *view = liveness->view;
+
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      struct ms_member *member = &view->members[i];
+      bool reported = member->suspicions_count
+                      && now - member->last_heard > PROBE_PERIOD;
+
+      if (member->id != view->self && (member->probe_sent || reported))
+        probe (liveness, member, now);
+    }
+}
+
+/* Whether no member outside MEMBER's own zone could agree from a second
+   zone; then two routers of one zone are enough.  */
+static bool
+one_zone_left (const struct ms_view *view, const struct ms_member *member)
+{
+  for (unsigned i = 0; i < view->members_count; i++)
+    if (&view->members[i] != member && view->members[i].zone != view->zone)
+      return false;
+  return true;
+}
+
+static bool
+confirmed (const struct ms_liveness *liveness, const struct ms_member *member,
+           ms_time now)
+{
+  const struct ms_view *view = liveness->view;
+
+  for (unsigned i = 0; i < member->suspicions_count; i++)
+    {
+      const struct ms_suspicion *s = &member->suspicions[i];
+
+      if (now - s->at > SUSPICION_LIFETIME || s->reporter == view->self)
+        continue;
+      if (s->zone != view->zone || one_zone_left (view, member))
+        return true;
+    }
+  return false;
+}
+
+static void
+expire (struct ms_liveness *liveness, const struct ms_member *member)
+{
+  struct ms_record record = { .kind = MS_RECORD_EXPIRE,
+                              .node = member->name,
+                              .incarnation = member->incarnation };
+  char *text = ms_record_print (&record);
+  struct ms_effect effect
+      = { .kind = MS_EFFECT_APPEND, .append = { MS_STREAM_CONTROL, 0, text } };
+
+  liveness->sink->emit (liveness->sink->context, &effect);
+  free (text);
+}
+
+static void
+expire_silent (struct ms_liveness *liveness, ms_time now)
+{
+  struct ms_view *view = liveness->view;
+  bool appended = false;
+
+  if (now - liveness->last_expire < EXPIRE_PERIOD)
+    return;
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      struct ms_member *member = &view->members[i];
+
+      if (member->id == view->self || !ms_liveness_silent (member, now)
+          || !confirmed (liveness, member, now))
+        continue;
+      expire (liveness, member);
+      appended = true;
+    }
+  if (appended)
+    liveness->last_expire = now;
+}
+
+void
+ms_liveness_tick (struct ms_liveness *liveness, ms_time now)
+{
+  if (now >= liveness->next_retry)
+    {
+      probe_again (liveness, now);
+      liveness->next_retry = now + RETRY_PERIOD;
+    }
+  if (now >= liveness->next_probe)
+    {
+      probe_some (liveness, now);
+      liveness->next_probe = now + PROBE_PERIOD;
+    }
+  expire_silent (liveness, now);
+}
+
+static void
+note_suspicion (struct ms_liveness *liveness, const struct ms_member *reporter,
+                const peer_suspect *suspect, ms_time now)
+{
+  struct ms_member *member = ms_view_member (liveness->view, suspect->node);
+  struct ms_suspicion *slot = NULL;
+
+  if (!member || member->incarnation != suspect->incarnation)
+    return;
+  for (unsigned i = 0; i < member->suspicions_count; i++)
+    if (member->suspicions[i].reporter == reporter->id)
+      slot = &member->suspicions[i];
+  if (!slot && member->suspicions_count < MS_MAX_SUSPICIONS)
+    slot = &member->suspicions[member->suspicions_count++];
+  if (slot)
+    *slot = (struct ms_suspicion){ reporter->id, reporter->zone, now };
+}
+
+static void
+note_probe (struct ms_liveness *liveness, struct ms_member *member,
+            const peer_message *message, ms_time now)
+{
+  const peer_probe *probe = &message->body.peer_body_u.probe;
+
+  member->generation = probe->generation;
+  member->stale = probe->stale;
+  for (unsigned i = 0; i < probe->suspects.suspects_len; i++)
+    note_suspicion (liveness, member, &probe->suspects.suspects_val[i], now);
+  if (message->body.kind == PEER_PROBE)
+    send_probe (liveness, member, PEER_PROBE_ACK, probe->sequence, now);
+}
+
+void
+ms_liveness_heard (struct ms_liveness *liveness, const peer_message *message,
+                   ms_time now)
+{
+  struct ms_member *member = ms_view_member (liveness->view, message->from);
+
+  if (!member || member->incarnation != message->incarnation)
+    return;
+  member->last_heard = now;
+  member->probe_sent = 0;
+  member->probes_unanswered = 0;
+  member->suspicions_count = 0;
+  if (message->applied > member->applied)
+    member->applied = message->applied;
+  if (message->body.kind == PEER_PROBE || message->body.kind == PEER_PROBE_ACK)
+    note_probe (liveness, member, message, now);
+}
+
+bool
+ms_liveness_connected (const struct ms_liveness *liveness, ms_time now)
+{
+  const struct ms_view *view = liveness->view;
+  bool others = false;
+
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      if (view->members[i].zone == view->zone)
+        continue;
+      others = true;
+      if (now - view->members[i].last_heard <= CONNECTED_WITHIN)
+        return true;
+    }
+  return !others;
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,269 @@
+#include "node/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "config/follower.h"
+#include "member/liveness.h"
+#include "node/internal.h"
+
+static void
+forward (void *context, const struct ms_effect *effect)
+{
+  struct ms_node *node = context;
+
+  if (effect->kind == MS_EFFECT_SEND && effect->send.node == node->view->self)
+    {
+      ms_node_keep (node, effect->send.message);
+      return;
+    }
+  node->sink.emit (node->sink.context, effect);
+}
+
+struct ms_node *
+ms_node_create (const struct ms_node_options *options,
+                const struct ms_sink *sink)
+{
+  struct ms_node *node = calloc (1, sizeof *node);
+
+  if (!node)
+    abort ();
+  node->sink = *sink;
+  node->inner = (struct ms_sink){ forward, node };
+  node->random.state = options->random_seed;
+  node->view
+      = ms_view_create (ms_id (ms_str (options->name)), options->incarnation,
+                        ms_id (ms_str (options->zone)));
+  node->liveness
+      = ms_liveness_create (node->view, &node->inner, &node->random);
+  node->follower
+      = ms_follower_create (node->view, &node->inner, &node->random);
+  node->dispatch
+      = ms_dispatch_create (node->view, &node->inner, &node->random);
+  node->guard = ms_guard_create ();
+  node->once
+      = ms_once_create (node->view->self, options->incarnation, &node->inner);
+  node->entry = ms_entry_create (node->view, &node->inner, &node->random,
+                                 node->guard, node->once);
+  node->join.kind = MS_RECORD_JOIN;
+  node->join.node = ms_name (options->name);
+  node->join.zone = ms_name (options->zone);
+  node->join.incarnation = options->incarnation;
+  strncpy (node->join.peer_address, options->peer_address,
+           MS_ADDRESS_BYTES - 1);
+  strncpy (node->join.caller_address, options->caller_address,
+           MS_ADDRESS_BYTES - 1);
+  return node;
+}
+
+void
+ms_node_destroy (struct ms_node *node)
+{
+  if (!node)
+    return;
+  ms_entry_destroy (node->entry);
+  ms_once_destroy (node->once);
+  ms_guard_destroy (node->guard);
+  ms_dispatch_destroy (node->dispatch);
+  ms_follower_destroy (node->follower);
+  ms_liveness_destroy (node->liveness);
+  ms_view_destroy (node->view);
+  ms_node_drop_kept (node);
+  free (node);
+}
+
+static void
+handle_control (struct ms_node *node, const struct ms_event *event,
+                ms_time now)
+{
+  uint64_t offset = event->log_record.offset;
+  struct ms_record record;
+
+  if (offset < node->view->applied)
+    return;
+  node->view->applied = offset + 1;
+  if (ms_record_parse (event->log_record.text, &record) != MS_OK)
+    {
+      ms_log (MS_WARN, "log", "skipped offset=%llu reason=\"%s\"",
+              (unsigned long long)offset, ms_last_message ());
+      return;
+    }
+  switch (record.kind)
+    {
+    case MS_RECORD_CONFIG:
+    case MS_RECORD_CONFIG_COPY:
+      ms_follower_record (node->follower, &record, offset, now);
+      break;
+    case MS_RECORD_QUARANTINE:
+      ms_guard_told (node->guard, record.fingerprint, 2, false, now);
+      break;
+    default:
+      ms_view_apply (node->view, &record, offset, now);
+      break;
+    }
+  ms_record_clear (&record);
+  ms_dispatch_view_changed (node->dispatch, now);
+}
+
+static void
+handle_once (struct ms_node *node, const struct ms_event *event, ms_time now)
+{
+  struct ms_once_verdict verdict;
+
+  if (event->log_record.offset < node->once_applied)
+    return;
+  node->once_applied = event->log_record.offset + 1;
+  if (ms_once_record (node->once, event->log_record.text, &verdict))
+    ms_entry_verdict (node->entry, &verdict, now);
+}
+
+static void
+handle_read (struct ms_node *node, const struct ms_event *event)
+{
+  if (event->log_read.stream == MS_STREAM_ONCE)
+    {
+      if (event->log_read.at_end)
+        ms_once_caught_up (node->once);
+      return;
+    }
+  node->first_kept = event->log_read.first_kept;
+  if (!event->log_read.at_end)
+    return;
+  node->view->read_once = true;
+  if (event->log_read.sent_at > node->view->read_sent)
+    node->view->read_sent = event->log_read.sent_at;
+}
+
+static void
+handle_peer (struct ms_node *node, const peer_message *message, ms_time now)
+{
+  ms_liveness_heard (node->liveness, message, now);
+  switch (message->body.kind)
+    {
+    case PEER_PROBE:
+    case PEER_PROBE_ACK:
+      ms_follower_heard (node->follower, message->from,
+                         message->body.peer_body_u.probe.generation, now);
+      break;
+    case PEER_GRANT:
+    case PEER_IDLE:
+    case PEER_DEATH:
+      ms_entry_message (node->entry, message, now);
+      break;
+    case PEER_CONFIG_WANT:
+      ms_follower_wanted (node->follower, message);
+      break;
+    case PEER_CONFIG_PART:
+      if (ms_follower_part (node->follower, message, now))
+        ms_dispatch_view_changed (node->dispatch, now);
+      break;
+    default:
+      ms_dispatch_message (node->dispatch, message, now);
+      break;
+    }
+}
+
+static void
+handle (struct ms_node *node, const struct ms_event *event, ms_time now)
+{
+  switch (event->kind)
+    {
+    case MS_EVENT_TICK:
+      ms_node_tick (node, now);
+      break;
+    case MS_EVENT_ARRIVE:
+      ms_entry_arrive (node->entry, &event->arrive, now);
+      break;
+    case MS_EVENT_CALLER_GONE:
+      ms_entry_caller_gone (node->entry, event->caller_gone, now);
+      break;
+    case MS_EVENT_PROGRESS:
+      ms_entry_progress (node->entry, event->progress.request,
+                         event->progress.cost);
+      break;
+    case MS_EVENT_ATTEMPT_END:
+      ms_entry_attempt_end (node->entry, &event->attempt_end, now);
+      break;
+    case MS_EVENT_PEER:
+      handle_peer (node, event->peer, now);
+      break;
+    case MS_EVENT_LOG_RECORD:
+      if (event->log_record.stream == MS_STREAM_CONTROL)
+        handle_control (node, event, now);
+      else
+        handle_once (node, event, now);
+      break;
+    case MS_EVENT_LOG_READ:
+      handle_read (node, event);
+      break;
+    case MS_EVENT_APPEND_FAILED:
+      if (event->append_failed.stream == MS_STREAM_ONCE)
+        ms_once_append_failed (node->once, event->append_failed.tag);
+      break;
+    case MS_EVENT_ENDPOINTS:
+      ms_view_list (node->view, event->endpoints.list, event->endpoints.count);
+      ms_dispatch_view_changed (node->dispatch, now);
+      break;
+    case MS_EVENT_LOAD:
+      ms_dispatch_load (node->dispatch, event->load.endpoint,
+                        event->load.start_id, event->load.running, now);
+      break;
+    case MS_EVENT_DRAIN:
+      ms_node_drain (node, now);
+      break;
+    }
+}
+
+void
+ms_node_step (struct ms_node *node, const struct ms_event *event, ms_time now)
+{
+  peer_message message;
+
+  handle (node, event, now);
+  while (ms_node_next_kept (node, &message))
+    {
+      handle_peer (node, &message, now);
+      xdr_free ((xdrproc_t)xdr_peer_message, (char *)&message);
+    }
+}
+
+bool
+ms_node_ready (const struct ms_node *node)
+{
+  return node->view->config && node->view->read_once;
+}
+
+struct ms_node_status
+ms_node_status (struct ms_node *node, ms_time now)
+{
+  struct ms_node_status status = {
+    .generation = node->view->config ? node->view->config->generation : 0,
+    .applied = node->view->applied,
+    .members = node->view->members_count,
+    .open = ms_entry_open (node->entry),
+    .stale = ms_view_stale (node->view, now),
+    .draining = node->draining,
+    .dispatch = ms_dispatch_status (node->dispatch, now),
+  };
+
+  status.bytes = sizeof *node->view
+                 + node->view->cells_count * sizeof (struct ms_cell)
+                 + node->view->endpoints_count * sizeof (struct ms_endpoint)
+                 + status.dispatch.bytes + ms_entry_bytes (node->entry)
+                 + ms_once_bytes (node->once);
+  return status;
+}
+
+bool
+ms_node_explain (struct ms_node *node, uint64_t request, ms_time now,
+                 struct ms_request_status *status)
+{
+  return ms_entry_status (node->entry, request, now, status);
+}
+
+const struct ms_view *
+ms_node_view (const struct ms_node *node)
+{
+  return node->view;
+}
--- /dev/null
+++ b/src/platform/http_list.c
@@ -0,0 +1,70 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/client.h"
+#include "platform/platform.h"
+
+#define URL_BYTES 256
+#define FETCH_TIMEOUT_MS 1000
+
+static const char *
+text (const json_t *object, const char *key)
+{
+  const char *value = json_string_value (json_object_get (object, key));
+
+  return value ? value : "";
+}
+
+static void
+fill (struct ms_endpoint *endpoint, const json_t *item)
+{
+  memset (endpoint, 0, sizeof *endpoint);
+  endpoint->name = ms_name (text (item, "name"));
+  endpoint->id = ms_id (ms_str (endpoint->name.data));
+  endpoint->service = ms_id (ms_str (text (item, "service")));
+  endpoint->zone = ms_id (ms_str (text (item, "zone")));
+  endpoint->leaving = strcmp (text (item, "state"), "leaving") == 0;
+  snprintf (endpoint->address, sizeof endpoint->address, "%s",
+            text (item, "address"));
+}
+
+static enum ms_status
+fetch (void *context, struct ms_endpoint **list, unsigned *count)
+{
+  char url[URL_BYTES];
+  struct ms_reply reply;
+  json_error_t error;
+  json_t *object;
+  json_t *items;
+  json_t *item;
+  size_t i;
+  enum ms_status status;
+
+  snprintf (url, sizeof url, "%s/v1/instances", (const char *)context);
+  status = ms_http_exchange ("GET", url, NULL, FETCH_TIMEOUT_MS, &reply);
+  if (status != MS_OK)
+    return status;
+  object = json_loadb (reply.body ? reply.body : "", reply.length, 0, &error);
+  ms_reply_clear (&reply);
+  items = json_object_get (object, "instances");
+  if (!json_is_array (items))
+    {
+      json_decref (object);
+      return ms_fail (MS_UNAVAILABLE, "instance list has no \"instances\"");
+    }
+  *list = calloc (json_array_size (items) + 1, sizeof **list);
+  if (!*list)
+    abort ();
+  *count = (unsigned)json_array_size (items);
+  json_array_foreach (items, i, item) { fill (&(*list)[i], item); }
+  json_decref (object);
+  return MS_OK;
+}
+
+struct ms_list_client
+ms_http_list (const char *url)
+{
+  return (struct ms_list_client){ .context = (void *)url, .fetch = fetch };
+}
--- /dev/null
+++ b/src/router/engine.c
@@ -0,0 +1,151 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "router/router.h"
+
+ms_time
+ms_router_now (const struct ms_router *router)
+{
+  return ms_now (&router->clock);
+}
+
+void
+ms_router_step_locked (struct ms_router *router, const struct ms_event *event)
+{
+  ms_node_step (router->node, event, ms_router_now (router));
+}
+
+void
+ms_router_step (struct ms_router *router, const struct ms_event *event)
+{
+  pthread_mutex_lock (&router->lock);
+  ms_router_step_locked (router, event);
+  pthread_mutex_unlock (&router->lock);
+}
+
+static struct ms_call *
+find_call (struct ms_router *router, uint64_t id)
+{
+  struct ms_call *call;
+
+  HASH_FIND (hh, router->calls, &id, sizeof id, call);
+  return call;
+}
+
+static void
+start_attempt (struct ms_router *router, const struct ms_effect *effect)
+{
+  struct ms_call *call = find_call (router, effect->start.request);
+
+  if (!call)
+    return;
+  call->start = true;
+  call->attempt = effect->start.attempt;
+  call->endpoint = effect->start.endpoint;
+  call->start_by = effect->start.start_by;
+  strncpy (call->address, effect->start.address, MS_ADDRESS_BYTES - 1);
+  atomic_store (&call->cancel, false);
+  pthread_cond_signal (&call->changed);
+}
+
+static void
+cancel_attempt (struct ms_router *router, const struct ms_effect *effect)
+{
+  struct ms_call *call = find_call (router, effect->cancel.request);
+
+  if (call && call->attempt == effect->cancel.attempt)
+    atomic_store (&call->cancel, true);
+}
+
+static void
+answer (struct ms_router *router, const struct ms_effect *effect)
+{
+  struct ms_call *call = find_call (router, effect->answer.request);
+
+  if (!call)
+    return;
+  call->answered = true;
+  call->outcome = effect->answer.outcome;
+  call->reason = effect->answer.reason;
+  call->retry_after = effect->answer.retry_after;
+  pthread_cond_signal (&call->changed);
+}
+
+static void
+queue_append (struct ms_router *router, const struct ms_effect *effect)
+{
+  unsigned i = (router->appends_first + router->appends_count)
+               % MS_MAX_QUEUED_APPENDS;
+
+  if (router->appends_count == MS_MAX_QUEUED_APPENDS)
+    {
+      ms_count (MS_M_APPEND_ERRORS, 1);
+      return;
+    }
+  router->appends[i].stream = effect->append.stream;
+  router->appends[i].tag = effect->append.tag;
+  router->appends[i].text = strdup (effect->append.text);
+  if (!router->appends[i].text)
+    abort ();
+  router->appends_count++;
+  pthread_cond_signal (&router->append_queued);
+}
+
+void
+ms_router_emit (void *context, const struct ms_effect *effect)
+{
+  struct ms_router *router = context;
+
+  switch (effect->kind)
+    {
+    case MS_EFFECT_SEND:
+      ms_transport_send (router->transport, effect->send.address,
+                         effect->send.message);
+      break;
+    case MS_EFFECT_APPEND:
+      queue_append (router, effect);
+      break;
+    case MS_EFFECT_START:
+      start_attempt (router, effect);
+      break;
+    case MS_EFFECT_CANCEL:
+      cancel_attempt (router, effect);
+      break;
+    case MS_EFFECT_ANSWER:
+      answer (router, effect);
+      break;
+    case MS_EFFECT_DRAINED:
+      router->drained = true;
+      break;
+    }
+}
+
+void
+ms_router_publish (struct ms_router *router)
+{
+  const struct ms_view *view = ms_node_view (router->node);
+  struct ms_config *former = router->published;
+  struct ms_config *copy;
+  struct ms_str text;
+
+  pthread_mutex_lock (&router->lock);
+  if (!view->config
+      || (former && former->generation == view->config->generation))
+    {
+      pthread_mutex_unlock (&router->lock);
+      return;
+    }
+  text = (struct ms_str){ view->config->text, view->config->text_length };
+  if (ms_config_parse (text, "configuration", &copy) != MS_OK)
+    abort ();
+  copy->generation = view->config->generation;
+  pthread_mutex_unlock (&router->lock);
+  ms_log (MS_INFO, "config", "in force generation=%llu",
+          (unsigned long long)copy->generation);
+  rcu_assign_pointer (router->published, copy);
+  synchronize_rcu ();
+  ms_config_destroy (former);
+}
--- /dev/null
+++ b/src/router/main.c
@@ -0,0 +1,275 @@
+#include <argp.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "base/version.h"
+#include "router/router.h"
+
+#define TICK_MS 20
+
+static const char doc[] = "Route requests of many teams to endpoints.";
+
+static const struct argp_option options[]
+    = { { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+        { "record", 'r', "FILE", 0, "Write the events for replay", 0 },
+        { 0 } };
+
+struct arguments
+{
+  const char *settings;
+  const char *record;
+  bool check;
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'c':
+      arguments->check = true;
+      return 0;
+    case 'r':
+      arguments->record = arg;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (state->arg_num)
+        argp_usage (state);
+      arguments->settings = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (!arguments->settings)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+set_log_level (const char *name)
+{
+  if (!name)
+    return;
+  if (strcmp (name, "debug") == 0)
+    ms_log_threshold (MS_DEBUG);
+  if (strcmp (name, "warn") == 0)
+    ms_log_threshold (MS_WARN);
+  if (strcmp (name, "error") == 0)
+    ms_log_threshold (MS_ERROR);
+}
+
+static void
+deliver (void *context, const peer_message *message)
+{
+  const struct ms_event event = { .kind = MS_EVENT_PEER, .peer = message };
+
+  ms_router_step (context, &event);
+}
+
+static uint64_t
+realtime_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static struct ms_router *
+create_router (const struct ms_settings *settings)
+{
+  struct ms_router *router = calloc (1, sizeof *router);
+  const struct ms_sink sink = { ms_router_emit, router };
+  struct ms_node_options node = { 0 };
+
+  if (!router)
+    abort ();
+  router->settings = settings;
+  router->clock = ms_system_clock ();
+  router->incarnation = realtime_us ();
+  pthread_mutex_init (&router->lock, NULL);
+  pthread_cond_init (&router->append_queued, NULL);
+  router->log = ms_http_log (settings->log_url);
+  router->list = ms_http_list (settings->list_url);
+  node.name = settings->name;
+  node.zone = settings->availability_zone;
+  node.peer_address = settings->peer_address;
+  node.caller_address = settings->caller_address;
+  node.incarnation = router->incarnation;
+  node.random_seed
+      = ms_id_pair (ms_id (ms_str (settings->name)), router->incarnation);
+  router->node = ms_node_create (&node, &sink);
+  return router;
+}
+
+static void
+destroy_router (struct ms_router *router)
+{
+  ms_node_destroy (router->node);
+  ms_config_destroy (router->published);
+  while (router->appends_count)
+    {
+      free (router->appends[router->appends_first].text);
+      router->appends_first
+          = (router->appends_first + 1) % MS_MAX_QUEUED_APPENDS;
+      router->appends_count--;
+    }
+  free (router);
+}
+
+static void
+start_thread (pthread_t *thread, void *(*run) (void *), void *context)
+{
+  if (pthread_create (thread, NULL, run, context))
+    abort ();
+}
+
+/* One tick; returns a signal that arrived meanwhile, or 0.  */
+static int
+wait_tick (const sigset_t *signals)
+{
+  const struct timespec tick = { 0, TICK_MS * 1000000 };
+  int caught = sigtimedwait (signals, NULL, &tick);
+
+  return caught > 0 ? caught : 0;
+}
+
+static void
+drain (struct ms_router *router)
+{
+  const struct ms_event event = { .kind = MS_EVENT_DRAIN };
+
+  ms_log (MS_INFO, "router", "draining");
+  ms_router_step (router, &event);
+}
+
+/* Tick until the router has drained, is told twice to end, or the drain
+   takes too long; returns the number of requests cut off.  */
+static unsigned
+run (struct ms_router *router, const sigset_t *signals)
+{
+  const struct ms_event tick = { .kind = MS_EVENT_TICK };
+  ms_time drain_by = MS_NEVER;
+
+  for (;;)
+    {
+      bool told = wait_tick (signals) != 0;
+      bool ended;
+      unsigned open;
+
+      ms_router_step (router, &tick);
+      ms_router_publish (router);
+      if (told && drain_by == MS_NEVER)
+        drain (router);
+      if ((told || atomic_load (&router->drain_asked)) && drain_by == MS_NEVER)
+        {
+          drain_by = ms_router_now (router)
+                     + (ms_time)router->settings->drain_timeout_ms * MS_MSEC;
+          continue;
+        }
+      pthread_mutex_lock (&router->lock);
+      ended = router->drained && !router->calls;
+      open = HASH_COUNT (router->calls);
+      pthread_mutex_unlock (&router->lock);
+      if (ended)
+        return 0;
+      if (drain_by != MS_NEVER && (told || ms_router_now (router) > drain_by))
+        return open ? open : 0;
+    }
+}
+
+static void
+block_signals (sigset_t *signals)
+{
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+}
+
+static int
+serve (struct ms_router *router, const sigset_t *signals)
+{
+  pthread_t threads[5];
+  struct mg_context *server;
+  unsigned cut;
+
+  if (ms_transport_create (router->settings->peer_address, deliver, router,
+                           &router->transport)
+      != MS_OK)
+    {
+      ms_log (MS_ERROR, "router", "%s", ms_last_message ());
+      return 1;
+    }
+  server = ms_callers_start (router);
+  if (!server)
+    {
+      ms_log (MS_ERROR, "router", "cannot serve callers on %s",
+              router->settings->caller_address);
+      return 1;
+    }
+  start_thread (&threads[0], ms_run_control_reader, router);
+  start_thread (&threads[1], ms_run_once_reader, router);
+  start_thread (&threads[2], ms_run_appender, router);
+  start_thread (&threads[3], ms_run_list_poller, router);
+  start_thread (&threads[4], ms_run_load_poller, router);
+  ms_log (MS_INFO, "router", "started name=%s zone=%s callers=%s peers=%s",
+          router->settings->name, router->settings->availability_zone,
+          router->settings->caller_address, router->settings->peer_address);
+  cut = run (router, signals);
+  if (cut)
+    {
+      ms_log (MS_WARN, "router", "ended with requests cut off count=%u", cut);
+      _exit (3);
+    }
+  atomic_store (&router->stopping, true);
+  pthread_mutex_lock (&router->lock);
+  pthread_cond_broadcast (&router->append_queued);
+  pthread_mutex_unlock (&router->lock);
+  for (int i = 0; i < 5; i++)
+    pthread_join (threads[i], NULL);
+  ms_callers_stop (server);
+  ms_transport_destroy (router->transport);
+  ms_log (MS_INFO, "router", "ended");
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct argp argp
+      = { options, parse_option, "SETTINGS", doc, NULL, NULL, NULL };
+  struct arguments arguments = { 0 };
+  struct ms_settings *settings;
+  struct ms_router *router;
+  sigset_t signals;
+  int code;
+
+  argp_program_version = MS_VERSION_TEXT ("monsoonspur-router");
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (ms_settings_load (arguments.settings, &settings) != MS_OK)
+    {
+      ms_log (MS_ERROR, "settings", "%s", ms_last_message ());
+      return 2;
+    }
+  if (arguments.check)
+    return 0;
+  set_log_level (settings->log_level);
+  block_signals (&signals);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  router = create_router (settings);
+  code = serve (router, &signals);
+  destroy_router (router);
+  ms_settings_destroy (settings);
+  curl_global_cleanup ();
+  return code;
+}
--- /dev/null
+++ b/src/view/cells.c
@@ -0,0 +1,225 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "view/internal.h"
+
+uint64_t
+ms_cell_id (uint64_t service, uint64_t zone, unsigned index)
+{
+  return ms_id_pair (ms_id_pair (service, zone), index + 1);
+}
+
+struct ms_member *
+ms_view_rank (struct ms_view *view, const struct ms_cell *cell,
+              bool (*eligible) (const struct ms_member *, ms_time),
+              ms_time now)
+{
+  struct ms_member *best = NULL;
+  uint64_t best_score = 0;
+  bool best_near = false;
+
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      struct ms_member *member = &view->members[i];
+      bool near = member->zone == cell->zone;
+      uint64_t score = ms_id_pair (cell->id, member->id);
+
+      if (eligible && !eligible (member, now))
+        continue;
+      if (best
+          && (near < best_near || (near == best_near && score <= best_score)))
+        continue;
+      best = member;
+      best_score = score;
+      best_near = near;
+    }
+  return best;
+}
+
+static void
+add_predecessor (struct ms_cell *cell, uint64_t offset)
+{
+  struct ms_predecessor *list = cell->predecessors;
+
+  if (!cell->holder)
+    return;
+  if (cell->predecessors_count == MS_MAX_PREDECESSORS)
+    {
+      cell->predecessors_count--;
+      memmove (list, list + 1, cell->predecessors_count * sizeof *list);
+    }
+  list[cell->predecessors_count++]
+      = (struct ms_predecessor){ .node = cell->holder,
+                                 .incarnation = cell->incarnation,
+                                 .replaced_at = offset };
+}
+
+/* A node that holds the cell again is no predecessor of itself, and a new
+   incarnation proves that the old process has ended.  */
+static void
+drop_predecessor (struct ms_cell *cell, uint64_t node)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < cell->predecessors_count; i++)
+    if (cell->predecessors[i].node != node)
+      cell->predecessors[kept++] = cell->predecessors[i];
+  cell->predecessors_count = kept;
+}
+
+static void
+assign_cell (struct ms_view *view, struct ms_cell *cell, uint64_t offset,
+             ms_time now)
+{
+  struct ms_member *member = ms_view_rank (view, cell, NULL, now);
+  uint64_t holder = member ? member->id : 0;
+  uint64_t incarnation = member ? member->incarnation : 0;
+
+  if (cell->holder == holder && cell->incarnation == incarnation)
+    return;
+  add_predecessor (cell, offset);
+  if (holder)
+    drop_predecessor (cell, holder);
+  cell->holder = holder;
+  cell->incarnation = incarnation;
+  cell->term = offset;
+  cell->moved_at = now;
+}
+
+void
+ms_view_assign (struct ms_view *view, uint64_t offset, ms_time now)
+{
+  for (unsigned i = 0; i < view->cells_count; i++)
+    assign_cell (view, &view->cells[i], offset, now);
+}
+
+void
+ms_view_prune_predecessors (struct ms_view *view, struct ms_cell *cell)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < cell->predecessors_count; i++)
+    {
+      const struct ms_predecessor *p = &cell->predecessors[i];
+      const struct ms_member *member = ms_view_member (view, p->node);
+      bool replaced = member && member->incarnation != p->incarnation;
+      bool informed = member && member->incarnation == p->incarnation
+                      && member->applied > p->replaced_at;
+
+      if (!replaced && !informed)
+        cell->predecessors[kept++] = *p;
+    }
+  cell->predecessors_count = kept;
+}
+
+static int
+compare_cells (const void *a, const void *b)
+{
+  const struct ms_cell *left = a;
+  const struct ms_cell *right = b;
+
+  return left->id < right->id ? -1 : left->id > right->id;
+}
+
+static unsigned
+count_cells (const struct ms_config *config)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < config->services_count; i++)
+    count += config->services[i].cells_per_zone * config->zones_count;
+  return count;
+}
+
+static unsigned
+add_service_cells (struct ms_cell *cells, const struct ms_config *config,
+                   const struct ms_service *service)
+{
+  unsigned count = 0;
+
+  for (unsigned z = 0; z < config->zones_count; z++)
+    for (unsigned i = 0; i < service->cells_per_zone; i++)
+      {
+        struct ms_cell *cell = &cells[count++];
+
+        cell->service = service->id;
+        cell->zone = config->zones[z].id;
+        cell->index = i;
+        cell->id = ms_cell_id (cell->service, cell->zone, i);
+        cell->term = config->generation;
+      }
+  return count;
+}
+
+/* Carry over what is known of the cells that go on.  */
+static void
+inherit (struct ms_view *view, struct ms_cell *cells, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct ms_cell *former = ms_view_cell (view, cells[i].id);
+
+      if (!former)
+        continue;
+      cells[i] = *former;
+      former->endpoints = NULL;
+      cells[i].endpoints_count = 0;
+    }
+}
+
+void
+ms_view_rebuild_cells (struct ms_view *view, ms_time now)
+{
+  unsigned count = count_cells (view->config);
+  struct ms_cell *cells = calloc (count ? count : 1, sizeof *cells);
+  unsigned used = 0;
+
+  if (!cells)
+    abort ();
+  for (unsigned i = 0; i < view->config->services_count; i++)
+    used += add_service_cells (cells + used, view->config,
+                               &view->config->services[i]);
+  qsort (cells, count, sizeof *cells, compare_cells);
+  inherit (view, cells, count);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    free (view->cells[i].endpoints);
+  free (view->cells);
+  view->cells = cells;
+  view->cells_count = count;
+  ms_view_assign (view, view->config->generation, now);
+  ms_view_link (view);
+}
+
+void
+ms_view_link (struct ms_view *view)
+{
+  for (unsigned i = 0; i < view->cells_count; i++)
+    view->cells[i].endpoints_count = 0;
+  for (unsigned i = 0; i < view->endpoints_count; i++)
+    {
+      struct ms_endpoint *endpoint = &view->endpoints[i];
+      const struct ms_service *service;
+      struct ms_cell *cell;
+      struct ms_endpoint **grown;
+
+      endpoint->cell = 0;
+      if (!view->config)
+        continue;
+      service = ms_config_service (view->config, endpoint->service);
+      if (!service)
+        continue;
+      cell = ms_view_cell (
+          view,
+          ms_cell_id (service->id, endpoint->zone,
+                      (unsigned)(endpoint->id % service->cells_per_zone)));
+      if (!cell)
+        continue;
+      grown = realloc (cell->endpoints,
+                       (cell->endpoints_count + 1) * sizeof *grown);
+      if (!grown)
+        abort ();
+      cell->endpoints = grown;
+      cell->endpoints[cell->endpoints_count++] = endpoint;
+      endpoint->cell = cell->id;
+    }
+}
--- /dev/null
+++ b/src/view/view.c
@@ -0,0 +1,161 @@
+#include "view/view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "view/internal.h"
+
+struct ms_view *
+ms_view_create (uint64_t self, uint64_t incarnation, uint64_t zone)
+{
+  struct ms_view *view = calloc (1, sizeof *view);
+
+  if (!view)
+    abort ();
+  view->self = self;
+  view->incarnation = incarnation;
+  view->zone = zone;
+  view->read_sent = -MS_NEVER / 2;
+  return view;
+}
+
+static void
+free_cells (struct ms_cell *cells, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    free (cells[i].endpoints);
+  free (cells);
+}
+
+void
+ms_view_destroy (struct ms_view *view)
+{
+  if (!view)
+    return;
+  free_cells (view->cells, view->cells_count);
+  free (view->endpoints);
+  ms_config_destroy (view->config);
+  free (view);
+}
+
+/* Each sorted table starts its rows with the 64-bit identifier.  */
+static void *
+find (void *rows, size_t count, size_t size, uint64_t id)
+{
+  size_t low = 0;
+  size_t high = count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      char *row = (char *)rows + middle * size;
+      uint64_t row_id;
+
+      memcpy (&row_id, row, sizeof row_id);
+      if (row_id == id)
+        return row;
+      if (row_id < id)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return NULL;
+}
+
+struct ms_member *
+ms_view_member (struct ms_view *view, uint64_t id)
+{
+  return find (view->members, view->members_count, sizeof *view->members, id);
+}
+
+struct ms_cell *
+ms_view_cell (struct ms_view *view, uint64_t id)
+{
+  return find (view->cells, view->cells_count, sizeof *view->cells, id);
+}
+
+struct ms_endpoint *
+ms_view_endpoint (struct ms_view *view, uint64_t id)
+{
+  return find (view->endpoints, view->endpoints_count, sizeof *view->endpoints,
+               id);
+}
+
+struct ms_config *
+ms_view_configure (struct ms_view *view, struct ms_config *config, ms_time now)
+{
+  struct ms_config *former = view->config;
+
+  view->config = config;
+  ms_view_rebuild_cells (view, now);
+  return former;
+}
+
+static int
+compare_endpoints (const void *a, const void *b)
+{
+  const struct ms_endpoint *left = a;
+  const struct ms_endpoint *right = b;
+
+  return left->id < right->id ? -1 : left->id > right->id;
+}
+
+void
+ms_view_list (struct ms_view *view, const struct ms_endpoint *list,
+              unsigned count)
+{
+  struct ms_endpoint *copy = calloc (count ? count : 1, sizeof *copy);
+
+  if (!copy)
+    abort ();
+  memcpy (copy, list, count * sizeof *copy);
+  for (unsigned i = 0; i < count; i++)
+    {
+      const struct ms_endpoint *known = ms_view_endpoint (view, copy[i].id);
+
+      copy[i].warm_seen = known ? known->warm_seen : -MS_NEVER / 2;
+    }
+  qsort (copy, count, sizeof *copy, compare_endpoints);
+  free (view->endpoints);
+  view->endpoints = copy;
+  view->endpoints_count = count;
+  ms_view_link (view);
+}
+
+bool
+ms_view_usable (const struct ms_view *view, const struct ms_endpoint *endpoint)
+{
+  const struct ms_zone *zone;
+
+  if (endpoint->leaving || !view->config)
+    return false;
+  zone = ms_config_zone (view->config, endpoint->zone);
+  return zone && zone->in_service;
+}
+
+bool
+ms_view_stale (const struct ms_view *view, ms_time now)
+{
+  return now - view->read_sent > MS_STALE_AFTER;
+}
+
+bool
+ms_view_all_stale (const struct ms_view *view, ms_time now)
+{
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      const struct ms_member *member = &view->members[i];
+
+      if (member->id == view->self)
+        continue;
+      if (now - member->last_heard > MS_HEARD_WITHIN || !member->stale)
+        return false;
+    }
+  return true;
+}
+
+bool
+ms_view_holds (const struct ms_view *view, const struct ms_cell *cell)
+{
+  return cell->holder == view->self && cell->incarnation == view->incarnation;
+}
--- /dev/null
+++ b/tests/fleet.sh
@@ -0,0 +1,192 @@
+# Starts and stops a fleet of separate processes on loopback.  Sourced by the
+# demonstration and the end-to-end tests, which set BUILD, DIR (a scratch
+# folder) and BASE (the first of the ports used).
+
+PIDS=
+zones="paysandu salto durazno"
+
+note ()
+{
+  printf '%s\n' "$*"
+}
+
+# start NAME COMMAND...: run in the background, output to DIR/NAME.log.
+start ()
+{
+  name=$1
+  shift
+  "$@" >"$DIR/$name.log" 2>&1 &
+  echo $! >"$DIR/$name.pid"
+  PIDS="$PIDS $!"
+}
+
+pid_of ()
+{
+  cat "$DIR/$1.pid"
+}
+
+# stop NAME [SIGNAL]: end one process started here and await its end.
+stop ()
+{
+  stopped=$(pid_of "$1")
+  kill "-${2:-TERM}" "$stopped" 2>/dev/null
+  wait "$stopped" 2>/dev/null
+}
+
+stop_all ()
+{
+  for pid in $PIDS; do
+    kill -KILL "$pid" 2>/dev/null
+  done
+  wait 2>/dev/null
+  PIDS=
+}
+
+# await SECONDS COMMAND...: repeat COMMAND until it succeeds.
+await ()
+{
+  tries=$(($1 * 20))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    tries=$((tries - 1))
+    if [ "$tries" -le 0 ]; then
+      note "not ready in time: $*"
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+get ()
+{
+  curl --silent --fail --noproxy '*' --max-time 5 "$@"
+}
+
+zone_of ()
+{
+  echo "$zones" | cut -d ' ' -f $((($1 % 3) + 1))
+}
+
+log_url () { echo "http://127.0.0.1:$BASE"; }
+list_url () { echo "http://127.0.0.1:$((BASE + 1))"; }
+caller_address () { echo "127.0.0.1:$((BASE + 10 + $1))"; }
+peer_address () { echo "127.0.0.1:$((BASE + 40 + $1))"; }
+runner_address () { echo "127.0.0.1:$((BASE + 70 + $1))"; }
+plain_address () { echo "127.0.0.1:$((BASE + 100 + $1))"; }
+
+start_platform ()
+{
+  start log "$BUILD/standin-log" --address="127.0.0.1:$BASE"
+  start list "$BUILD/standin-list" --address="127.0.0.1:$((BASE + 1))"
+  await 10 get "$(log_url)/v1/streams/control/records?from=0&wait_ms=0"
+  await 10 get "$(list_url)/v1/instances"
+}
+
+start_runner ()
+{
+  start "runner$1" "$BUILD/standin-endpoint" \
+    --address="$(runner_address "$1")" --unit=2000 --cold-limit=2
+}
+
+start_plain ()
+{
+  start "plain$1" "$BUILD/standin-endpoint" \
+    --address="$(plain_address "$1")" --unit=1000 --cold-limit=2
+}
+
+# publish_list RUNNERS PLAINS: tell the instance list of them.
+publish_list ()
+{
+  {
+    printf '{"instances":['
+    separator=
+    i=0
+    while [ $i -lt "$1" ]; do
+      printf '%s{"name":"runner-%d","service":"agronomo","zone":"%s",' \
+        "$separator" $i "$(zone_of $i)"
+      printf '"address":"%s","state":"live"}' "$(runner_address $i)"
+      separator=,
+      i=$((i + 1))
+    done
+    i=0
+    while [ $i -lt "$2" ]; do
+      printf '%s{"name":"mando-%d","service":"silo-mando","zone":"%s",' \
+        "$separator" $i "$(zone_of $i)"
+      printf '"address":"%s","state":"live"}' "$(plain_address $i)"
+      separator=,
+      i=$((i + 1))
+    done
+    printf ']}'
+  } >"$DIR/list.json"
+  get -X PUT --data-binary "@$DIR/list.json" "$(list_url)/v1/instances"
+}
+
+start_endpoints ()
+{
+  i=0
+  while [ $i -lt "$1" ]; do
+    start_runner $i
+    i=$((i + 1))
+  done
+  i=0
+  while [ $i -lt "$2" ]; do
+    start_plain $i
+    i=$((i + 1))
+  done
+  publish_list "$1" "$2" >/dev/null
+}
+
+write_settings ()
+{
+  cat >"$DIR/router$1.yaml" <<END
+name: router-$1
+availability_zone: $(zone_of "$1")
+caller_address: $(caller_address "$1")
+peer_address: $(peer_address "$1")
+log_url: $(log_url)
+list_url: $(list_url)
+operator_key: demo-operator
+spans: true
+END
+}
+
+start_router ()
+{
+  write_settings "$1"
+  start "router$1" "$BUILD/monsoonspur-router" "$DIR/router$1.yaml"
+}
+
+start_routers ()
+{
+  i=0
+  while [ $i -lt "$1" ]; do
+    start_router $i
+    i=$((i + 1))
+  done
+}
+
+publish ()
+{
+  "$BUILD/monsoonspur-config" --log="$(log_url)" publish "$1"
+}
+
+# all_members N: every router sees N members.
+all_members ()
+{
+  j=0
+  while [ $j -lt "$1" ]; do
+    get "http://$(caller_address $j)/v1/status" \
+      | grep -q "\"members\":$1," || return 1
+    j=$((j + 1))
+  done
+}
+
+await_routers ()
+{
+  i=0
+  while [ $i -lt "$1" ]; do
+    await 20 get "http://$(caller_address $i)/healthz" || return 1
+    i=$((i + 1))
+  done
+  await 20 all_members "$1"
+}
--- /dev/null
+++ b/tests/standins/caller.c
@@ -0,0 +1,431 @@
+/* Callers of a fleet, for the demonstration and the end-to-end tests: asks a
+   router for addresses, sends ordinary, streamed and non-idempotent requests
+   of several teams, checks each answer, reads the ledgers of plain services
+   and prints what was measured.  Exits 0 only if every request had exactly
+   one outcome, each answer was its own, and nothing ran twice.  */
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+
+#define MAX_ADDRESSES 16
+#define MAX_TEAMS 64
+#define MAX_LEDGERS 16
+#define REPLY_BYTES 65536
+#define MAX_LATENCIES 100000
+
+enum call_kind
+{
+  CALL_PLAIN,
+  CALL_STREAM,
+  CALL_ORDER
+};
+
+struct options
+{
+  const char *router;
+  const char *zone;
+  const char *model;
+  const char *plain;
+  const char *team_prefix;
+  int teams;
+  int threads;
+  int requests; /* Of each thread.  */
+  int cost;
+  const char *ledgers[MAX_LEDGERS]; /* Addresses of plain endpoints.  */
+  int ledgers_count;
+};
+
+static struct options options = { "127.0.0.1:8101",
+                                  "",
+                                  "agronomo",
+                                  "silo-mando",
+                                  "silo-",
+                                  8,
+                                  12,
+                                  20,
+                                  20,
+                                  { 0 },
+                                  0 };
+
+static char addresses[MAX_ADDRESSES][64];
+static int addresses_count;
+static atomic_int sent, answered, refused, failed, unknown, lost, wrong;
+static atomic_long served[MAX_TEAMS];
+static long latencies[MAX_LATENCIES];
+static atomic_int latencies_count;
+static char first_request_id[128];
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+struct reply
+{
+  char body[REPLY_BYTES];
+  size_t length;
+  char outcome[32];
+  char request_id[128];
+  long code;
+};
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *context)
+{
+  struct reply *reply = context;
+  size_t length = size * count;
+  size_t space = sizeof reply->body - 1 - reply->length;
+  size_t kept = length < space ? length : space;
+
+  memcpy (reply->body + reply->length, data, kept);
+  reply->length += kept;
+  reply->body[reply->length] = '\0';
+  return length;
+}
+
+static void
+header (const char *line, size_t length, const char *name, char *value,
+        size_t size)
+{
+  size_t start = strlen (name) + 2;
+
+  if (length <= start || strncasecmp (line, name, start - 2) != 0)
+    return;
+  while (length && (line[length - 1] == '\n' || line[length - 1] == '\r'))
+    length--;
+  snprintf (value, size, "%.*s", (int)(length - start), line + start);
+}
+
+static size_t
+take_header (char *line, size_t size, size_t count, void *context)
+{
+  struct reply *reply = context;
+  size_t length = size * count;
+
+  header (line, length, "Monsoonspur-Outcome", reply->outcome,
+          sizeof reply->outcome);
+  header (line, length, "Monsoonspur-Request-Id", reply->request_id,
+          sizeof reply->request_id);
+  return length;
+}
+
+static bool
+exchange (const char *url, const char *body, struct curl_slist *headers,
+          struct reply *reply)
+{
+  CURL *curl = curl_easy_init ();
+  CURLcode code;
+
+  memset (reply, 0, sizeof *reply);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT, 150L);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, reply);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, reply);
+  if (body)
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
+  code = curl_easy_perform (curl);
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &reply->code);
+  curl_easy_cleanup (curl);
+  return code == CURLE_OK;
+}
+
+static bool
+ask_addresses (void)
+{
+  struct reply *reply = malloc (sizeof *reply);
+  char url[256];
+  json_t *object = NULL;
+  json_t *item;
+  size_t i;
+
+  snprintf (url, sizeof url, "http://%s/v1/addresses?service=%s&zone=%s",
+            options.router, options.model, options.zone);
+  if (exchange (url, NULL, NULL, reply))
+    object = json_loads (reply->body, 0, NULL);
+  json_array_foreach (json_object_get (object, "addresses"), i, item)
+  {
+    if (addresses_count < MAX_ADDRESSES)
+      snprintf (addresses[addresses_count++], sizeof addresses[0], "%s",
+                json_string_value (json_object_get (item, "address")));
+  }
+  json_decref (object);
+  free (reply);
+  return addresses_count > 0;
+}
+
+static double
+seconds (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+/* Whether the answer is whole and the caller's own.  */
+static bool
+is_own (enum call_kind kind, const char *body, const struct reply *reply)
+{
+  char last[64];
+
+  if (kind != CALL_STREAM)
+    return strstr (reply->body, body) != NULL;
+  snprintf (last, sizeof last, "data: token %d\n", options.cost - 1);
+  return strstr (reply->body, "data: token 0\n") && strstr (reply->body, last);
+}
+
+static void
+count (enum call_kind kind, int team, const char *body,
+       const struct reply *reply)
+{
+  if (strcmp (reply->outcome, "answered") == 0)
+    {
+      answered++;
+      served[team] += options.cost;
+      if (!is_own (kind, body, reply))
+        wrong++;
+    }
+  else if (strcmp (reply->outcome, "not-run") == 0)
+    refused++;
+  else if (strcmp (reply->outcome, "failed") == 0)
+    failed++;
+  else if (strcmp (reply->outcome, "unknown") == 0)
+    unknown++;
+  else
+    lost++;
+}
+
+static void
+send_one (int thread, int number)
+{
+  enum call_kind kind = (enum call_kind) (number % 3);
+  int team = (thread + number) % options.teams;
+  struct reply *reply = malloc (sizeof *reply);
+  struct curl_slist *headers = NULL;
+  char url[512], body[128], line[192];
+  double begun = seconds ();
+
+  snprintf (url, sizeof url, "http://%s/services/%s/run",
+            addresses[(thread + number) % addresses_count],
+            kind == CALL_ORDER ? options.plain : options.model);
+  snprintf (body, sizeof body, "%s cost=%d id=%d-%d-%ld",
+            kind == CALL_STREAM ? "stream" : "whole", options.cost, thread,
+            number, (long)time (NULL));
+  snprintf (line, sizeof line, "Monsoonspur-Team: %s%02d", options.team_prefix,
+            team + 1);
+  headers = curl_slist_append (headers, line);
+  if (kind == CALL_ORDER)
+    {
+      snprintf (line, sizeof line, "Idempotency-Key: %s", body);
+      headers = curl_slist_append (headers, line);
+    }
+  sent++;
+  if (exchange (url, body, headers, reply))
+    count (kind, team, body, reply);
+  else
+    lost++;
+  if (latencies_count < MAX_LATENCIES)
+    latencies[latencies_count++] = (long)((seconds () - begun) * 1e6);
+  pthread_mutex_lock (&lock);
+  if (!*first_request_id)
+    snprintf (first_request_id, sizeof first_request_id, "%s",
+              reply->request_id);
+  pthread_mutex_unlock (&lock);
+  curl_slist_free_all (headers);
+  free (reply);
+}
+
+static void *
+run_thread (void *context)
+{
+  int thread = (int)(intptr_t)context;
+
+  for (int i = 0; i < options.requests; i++)
+    send_one (thread, i);
+  return NULL;
+}
+
+/* Bodies that a plain endpoint ran more than once, over all of them.  */
+static int
+count_doubles (void)
+{
+  struct reply *reply = malloc (sizeof *reply);
+  json_t *runs = json_object ();
+  const char *key;
+  json_t *value;
+  int doubles = 0;
+
+  for (int i = 0; i < options.ledgers_count; i++)
+    {
+      char url[1088];
+      json_t *ledger;
+
+      snprintf (url, sizeof url, "http://%s/ledger", options.ledgers[i]);
+      if (!exchange (url, NULL, NULL, reply))
+        continue;
+      ledger = json_loads (reply->body, 0, NULL);
+      json_object_foreach (ledger, key, value)
+      {
+        json_int_t total = json_integer_value (json_object_get (runs, key))
+                           + json_integer_value (value);
+
+        json_object_set_new (runs, key, json_integer (total));
+      }
+      json_decref (ledger);
+    }
+  json_object_foreach (runs, key, value)
+  {
+    doubles += json_integer_value (value) > 1;
+  }
+  json_decref (runs);
+  free (reply);
+  return doubles;
+}
+
+/* Sum of the counter NAME over all routers.  */
+static double
+sum_metric (const char *name)
+{
+  struct reply *reply = malloc (sizeof *reply);
+  double sum = 0;
+
+  for (int i = 0; i < addresses_count; i++)
+    {
+      char url[1100], wanted[128];
+      const char *found;
+
+      snprintf (url, sizeof url, "http://%s/metrics", addresses[i]);
+      snprintf (wanted, sizeof wanted, "\nmonsoonspur_%s ", name);
+      if (!exchange (url, NULL, NULL, reply))
+        continue;
+      found = strstr (reply->body, wanted);
+      if (found)
+        sum += strtod (found + strlen (wanted), NULL);
+    }
+  free (reply);
+  return sum;
+}
+
+static int
+compare_longs (const void *a, const void *b)
+{
+  long left = *(const long *)a;
+  long right = *(const long *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+static void
+print_measures (double took, double bytes, double messages)
+{
+  long low = served[0], high = served[0], total = 0;
+  int n = latencies_count;
+
+  for (int i = 0; i < options.teams; i++)
+    {
+      low = served[i] < low ? served[i] : low;
+      high = served[i] > high ? served[i] : high;
+      total += served[i];
+    }
+  qsort (latencies, (size_t)n, sizeof *latencies, compare_longs);
+  printf ("measure fairness_gap units=%ld\n", high - low);
+  printf ("measure utilisation units_per_second=%.0f\n", (double)total / took);
+  printf ("measure control bytes_per_router_second=%.0f "
+          "messages_per_router_second=%.1f\n",
+          bytes / took / addresses_count, messages / took / addresses_count);
+  printf ("measure service p50_ms=%.1f p95_ms=%.1f max_ms=%.1f "
+          "answered_share=%.3f\n",
+          n ? (double)latencies[n / 2] / 1e3 : 0,
+          n ? (double)latencies[n * 95 / 100] / 1e3 : 0,
+          n ? (double)latencies[n - 1] / 1e3 : 0,
+          sent ? (double)answered / sent : 0);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  switch (key)
+    {
+    case 'r':
+      options.router = arg;
+      return 0;
+    case 'z':
+      options.zone = arg;
+      return 0;
+    case 't':
+      options.threads = atoi (arg);
+      return 0;
+    case 'n':
+      options.requests = atoi (arg);
+      return 0;
+    case 'c':
+      options.cost = atoi (arg);
+      return 0;
+    case ARGP_KEY_ARG:
+      if (options.ledgers_count < MAX_LEDGERS)
+        options.ledgers[options.ledgers_count++] = arg;
+      return 0;
+    default:
+      (void)state;
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option argp_options[]
+      = { { "router", 'r', "IP:PORT", 0, "Router to ask for addresses", 0 },
+          { "zone", 'z', "ZONE", 0, "The callers' availability zone", 0 },
+          { "threads", 't', "N", 0, "Callers at once", 0 },
+          { "requests", 'n', "N", 0, "Requests of each caller", 0 },
+          { "cost", 'c', "UNITS", 0, "Cost of a request", 0 },
+          { 0 } };
+  const struct argp argp
+      = { argp_options, parse_option, "[LEDGER...]", NULL, NULL, NULL, NULL };
+  pthread_t threads[256];
+  double begun, took, bytes, messages;
+  int doubles;
+
+  argp_parse (&argp, argc, argv, 0, NULL, NULL);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (options.threads < 1 || options.threads > 256 || !ask_addresses ())
+    {
+      fprintf (stderr, "caller: no router answers at %s\n", options.router);
+      return 1;
+    }
+  printf ("addresses %d, first %s\n", addresses_count, addresses[0]);
+  bytes = sum_metric ("peer_bytes_sent_total");
+  messages = sum_metric ("peer_messages_sent_total");
+  begun = seconds ();
+  for (int i = 0; i < options.threads; i++)
+    pthread_create (&threads[i], NULL, run_thread, (void *)(intptr_t)i);
+  for (int i = 0; i < options.threads; i++)
+    pthread_join (threads[i], NULL);
+  took = seconds () - begun;
+  bytes = sum_metric ("peer_bytes_sent_total") - bytes;
+  messages = sum_metric ("peer_messages_sent_total") - messages;
+  doubles = count_doubles ();
+  printf ("outcomes answered=%d not-run=%d failed=%d unknown=%d lost=%d "
+          "wrong=%d\n",
+          answered, refused, failed, unknown, lost, wrong);
+  print_measures (took, bytes, messages);
+  printf ("request %s\n", first_request_id);
+  printf ("demo: %d sent, %d answered, %d refused, %d lost, %d double\n", sent,
+          answered, refused, lost, doubles);
+  return lost || wrong || doubles
+                 || sent != answered + refused + failed + unknown
+             ? 1
+             : 0;
+}
--- /dev/null
+++ b/tests/standins/endpoint.c
@@ -0,0 +1,242 @@
+/* Stand-in for an endpoint, a model engine or a plain service.
+
+   POST /...   runs a request; the body's "cost=N" gives its units, "stream"
+               asks for server-sent events, "crash" ends the process
+   GET /load   the requests that run and the number of this start
+   GET /ledger how often each body was run
+
+   While cold it runs each unit ten times slower, and more requests at once
+   than it bears are refused and counted.  */
+
+#include <argp.h>
+#include <civetweb.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_BODY_BYTES (1u << 20)
+#define COLD_SLOWDOWN 5
+
+struct options
+{
+  const char *address;
+  long unit_us;
+  int cold_limit;
+  int warm_limit;
+  long cold_requests; /* Served while cold before it is warm.  */
+};
+
+static struct options options = { "127.0.0.1:7100", 1000, 2, 8, 5 };
+static atomic_int running;
+static atomic_long served;
+static atomic_int overloads;
+static json_int_t start_id;
+static json_t *ledger;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void
+pause_us (long us)
+{
+  struct timespec pause = { us / 1000000, us % 1000000 * 1000 };
+
+  nanosleep (&pause, NULL);
+}
+
+static void
+note_run (const char *body)
+{
+  json_t *count;
+
+  pthread_mutex_lock (&lock);
+  count = json_object_get (ledger, body);
+  json_object_set_new (ledger, body,
+                       json_integer (json_integer_value (count) + 1));
+  pthread_mutex_unlock (&lock);
+}
+
+static int
+send_json (struct mg_connection *connection, json_t *object)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+
+  json_decref (object);
+  mg_printf (connection,
+             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+             strlen (text));
+  mg_write (connection, text, strlen (text));
+  free (text);
+  return 1;
+}
+
+static int
+handle_load (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  return send_json (connection, json_pack ("{s:i,s:I,s:i}", "running",
+                                           (int)running, "start_id", start_id,
+                                           "overloads", (int)overloads));
+}
+
+static int
+handle_ledger (struct mg_connection *connection, void *context)
+{
+  json_t *copy;
+
+  (void)context;
+  pthread_mutex_lock (&lock);
+  copy = json_deep_copy (ledger);
+  pthread_mutex_unlock (&lock);
+  return send_json (connection, copy);
+}
+
+static bool
+is_cold (void)
+{
+  return served < options.cold_requests;
+}
+
+static void
+answer_stream (struct mg_connection *connection, long cost)
+{
+  char event[64];
+
+  mg_printf (connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                         "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (long i = 0; i < cost; i++)
+    {
+      int length = snprintf (event, sizeof event, "data: token %ld\n\n", i);
+
+      pause_us (options.unit_us * (is_cold () ? COLD_SLOWDOWN : 1));
+      if (mg_send_chunk (connection, event, (unsigned)length) <= 0)
+        return;
+    }
+  mg_send_chunk (connection, "", 0);
+}
+
+static void
+answer_whole (struct mg_connection *connection, long cost, const char *body)
+{
+  char text[256];
+  int length = snprintf (text, sizeof text, "{\"echo\":\"%.128s\"}\n", body);
+
+  pause_us (cost * options.unit_us * (is_cold () ? COLD_SLOWDOWN : 1));
+  mg_printf (connection,
+             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             "Monsoonspur-Cost: %ld\r\nContent-Length: %d\r\n"
+             "Connection: close\r\n\r\n%s",
+             cost, length, text);
+}
+
+static int
+handle_run (struct mg_connection *connection, void *context)
+{
+  char *body = calloc (1, MAX_BODY_BYTES + 1);
+  const char *field;
+  size_t used = 0;
+  long cost = 10;
+  int limit;
+  int n;
+
+  (void)context;
+  if (!body)
+    abort ();
+  while (used < MAX_BODY_BYTES
+         && (n = mg_read (connection, body + used, MAX_BODY_BYTES - used)) > 0)
+    used += (size_t)n;
+  if (strstr (body, "crash"))
+    _exit (9);
+  field = strstr (body, "cost=");
+  if (field)
+    cost = strtol (field + 5, NULL, 10);
+  limit = is_cold () ? options.cold_limit : options.warm_limit;
+  if (atomic_fetch_add (&running, 1) >= limit)
+    {
+      running--;
+      overloads++;
+      free (body);
+      mg_send_http_error (connection, 503, "%s", "too much at once");
+      return 503;
+    }
+  note_run (body);
+  if (strstr (body, "stream"))
+    answer_stream (connection, cost);
+  else
+    answer_whole (connection, cost, body);
+  running--;
+  served++;
+  free (body);
+  return 200;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  (void)state;
+  switch (key)
+    {
+    case 'a':
+      options.address = arg;
+      return 0;
+    case 'u':
+      options.unit_us = strtol (arg, NULL, 10);
+      return 0;
+    case 'c':
+      options.cold_limit = atoi (arg);
+      return 0;
+    case 'w':
+      options.warm_limit = atoi (arg);
+      return 0;
+    case 'n':
+      options.cold_requests = strtol (arg, NULL, 10);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option argp_options[]
+      = { { "address", 'a', "IP:PORT", 0, "Where to serve", 0 },
+          { "unit", 'u', "US", 0, "Time of a unit of cost", 0 },
+          { "cold-limit", 'c', "N", 0, "Requests at once while cold", 0 },
+          { "warm-limit", 'w', "N", 0, "Requests at once when warm", 0 },
+          { "cold-requests", 'n', "N", 0, "Requests until warm", 0 },
+          { 0 } };
+  const struct argp argp
+      = { argp_options, parse_option, NULL, NULL, NULL, NULL, NULL };
+  struct timespec now;
+  struct mg_context *server;
+  sigset_t signals;
+  int caught;
+
+  argp_parse (&argp, argc, argv, 0, NULL, NULL);
+  clock_gettime (CLOCK_REALTIME, &now);
+  start_id = (json_int_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+  ledger = json_object ();
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  server = mg_start (NULL, NULL,
+                     (const char *[]){ "listening_ports", options.address,
+                                       "num_threads", "48", NULL });
+  if (!server)
+    return 1;
+  mg_set_request_handler (server, "/load$", handle_load, NULL);
+  mg_set_request_handler (server, "/ledger$", handle_ledger, NULL);
+  mg_set_request_handler (server, "/**", handle_run, NULL);
+  sigwait (&signals, &caught);
+  _exit (0);
+}
--- /dev/null
+++ b/tests/standins/log.c
@@ -0,0 +1,270 @@
+/* Stand-in for the platform's log service: streams of records with offsets,
+   bounded retention, long polls, and faults that tests switch on:
+
+   GET  /v1/streams/S/records?from=N&wait_ms=M
+   POST /v1/streams/S/records
+   POST /control?mode=up|down|slow|lose_answers  */
+
+#include <argp.h>
+#include <civetweb.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_STREAMS 8
+#define MAX_RECORD_BYTES (4u << 20)
+#define SLOW_MS 400
+#define MAX_BATCH 256
+
+struct stream
+{
+  char name[64];
+  char **records;
+  uint64_t first;
+  uint64_t end;
+  size_t space;
+};
+
+enum mode
+{
+  MODE_UP,
+  MODE_DOWN,
+  MODE_SLOW,
+  MODE_LOSE_ANSWERS
+};
+
+static struct stream streams[MAX_STREAMS];
+static unsigned streams_count;
+static uint64_t keep = 1000000;
+static _Atomic int mode;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t grown = PTHREAD_COND_INITIALIZER;
+
+static struct stream *
+find_stream (const char *name)
+{
+  for (unsigned i = 0; i < streams_count; i++)
+    if (strcmp (streams[i].name, name) == 0)
+      return &streams[i];
+  if (streams_count == MAX_STREAMS)
+    return NULL;
+  snprintf (streams[streams_count].name, sizeof streams[0].name, "%s", name);
+  return &streams[streams_count++];
+}
+
+static uint64_t
+append (struct stream *stream, char *record)
+{
+  if (stream->end == stream->space)
+    {
+      stream->space = stream->space ? stream->space * 2 : 1024;
+      stream->records
+          = realloc (stream->records, stream->space * sizeof (char *));
+      if (!stream->records)
+        abort ();
+    }
+  stream->records[stream->end++] = record;
+  while (stream->end - stream->first > keep)
+    {
+      free (stream->records[stream->first]);
+      stream->records[stream->first++] = NULL;
+    }
+  pthread_cond_broadcast (&grown);
+  return stream->end - 1;
+}
+
+static void
+pause_ms (long ms)
+{
+  struct timespec pause = { ms / 1000, ms % 1000 * 1000000 };
+
+  nanosleep (&pause, NULL);
+}
+
+static int
+send_json (struct mg_connection *connection, json_t *object)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+
+  json_decref (object);
+  mg_printf (connection,
+             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+             strlen (text));
+  mg_write (connection, text, strlen (text));
+  free (text);
+  return 1;
+}
+
+static int
+handle_append (struct mg_connection *connection, struct stream *stream)
+{
+  char *record = calloc (1, MAX_RECORD_BYTES + 1);
+  size_t used = 0;
+  uint64_t offset;
+  int n;
+
+  if (!record)
+    abort ();
+  while (used < MAX_RECORD_BYTES
+         && (n = mg_read (connection, record + used, MAX_RECORD_BYTES - used))
+                > 0)
+    used += (size_t)n;
+  record = realloc (record, used + 1);
+  pthread_mutex_lock (&lock);
+  offset = append (stream, record);
+  pthread_mutex_unlock (&lock);
+  if (mode == MODE_LOSE_ANSWERS)
+    return 1;
+  return send_json (connection,
+                    json_pack ("{s:I}", "offset", (json_int_t)offset));
+}
+
+static long
+query_number (const struct mg_request_info *info, const char *key)
+{
+  char value[32];
+
+  if (!info->query_string
+      || mg_get_var (info->query_string, strlen (info->query_string), key,
+                     value, sizeof value)
+             <= 0)
+    return 0;
+  return strtol (value, NULL, 10);
+}
+
+static void
+wait_for (struct stream *stream, uint64_t from, long wait_ms)
+{
+  struct timespec until;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_nsec += wait_ms % 1000 * 1000000;
+  until.tv_sec += wait_ms / 1000 + until.tv_nsec / 1000000000;
+  until.tv_nsec %= 1000000000;
+  while (stream->end <= from)
+    if (pthread_cond_timedwait (&grown, &lock, &until))
+      return;
+}
+
+static int
+handle_read (struct mg_connection *connection, struct stream *stream)
+{
+  const struct mg_request_info *info = mg_get_request_info (connection);
+  uint64_t from = (uint64_t)query_number (info, "from");
+  json_t *records = json_array ();
+  json_t *object;
+
+  pthread_mutex_lock (&lock);
+  wait_for (stream, from, query_number (info, "wait_ms"));
+  if (from < stream->first)
+    from = stream->first;
+  for (int i = 0; i < MAX_BATCH && from < stream->end; from++, i++)
+    json_array_append_new (records,
+                           json_pack ("{s:I,s:s}", "offset", (json_int_t)from,
+                                      "data", stream->records[from]));
+  object = json_pack ("{s:I,s:I,s:I,s:o}", "first", (json_int_t)stream->first,
+                      "next", (json_int_t)from, "end", (json_int_t)stream->end,
+                      "records", records);
+  pthread_mutex_unlock (&lock);
+  return send_json (connection, object);
+}
+
+static int
+handle_records (struct mg_connection *connection, void *context)
+{
+  const struct mg_request_info *info = mg_get_request_info (connection);
+  struct stream *stream;
+  char name[64];
+
+  (void)context;
+  if (mode == MODE_DOWN)
+    {
+      mg_send_http_error (connection, 503, "%s", "out of service");
+      return 503;
+    }
+  if (mode == MODE_SLOW)
+    pause_ms (SLOW_MS);
+  if (sscanf (info->local_uri, "/v1/streams/%63[^/]/records", name) != 1)
+    return 0;
+  pthread_mutex_lock (&lock);
+  stream = find_stream (name);
+  pthread_mutex_unlock (&lock);
+  if (!stream)
+    return 0;
+  if (strcmp (info->request_method, "POST") == 0)
+    return handle_append (connection, stream);
+  return handle_read (connection, stream);
+}
+
+static int
+handle_control (struct mg_connection *connection, void *context)
+{
+  static const char *const names[] = { "up", "down", "slow", "lose_answers" };
+  const struct mg_request_info *info = mg_get_request_info (connection);
+  char value[32] = "";
+
+  (void)context;
+  if (info->query_string)
+    mg_get_var (info->query_string, strlen (info->query_string), "mode", value,
+                sizeof value);
+  for (int i = 0; i < 4; i++)
+    if (strcmp (names[i], value) == 0)
+      mode = i;
+  return send_json (connection, json_pack ("{s:i}", "mode", (int)mode));
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  switch (key)
+    {
+    case 'a':
+      *(const char **)state->input = arg;
+      return 0;
+    case 'k':
+      keep = strtoull (arg, NULL, 10);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[]
+      = { { "address", 'a', "IP:PORT", 0, "Where to serve", 0 },
+          { "keep", 'k', "N", 0, "Records kept in a stream", 0 },
+          { 0 } };
+  const struct argp argp
+      = { options, parse_option, NULL, NULL, NULL, NULL, NULL };
+  const char *address = "127.0.0.1:7000";
+  struct mg_context *server;
+  sigset_t signals;
+  int caught;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &address);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  server = mg_start (NULL, NULL,
+                     (const char *[]){ "listening_ports", address,
+                                       "num_threads", "96", NULL });
+  if (!server)
+    return 1;
+  mg_set_request_handler (server, "/v1/streams/**", handle_records, NULL);
+  mg_set_request_handler (server, "/control$", handle_control, NULL);
+  sigwait (&signals, &caught);
+  _exit (0);
+}
