Replay traces of several routers against stated outcomes

Cause: the promises must be proved by replay. Ruled out: a cluster simulator; the driver only carries events, with seeded delays, between the routers' own decisions. Change: monsoonspur-replay, the two deployments as included files, first traces for steady load, a zone out of service, fair shares and a flood; a router whose log read is stale refuses keyed requests at once instead of after 3 s (first seen in zone_out.trace at 17304 ms). Before: no trace could be run.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -218,6 +218,11 @@
       return;
     }
   request->state = REQUEST_INTENT;
+  if (ms_view_stale (entry->view, now))
+    {
+      ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_LOG_DOWN, now);
+      return;
+    }
   verdict = ms_once_begin (entry->once, arrival->key, request->id);
   if (verdict.state == MS_ONCE_WAIT)
     request->keyed = true;
--- /dev/null
+++ b/src/replay/check.c
@@ -0,0 +1,456 @@
+#include "replay/check.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay/internal.h"
+
+struct value
+{
+  double number;
+  ms_time first_at; /* When it first passed 0, if known.  */
+  bool known;
+};
+
+/* Whether CALL is one of those that LINE speaks of.  */
+static bool
+selected (const struct world *world, const struct world_call *call,
+          const struct trace_line *line)
+{
+  const char *team = trace_value (line, "team");
+  const char *other = trace_value (line, "not_team");
+  const char *service = trace_value (line, "service");
+  const char *lane = trace_value (line, "class");
+  double from = trace_number (line, "from", 0) * MS_MSEC;
+  double to = trace_number (line, "to", 1e12) * MS_MSEC;
+
+  if (team && world_find_team (world, team) != call->team)
+    return false;
+  if (other && world_find_team (world, other) == call->team)
+    return false;
+  if (service
+      && world_find_service (world, ms_id (ms_str (service)))
+             != call->service)
+    return false;
+  if (lane && (strcmp (lane, "long") == 0)
+                  != (call->arrival.lane == MS_LANE_LONG))
+    return false;
+  return (double)call->sent_at >= from && (double)call->sent_at <= to;
+}
+
+typedef bool call_test (const struct world *world,
+                        const struct world_call *call);
+
+static bool
+is_lost (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return !call->answers && !call->broken;
+}
+
+static bool
+is_answered_twice (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers + call->broken > 1;
+}
+
+static bool
+is_double (const struct world *world, const struct world_call *call)
+{
+  return !call->arrival.idempotent
+         && call == &world->calls[call->original] && call->runs_total > 1;
+}
+
+static bool
+is_false_refusal (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_NOT_RUN && call->ran;
+}
+
+static bool
+is_sent (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  (void)call;
+  return true;
+}
+
+static bool
+is_answered (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_ANSWERED;
+}
+
+static bool
+is_refused (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_NOT_RUN;
+}
+
+static bool
+is_refused_late (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_NOT_RUN
+         && call->reason == MS_REASON_QUEUE_FULL
+         && call->ended_at > call->sent_at + 20 * MS_MSEC;
+}
+
+static bool
+is_refused_without_time (const struct world *world,
+                         const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_NOT_RUN
+         && call->reason == MS_REASON_QUEUE_FULL && !call->retry_after;
+}
+
+static bool
+is_failed (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_FAILED;
+}
+
+static bool
+is_unknown (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->answers && call->outcome == MS_UNKNOWN;
+}
+
+static bool
+is_broken (const struct world *world, const struct world_call *call)
+{
+  (void)world;
+  return call->broken;
+}
+
+static const struct
+{
+  const char *name;
+  call_test *test;
+} call_kinds[] = { { "lost", is_lost },
+                   { "answered_twice", is_answered_twice },
+                   { "double", is_double },
+                   { "false_refusals", is_false_refusal },
+                   { "sent", is_sent },
+                   { "answered", is_answered },
+                   { "refused", is_refused },
+                   { "refused_late", is_refused_late },
+                   { "refused_without_time", is_refused_without_time },
+                   { "failed", is_failed },
+                   { "unknown", is_unknown },
+                   { "broken", is_broken } };
+
+static struct value
+count_calls (const struct world *world, const struct trace_line *line,
+             call_test *test)
+{
+  struct value value = { .known = true };
+
+  for (size_t i = 0; i < world->calls_count; i++)
+    {
+      const struct world_call *call = &world->calls[i];
+
+      if (!selected (world, call, line) || !test (world, call))
+        continue;
+      if (!value.number)
+        value.first_at = call->ended_at ? call->ended_at : call->sent_at;
+      value.number++;
+    }
+  return value;
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+/* A quantile of the waits before the first start, in milliseconds.  A call
+   that never began waited until its end.  */
+static double
+wait_quantile (const struct world *world, const struct trace_line *line,
+               double quantile)
+{
+  double *waits = calloc (world->calls_count + 1, sizeof *waits);
+  size_t count = 0;
+  double result = 0;
+
+  if (!waits)
+    abort ();
+  for (size_t i = 0; i < world->calls_count; i++)
+    {
+      const struct world_call *call = &world->calls[i];
+      ms_time end = call->first_start;
+
+      if (line && !selected (world, call, line))
+        continue;
+      if (end < 0)
+        end = call->ended_at ? call->ended_at : world->now;
+      waits[count++] = (double)(end - call->sent_at) / (double)MS_MSEC;
+    }
+  qsort (waits, count, sizeof *waits, compare);
+  if (count)
+    result = waits[(size_t)((double)(count - 1) * quantile)];
+  free (waits);
+  return result;
+}
+
+static unsigned
+cold_over (const struct world *world, const struct trace_line *line)
+{
+  unsigned grace = (unsigned)(trace_number (line, "grace", 0) / 100);
+  unsigned count = world->notes.cold_over;
+
+  for (unsigned i = grace; i < 64; i++)
+    count += world->notes.cold_over_unannounced[i];
+  return count;
+}
+
+static double
+largest_gap (const struct world *world, const struct trace_line *line)
+{
+  const char *service = line ? trace_value (line, "service") : NULL;
+  double gap = 0;
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    if ((!service || strcmp (service, world->shape->services[s].name) == 0)
+        && world->notes.gap[s] > gap)
+      gap = world->notes.gap[s];
+  return gap;
+}
+
+static double
+least_use (const struct world *world, const struct trace_line *line)
+{
+  const char *service = line ? trace_value (line, "service") : NULL;
+  double least = 1;
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    {
+      const struct world_notes *notes = &world->notes;
+
+      if (!notes->slots[s]
+          || (service
+              && strcmp (service, world->shape->services[s].name) != 0))
+        continue;
+      if (notes->busy[s] / notes->slots[s] < least)
+        least = notes->busy[s] / notes->slots[s];
+    }
+  return least;
+}
+
+/* Twice the work in flight: all slots of a service, each with the largest
+   request that was sent to it.  */
+static double
+twice_in_flight (const struct world *world)
+{
+  double largest = 0;
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    {
+      double slots = 0;
+      double cost = 0;
+
+      for (unsigned i = 0; i < world->endpoints_count; i++)
+        if (world->endpoints[i].service == (int)s)
+          slots += world->endpoints[i].trace->warm;
+      for (size_t i = 0; i < world->calls_count; i++)
+        if (world->calls[i].service == (int)s && world->calls[i].cost > cost)
+          cost = world->calls[i].cost;
+      if (2 * slots * cost > largest)
+        largest = 2 * slots * cost;
+    }
+  return largest;
+}
+
+/* Bytes that routers sent, a router and second.  */
+static double
+control_rate (const struct world *world, bool messages)
+{
+  double sum = 0;
+
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    sum += (double)(messages ? world->nodes[i].messages
+                             : world->nodes[i].bytes);
+  return sum / world->nodes_count / ((double)world->now / (double)MS_SEC);
+}
+
+static struct value
+note_value (const struct world *world, const struct trace_line *line)
+{
+  const struct world_notes *n = &world->notes;
+  const char *kind = line->words[1];
+  struct value v = { .known = true };
+
+  if (strcmp (kind, "cold_over") == 0)
+    {
+      v.number = cold_over (world, line);
+      v.first_at = n->cold_over_first;
+    }
+  else if (strcmp (kind, "zone_late") == 0)
+    v.number = (double)n->zone_late / (double)MS_MSEC;
+  else if (strcmp (kind, "leaving_late") == 0)
+    v.number = (double)n->leaving_late / (double)MS_MSEC;
+  else if (strcmp (kind, "crashes") == 0)
+    v.number = n->crashes;
+  else if (strcmp (kind, "reverted") == 0)
+    v.number = n->reverted;
+  else if (strcmp (kind, "accepted") == 0)
+    v.number = n->accepted;
+  else if (strcmp (kind, "in_force") == 0)
+    v.number = (double)(world->spread ? n->in_force
+                                      : world->now - world->accepted_at)
+               / (double)MS_MSEC;
+  else if (strcmp (kind, "drained") == 0)
+    v.number = n->drained;
+  else if (strcmp (kind, "cut_by_drain") == 0)
+    v.number = n->cut_by_drain;
+  else if (strcmp (kind, "gap") == 0)
+    v.number = largest_gap (world, line);
+  else if (strcmp (kind, "utilisation") == 0)
+    v.number = least_use (world, line);
+  else if (strcmp (kind, "control_bytes") == 0)
+    v.number = control_rate (world, false);
+  else if (strcmp (kind, "wait99") == 0)
+    v.number = wait_quantile (world, line, 0.99);
+  else if (strcmp (kind, "wait_max") == 0)
+    v.number = wait_quantile (world, line, 1);
+  else
+    v.known = false;
+  return v;
+}
+
+static struct value
+evaluate (const struct world *world, const struct trace_line *line)
+{
+  for (size_t i = 0; i < sizeof call_kinds / sizeof *call_kinds; i++)
+    if (strcmp (call_kinds[i].name, line->words[1]) == 0)
+      return count_calls (world, line, call_kinds[i].test);
+  return note_value (world, line);
+}
+
+/* Twice the same quantile without TEAM's load, plus one request's time.  */
+static double
+bound_without (const struct world *world, const struct trace_line *line,
+               const char *team)
+{
+  struct world_options options = world->options;
+  struct world *calm;
+  double longest = 0;
+  double bound = 0;
+
+  options.without = team;
+  if (world_run_trace (world->trace, &options, &calm) != MS_OK)
+    return 0;
+  for (size_t i = 0; i < calm->calls_count; i++)
+    {
+      const struct world_call *call = &calm->calls[i];
+      double time
+          = (double)call->cost
+            * (double)world->shape->services[call->service].unit_us / 1000;
+
+      if (time > longest)
+        longest = time;
+    }
+  bound = 2 * wait_quantile (calm, line, 0.99) + longest;
+  world_destroy (calm);
+  return bound;
+}
+
+static double
+bound_of (const struct world *world, const struct trace_line *line)
+{
+  const char *text = line->words[3];
+
+  if (strcmp (text, "2w") == 0)
+    return twice_in_flight (world);
+  if (strncmp (text, "without:", 8) == 0)
+    return bound_without (world, line, text + 8);
+  return strtod (text, NULL);
+}
+
+static bool
+holds (double value, const char *relation, double bound, bool *known)
+{
+  *known = true;
+  if (strcmp (relation, "==") == 0)
+    return value == bound;
+  if (strcmp (relation, "<=") == 0)
+    return value <= bound;
+  if (strcmp (relation, ">=") == 0)
+    return value >= bound;
+  *known = false;
+  return false;
+}
+
+unsigned
+check_expectations (const struct world *world, FILE *file,
+                    enum ms_status *status)
+{
+  const struct trace *trace = world->trace;
+  unsigned unmet = 0;
+
+  *status = MS_OK;
+  for (unsigned i = 0; i < trace->expects_count; i++)
+    {
+      const struct trace_line *line = &trace->expects[i];
+      struct value value = evaluate (world, line);
+      bool known = false;
+      double bound;
+
+      if (line->words_count < 4 || !value.known)
+        {
+          *status = ms_fail (MS_INVALID,
+                             "%s: line %u: the expectation is not known",
+                             trace->path, line->number);
+          return unmet;
+        }
+      bound = bound_of (world, line);
+      if (holds (value.number, line->words[2], bound, &known))
+        continue;
+      if (!known)
+        {
+          *status = ms_fail (MS_INVALID, "%s: line %u: use ==, <= or >=",
+                             trace->path, line->number);
+          return unmet;
+        }
+      unmet++;
+      fprintf (file, "%s: line %u: %s is %g, expected %s %g", trace->path,
+               line->number, line->words[1], value.number, line->words[2],
+               bound);
+      if (value.first_at)
+        fprintf (file, "; first at %.1f ms",
+                 (double)value.first_at / (double)MS_MSEC);
+      fputc ('\n', file);
+    }
+  return unmet;
+}
+
+struct measures
+check_measures (const struct world *world)
+{
+  struct measures measures = { .gap = largest_gap (world, NULL),
+                               .gap_bound = twice_in_flight (world),
+                               .utilisation = least_use (world, NULL),
+                               .control_bytes = control_rate (world, false),
+                               .control_messages = control_rate (world, true),
+                               .wait99_ms
+                               = wait_quantile (world, NULL, 0.99) };
+  size_t answered = 0;
+
+  for (size_t i = 0; i < world->calls_count; i++)
+    answered += is_answered (world, &world->calls[i]);
+  if (world->calls_count)
+    measures.answered_share = (double)answered / (double)world->calls_count;
+  return measures;
+}
--- /dev/null
+++ b/src/replay/heap.c
@@ -0,0 +1,67 @@
+#include <stdlib.h>
+
+#include "replay/internal.h"
+
+static bool
+before (const struct item *a, const struct item *b)
+{
+  return a->at < b->at || (a->at == b->at && a->sequence < b->sequence);
+}
+
+static void
+swap (struct item *a, struct item *b)
+{
+  struct item kept = *a;
+
+  *a = *b;
+  *b = kept;
+}
+
+void
+world_push (struct world *world, struct item item)
+{
+  size_t i = world->heap_count++;
+
+  if (world->heap_count > world->heap_space)
+    {
+      world->heap_space = world->heap_space ? world->heap_space * 2 : 1024;
+      world->heap
+          = realloc (world->heap, world->heap_space * sizeof *world->heap);
+      if (!world->heap)
+        abort ();
+    }
+  item.sequence = ++world->sequence;
+  world->heap[i] = item;
+  while (i && before (&world->heap[i], &world->heap[(i - 1) / 2]))
+    {
+      swap (&world->heap[i], &world->heap[(i - 1) / 2]);
+      i = (i - 1) / 2;
+    }
+}
+
+bool
+world_pop (struct world *world, struct item *item)
+{
+  size_t i = 0;
+
+  if (!world->heap_count)
+    return false;
+  *item = world->heap[0];
+  world->heap[0] = world->heap[--world->heap_count];
+  for (;;)
+    {
+      size_t least = i;
+      size_t left = 2 * i + 1;
+
+      if (left < world->heap_count
+          && before (&world->heap[left], &world->heap[least]))
+        least = left;
+      if (left + 1 < world->heap_count
+          && before (&world->heap[left + 1], &world->heap[least]))
+        least = left + 1;
+      if (least == i)
+        return true;
+      swap (&world->heap[i], &world->heap[least]);
+      i = least;
+    }
+}
--- /dev/null
+++ b/src/replay/nodes.c
@@ -0,0 +1,182 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay/internal.h"
+#include "rpc/codec.h"
+
+/* Bytes of an RPC call header before the encoded message.  */
+#define CALL_HEADER_BYTES 40
+
+struct encoded
+{
+  unsigned length;
+  char data[];
+};
+
+int
+world_find_node (const struct world *world, const char *name)
+{
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    if (strcmp (world->nodes[i].name, name) == 0)
+      return (int)i;
+  return -1;
+}
+
+static void
+send_message (struct world *world, struct world_node *from,
+      const struct ms_effect *effect)
+{
+  int to = world_find_node (world, effect->send.address);
+  const struct trace *trace = world->trace;
+  char data[MS_MESSAGE_BYTES];
+  unsigned length
+      = ms_message_encode (effect->send.message, data, sizeof data);
+  struct encoded *encoded;
+
+  from->messages++;
+  from->bytes += length + CALL_HEADER_BYTES;
+  if (to < 0 || from->cut != world->nodes[to].cut)
+    return;
+  if (trace->loss > 0
+      && (double)ms_random_below (&world->random, 1000000)
+             < trace->loss * 1000000)
+    return;
+  encoded = malloc (sizeof *encoded + length);
+  if (!encoded)
+    abort ();
+  encoded->length = length;
+  memcpy (encoded->data, data, length);
+  world_push (world,
+              (struct item){ .at = world->now
+                                   + world_delay (world, trace->delay_low,
+                                                  trace->delay_high),
+                             .kind = ITEM_PEER,
+                             .node = to,
+                             .data = encoded });
+}
+
+static void
+append (struct world *world, struct world_node *from,
+        const struct ms_effect *effect)
+{
+  bool reachable = world_log_reachable (world, from->index);
+  ms_time delay = world->trace->log_delay;
+
+  if (world->log_mode == LOG_SLOW)
+    delay += 400 * MS_MSEC;
+  if (reachable)
+    world_push (world, (struct item){ .at = world->now + delay,
+                                      .kind = ITEM_APPEND,
+                                      .node = -1,
+                                      .a = effect->append.stream,
+                                      .data = strdup (effect->append.text) });
+  if (!reachable || world->log_mode == LOG_LOSE_ANSWERS)
+    world_push (world,
+                (struct item){ .at = world->now + MS_SEC,
+                               .kind = ITEM_APPEND_FAILED,
+                               .node = from->index,
+                               .incarnation = from->incarnation,
+                               .a = effect->append.stream,
+                               .b = effect->append.tag });
+}
+
+static void
+emit (void *context, const struct ms_effect *effect)
+{
+  struct world_node *from = context;
+  struct world *world = from->world;
+
+  switch (effect->kind)
+    {
+    case MS_EFFECT_SEND:
+      send_message (world, from, effect);
+      break;
+    case MS_EFFECT_APPEND:
+      append (world, from, effect);
+      break;
+    case MS_EFFECT_START:
+      world_push (world, (struct item){ .at = world->now + ENDPOINT_DELAY,
+                                        .kind = ITEM_START,
+                                        .node = from->index,
+                                        .incarnation = from->incarnation,
+                                        .a = effect->start.request,
+                                        .b = effect->start.attempt,
+                                        .c = effect->start.endpoint,
+                                        .d = (uint64_t)effect->start.start_by });
+      break;
+    case MS_EFFECT_CANCEL:
+      world_cancel_run (world, from->index, effect->cancel.request,
+                        effect->cancel.attempt);
+      break;
+    case MS_EFFECT_ANSWER:
+      world_answer (world, from->index, effect);
+      break;
+    case MS_EFFECT_DRAINED:
+      from->drained = true;
+      world->notes.drained++;
+      break;
+    }
+}
+
+void
+world_step (struct world *world, int index, const struct ms_event *event)
+{
+  struct world_node *node = &world->nodes[index];
+
+  node->steps++;
+  ms_node_step (node->node, event, world->now);
+  world_note_generation (world, index);
+}
+
+static void
+schedule (struct world *world, int node, enum item_kind kind, uint64_t a,
+          ms_time delay)
+{
+  world_push (world,
+              (struct item){ .at = world->now + delay,
+                             .kind = kind,
+                             .node = node,
+                             .incarnation = world->nodes[node].incarnation,
+                             .a = a });
+}
+
+void
+world_start_node (struct world *world, int index)
+{
+  struct world_node *node = &world->nodes[index];
+  const struct ms_sink sink = { emit, node };
+  struct ms_node_options options
+      = { .name = node->name,
+          .zone = world->trace->nodes[index].zone,
+          .peer_address = node->name,
+          .caller_address = node->name };
+
+  if (node->node)
+    return;
+  node->incarnation = (uint64_t)world->now + 1000 + (uint64_t)index;
+  node->drained = false;
+  node->frozen_until = 0;
+  memset (node->cursor, 0, sizeof node->cursor);
+  memset (node->polling, 0, sizeof node->polling);
+  options.incarnation = node->incarnation;
+  options.random_seed = ms_random_next (&world->random);
+  node->node = ms_node_create (&options, &sink);
+  schedule (world, index, ITEM_TICK, 0, 1 + index * 1000);
+  schedule (world, index, ITEM_LOG_POLL, MS_STREAM_CONTROL, 1);
+  schedule (world, index, ITEM_LOG_POLL, MS_STREAM_ONCE, 2);
+  schedule (world, index, ITEM_LIST, 0, 3);
+  schedule (world, index, ITEM_LOAD_POLL, 0, 4 + index * 7000);
+}
+
+void
+world_kill_node (struct world *world, int index)
+{
+  struct world_node *node = &world->nodes[index];
+
+  if (!node->node)
+    return;
+  ms_node_destroy (node->node);
+  node->node = NULL;
+  world_drop_runs_of (world, index);
+  world_break_calls (world, index);
+}
--- /dev/null
+++ b/src/replay/platform.c
@@ -0,0 +1,298 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay/internal.h"
+
+bool
+world_log_reachable (const struct world *world, int node)
+{
+  return world->log_mode != LOG_DOWN && !world->nodes[node].cut
+         && !world->nodes[node].no_log;
+}
+
+static struct world_zone *
+find_zone (struct world *world, uint64_t id)
+{
+  for (unsigned i = 0; i < world->zones_count; i++)
+    if (world->zones[i].id == id)
+      return &world->zones[i];
+  return NULL;
+}
+
+static void
+set_zones (struct world *world, const struct ms_config *config)
+{
+  for (unsigned i = 0; i < config->zones_count && i < 16; i++)
+    {
+      struct world_zone *zone = find_zone (world, config->zones[i].id);
+
+      if (!zone)
+        {
+          zone = &world->zones[world->zones_count++];
+          zone->id = config->zones[i].id;
+          zone->in_service = true;
+        }
+      if (zone->in_service && !config->zones[i].in_service)
+        zone->out_since = world->now;
+      zone->in_service = config->zones[i].in_service;
+    }
+}
+
+/* Apply the rule for publications to the log itself.  */
+static void
+note_publication (struct world *world, const char *text, uint64_t offset)
+{
+  struct ms_record record;
+  struct ms_config *config;
+  struct ms_str yaml;
+
+  if (ms_record_parse (ms_str (text), &record) != MS_OK)
+    return;
+  yaml = (struct ms_str){ record.text, record.text_length };
+  if (record.kind == MS_RECORD_CONFIG && record.generation == world->accepted
+      && ms_config_parse (yaml, "publication", &config) == MS_OK)
+    {
+      world->accepted = offset + 1;
+      world->accepted_at = world->now;
+      world->spread = false;
+      world->notes.accepted++;
+      set_zones (world, config);
+      ms_config_destroy (config);
+    }
+  ms_record_clear (&record);
+}
+
+static void
+wake_polls (struct world *world, enum ms_stream stream)
+{
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    {
+      struct world_node *node = &world->nodes[i];
+
+      if (!node->node || !node->polling[stream])
+        continue;
+      node->polling[stream] = false;
+      world_push (world, (struct item){ .at = world->now
+                                              + world->trace->log_delay,
+                                        .kind = ITEM_LOG_REPLY,
+                                        .node = (int)i,
+                                        .incarnation = node->incarnation,
+                                        .a = stream,
+                                        .b = (uint64_t)node->poll_sent[stream],
+                                        .c = 1 });
+    }
+}
+
+void
+world_append (struct world *world, enum ms_stream which, const char *text)
+{
+  struct world_stream *stream = &world->streams[which];
+
+  if (stream->end == stream->space)
+    {
+      stream->space = stream->space ? stream->space * 2 : 256;
+      stream->records
+          = realloc (stream->records, stream->space * sizeof (void *));
+      if (!stream->records)
+        abort ();
+    }
+  stream->records[stream->end] = strdup (text);
+  if (which == MS_STREAM_CONTROL)
+    note_publication (world, text, stream->end);
+  stream->end++;
+  while (stream->end - stream->first > world->trace->keep)
+    {
+      free (stream->records[stream->first]);
+      stream->records[stream->first++] = NULL;
+    }
+  wake_polls (world, which);
+}
+
+/* The router asks for more records; the log answers at once or waits.  */
+void
+world_log_poll (struct world *world, int index, enum ms_stream which)
+{
+  struct world_node *node = &world->nodes[index];
+  ms_time delay = world->trace->log_delay;
+  bool has_news = node->cursor[which] < world->streams[which].end;
+
+  if (!world_log_reachable (world, index))
+    {
+      world_push (world, (struct item){ .at = world->now + 100 * MS_MSEC,
+                                        .kind = ITEM_LOG_POLL,
+                                        .node = index,
+                                        .incarnation = node->incarnation,
+                                        .a = which });
+      return;
+    }
+  if (world->log_mode == LOG_SLOW)
+    delay += 400 * MS_MSEC;
+  node->poll_sent[which] = world->now;
+  node->polling[which] = !has_news;
+  world_push (world,
+              (struct item){ .at = world->now + delay
+                                   + (has_news ? 0 : POLL_WAIT),
+                             .kind = ITEM_LOG_REPLY,
+                             .node = index,
+                             .incarnation = node->incarnation,
+                             .a = which,
+                             .b = (uint64_t)node->poll_sent[which],
+                             .c = has_news });
+}
+
+void
+world_log_reply (struct world *world, int index, enum ms_stream which,
+                 ms_time sent_at)
+{
+  struct world_node *node = &world->nodes[index];
+  struct world_stream *stream = &world->streams[which];
+  struct ms_event read = { .kind = MS_EVENT_LOG_READ,
+                           .log_read = { .stream = which,
+                                         .sent_at = sent_at,
+                                         .first_kept = stream->first,
+                                         .at_end = true } };
+
+  if (sent_at != node->poll_sent[which])
+    return;
+  node->polling[which] = false;
+  node->poll_sent[which] = -1;
+  if (world_log_reachable (world, index))
+    {
+      if (node->cursor[which] < stream->first)
+        node->cursor[which] = stream->first;
+      for (; node->cursor[which] < stream->end; node->cursor[which]++)
+        {
+          struct ms_event event
+              = { .kind = MS_EVENT_LOG_RECORD,
+                  .log_record
+                  = { which, node->cursor[which],
+                      ms_str (stream->records[node->cursor[which]]) } };
+
+          ms_node_step (node->node, &event, world->now);
+        }
+      world_step (world, index, &read);
+    }
+  world_log_poll (world, index, which);
+}
+
+void
+world_send_list (struct world *world, int index)
+{
+  struct ms_endpoint list[TRACE_MAX_ENDPOINTS];
+  unsigned count = 0;
+  struct ms_event event = { .kind = MS_EVENT_ENDPOINTS };
+
+  for (unsigned i = 0; i < world->endpoints_count; i++)
+    {
+      const struct world_endpoint *e = &world->endpoints[i];
+      struct ms_endpoint *out = &list[count];
+      bool lagging
+          = e->leaving
+            && world->now - e->leaving_since < world->trace->list_lag;
+
+      if (!e->listed)
+        continue;
+      memset (out, 0, sizeof *out);
+      out->name = ms_name (e->trace->name);
+      out->id = e->id;
+      out->service = ms_id (ms_str (e->trace->service));
+      out->zone = ms_id (ms_str (e->trace->zone));
+      out->leaving = e->leaving && !lagging;
+      strncpy (out->address, e->trace->name, MS_ADDRESS_BYTES - 1);
+      count++;
+    }
+  event.endpoints.list = list;
+  event.endpoints.count = count;
+  world_step (world, index, &event);
+}
+
+static int
+endpoint_by_id (const struct world *world, uint64_t id)
+{
+  for (unsigned i = 0; i < world->endpoints_count; i++)
+    if (world->endpoints[i].id == id)
+      return (int)i;
+  return -1;
+}
+
+void
+world_poll_loads (struct world *world, int index)
+{
+  uint64_t ids[TRACE_MAX_ENDPOINTS];
+  char addresses[TRACE_MAX_ENDPOINTS][MS_ADDRESS_BYTES];
+  unsigned count = ms_node_watched (world->nodes[index].node, world->now, ids,
+                                    addresses, TRACE_MAX_ENDPOINTS);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      int e = endpoint_by_id (world, ids[i]);
+      ms_time lag = world_delay (world, 0, world->trace->report_lag);
+      bool lost = (double)ms_random_below (&world->random, 1000)
+                  < world->report_loss * 1000;
+
+      if (e < 0 || !world->endpoints[e].up || lost)
+        continue;
+      world_push (world,
+                  (struct item){ .at = world->now + 1000,
+                                 .kind = ITEM_LOAD_REPLY,
+                                 .node = index,
+                                 .incarnation = world->nodes[index].incarnation,
+                                 .a = ids[i],
+                                 .b = world->endpoints[e].start_id,
+                                 .c = world_load_at (world, e,
+                                                     world->now - lag) });
+    }
+}
+
+/* Write "in_service: VALUE" behind "name: ZONE" in the text.  */
+static enum ms_status
+set_zone (struct world *world, const char *zone, bool in_service)
+{
+  char wanted[96];
+  char *at;
+  char *end;
+  char *text;
+  size_t length = strlen (world->config) + 16;
+
+  snprintf (wanted, sizeof wanted, "name: %s,", zone);
+  at = strstr (world->config, wanted);
+  at = at ? strstr (at, "in_service: ") : NULL;
+  end = at ? strchr (at, '}') : NULL;
+  if (!end)
+    return ms_fail (MS_INVALID, "zone %s has no in_service", zone);
+  text = malloc (length);
+  if (!text)
+    abort ();
+  snprintf (text, length, "%.*sin_service: %s%s", (int)(at - world->config),
+            world->config, in_service ? "true" : "false", end);
+  free (world->config);
+  world->config = text;
+  return MS_OK;
+}
+
+enum ms_status
+world_publish (struct world *world, const struct trace_line *line)
+{
+  const char *out = trace_value (line, "zone_out");
+  const char *in = trace_value (line, "zone_in");
+  struct ms_record record
+      = { .kind = MS_RECORD_CONFIG,
+          .generation = (uint64_t)trace_number (line, "base",
+                                                (double)world->accepted) };
+  enum ms_status status = MS_OK;
+  char *text;
+
+  if (out)
+    status = set_zone (world, out, false);
+  if (status == MS_OK && in)
+    status = set_zone (world, in, true);
+  if (status != MS_OK)
+    return status;
+  record.text = trace_has (line, "bad") ? "services: [" : world->config;
+  record.text_length = strlen (record.text);
+  text = ms_record_print (&record);
+  if (world->log_mode != LOG_DOWN)
+    world_append (world, MS_STREAM_CONTROL, text);
+  free (text);
+  return MS_OK;
+}
--- /dev/null
+++ b/src/replay/sample.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "replay/internal.h"
+
+/* Work that waited this long could have used a free slot.  */
+#define WAITED_ENOUGH (300 * MS_MSEC)
+
+void
+world_note_generation (struct world *world, int index)
+{
+  struct world_node *node = &world->nodes[index];
+  const struct ms_view *view = ms_node_view (node->node);
+  uint64_t generation
+      = ms_node_ready (node->node) ? view->config->generation : 0;
+
+  if (!generation)
+    return;
+  if (generation < node->generation)
+    world->notes.reverted++;
+  node->generation = generation;
+}
+
+static void
+count_waiting (struct world *world)
+{
+  memset (world->waiting, 0, sizeof world->waiting);
+  for (size_t i = 0; i < world->calls_count; i++)
+    {
+      const struct world_call *call = &world->calls[i];
+
+      if (call->state == CALL_WAITING && call->sent_at <= world->now)
+        world->waiting[call->service][call->team]++;
+    }
+  for (int s = 0; s < WORLD_MAX_SERVICES; s++)
+    for (int t = 0; t < WORLD_MAX_TEAMS; t++)
+      if (!world->waiting[s][t])
+        world->waiting_since[s][t] = world->now;
+}
+
+static void
+note_pair (struct world *world, int s, int i, int j)
+{
+  struct pair *pair = &world->pairs[s][i][j];
+  double weight_i = world->shape->teams[i].weight;
+  double weight_j = world->shape->teams[j].weight;
+  double difference = world->received[s][i] / weight_i
+                      - world->received[s][j] / weight_j;
+
+  if (world->gap_paused || !world->waiting[s][i] || !world->waiting[s][j])
+    {
+      pair->open = false;
+      return;
+    }
+  if (!pair->open)
+    *pair = (struct pair){ true, difference, difference };
+  if (difference < pair->low)
+    pair->low = difference;
+  if (difference > pair->high)
+    pair->high = difference;
+  if (pair->high - pair->low > world->notes.gap[s])
+    {
+      world->notes.gap[s] = pair->high - pair->low;
+      world->notes.gap_at[s] = world->now;
+    }
+}
+
+static void
+note_gaps (struct world *world)
+{
+  unsigned teams = world->shape->teams_count;
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    for (unsigned i = 0; i < teams; i++)
+      for (unsigned j = i + 1; j < teams; j++)
+        note_pair (world, (int)s, (int)i, (int)j);
+}
+
+static bool
+in_service (const struct world *world, const struct world_endpoint *e)
+{
+  uint64_t zone = ms_id (ms_str (e->trace->zone));
+
+  for (unsigned i = 0; i < world->zones_count; i++)
+    if (world->zones[i].id == zone)
+      return world->zones[i].in_service;
+  return false;
+}
+
+/* Count slots only while work waits that they could take.  */
+static void
+note_use (struct world *world)
+{
+  bool work[WORLD_MAX_SERVICES] = { false };
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    for (unsigned t = 0; t < world->shape->teams_count; t++)
+      work[s] |= world->waiting[s][t]
+                 && world->now - world->waiting_since[s][t] > WAITED_ENOUGH;
+  for (unsigned i = 0; i < world->endpoints_count; i++)
+    {
+      const struct world_endpoint *e = &world->endpoints[i];
+
+      if (!e->up || e->leaving || e->service < 0 || !work[e->service]
+          || world_is_cold (world, (int)i) || !in_service (world, e))
+        continue;
+      world->notes.slots[e->service] += e->trace->warm;
+      world->notes.busy[e->service]
+          += e->running < e->trace->warm ? e->running : e->trace->warm;
+    }
+}
+
+static bool
+connected (const struct world_node *node)
+{
+  return node->node && !node->cut && !node->frozen_until
+         && ms_node_ready (node->node);
+}
+
+static void
+note_spread (struct world *world)
+{
+  if (world->spread || !world->accepted)
+    return;
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    if (connected (&world->nodes[i])
+        && world->nodes[i].generation < world->accepted)
+      return;
+  world->spread = true;
+  if (world->now - world->accepted_at > world->notes.in_force)
+    world->notes.in_force = world->now - world->accepted_at;
+}
+
+static void
+note_bytes (struct world *world)
+{
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    if (world->nodes[i].node)
+      {
+        uint64_t bytes
+            = ms_node_status (world->nodes[i].node, world->now).bytes;
+
+        if (bytes > world->notes.peak_bytes)
+          world->notes.peak_bytes = bytes;
+      }
+}
+
+void
+world_sample (struct world *world)
+{
+  world_advance (world);
+  count_waiting (world);
+  note_gaps (world);
+  note_use (world);
+  note_spread (world);
+  note_bytes (world);
+}
--- /dev/null
+++ b/src/replay/world.c
@@ -0,0 +1,461 @@
+#include "replay/world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "replay/internal.h"
+#include "rpc/codec.h"
+
+struct encoded
+{
+  unsigned length;
+  char data[];
+};
+
+ms_time
+world_delay (struct world *world, ms_time low, ms_time high)
+{
+  if (high <= low)
+    return low;
+  return low
+         + (ms_time)ms_random_below (&world->random,
+                                     (uint64_t)(high - low + 1));
+}
+
+/* The configuration's text with "${policy}" filled in.  */
+static char *
+fill_policy (const char *text, const char *policy)
+{
+  static const char mark[] = "${policy}";
+  size_t length = strlen (text) + 1;
+  char *filled = calloc (1, length + 64 * strlen (policy));
+  char *out = filled;
+
+  if (!filled)
+    abort ();
+  while (*text)
+    {
+      if (strncmp (text, mark, sizeof mark - 1) == 0)
+        {
+          out = stpcpy (out, policy);
+          text += sizeof mark - 1;
+        }
+      else
+        *out++ = *text++;
+    }
+  return filled;
+}
+
+/* Names of a "cut" word: one bit for each router listed.  */
+static bool
+lists (const char *list, const char *name)
+{
+  size_t length = strlen (name);
+  const char *at = list;
+
+  while ((at = strstr (at, name)))
+    {
+      bool starts = at == list || at[-1] == ',';
+
+      if (starts && (at[length] == '\0' || at[length] == ','))
+        return true;
+      at += length;
+    }
+  return false;
+}
+
+static enum ms_status
+set_cuts (struct world *world, const struct trace_line *line)
+{
+  const char *list = line->words_count > 1 ? line->words[1] : "";
+  bool only_log = strcmp (line->words[0], "cut_log") == 0;
+  unsigned found = 0;
+
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    {
+      bool listed = lists (list, world->nodes[i].name);
+
+      found += listed;
+      if (only_log)
+        world->nodes[i].no_log |= listed;
+      else
+        world->nodes[i].cut |= listed;
+    }
+  return found ? MS_OK : ms_fail (MS_INVALID, "it names no router");
+}
+
+static enum ms_status
+node_event (struct world *world, const struct trace_line *line)
+{
+  static const struct ms_event drain = { .kind = MS_EVENT_DRAIN };
+  const char *what = line->words[0];
+  int node = line->words_count > 1 ? world_find_node (world, line->words[1])
+                                   : -1;
+
+  if (node < 0)
+    return ms_fail (MS_INVALID, "the router is not known");
+  if (strcmp (what, "start") == 0 || strcmp (what, "restart") == 0)
+    {
+      world_kill_node (world, node);
+      world_start_node (world, node);
+    }
+  if (strcmp (what, "kill") == 0)
+    world_kill_node (world, node);
+  if (strcmp (what, "drain") == 0 && world->nodes[node].node)
+    world_step (world, node, &drain);
+  if (strcmp (what, "freeze") == 0)
+    world->nodes[node].frozen_until
+        = world->now
+          + (ms_time)trace_number (line, "for", 1000) * MS_MSEC;
+  return MS_OK;
+}
+
+static enum ms_status
+endpoint_event (struct world *world, const struct trace_line *line)
+{
+  const char *what = line->words_count > 2 ? line->words[2] : "";
+  int index = line->words_count > 1
+                  ? world_find_endpoint (world, line->words[1])
+                  : -1;
+  struct world_endpoint *e;
+
+  if (index < 0)
+    return ms_fail (MS_INVALID, "the endpoint is not known");
+  e = &world->endpoints[index];
+  if (strcmp (what, "kill") == 0)
+    world_endpoint_stop (world, index);
+  else if (strcmp (what, "start") == 0)
+    world_endpoint_start (world, index);
+  else if (strcmp (what, "restart") == 0)
+    {
+      world_endpoint_stop (world, index);
+      world_endpoint_start (world, index);
+    }
+  else if (strcmp (what, "chill") == 0)
+    world_endpoint_chill (world, index);
+  else if (strcmp (what, "leave") == 0)
+    {
+      e->leaving = true;
+      e->leaving_since = world->now;
+    }
+  else if (strcmp (what, "return") == 0)
+    e->leaving = false;
+  else
+    return ms_fail (MS_INVALID, "the endpoint event is not known");
+  return MS_OK;
+}
+
+static enum ms_status
+log_event (struct world *world, const struct trace_line *line)
+{
+  static const char *const modes[] = { "up", "down", "slow", "lose_answers" };
+
+  for (int i = 0; i < 4; i++)
+    if (line->words_count > 1 && strcmp (line->words[1], modes[i]) == 0)
+      {
+        world->log_mode = (enum log_mode)i;
+        return MS_OK;
+      }
+  return ms_fail (MS_INVALID, "the log's mode is not known");
+}
+
+static enum ms_status
+switch_event (struct world *world, const struct trace_line *line)
+{
+  const char *what = line->words[0];
+
+  if (strcmp (what, "heal") == 0)
+    for (unsigned i = 0; i < world->nodes_count; i++)
+      world->nodes[i].cut = world->nodes[i].no_log = false;
+  else if (strcmp (what, "gap_pause") == 0)
+    world->gap_paused = true;
+  else if (strcmp (what, "gap_resume") == 0)
+    world->gap_paused = false;
+  else if (strcmp (what, "use_from") == 0)
+    {
+      memset (world->notes.slots, 0, sizeof world->notes.slots);
+      memset (world->notes.busy, 0, sizeof world->notes.busy);
+    }
+  else if (strcmp (what, "late_ends") == 0)
+    world->late_ends = true;
+  else if (strcmp (what, "report_loss") == 0 && line->words_count > 1)
+    world->report_loss = strtod (line->words[1], NULL);
+  else
+    return ms_fail (MS_INVALID, "the event \"%s\" is not known", what);
+  return MS_OK;
+}
+
+static enum ms_status
+trace_event (struct world *world, const struct trace_line *line)
+{
+  const char *what = line->words[0];
+  ms_time until = (ms_time)(trace_number (line, "until", 0) * MS_MSEC);
+
+  if (strcmp (what, "send") == 0)
+    return world_call_line (world, line, until);
+  if (strcmp (what, "start") == 0 || strcmp (what, "restart") == 0
+      || strcmp (what, "kill") == 0 || strcmp (what, "drain") == 0
+      || strcmp (what, "freeze") == 0)
+    return node_event (world, line);
+  if (strcmp (what, "cut") == 0 || strcmp (what, "cut_log") == 0)
+    return set_cuts (world, line);
+  if (strcmp (what, "endpoint") == 0)
+    return endpoint_event (world, line);
+  if (strcmp (what, "log") == 0)
+    return log_event (world, line);
+  if (strcmp (what, "publish") == 0)
+    return world_publish (world, line);
+  return switch_event (world, line);
+}
+
+static enum ms_status
+run_line (struct world *world, const struct item *item)
+{
+  const struct trace_line *line = &world->trace->events[item->a];
+  enum ms_status status;
+  char reason[256];
+
+  if (item->kind == ITEM_LOAD_LINE)
+    status = world_call_line (world, line, (ms_time)item->b);
+  else
+    status = trace_event (world, line);
+  if (status == MS_OK)
+    return MS_OK;
+  snprintf (reason, sizeof reason, "%s", ms_last_message ());
+  return ms_fail (MS_INVALID, "%s: line %u: %s", world->trace->path,
+                  line->number, reason);
+}
+
+static void
+deliver_peer (struct world *world, const struct item *item)
+{
+  const struct encoded *encoded = item->data;
+  peer_message message;
+  struct ms_event event = { .kind = MS_EVENT_PEER, .peer = &message };
+
+  if (!ms_message_decode (encoded->data, encoded->length, &message))
+    abort ();
+  world_step (world, item->node, &event);
+  xdr_free ((xdrproc_t)xdr_peer_message, (char *)&message);
+}
+
+static void
+again (struct world *world, const struct item *item, ms_time period)
+{
+  struct item next = *item;
+
+  next.at = world->now + period;
+  next.data = NULL;
+  world_push (world, next);
+}
+
+/* An item for a router that is up and runs.  */
+static void
+node_item (struct world *world, const struct item *item)
+{
+  struct ms_event event = { .kind = MS_EVENT_TICK };
+
+  switch (item->kind)
+    {
+    case ITEM_TICK:
+      world_step (world, item->node, &event);
+      again (world, item, TICK_PERIOD);
+      break;
+    case ITEM_PEER:
+      deliver_peer (world, item);
+      break;
+    case ITEM_LOG_POLL:
+      world_log_poll (world, item->node, (enum ms_stream)item->a);
+      break;
+    case ITEM_LOG_REPLY:
+      world_log_reply (world, item->node, (enum ms_stream)item->a,
+                       (ms_time)item->b);
+      break;
+    case ITEM_APPEND_FAILED:
+      event.kind = MS_EVENT_APPEND_FAILED;
+      event.append_failed.stream = (enum ms_stream)item->a;
+      event.append_failed.tag = item->b;
+      world_step (world, item->node, &event);
+      break;
+    case ITEM_LIST:
+      world_send_list (world, item->node);
+      again (world, item, LIST_PERIOD);
+      break;
+    case ITEM_LOAD_POLL:
+      world_poll_loads (world, item->node);
+      again (world, item, LOAD_PERIOD);
+      break;
+    case ITEM_LOAD_REPLY:
+      event.kind = MS_EVENT_LOAD;
+      event.load.endpoint = item->a;
+      event.load.start_id = item->b;
+      event.load.running = (unsigned)item->c;
+      world_step (world, item->node, &event);
+      break;
+    case ITEM_ARRIVE:
+      world_arrive (world, item->node, item->a);
+      break;
+    case ITEM_START:
+      world_start_run (world, item);
+      break;
+    case ITEM_ATTEMPT_END:
+      event.kind = MS_EVENT_ATTEMPT_END;
+      event.attempt_end = *(struct ms_attempt_end *)item->data;
+      world_step (world, item->node, &event);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Whether ITEM's router can take it now; a frozen one gets it later.  */
+static bool
+for_running_node (struct world *world, struct item *item)
+{
+  struct world_node *node = &world->nodes[item->node];
+
+  if (!node->node
+      || (item->incarnation && item->incarnation != node->incarnation))
+    return false;
+  if (world->now < node->frozen_until)
+    {
+      item->at = node->frozen_until;
+      world_push (world, *item);
+      item->data = NULL;
+      return false;
+    }
+  node->frozen_until = 0;
+  return true;
+}
+
+static enum ms_status
+handle (struct world *world, struct item *item)
+{
+  if (item->node >= 0)
+    {
+      if (for_running_node (world, item))
+        node_item (world, item);
+      return MS_OK;
+    }
+  switch (item->kind)
+    {
+    case ITEM_TRACE:
+    case ITEM_LOAD_LINE:
+      return run_line (world, item);
+    case ITEM_APPEND:
+      world_append (world, (enum ms_stream)item->a, item->data);
+      break;
+    case ITEM_RUN_END:
+      world_run_due (world, item->a, item->b);
+      break;
+    case ITEM_RUN_PROGRESS:
+      world_run_progress (world, item->a, item->b);
+      break;
+    case ITEM_CRASH:
+    case ITEM_ENDPOINT_START:
+      world_endpoint_item (world, item);
+      break;
+    case ITEM_SAMPLE:
+      world_sample (world);
+      again (world, item, SAMPLE_PERIOD);
+      break;
+    default:
+      break;
+    }
+  return MS_OK;
+}
+
+static enum ms_status
+set_up (struct world *world)
+{
+  const struct trace *trace = world->trace;
+  enum ms_status status;
+
+  world->config = fill_policy (
+      trace->config, world->options.policy ? world->options.policy : "fair");
+  status = ms_config_parse (ms_str (world->config), trace->path,
+                            &world->shape);
+  if (status != MS_OK)
+    return status;
+  if (world->shape->teams_count > WORLD_MAX_TEAMS
+      || world->shape->services_count > WORLD_MAX_SERVICES
+      || world->shape->zones_count > 16)
+    return ms_fail (MS_INVALID, "%s: config: too large for a trace",
+                    trace->path);
+  world->nodes_count = trace->nodes_count;
+  for (unsigned i = 0; i < trace->nodes_count; i++)
+    {
+      world->nodes[i].world = world;
+      world->nodes[i].index = (int)i;
+      world->nodes[i].name = trace->nodes[i].name;
+      world->nodes[i].id = ms_id (ms_str (trace->nodes[i].name));
+      world_start_node (world, (int)i);
+    }
+  world->endpoints_count = trace->endpoints_count;
+  for (unsigned i = 0; i < trace->endpoints_count; i++)
+    world_endpoint_init (world, (int)i);
+  for (unsigned i = 0; i < trace->events_count; i++)
+    world_push (world, (struct item){ .at = trace->events[i].at,
+                                      .kind = ITEM_TRACE,
+                                      .node = -1,
+                                      .a = i });
+  world_push (world, (struct item){ .at = SAMPLE_PERIOD,
+                                    .kind = ITEM_SAMPLE,
+                                    .node = -1 });
+  return MS_OK;
+}
+
+enum ms_status
+world_run_trace (const struct trace *trace,
+                 const struct world_options *options, struct world **out)
+{
+  struct world *world = calloc (1, sizeof *world);
+  enum ms_status status;
+  struct item item;
+
+  if (!world)
+    abort ();
+  world->trace = trace;
+  world->options = *options;
+  world->random.state = options->seed ? options->seed : trace->seed;
+  status = set_up (world);
+  while (status == MS_OK && world_pop (world, &item))
+    {
+      if (item.at > trace->until)
+        {
+          free (item.data);
+          break;
+        }
+      world->now = item.at;
+      status = handle (world, &item);
+      free (item.data);
+    }
+  world->now = trace->until;
+  if (status == MS_OK)
+    *out = world;
+  else
+    world_destroy (world);
+  return status;
+}
+
+void
+world_destroy (struct world *world)
+{
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    ms_node_destroy (world->nodes[i].node);
+  for (size_t i = 0; i < world->heap_count; i++)
+    free (world->heap[i].data);
+  for (int s = 0; s < MS_STREAMS; s++)
+    {
+      for (uint64_t i = world->streams[s].first; i < world->streams[s].end;
+           i++)
+        free (world->streams[s].records[i]);
+      free (world->streams[s].records);
+    }
+  ms_config_destroy (world->shape);
+  free (world->heap);
+  free (world->runs);
+  free (world->calls);
+  free (world->config);
+  free (world);
+}
