Send a grant again until its entry replies

Cause: a lost grant held its slot until it lapsed, up to 2.5 s, and the endpoint was distrusted after it. Change: repeats every 100 ms while no reply came; entries remember grants, so that a repeat never starts a second request.

--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -143,6 +143,24 @@
   return best;
 }
 
+void
+ms_grant_send (struct ms_dispatch *dispatch, struct grant *grant, ms_time now)
+{
+  const struct slot_state *slot = ms_dispatch_slot (dispatch, grant->endpoint);
+  peer_message message = { .body = { .kind = PEER_GRANT } };
+
+  message.body.peer_body_u.grant
+      = (peer_grant){ .grant = grant->id,
+                      .cell = grant->cell,
+                      .team = grant->team,
+                      .endpoint = grant->endpoint,
+                      .lane = grant->lane,
+                      .warm = slot && slot->limit.is_warm,
+                      .echo = grant->echo };
+  grant->next_send = now + GRANT_RESEND;
+  ms_dispatch_send (dispatch, grant->entry, &message);
+}
+
 static void
 issue (struct ms_dispatch *dispatch, struct held_cell *cell,
        struct demand *demand, struct slot_state *slot, enum ms_lane lane,
@@ -151,9 +169,6 @@
   struct team_service *service
       = ms_dispatch_service (dispatch, cell->service, now);
   struct grant *grant = calloc (1, sizeof *grant);
-  peer_message message = { .body = { .kind = PEER_GRANT } };
-  peer_grant *sent = &message.body.peer_body_u.grant;
-
   if (!grant)
     abort ();
   grant->id = ms_id_pair (
@@ -168,6 +183,7 @@
   grant->lane = lane;
   grant->issued_at = now;
   grant->heard_at = now;
+  grant->echo = demand->echo;
   grant->lapses_at = demand->received_at + MS_GRANT_LIFETIME;
   grant->charged = ms_fair_estimate (service->fair, grant->team, demand->hint);
   ms_fair_charge (service->fair, grant->team, grant->charged);
@@ -180,14 +196,7 @@
     cell->interactive_run = 0;
   else
     cell->interactive_run++;
-  *sent = (peer_grant){ .grant = grant->id,
-                        .cell = cell->id,
-                        .team = grant->team,
-                        .endpoint = grant->endpoint,
-                        .lane = lane,
-                        .warm = slot->limit.is_warm,
-                        .echo = demand->echo };
-  ms_dispatch_send (dispatch, grant->entry, &message);
+  ms_grant_send (dispatch, grant, now);
 }
 
 static bool
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -15,6 +15,9 @@
 /* How long an endpoint seen warm is taken to be warm by a stand-in.  */
 #define MS_WARM_MEMORY (60 * MS_SEC)
 
+/* A grant without a reply is sent again this often.  */
+#define GRANT_RESEND (100 * MS_MSEC)
+
 /* A demand not renewed for this long is void.  */
 #define DEMAND_LIFETIME (1 * MS_SEC)
 
@@ -43,6 +46,8 @@
   enum grant_state state;
   ms_time issued_at;
   ms_time lapses_at; /* A start after it is ruled out.  */
+  ms_time echo;
+  ms_time next_send; /* While pending.  */
   ms_time started_at;
   ms_time heard_at;   /* Last word of it from the entry.  */
   uint32_t cost_seen; /* Used so far, by the last running list.  */
@@ -160,6 +165,10 @@
 void ms_grant_slots (struct ms_dispatch *dispatch, struct held_cell *cell,
                      ms_time now);
 
+/* Send GRANT to its entry; repeats are recognised by its identifier.  */
+void ms_grant_send (struct ms_dispatch *dispatch, struct grant *grant,
+                    ms_time now);
+
 /* Take GRANT off the ledger; COST is what it used, charged in full.  */
 void ms_ledger_close (struct ms_dispatch *dispatch, struct grant *grant,
                       uint32_t cost, ms_time now);
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -260,5 +260,8 @@
 
     if (overdue)
       give_up_on_entry (dispatch, grant, now);
+    else if (grant->state == GRANT_PENDING && now >= grant->next_send
+             && now <= grant->lapses_at)
+      ms_grant_send (dispatch, grant, now);
   }
 }
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -69,6 +69,27 @@
   return ms_view_usable (entry->view, endpoint);
 }
 
+static bool
+seen_before (struct ms_entry *entry, uint64_t grant)
+{
+  for (unsigned i = 0; i < GRANTS_REMEMBERED; i++)
+    if (entry->recent_grants[i] == grant)
+      return true;
+  entry->recent_grants[entry->recent_next] = grant;
+  entry->recent_next = (entry->recent_next + 1) % GRANTS_REMEMBERED;
+  return false;
+}
+
+/* Whether a request runs on GRANT.  */
+static bool
+is_running (const struct ms_entry *entry, uint64_t grant)
+{
+  for (const struct request *r = entry->requests; r; r = r->hh.next)
+    if (r->state == REQUEST_RUNNING && r->grant == grant)
+      return true;
+  return false;
+}
+
 static void
 note_interval (struct queue *queue, ms_time now)
 {
@@ -103,6 +124,11 @@
       = ms_view_endpoint (entry->view, grant->endpoint);
   struct request *request = NULL;
 
+  if (seen_before (entry, grant->grant))
+    {
+      reply (entry, message, is_running (entry, grant->grant));
+      return;
+    }
   ms_count (MS_M_GRANTS, 1);
   if (cell && acceptable (entry, grant, now))
     request = choose (entry, grant, cell->service);
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -84,8 +84,13 @@
   unsigned repeats;
 };
 
+/* Grants remembered, so that a repeat is not taken for a new one.  */
+#define GRANTS_REMEMBERED 512
+
 struct ms_entry
 {
+  uint64_t recent_grants[GRANTS_REMEMBERED];
+  unsigned recent_next;
   struct ms_view *view;
   const struct ms_sink *sink;
   struct ms_random *random;
--- a/src/replay/callers.c
+++ b/src/replay/callers.c
@@ -127,12 +127,11 @@
   arrival->service = world->shape->services[call->service].id;
   arrival->lane = lane && strcmp (lane, "long") == 0 ? MS_LANE_LONG
                                                      : MS_LANE_INTERACTIVE;
-  arrival->hint
-      = choose_hint (world, trace_value (line, "hint"), call->cost);
+  arrival->hint = choose_hint (world, trace_value (line, "hint"), call->cost);
   arrival->idempotent = !trace_has (line, "once");
   arrival->key = arrival->idempotent ? 0 : ms_id_pair (index + 1, 77);
-  arrival->fingerprint = body ? ms_id (ms_str (body))
-                              : ms_id_pair (index + 1, 78);
+  arrival->fingerprint
+      = body ? ms_id (ms_str (body)) : ms_id_pair (index + 1, 78);
   arrival->deadline
       = world->now
         + (ms_time)trace_number (line, "timeout", DEFAULT_TIMEOUT_MS)
@@ -168,14 +167,14 @@
     {
       ms_time gap = (ms_time)(every * (double)MS_MSEC);
 
-      world_push (world,
-                  (struct item){ .at = world->now
-                                       + world_delay (world, gap / 2,
-                                                      gap + gap / 2),
-                                 .kind = ITEM_LOAD_LINE,
-                                 .node = -1,
-                                 .a = (uint64_t)(line - world->trace->events),
-                                 .b = (uint64_t)until });
+      world_push (
+          world,
+          (struct item){ .at = world->now
+                               + world_delay (world, gap / 2, gap + gap / 2),
+                         .kind = ITEM_LOAD_LINE,
+                         .node = -1,
+                         .a = (uint64_t)(line - world->trace->events),
+                         .b = (uint64_t)until });
     }
   return MS_OK;
 }
@@ -183,8 +182,8 @@
 void
 world_arrive (struct world *world, int node, size_t index)
 {
-  struct ms_event event = { .kind = MS_EVENT_ARRIVE,
-                            .arrive = world->calls[index].arrival };
+  struct ms_event event
+      = { .kind = MS_EVENT_ARRIVE, .arrive = world->calls[index].arrival };
 
   world_step (world, node, &event);
 }
@@ -209,8 +208,7 @@
                                .crash = copy.crash,
                                .resends = copy.resends - 1,
                                .original = copy.original };
-  call->arrival.deadline
-      = world->now + DEFAULT_TIMEOUT_MS * MS_MSEC;
+  call->arrival.deadline = world->now + DEFAULT_TIMEOUT_MS * MS_MSEC;
   submit (world, again, world->now + after);
 }
 
--- a/src/replay/check.c
+++ b/src/replay/check.c
@@ -29,11 +29,10 @@
   if (other && world_find_team (world, other) == call->team)
     return false;
   if (service
-      && world_find_service (world, ms_id (ms_str (service)))
-             != call->service)
+      && world_find_service (world, ms_id (ms_str (service))) != call->service)
     return false;
-  if (lane && (strcmp (lane, "long") == 0)
-                  != (call->arrival.lane == MS_LANE_LONG))
+  if (lane
+      && (strcmp (lane, "long") == 0) != (call->arrival.lane == MS_LANE_LONG))
     return false;
   return (double)call->sent_at >= from && (double)call->sent_at <= to;
 }
@@ -58,8 +57,8 @@
 static bool
 is_double (const struct world *world, const struct world_call *call)
 {
-  return !call->arrival.idempotent
-         && call == &world->calls[call->original] && call->runs_total > 1;
+  return !call->arrival.idempotent && call == &world->calls[call->original]
+         && call->runs_total > 1;
 }
 
 static bool
@@ -355,9 +354,9 @@
   for (size_t i = 0; i < calm->calls_count; i++)
     {
       const struct world_call *call = &calm->calls[i];
-      double time
-          = (double)call->cost
-            * (double)world->shape->services[call->service].unit_us / 1000;
+      double time = (double)call->cost
+                    * (double)world->shape->services[call->service].unit_us
+                    / 1000;
 
       if (time > longest)
         longest = time;
@@ -420,8 +419,9 @@
         continue;
       if (!known)
         {
-          *status = ms_fail (MS_INVALID, "%s: line %u: use ==, <= or >=",
-                             trace->path, line->number);
+          *status = ms_fail (MS_INVALID,
+                             "%s: line %u: use ==, <= or >=", trace->path,
+                             line->number);
           return unmet;
         }
       unmet++;
@@ -439,13 +439,13 @@
 struct measures
 check_measures (const struct world *world)
 {
-  struct measures measures = { .gap = largest_gap (world, NULL),
-                               .gap_bound = twice_in_flight (world),
-                               .utilisation = least_use (world, NULL),
-                               .control_bytes = control_rate (world, false),
-                               .control_messages = control_rate (world, true),
-                               .wait99_ms
-                               = wait_quantile (world, NULL, 0.99) };
+  struct measures measures
+      = { .gap = largest_gap (world, NULL),
+          .gap_bound = twice_in_flight (world),
+          .utilisation = least_use (world, NULL),
+          .control_bytes = control_rate (world, false),
+          .control_messages = control_rate (world, true),
+          .wait99_ms = wait_quantile (world, NULL, 0.99) };
   size_t answered = 0;
 
   for (size_t i = 0; i < world->calls_count; i++)
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -58,8 +58,9 @@
   const struct world_endpoint *e = &world->endpoints[run->endpoint];
   double unit = (double)e->trace->unit;
 
-  return 1 / (world_is_cold (world, run->endpoint) ? unit * COLD_SLOWDOWN
-                                                   : unit);
+  return 1
+         / (world_is_cold (world, run->endpoint) ? unit * COLD_SLOWDOWN
+                                                 : unit);
 }
 
 /* Bring a run's progress up to now.  A cold start that ends is an event of
@@ -137,8 +138,7 @@
 
   e->trace = &world->trace->endpoints[index];
   e->id = ms_id (ms_str (e->trace->name));
-  e->service
-      = world_find_service (world, ms_id (ms_str (e->trace->service)));
+  e->service = world_find_service (world, ms_id (ms_str (e->trace->service)));
   e->listed = true;
   world_endpoint_start (world, index);
   if (e->trace->starts_warm)
@@ -153,8 +153,7 @@
 
   if (!e->up || e->warm_at != world->now)
     return;
-  change_pace (world, index,
-               1 / ((double)e->trace->unit * COLD_SLOWDOWN));
+  change_pace (world, index, 1 / ((double)e->trace->unit * COLD_SLOWDOWN));
   e->unannounced_at = 0;
 }
 
@@ -265,8 +264,8 @@
   for (size_t i = 0; i < world->runs_count; i++)
     if (!world->runs[i].active)
       return i;
-  world->runs = realloc (world->runs,
-                         (world->runs_count + 1) * sizeof *world->runs);
+  world->runs
+      = realloc (world->runs, (world->runs_count + 1) * sizeof *world->runs);
   if (!world->runs)
     abort ();
   memset (&world->runs[world->runs_count], 0, sizeof *world->runs);
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -101,13 +101,12 @@
 static void
 print_json (const char *trace, const char *policy, const struct measures *m)
 {
-  json_t *object
-      = json_pack ("{s:s,s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "trace", trace,
-                   "policy", policy, "gap", m->gap, "gap_bound", m->gap_bound,
-                   "utilisation", m->utilisation, "control_bytes",
-                   m->control_bytes, "control_messages", m->control_messages,
-                   "wait99_ms", m->wait99_ms, "answered_share",
-                   m->answered_share);
+  json_t *object = json_pack (
+      "{s:s,s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "trace", trace, "policy",
+      policy, "gap", m->gap, "gap_bound", m->gap_bound, "utilisation",
+      m->utilisation, "control_bytes", m->control_bytes, "control_messages",
+      m->control_messages, "wait99_ms", m->wait99_ms, "answered_share",
+      m->answered_share);
   char *text = json_dumps (object, JSON_COMPACT | JSON_REAL_PRECISION (6));
 
   puts (text);
@@ -164,8 +163,8 @@
 int
 main (int argc, char **argv)
 {
-  const struct argp argp = { options, parse_option, "TRACE...", doc,
-                             NULL,    NULL,         NULL };
+  const struct argp argp
+      = { options, parse_option, "TRACE...", doc, NULL, NULL, NULL };
   struct arguments arguments = { 0 };
   int passed = 0;
   int failed = 0;
--- a/src/replay/nodes.c
+++ b/src/replay/nodes.c
@@ -24,7 +24,7 @@
 
 static void
 send_message (struct world *world, struct world_node *from,
-      const struct ms_effect *effect)
+              const struct ms_effect *effect)
 {
   int to = world_find_node (world, effect->send.address);
   const struct trace *trace = world->trace;
@@ -71,13 +71,12 @@
                                       .a = effect->append.stream,
                                       .data = strdup (effect->append.text) });
   if (!reachable || world->log_mode == LOG_LOSE_ANSWERS)
-    world_push (world,
-                (struct item){ .at = world->now + MS_SEC,
-                               .kind = ITEM_APPEND_FAILED,
-                               .node = from->index,
-                               .incarnation = from->incarnation,
-                               .a = effect->append.stream,
-                               .b = effect->append.tag });
+    world_push (world, (struct item){ .at = world->now + MS_SEC,
+                                      .kind = ITEM_APPEND_FAILED,
+                                      .node = from->index,
+                                      .incarnation = from->incarnation,
+                                      .a = effect->append.stream,
+                                      .b = effect->append.tag });
 }
 
 static void
@@ -95,14 +94,15 @@
       append (world, from, effect);
       break;
     case MS_EFFECT_START:
-      world_push (world, (struct item){ .at = world->now + ENDPOINT_DELAY,
-                                        .kind = ITEM_START,
-                                        .node = from->index,
-                                        .incarnation = from->incarnation,
-                                        .a = effect->start.request,
-                                        .b = effect->start.attempt,
-                                        .c = effect->start.endpoint,
-                                        .d = (uint64_t)effect->start.start_by });
+      world_push (world,
+                  (struct item){ .at = world->now + ENDPOINT_DELAY,
+                                 .kind = ITEM_START,
+                                 .node = from->index,
+                                 .incarnation = from->incarnation,
+                                 .a = effect->start.request,
+                                 .b = effect->start.attempt,
+                                 .c = effect->start.endpoint,
+                                 .d = (uint64_t)effect->start.start_by });
       break;
     case MS_EFFECT_CANCEL:
       world_cancel_run (world, from->index, effect->cancel.request,
@@ -145,11 +145,10 @@
 {
   struct world_node *node = &world->nodes[index];
   const struct ms_sink sink = { emit, node };
-  struct ms_node_options options
-      = { .name = node->name,
-          .zone = world->trace->nodes[index].zone,
-          .peer_address = node->name,
-          .caller_address = node->name };
+  struct ms_node_options options = { .name = node->name,
+                                     .zone = world->trace->nodes[index].zone,
+                                     .peer_address = node->name,
+                                     .caller_address = node->name };
 
   if (node->node)
     return;
--- a/src/replay/platform.c
+++ b/src/replay/platform.c
@@ -72,14 +72,14 @@
       if (!node->node || !node->polling[stream])
         continue;
       node->polling[stream] = false;
-      world_push (world, (struct item){ .at = world->now
-                                              + world->trace->log_delay,
-                                        .kind = ITEM_LOG_REPLY,
-                                        .node = (int)i,
-                                        .incarnation = node->incarnation,
-                                        .a = stream,
-                                        .b = (uint64_t)node->poll_sent[stream],
-                                        .c = 1 });
+      world_push (world,
+                  (struct item){ .at = world->now + world->trace->log_delay,
+                                 .kind = ITEM_LOG_REPLY,
+                                 .node = (int)i,
+                                 .incarnation = node->incarnation,
+                                 .a = stream,
+                                 .b = (uint64_t)node->poll_sent[stream],
+                                 .c = 1 });
     }
 }
 
@@ -129,15 +129,14 @@
     delay += 400 * MS_MSEC;
   node->poll_sent[which] = world->now;
   node->polling[which] = !has_news;
-  world_push (world,
-              (struct item){ .at = world->now + delay
-                                   + (has_news ? 0 : POLL_WAIT),
-                             .kind = ITEM_LOG_REPLY,
-                             .node = index,
-                             .incarnation = node->incarnation,
-                             .a = which,
-                             .b = (uint64_t)node->poll_sent[which],
-                             .c = has_news });
+  world_push (world, (struct item){ .at = world->now + delay
+                                          + (has_news ? 0 : POLL_WAIT),
+                                    .kind = ITEM_LOG_REPLY,
+                                    .node = index,
+                                    .incarnation = node->incarnation,
+                                    .a = which,
+                                    .b = (uint64_t)node->poll_sent[which],
+                                    .c = has_news });
 }
 
 void
@@ -186,9 +185,8 @@
     {
       const struct world_endpoint *e = &world->endpoints[i];
       struct ms_endpoint *out = &list[count];
-      bool lagging
-          = e->leaving
-            && world->now - e->leaving_since < world->trace->list_lag;
+      bool lagging = e->leaving
+                     && world->now - e->leaving_since < world->trace->list_lag;
 
       if (!e->listed)
         continue;
@@ -232,15 +230,15 @@
 
       if (e < 0 || !world->endpoints[e].up || lost)
         continue;
-      world_push (world,
-                  (struct item){ .at = world->now + 1000,
-                                 .kind = ITEM_LOAD_REPLY,
-                                 .node = index,
-                                 .incarnation = world->nodes[index].incarnation,
-                                 .a = ids[i],
-                                 .b = world->endpoints[e].start_id,
-                                 .c = world_load_at (world, e,
-                                                     world->now - lag) });
+      world_push (
+          world,
+          (struct item){ .at = world->now + 1000,
+                         .kind = ITEM_LOAD_REPLY,
+                         .node = index,
+                         .incarnation = world->nodes[index].incarnation,
+                         .a = ids[i],
+                         .b = world->endpoints[e].start_id,
+                         .c = world_load_at (world, e, world->now - lag) });
     }
 }
 
@@ -275,10 +273,9 @@
 {
   const char *out = trace_value (line, "zone_out");
   const char *in = trace_value (line, "zone_in");
-  struct ms_record record
-      = { .kind = MS_RECORD_CONFIG,
-          .generation = (uint64_t)trace_number (line, "base",
-                                                (double)world->accepted) };
+  struct ms_record record = { .kind = MS_RECORD_CONFIG,
+                              .generation = (uint64_t)trace_number (
+                                  line, "base", (double)world->accepted) };
   enum ms_status status = MS_OK;
   char *text;
 
--- a/src/replay/sample.c
+++ b/src/replay/sample.c
@@ -43,8 +43,8 @@
   struct pair *pair = &world->pairs[s][i][j];
   double weight_i = world->shape->teams[i].weight;
   double weight_j = world->shape->teams[j].weight;
-  double difference = world->received[s][i] / weight_i
-                      - world->received[s][j] / weight_j;
+  double difference
+      = world->received[s][i] / weight_i - world->received[s][j] / weight_j;
 
   if (world->gap_paused || !world->waiting[s][i] || !world->waiting[s][j])
     {
--- a/src/replay/trace.c
+++ b/src/replay/trace.c
@@ -64,7 +64,8 @@
 static enum ms_status
 refuse (const struct parser *parser, const char *reason)
 {
-  return ms_fail (MS_INVALID, "%s: line %u: %s", parser->path, parser->number, reason);
+  return ms_fail (MS_INVALID, "%s: line %u: %s", parser->path, parser->number,
+                  reason);
 }
 
 static enum ms_status
@@ -249,8 +250,7 @@
     {
       if (line.words_count < 2)
         return refuse (parser, "expect needs an outcome");
-      add_line (&parser->trace->expects, &parser->trace->expects_count,
-                &line);
+      add_line (&parser->trace->expects, &parser->trace->expects_count, &line);
       return MS_OK;
     }
   return parse_setting (parser, &line);
@@ -261,8 +261,8 @@
 sort_events (struct trace *trace)
 {
   for (unsigned i = 1; i < trace->events_count; i++)
-    for (unsigned j = i;
-         j && trace->events[j].at < trace->events[j - 1].at; j--)
+    for (unsigned j = i; j && trace->events[j].at < trace->events[j - 1].at;
+         j--)
       {
         struct trace_line line = trace->events[j];
 
--- a/src/replay/trace.h
+++ b/src/replay/trace.h
@@ -37,9 +37,9 @@
   char *name;
   char *service;
   char *zone;
-  uint32_t cold;     /* Requests at once that it bears while cold.  */
-  uint32_t warm;     /* Requests at once that it bears when warm.  */
-  ms_time unit;      /* Time of a cost unit when warm.  */
+  uint32_t cold;      /* Requests at once that it bears while cold.  */
+  uint32_t warm;      /* Requests at once that it bears when warm.  */
+  ms_time unit;       /* Time of a cost unit when warm.  */
   ms_time warm_after; /* Time from a cold start until it is warm.  */
   bool starts_warm;
 };
@@ -53,7 +53,7 @@
   ms_time log_delay;
   ms_time report_lag;
   ms_time list_lag;
-  double loss; /* Share of messages between routers that are lost.  */
+  double loss;   /* Share of messages between routers that are lost.  */
   uint64_t keep; /* Records the log keeps in a stream.  */
   ms_time until;
   char *config;
--- a/src/replay/world.c
+++ b/src/replay/world.c
@@ -89,8 +89,8 @@
 {
   static const struct ms_event drain = { .kind = MS_EVENT_DRAIN };
   const char *what = line->words[0];
-  int node = line->words_count > 1 ? world_find_node (world, line->words[1])
-                                   : -1;
+  int node
+      = line->words_count > 1 ? world_find_node (world, line->words[1]) : -1;
 
   if (node < 0)
     return ms_fail (MS_INVALID, "the router is not known");
@@ -105,8 +105,7 @@
     world_step (world, node, &drain);
   if (strcmp (what, "freeze") == 0)
     world->nodes[node].frozen_until
-        = world->now
-          + (ms_time)trace_number (line, "for", 1000) * MS_MSEC;
+        = world->now + (ms_time)trace_number (line, "for", 1000) * MS_MSEC;
   return MS_OK;
 }
 
@@ -373,8 +372,8 @@
 
   world->config = fill_policy (
       trace->config, world->options.policy ? world->options.policy : "fair");
-  status = ms_config_parse (ms_str (world->config), trace->path,
-                            &world->shape);
+  status
+      = ms_config_parse (ms_str (world->config), trace->path, &world->shape);
   if (status != MS_OK)
     return status;
   if (world->shape->teams_count > WORLD_MAX_TEAMS
@@ -399,9 +398,9 @@
                                       .kind = ITEM_TRACE,
                                       .node = -1,
                                       .a = i });
-  world_push (world, (struct item){ .at = SAMPLE_PERIOD,
-                                    .kind = ITEM_SAMPLE,
-                                    .node = -1 });
+  world_push (
+      world,
+      (struct item){ .at = SAMPLE_PERIOD, .kind = ITEM_SAMPLE, .node = -1 });
   return MS_OK;
 }
 
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -59,8 +59,8 @@
   struct ms_node *node; /* NULL while it is down.  */
   uint64_t incarnation;
   ms_time frozen_until;
-  bool cut;     /* From the other routers and the log.  */
-  bool no_log;  /* From the log only.  */
+  bool cut;    /* From the other routers and the log.  */
+  bool no_log; /* From the log only.  */
   bool drained;
   uint64_t cursor[MS_STREAMS];
   bool polling[MS_STREAMS]; /* A long poll waits at the log.  */
@@ -94,11 +94,11 @@
   uint64_t id;
   int service;
   bool up;
-  bool leaving;      /* As the list tells.  */
+  bool leaving; /* As the list tells.  */
   bool listed;
   ms_time leaving_since;
   uint64_t start_id;
-  ms_time warm_at;   /* When its cold start ends.  */
+  ms_time warm_at;        /* When its cold start ends.  */
   ms_time unannounced_at; /* Its cold start began without a sign; or 0.  */
   unsigned running;
   struct
@@ -133,7 +133,7 @@
   bool broken; /* Its router ended under it.  */
   bool crash;  /* It ends the endpoint that runs it.  */
   unsigned resends;
-  int original; /* The call it is a resend of, or its own index.  */
+  int original;        /* The call it is a resend of, or its own index.  */
   unsigned runs_total; /* Of the original: over all sends.  */
   enum ms_outcome outcome;
   enum ms_reason reason;
@@ -173,15 +173,15 @@
 
 struct world_notes
 {
-  unsigned cold_over;         /* Starts above what a cold endpoint bears.  */
+  unsigned cold_over; /* Starts above what a cold endpoint bears.  */
   ms_time cold_over_first;
   unsigned cold_over_unannounced[64]; /* By tenths of a second since.  */
   ms_time zone_late;    /* Longest time after a zone went out of a start.  */
   ms_time leaving_late; /* The same for a leaving endpoint.  */
   unsigned crashes;
   unsigned reverted;
-  unsigned accepted;    /* Publications.  */
-  ms_time in_force;     /* Longest time until one was everywhere.  */
+  unsigned accepted; /* Publications.  */
+  ms_time in_force;  /* Longest time until one was everywhere.  */
   double gap[WORLD_MAX_SERVICES];
   ms_time gap_at[WORLD_MAX_SERVICES];
   double busy[WORLD_MAX_SERVICES];
@@ -220,15 +220,15 @@
   size_t calls_space;
   struct world_stream streams[MS_STREAMS];
   enum log_mode log_mode;
-  char *config; /* Text of the next publication.  */
+  char *config;            /* Text of the next publication.  */
   struct ms_config *shape; /* Parsed once, for names.  */
   struct world_zone zones[16];
   unsigned zones_count;
   uint64_t accepted; /* Generation in force by the log.  */
   ms_time accepted_at;
-  bool spread;       /* It is in force at every connected router.  */
+  bool spread; /* It is in force at every connected router.  */
   double report_loss;
-  bool late_ends;    /* Each end comes a second time, later.  */
+  bool late_ends; /* Each end comes a second time, later.  */
   double received[WORLD_MAX_SERVICES][WORLD_MAX_TEAMS];
   unsigned waiting[WORLD_MAX_SERVICES][WORLD_MAX_TEAMS];
   ms_time waiting_since[WORLD_MAX_SERVICES][WORLD_MAX_TEAMS];
