Keep cold endpoints within their limit through cuts, freezes and restarts

Change: handovers bound all requests known; a stand-in needs word from every other member and a report of the start it knows to be warm; an endpoint that stood idle gets its cold limit until a request or a report confirms it; ends that tell of a fault go out three times.

--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -156,6 +156,7 @@
                       .endpoint = grant->endpoint,
                       .lane = grant->lane,
                       .warm = slot && slot->limit.is_warm,
+                      .start_id = slot ? slot->start_id : 0,
                       .echo = grant->echo };
   grant->next_send = now + GRANT_RESEND;
   ms_dispatch_send (dispatch, grant->entry, &message);
@@ -188,7 +189,8 @@
   grant->charged = ms_fair_estimate (service->fair, grant->team, demand->hint);
   ms_fair_charge (service->fair, grant->team, grant->charged);
   HASH_ADD (hh, dispatch->grants, id, sizeof grant->id, grant);
-  slot->granted++;
+  if (!slot->granted++)
+    slot->busy_since = now;
   slot->exclusive = lane == MS_LANE_ALONE;
   demand->pending++;
   demand->since = now;
--- a/src/dispatch/handover.c
+++ b/src/dispatch/handover.c
@@ -2,13 +2,12 @@
 
 #define HANDOVER_PERIOD (500 * MS_MSEC)
 
-/* Requests of this router's ledger that run on ENDPOINT.  */
+/* Bound on the requests that run on SLOT, whoever granted them.  */
 static unsigned
-running_on (struct ms_dispatch *dispatch, uint64_t endpoint)
+bound_on (const struct slot_state *slot)
 {
-  struct slot_state *slot = ms_dispatch_slot (dispatch, endpoint);
-
-  return slot ? slot->granted : 0;
+  return slot->foreign == UNBOUNDED ? UNBOUNDED
+                                    : slot->granted + slot->foreign;
 }
 
 void
@@ -33,11 +32,11 @@
         continue;
       items[count++] = (peer_handover_item){
         .endpoint = slot->endpoint,
-        .running = running_on (dispatch, slot->endpoint),
+        .running = bound_on (slot),
         .limit = slot->limit.current,
         .warm = slot->limit.is_warm,
       };
-      running += items[count - 1].running;
+      running += slot->granted;
     }
   handover->cell = held->id;
   handover->term = held->moved_term;
@@ -57,7 +56,7 @@
 
   if (!slot || !only_predecessor)
     return;
-  if (slot->foreign == UNBOUNDED && item->warm)
+  if (slot->foreign == UNBOUNDED && item->running != UNBOUNDED && item->warm)
     {
       slot->limit.is_warm = true;
       slot->limit.current
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -99,7 +99,9 @@
   bool exclusive;     /* A suspect runs alone.  */
   bool usable;        /* At the last change of the view.  */
   ms_time idle_since; /* No grant in the ledger since.  */
-  bool lapsed;        /* Stale and idle so long that the part is given up.  */
+  bool confirmed;     /* Warm since it last stood idle.  */
+  ms_time busy_since;
+  bool lapsed; /* Stale and idle so long that the part is given up.  */
   UT_hash_handle hh;
 };
 
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -45,6 +45,8 @@
     {
       slot->granted--;
       slot->idle_since = now;
+      if (!slot->granted)
+        slot->confirmed = false;
       if (grant->lane == MS_LANE_ALONE)
         slot->exclusive = false;
     }
@@ -111,8 +113,9 @@
     {
     case MS_RESULT_OK:
       ms_fair_learn (shared->fair, grant->team, done->cost);
-      ms_limit_success (&slot->limit, done->cost, done->duration,
-                        service->unit_us);
+      if (ms_limit_success (&slot->limit, done->cost, done->duration,
+                            service->unit_us))
+        slot->confirmed = true;
       break;
     case MS_RESULT_OVERLOADED:
       ms_limit_overload (&slot->limit);
--- a/src/dispatch/occupancy.c
+++ b/src/dispatch/occupancy.c
@@ -62,7 +62,7 @@
     }
   if (slot->granted || now - slot->idle_since < CLAIM_IDLE)
     return;
-  if (!ms_view_all_stale (view, now))
+  if (!ms_view_all_stale (view, 0, now))
     slot->lapsed = true;
 }
 
@@ -125,6 +125,8 @@
 
   if (!endpoint || now - endpoint->warm_seen > MS_WARM_MEMORY)
     return 0;
+  if (!slot->report.known || slot->start_id != endpoint->warm_start_id)
+    return 0;
   return warm_room (slot, slot->limit.warm / 2);
 }
 
@@ -149,7 +151,8 @@
     return stand_in_room (dispatch, slot, now);
   if (!slot->limit.is_warm)
     return cold_room (dispatch, slot, cell, service, now);
-  return warm_room (slot, slot->limit.current);
+  return warm_room (slot,
+                    slot->confirmed ? slot->limit.current : slot->limit.cold);
 }
 
 /* Requests of this router's ledger that certainly ran on SLOT when REPORT was
@@ -225,6 +228,9 @@
       if (others_possible (dispatch, slot))
         ms_occupancy_distrust (slot, now);
     }
+  if (start_id == slot->start_id && slot->granted
+      && now - (ms_time)service->report_lag_ms * MS_MSEC > slot->busy_since)
+    slot->confirmed = true;
   slot->start_id = start_id;
   if (slot->report.known && others_possible (dispatch, slot))
     weigh_report (dispatch, slot, (ms_time)service->report_lag_ms * MS_MSEC,
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -5,6 +5,10 @@
 /* Weight of the newest interval in the mean between grants.  */
 #define INTERVAL_SHARE 8
 
+/* The end of a request that tells of a fault is sent so often, since the
+   endpoint may be cold from then on.  */
+#define FAULT_COPIES 3
+
 static bool
 tried (const struct request *request, uint64_t endpoint)
 {
@@ -138,7 +142,10 @@
       return;
     }
   if (grant->warm)
-    endpoint->warm_seen = now;
+    {
+      endpoint->warm_seen = now;
+      endpoint->warm_start_id = grant->start_id;
+    }
   note_interval (request->queue, now);
   ms_entry_dequeue (entry, request);
   request->state = REQUEST_RUNNING;
@@ -157,13 +164,15 @@
                  enum ms_result result, ms_time duration)
 {
   peer_message message = { .body = { .kind = PEER_DONE } };
+  int copies = result == MS_RESULT_OK ? 1 : FAULT_COPIES;
 
   message.body.peer_body_u.done = (peer_done){ .grant = request->grant,
                                                .cell = request->cell,
                                                .result = result,
                                                .cost = request->cost,
                                                .duration = duration };
-  ms_entry_send (entry, request->grantor, &message);
+  for (int i = 0; i < copies; i++)
+    ms_entry_send (entry, request->grantor, &message);
 }
 
 /* The running requests of one cell, as one grantor knows them.  */
--- a/src/replay/callers.c
+++ b/src/replay/callers.c
@@ -55,7 +55,7 @@
       const char *name = world->nodes[i].name;
       const char *at = strcmp (list, "*") == 0 ? name : strstr (list, name);
 
-      if (world->nodes[i].node && at)
+      if (world->nodes[i].node && !world->nodes[i].leaving && at)
         fit[count++] = (int)i;
     }
   return count ? fit[ms_random_below (&world->random, count)] : -1;
@@ -224,7 +224,8 @@
   call->retry_after = effect->answer.retry_after;
   call->state = CALL_ENDED;
   call->ended_at = world->now;
-  if (world->nodes[node].drained && call->outcome != MS_ANSWERED)
+  if (world->nodes[node].leaving && call->outcome != MS_ANSWERED
+      && call->reason != MS_REASON_DRAINING)
     world->notes.cut_by_drain++;
   if (call->outcome != MS_ANSWERED)
     resend (world, index,
@@ -245,7 +246,7 @@
       call->state = CALL_ENDED;
       call->broken = true;
       call->ended_at = world->now;
-      if (world->nodes[node].drained)
+      if (world->nodes[node].leaving)
         world->notes.cut_by_drain++;
       resend (world, i, RESEND_AFTER);
     }
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -274,7 +274,7 @@
 
 /* Note a start that the endpoint or its zone should not have got.  */
 static void
-note_start (struct world *world, int index)
+note_start (struct world *world, int index, int node)
 {
   const struct world_endpoint *e = &world->endpoints[index];
   uint64_t zone = ms_id (ms_str (e->trace->zone));
@@ -284,6 +284,12 @@
     {
       ms_time since = world->now - e->unannounced_at;
 
+      if (world->options.verbose)
+        fprintf (world->options.verbose,
+                 "%.1f ms: %s is cold, runs %u, and got one more from %s\n",
+                 (double)world->now / (double)MS_MSEC, e->trace->name,
+                 e->running, world->nodes[node].name);
+
       if (!e->unannounced_at)
         {
           if (!notes->cold_over++)
@@ -336,7 +342,7 @@
       refuse_start (world, item, MS_RESULT_CONNECT_FAILED);
       return;
     }
-  note_start (world, (int)(e - world->endpoints));
+  note_start (world, (int)(e - world->endpoints), item->node);
   index = new_run (world);
   run = &world->runs[index];
   *run = (struct world_run){ .active = true,
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -47,6 +47,7 @@
   uint64_t seed;
   bool json;
   bool measure;
+  bool verbose;
 };
 
 static error_t
@@ -71,6 +72,7 @@
       return 0;
     case 'v':
       ms_log_threshold (MS_DEBUG);
+      arguments->verbose = true;
       return 0;
     case KEY_JSON:
       arguments->json = true;
@@ -119,7 +121,9 @@
         const char *policy)
 {
   struct world_options world_options
-      = { .policy = policy, .seed = arguments->seed };
+      = { .policy = policy,
+          .seed = arguments->seed,
+          .verbose = arguments->verbose ? stderr : NULL };
   struct measures measures;
   struct world *world;
   enum ms_status status;
--- a/src/replay/nodes.c
+++ b/src/replay/nodes.c
@@ -154,6 +154,7 @@
     return;
   node->incarnation = (uint64_t)world->now + 1000 + (uint64_t)index;
   node->drained = false;
+  node->leaving = false;
   node->frozen_until = 0;
   memset (node->cursor, 0, sizeof node->cursor);
   memset (node->polling, 0, sizeof node->polling);
--- a/src/replay/sample.c
+++ b/src/replay/sample.c
@@ -144,6 +144,39 @@
       }
 }
 
+/* One line on what waits and runs, for a person who follows a trace.  */
+static void
+print_state (const struct world *world)
+{
+  FILE *file = world->options.verbose;
+
+  fprintf (file, "%lld s:", (long long)(world->now / MS_SEC));
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    {
+      unsigned waiting = 0;
+      unsigned running = 0;
+
+      for (unsigned t = 0; t < world->shape->teams_count; t++)
+        waiting += world->waiting[s][t];
+      for (unsigned i = 0; i < world->endpoints_count; i++)
+        if (world->endpoints[i].service == (int)s)
+          running += world->endpoints[i].running;
+      fprintf (file, " %s waiting=%u running=%u",
+               world->shape->services[s].name, waiting, running);
+    }
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    if (world->nodes[i].node)
+      {
+        struct ms_node_status status
+            = ms_node_status (world->nodes[i].node, world->now);
+
+        fprintf (file, " %s:%u/%u%s", world->nodes[i].name,
+                 status.dispatch.granted, status.dispatch.slots,
+                 status.stale ? "!" : "");
+      }
+  fputc ('\n', file);
+}
+
 void
 world_sample (struct world *world)
 {
@@ -151,6 +184,8 @@
   count_waiting (world);
   note_gaps (world);
   note_use (world);
+  if (world->options.verbose && world->now % MS_SEC < SAMPLE_PERIOD)
+    print_state (world);
   note_spread (world);
   note_bytes (world);
 }
--- a/src/replay/world.c
+++ b/src/replay/world.c
@@ -102,7 +102,10 @@
   if (strcmp (what, "kill") == 0)
     world_kill_node (world, node);
   if (strcmp (what, "drain") == 0 && world->nodes[node].node)
-    world_step (world, node, &drain);
+    {
+      world->nodes[node].leaving = true;
+      world_step (world, node, &drain);
+    }
   if (strcmp (what, "freeze") == 0)
     world->nodes[node].frozen_until
         = world->now + (ms_time)trace_number (line, "for", 1000) * MS_MSEC;
@@ -258,7 +261,10 @@
     {
     case ITEM_TICK:
       world_step (world, item->node, &event);
-      again (world, item, TICK_PERIOD);
+      if (world->nodes[item->node].drained)
+        world_kill_node (world, item->node);
+      else
+        again (world, item, TICK_PERIOD);
       break;
     case ITEM_PEER:
       deliver_peer (world, item);
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -59,9 +59,11 @@
   struct ms_node *node; /* NULL while it is down.  */
   uint64_t incarnation;
   ms_time frozen_until;
-  bool cut;    /* From the other routers and the log.  */
-  bool no_log; /* From the log only.  */
+  bool cut;     /* From the other routers and the log.  */
+  bool no_log;  /* From the log only.  */
+  bool leaving; /* Told to drain.  */
   bool drained;
+
   uint64_t cursor[MS_STREAMS];
   bool polling[MS_STREAMS]; /* A long poll waits at the log.  */
   ms_time poll_sent[MS_STREAMS];
--- a/src/rpc/peer.h
+++ b/src/rpc/peer.h
@@ -63,6 +63,7 @@
 	u_quad_t endpoint;
 	u_int lane;
 	bool_t warm;
+	u_quad_t start_id;
 	quad_t echo;
 };
 typedef struct peer_grant peer_grant;
--- a/src/rpc/peer.x
+++ b/src/rpc/peer.x
@@ -47,6 +47,7 @@
   unsigned hyper endpoint;
   unsigned lane;
   bool warm;
+  unsigned hyper start_id;
   hyper echo;
 };
 
@@ -120,6 +121,7 @@
   opaque data<PEER_PART_BYTES>;
 };
 
+/* RUNNING bounds the requests on the endpoint; all bits set: not known.  */
 struct peer_handover_item
 {
   unsigned hyper endpoint;
--- a/src/rpc/peer_xdr.c
+++ b/src/rpc/peer_xdr.c
@@ -127,6 +127,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->warm))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start_id))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->echo))
 		 return FALSE;
 	return TRUE;
--- a/src/view/dispatcher.c
+++ b/src/view/dispatcher.c
@@ -19,6 +19,8 @@
     return cell->holder;
   if (holder && (holder->id == view->self || not_silent (holder, now)))
     return cell->holder;
+  if (!ms_view_all_stale (view, cell->holder, now))
+    return cell->holder;
   stand_in = ms_view_rank (view, cell, not_silent, now);
   return stand_in ? stand_in->id : 0;
 }
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -115,6 +115,7 @@
       const struct ms_endpoint *known = ms_view_endpoint (view, copy[i].id);
 
       copy[i].warm_seen = known ? known->warm_seen : -MS_NEVER / 2;
+      copy[i].warm_start_id = known ? known->warm_start_id : 0;
     }
   qsort (copy, count, sizeof *copy, compare_endpoints);
   free (view->endpoints);
@@ -141,13 +142,13 @@
 }
 
 bool
-ms_view_all_stale (const struct ms_view *view, ms_time now)
+ms_view_all_stale (const struct ms_view *view, uint64_t except, ms_time now)
 {
   for (unsigned i = 0; i < view->members_count; i++)
     {
       const struct ms_member *member = &view->members[i];
 
-      if (member->id == view->self)
+      if (member->id == view->self || member->id == except)
         continue;
       if (now - member->last_heard > MS_HEARD_WITHIN || !member->stale)
         return false;
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -74,7 +74,8 @@
   uint64_t cell;
   char address[MS_ADDRESS_BYTES];
   bool leaving;
-  ms_time warm_seen; /* Last grant that said it was warm.  */
+  ms_time warm_seen;      /* Last grant that said it was warm.  */
+  uint64_t warm_start_id; /* The start that the grant spoke of.  */
 };
 
 struct ms_cell
@@ -138,9 +139,10 @@
 /* Whether the router cannot rely on its knowledge of the log.  */
 bool ms_view_stale (const struct ms_view *view, ms_time now);
 
-/* Whether every member was heard lately and cannot read the log either: then
-   none can have replaced another.  */
-bool ms_view_all_stale (const struct ms_view *view, ms_time now);
+/* Whether every member but EXCEPT (0 for none) was heard lately and cannot
+   read the log either: then none can have replaced another.  */
+bool ms_view_all_stale (const struct ms_view *view, uint64_t except,
+                        ms_time now);
 
 /* Whether the router itself holds CELL by the log.  */
 bool ms_view_holds (const struct ms_view *view, const struct ms_cell *cell);
