Free what an ended entry held, stand in by majority, answer what is too late

Ruled out: counting certain requests more finely; with short requests and a lagging report almost none is certain. Change: an ended entry's grants are closed, and on a cold endpoint each counts until a report shows its end; a majority without the log is enough for a stand-in, which gets the whole of a warm endpoint after 5 s of reports that show only its own; a grant is not bound to a request that waited more than half its time and would be cut off, which is answered at once as not run.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -190,6 +190,7 @@
   held->held = true;
   held->term = cell->term;
   held->moved_to = 0;
+  held->acquired_at = now;
 }
 
 static void
--- a/src/dispatch/handover.c
+++ b/src/dispatch/handover.c
@@ -2,6 +2,10 @@
 
 #define HANDOVER_PERIOD (500 * MS_MSEC)
 
+/* The successor may read the log later: at first it is told more often.  */
+#define FIRST_PERIOD (50 * MS_MSEC)
+#define FIRST_TIME (500 * MS_MSEC)
+
 /* Bound on the requests that run on SLOT, whoever granted them.  */
 static unsigned
 bound_on (const struct slot_state *slot)
@@ -43,7 +47,10 @@
   handover->items.items_val = items;
   handover->items.items_len = count;
   ms_dispatch_send (dispatch, held->moved_to, &message);
-  held->next_handover = now + HANDOVER_PERIOD;
+  held->next_handover
+      = now
+        + (now - held->released_at < FIRST_TIME ? FIRST_PERIOD
+                                                : HANDOVER_PERIOD);
   if (!running && now - held->released_at > MS_TAKEOVER_DELAY)
     held->moved_to = 0;
 }
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -22,7 +22,7 @@
 #define DEMAND_LIFETIME (1 * MS_SEC)
 
 /* An entry router silent for this long is taken to have ended.  */
-#define ENTRY_SILENT_AFTER (4 * MS_SEC)
+#define ENTRY_SILENT_AFTER (2500 * MS_MSEC)
 
 /* Time a done message may be under way.  */
 #define TRANSIT_MARGIN (250 * MS_MSEC)
@@ -113,6 +113,7 @@
   bool held;         /* By the log, or as a stand-in.  */
   uint64_t moved_to; /* The router that took over, 0 if none.  */
   uint64_t moved_term;
+  ms_time acquired_at;
   ms_time released_at;
   ms_time next_idle;
   ms_time next_handover;
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -233,16 +233,21 @@
     close_missing (dispatch, message, now);
 }
 
-/* The entry has ended or is cut off: its request may still run, which only
-   the endpoint's report can tell.  */
+/* The entry has ended or is cut off.  Its request may still run, though the
+   endpoint ends requests whose connection closed; on a cold endpoint it
+   counts until a report shows that it has ended.  */
 static void
 give_up_on_entry (struct ms_dispatch *dispatch, struct grant *grant,
                   ms_time now)
 {
   struct slot_state *slot = ms_dispatch_slot (dispatch, grant->endpoint);
 
-  if (slot)
-    ms_occupancy_distrust (slot, now);
+  if (slot && !slot->limit.is_warm && slot->foreign != UNBOUNDED)
+    {
+      slot->foreign++;
+      slot->distrusted_at = now;
+      slot->quiet_since = MS_NEVER;
+    }
   ms_ledger_close (dispatch, grant, grant->charged, now);
 }
 
--- a/src/dispatch/occupancy.c
+++ b/src/dispatch/occupancy.c
@@ -9,6 +9,9 @@
    this long.  */
 #define QUIET_PROOF (20 * MS_SEC)
 
+/* A stand-in takes half of a warm endpoint for so long.  */
+#define STAND_IN_PROOF (5 * MS_SEC)
+
 void
 ms_occupancy_distrust (struct slot_state *slot, ms_time now)
 {
@@ -62,7 +65,7 @@
     }
   if (slot->granted || now - slot->idle_since < CLAIM_IDLE)
     return;
-  if (!ms_view_all_stale (view, 0, now))
+  if (ms_view_stale_members (view, now) + 1 < view->members_count)
     slot->lapsed = true;
 }
 
@@ -115,6 +118,18 @@
   return limit - slot->granted - foreign;
 }
 
+/* Whether a stand-in has had the endpoint for a while and the endpoint
+   reports no more than the stand-in granted.  */
+static bool
+seems_alone (struct ms_dispatch *dispatch, const struct slot_state *slot,
+             ms_time now)
+{
+  const struct held_cell *held = ms_dispatch_cell (dispatch, slot->cell);
+
+  return held && now - held->acquired_at > STAND_IN_PROOF
+         && slot->report.running <= slot->granted + 1;
+}
+
 /* A stand-in has only what grants said of the endpoint to go by.  */
 static uint32_t
 stand_in_room (struct ms_dispatch *dispatch, const struct slot_state *slot,
@@ -127,7 +142,9 @@
     return 0;
   if (!slot->report.known || slot->start_id != endpoint->warm_start_id)
     return 0;
-  return warm_room (slot, slot->limit.warm / 2);
+  return warm_room (slot, seems_alone (dispatch, slot, now)
+                              ? slot->limit.warm
+                              : slot->limit.warm / 2);
 }
 
 uint32_t
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -118,6 +118,34 @@
   entry->sink->emit (entry->sink->context, &effect);
 }
 
+/* Whether REQUEST spent most of its time waiting and would be cut off by its
+   deadline.  */
+static bool
+is_too_late (const struct request *request, ms_time now)
+{
+  ms_time left = request->arrival.deadline - now;
+  ms_time needed = 2 * request->queue->run_time[request->lane];
+
+  return left < needed && now - request->arrived > left;
+}
+
+/* The request to run on GRANT; those that come too late get their answer.  */
+static struct request *
+choose_in_time (struct ms_entry *entry, const peer_grant *grant,
+                uint64_t service, ms_time now)
+{
+  struct request *request = choose (entry, grant, service);
+
+  while (request && is_too_late (request, now))
+    {
+      ms_entry_answer (entry, request,
+                       request->may_have_run ? MS_FAILED : MS_NOT_RUN,
+                       MS_REASON_DEADLINE, now);
+      request = choose (entry, grant, service);
+    }
+  return request;
+}
+
 void
 ms_binding_grant (struct ms_entry *entry, const peer_message *message,
                   ms_time now)
@@ -135,7 +163,7 @@
     }
   ms_count (MS_M_GRANTS, 1);
   if (cell && acceptable (entry, grant, now))
-    request = choose (entry, grant, cell->service);
+    request = choose_in_time (entry, grant, cell->service, now);
   if (!request)
     {
       reply (entry, message, false);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,6 +14,9 @@
 /* How long the log may take to decide on a key.  */
 #define INTENT_TIMEOUT (3 * MS_SEC)
 
+/* Weight of the newest run in the mean run time.  */
+#define RUN_TIME_SHARE 8
+
 #define RUNNING_PERIOD (1 * MS_SEC)
 
 struct ms_entry *
@@ -393,6 +396,14 @@
   ms_demand_fresh (entry, request, now);
 }
 
+static void
+note_run_time (struct request *request, ms_time duration)
+{
+  ms_time *mean = &request->queue->run_time[request->lane];
+
+  *mean += *mean ? (duration - *mean) / RUN_TIME_SHARE : duration;
+}
+
 void
 ms_entry_attempt_end (struct ms_entry *entry, const struct ms_attempt_end *end,
                       ms_time now)
@@ -408,6 +419,7 @@
   switch (end->result)
     {
     case MS_RESULT_OK:
+      note_run_time (request, end->duration);
       if (ms_guard_success (entry->guard, request->arrival.fingerprint))
         ms_death_note (entry, request->arrival.fingerprint, 0, true);
       ms_entry_answer (entry, request, MS_ANSWERED, MS_REASON_NONE, now);
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -60,7 +60,8 @@
   struct request *lanes[MS_LANES];
   unsigned count[MS_LANES];
   ms_time last_grant;
-  ms_time grant_interval; /* Moving mean between grants, 0 if unknown.  */
+  ms_time grant_interval;     /* Moving mean between grants, 0 if unknown.  */
+  ms_time run_time[MS_LANES]; /* Moving mean of requests that ran well.  */
   UT_hash_handle hh;
 };
 
--- a/src/view/dispatcher.c
+++ b/src/view/dispatcher.c
@@ -8,6 +8,23 @@
   return !ms_liveness_silent (member, now);
 }
 
+/* Whether most members, this one among them, are known to be without the
+   log: a router that is merely cut off stands in for nobody.  */
+static bool
+majority_stale (const struct ms_view *view, ms_time now)
+{
+  unsigned heard = 1;
+
+  for (unsigned i = 0; i < view->members_count; i++)
+    {
+      const struct ms_member *member = &view->members[i];
+
+      heard += member->id != view->self && member->stale
+               && !ms_liveness_silent (member, now);
+    }
+  return heard * 2 > view->members_count;
+}
+
 uint64_t
 ms_view_dispatcher (struct ms_view *view, const struct ms_cell *cell,
                     ms_time now)
@@ -19,7 +36,7 @@
     return cell->holder;
   if (holder && (holder->id == view->self || not_silent (holder, now)))
     return cell->holder;
-  if (!ms_view_all_stale (view, cell->holder, now))
+  if (!majority_stale (view, now))
     return cell->holder;
   stand_in = ms_view_rank (view, cell, not_silent, now);
   return stand_in ? stand_in->id : 0;
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -141,19 +141,19 @@
   return now - view->read_sent > MS_STALE_AFTER;
 }
 
-bool
-ms_view_all_stale (const struct ms_view *view, uint64_t except, ms_time now)
+unsigned
+ms_view_stale_members (const struct ms_view *view, ms_time now)
 {
+  unsigned count = 0;
+
   for (unsigned i = 0; i < view->members_count; i++)
     {
       const struct ms_member *member = &view->members[i];
 
-      if (member->id == view->self || member->id == except)
-        continue;
-      if (now - member->last_heard > MS_HEARD_WITHIN || !member->stale)
-        return false;
+      count += member->id != view->self && member->stale
+               && now - member->last_heard <= MS_HEARD_WITHIN;
     }
-  return true;
+  return count;
 }
 
 bool
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -139,10 +139,9 @@
 /* Whether the router cannot rely on its knowledge of the log.  */
 bool ms_view_stale (const struct ms_view *view, ms_time now);
 
-/* Whether every member but EXCEPT (0 for none) was heard lately and cannot
-   read the log either: then none can have replaced another.  */
-bool ms_view_all_stale (const struct ms_view *view, uint64_t except,
-                        ms_time now);
+/* How many other members were heard lately and cannot read the log either.
+   If all, then none can have replaced another.  */
+unsigned ms_view_stale_members (const struct ms_view *view, ms_time now);
 
 /* Whether the router itself holds CELL by the log.  */
 bool ms_view_holds (const struct ms_view *view, const struct ms_cell *cell);
