Answer probes of routers that are no members, so that they join again

Cause: a router that was cut off alone and struck off never joined again: the others ignored its probes, so it never saw that it was connected. Ruled out: a slow ledger; the granted number fell once demand of routers that are no members was refused. Change: a probe carries its sender's address and is always answered; demand counts only from members; a router that is no member is not ready and refuses at once. Text and joins are written again once in the older half of what the log keeps.

--- a/src/config/follower.c
+++ b/src/config/follower.c
@@ -10,8 +10,6 @@
 #define MAX_TEXT_BYTES (16u << 20)
 #define WANT_PERIOD (200 * MS_MSEC)
 
-/* The text is copied once so few offsets are left before it is forgotten.  */
-#define COPY_MARGIN 256
 #define COPY_PERIOD (30 * MS_SEC)
 
 struct ms_follower
@@ -291,6 +289,7 @@
       = now + COPY_PERIOD
         + (ms_time)ms_random_below (follower->random, (uint64_t)COPY_PERIOD);
   if (ms_enabled (MS_CONFIG_COPY)
-      && first_kept + COPY_MARGIN > follower->stored_at && first_kept)
+      && ms_log_fades (follower->stored_at, first_kept,
+                       follower->view->applied))
     copy_text (follower);
 }
--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -56,6 +56,9 @@
 
   if (!held || !held->held || dispatch->stopped)
     return;
+  if (message->from != dispatch->view->self
+      && !ms_view_sender (dispatch->view, message->from, message->incarnation))
+    return;
   for (unsigned i = 0; i < sent->items.items_len; i++)
     take_item (dispatch, message, &sent->items.items_val[i], now);
   ms_grant_slots (dispatch, held, now);
--- a/src/dispatch/occupancy.c
+++ b/src/dispatch/occupancy.c
@@ -26,7 +26,7 @@
 static uint32_t
 stale_share (uint32_t limit, uint32_t share)
 {
-  if (limit == 1 || !ms_enabled (MS_STALE_SHARE))
+  if (limit == 1)
     return share;
   return share / 2;
 }
@@ -98,7 +98,7 @@
   if (proved_quiet (slot, service, now))
     reserve = 0;
   share = limit - reserve;
-  if (ms_view_stale (dispatch->view, now))
+  if (ms_enabled (MS_STALE_SHARE) && ms_view_stale (dispatch->view, now))
     share = slot->lapsed ? 0 : stale_share (limit, share);
   others = slot->foreign > reserve ? slot->foreign : reserve;
   if (slot->granted >= share || slot->granted + others >= limit)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -110,7 +110,7 @@
 {
   return reason == MS_REASON_QUEUE_FULL || reason == MS_REASON_DEADLINE
          || reason == MS_REASON_LOG_DOWN || reason == MS_REASON_DRAINING
-         || reason == MS_REASON_NO_CONFIG || reason == MS_REASON_NO_CAPACITY;
+         || reason == MS_REASON_NOT_READY || reason == MS_REASON_NO_CAPACITY;
 }
 
 void
@@ -151,8 +151,8 @@
 
   if (entry->draining)
     return MS_REASON_DRAINING;
-  if (!config || !entry->view->read_once)
-    return MS_REASON_NO_CONFIG;
+  if (!config || !entry->view->read_once || !ms_view_is_member (entry->view))
+    return MS_REASON_NOT_READY;
   if (!ms_config_team (config, arrival->team))
     return MS_REASON_UNKNOWN_TEAM;
   service = ms_config_service (config, arrival->service);
--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -1,6 +1,7 @@
 #include "member/liveness.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define PROBE_PERIOD (1 * MS_SEC)
 #define RETRY_PERIOD (400 * MS_MSEC)
@@ -67,7 +68,7 @@
 }
 
 static void
-send_probe (struct ms_liveness *liveness, const struct ms_member *member,
+send_probe (struct ms_liveness *liveness, uint64_t node, const char *address,
             peer_kind kind, uint64_t sequence, ms_time now)
 {
   struct ms_view *view = liveness->view;
@@ -80,12 +81,13 @@
   };
   peer_probe *probe = &message.body.peer_body_u.probe;
   struct ms_effect effect
-      = { .kind = MS_EFFECT_SEND,
-          .send = { member->id, member->peer_address, &message } };
+      = { .kind = MS_EFFECT_SEND, .send = { node, address, &message } };
 
   probe->sequence = sequence;
   probe->generation = view->config ? view->config->generation : 0;
   probe->stale = ms_view_stale (view, now);
+  probe->address.address_val = view->peer_address;
+  probe->address.address_len = (u_int)strlen (view->peer_address);
   probe->suspects.suspects_val = suspects;
   probe->suspects.suspects_len = collect_suspects (liveness, suspects, now);
   liveness->sink->emit (liveness->sink->context, &effect);
@@ -97,7 +99,8 @@
   if (!member->probe_sent)
     member->probe_sent = now;
   member->probes_unanswered++;
-  send_probe (liveness, member, PEER_PROBE, ++liveness->sequence, now);
+  send_probe (liveness, member->id, member->peer_address, PEER_PROBE,
+              ++liveness->sequence, now);
 }
 
 /* A few members by chance, so that the cost a router bears does not grow
@@ -243,17 +246,34 @@
   member->stale = probe->stale;
   for (unsigned i = 0; i < probe->suspects.suspects_len; i++)
     note_suspicion (liveness, member, &probe->suspects.suspects_val[i], now);
-  if (message->body.kind == PEER_PROBE)
-    send_probe (liveness, member, PEER_PROBE_ACK, probe->sequence, now);
+}
+
+/* Answer whoever asks: a router that was struck off learns from it that it is
+   connected again and may join.  */
+static void
+answer_probe (struct ms_liveness *liveness, const peer_message *message,
+              ms_time now)
+{
+  const peer_probe *probe = &message->body.peer_body_u.probe;
+  char address[MS_ADDRESS_BYTES] = "";
+
+  if (probe->address.address_len >= sizeof address)
+    return;
+  memcpy (address, probe->address.address_val, probe->address.address_len);
+  send_probe (liveness, message->from, address, PEER_PROBE_ACK,
+              probe->sequence, now);
 }
 
 void
 ms_liveness_heard (struct ms_liveness *liveness, const peer_message *message,
                    ms_time now)
 {
-  struct ms_member *member = ms_view_member (liveness->view, message->from);
+  struct ms_member *member
+      = ms_view_sender (liveness->view, message->from, message->incarnation);
 
-  if (!member || member->incarnation != message->incarnation)
+  if (message->body.kind == PEER_PROBE)
+    answer_probe (liveness, message, now);
+  if (!member)
     return;
   member->last_heard = now;
   member->probe_sent = 0;
--- a/src/node/effect.c
+++ b/src/node/effect.c
@@ -14,7 +14,7 @@
 {
   static const char *const names[]
       = { [MS_REASON_NONE] = "none",
-          [MS_REASON_NO_CONFIG] = "no-configuration",
+          [MS_REASON_NOT_READY] = "not-ready",
           [MS_REASON_UNKNOWN_TEAM] = "unknown-team",
           [MS_REASON_UNKNOWN_SERVICE] = "unknown-service",
           [MS_REASON_QUEUE_FULL] = "queue-full",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -50,6 +50,8 @@
   node->join.node = ms_name (options->name);
   node->join.zone = ms_name (options->zone);
   node->join.incarnation = options->incarnation;
+  strncpy (node->view->peer_address, options->peer_address,
+           MS_ADDRESS_BYTES - 1);
   strncpy (node->join.peer_address, options->peer_address,
            MS_ADDRESS_BYTES - 1);
   strncpy (node->join.caller_address, options->caller_address,
@@ -231,7 +233,8 @@
 bool
 ms_node_ready (const struct ms_node *node)
 {
-  return node->view->config && node->view->read_once;
+  return node->view->config && node->view->read_once
+         && ms_view_is_member (node->view);
 }
 
 struct ms_node_status
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -92,7 +92,8 @@
 void ms_node_step (struct ms_node *node, const struct ms_event *event,
                    ms_time now);
 
-/* Whether the router has read the log to its end and has a configuration.  */
+/* Whether the router has read the log to its end, has a configuration and is
+   a member.  */
 bool ms_node_ready (const struct ms_node *node);
 
 /* Whether an attempt may still begin at NOW, as START_BY told.  */
--- a/src/node/tick.c
+++ b/src/node/tick.c
@@ -6,10 +6,6 @@
 
 #define JOIN_PERIOD (1 * MS_SEC)
 
-/* A join this close to the oldest kept record is repeated before the log
-   forgets it.  */
-#define REJOIN_MARGIN 256
-
 static void
 append_own (struct ms_node *node, enum ms_record_kind kind)
 {
@@ -33,9 +29,9 @@
   struct ms_view *view = node->view;
   const struct ms_member *self = ms_view_member (view, view->self);
   bool joined = self && self->incarnation == view->incarnation;
-  bool fading = joined && node->first_kept
-                && node->first_kept + REJOIN_MARGIN > self->joined_at
-                && view->applied > self->joined_at + REJOIN_MARGIN;
+  bool fading
+      = joined
+        && ms_log_fades (self->joined_at, node->first_kept, view->applied);
 
   if (node->draining || !view->read_once || now < node->next_join)
     return;
--- a/src/replay/check.c
+++ b/src/replay/check.c
@@ -5,6 +5,10 @@
 
 #include "replay/internal.h"
 
+/* Seconds until a total has reached the other routers: the period of
+   sharing, a tick and a message.  */
+#define SHARE_DELAY 1.03
+
 struct value
 {
   double number;
@@ -272,6 +276,41 @@
   return largest;
 }
 
+/* The bound that docs/DESIGN.md derives: what the routers can charge to a
+   team before its totals have reached all, twice, and the work in flight.  */
+static double
+derived_gap (const struct world *world)
+{
+  double bound = 0;
+
+  for (unsigned s = 0; s < world->shape->services_count; s++)
+    {
+      double largest = 0, sum = 0, sent = 0, slots = 0, rate = 0;
+
+      for (unsigned i = 0; i < world->endpoints_count; i++)
+        if (world->endpoints[i].service == (int)s)
+          {
+            double warm = world->endpoints[i].trace->warm;
+
+            slots += warm;
+            rate += warm * (double)MS_SEC
+                    / (double)world->endpoints[i].trace->unit;
+          }
+      for (size_t i = 0; i < world->calls_count; i++)
+        if (world->calls[i].service == (int)s)
+          {
+            sent++;
+            sum += world->calls[i].cost;
+            if (world->calls[i].cost > largest)
+              largest = world->calls[i].cost;
+          }
+      if (sent
+          && 2 * (largest + rate * SHARE_DELAY) + slots * sum / sent > bound)
+        bound = 2 * (largest + rate * SHARE_DELAY) + slots * sum / sent;
+    }
+  return bound < twice_in_flight (world) ? bound : twice_in_flight (world);
+}
+
 /* Bytes that routers sent, a router and second.  */
 static double
 control_rate (const struct world *world, bool messages)
@@ -284,6 +323,23 @@
   return sum / world->nodes_count / ((double)world->now / (double)MS_SEC);
 }
 
+/* Routers that are up and do not have the accepted configuration.  */
+static unsigned
+count_behind (const struct world *world)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    {
+      const struct world_node *node = &world->nodes[i];
+
+      count += node->node
+               && (!ms_node_ready (node->node)
+                   || node->generation != world->accepted);
+    }
+  return count;
+}
+
 static struct value
 note_value (const struct world *world, const struct trace_line *line)
 {
@@ -304,6 +360,10 @@
     v.number = n->crashes;
   else if (strcmp (kind, "reverted") == 0)
     v.number = n->reverted;
+  else if (strcmp (kind, "unaccepted") == 0)
+    v.number = n->unaccepted;
+  else if (strcmp (kind, "behind") == 0)
+    v.number = count_behind (world);
   else if (strcmp (kind, "accepted") == 0)
     v.number = n->accepted;
   else if (strcmp (kind, "in_force") == 0)
@@ -371,6 +431,8 @@
 {
   const char *text = line->words[3];
 
+  if (strcmp (text, "derived") == 0)
+    return derived_gap (world);
   if (strcmp (text, "2w") == 0)
     return twice_in_flight (world);
   if (strncmp (text, "without:", 8) == 0)
--- a/src/replay/platform.c
+++ b/src/replay/platform.c
@@ -55,7 +55,7 @@
       world->accepted = offset + 1;
       world->accepted_at = world->now;
       world->spread = false;
-      world->notes.accepted++;
+      world->winners[world->notes.accepted++ % 64] = offset + 1;
       set_zones (world, config);
       ms_config_destroy (config);
     }
--- a/src/replay/sample.c
+++ b/src/replay/sample.c
@@ -5,6 +5,15 @@
 /* Work that waited this long could have used a free slot.  */
 #define WAITED_ENOUGH (300 * MS_MSEC)
 
+static bool
+won (const struct world *world, uint64_t generation)
+{
+  for (int i = 0; i < 64; i++)
+    if (world->winners[i] == generation)
+      return true;
+  return false;
+}
+
 void
 world_note_generation (struct world *world, int index)
 {
@@ -17,6 +26,8 @@
     return;
   if (generation < node->generation)
     world->notes.reverted++;
+  if (generation != node->generation && !won (world, generation))
+    world->notes.unaccepted++;
   node->generation = generation;
 }
 
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -182,8 +182,9 @@
   ms_time leaving_late; /* The same for a leaving endpoint.  */
   unsigned crashes;
   unsigned reverted;
-  unsigned accepted; /* Publications.  */
-  ms_time in_force;  /* Longest time until one was everywhere.  */
+  unsigned unaccepted; /* Routers seen with a generation that lost.  */
+  unsigned accepted;   /* Publications.  */
+  ms_time in_force;    /* Longest time until one was everywhere.  */
   double gap[WORLD_MAX_SERVICES];
   ms_time gap_at[WORLD_MAX_SERVICES];
   double busy[WORLD_MAX_SERVICES];
@@ -226,7 +227,8 @@
   struct ms_config *shape; /* Parsed once, for names.  */
   struct world_zone zones[16];
   unsigned zones_count;
-  uint64_t accepted; /* Generation in force by the log.  */
+  uint64_t accepted;    /* Generation in force by the log.  */
+  uint64_t winners[64]; /* All generations that were.  */
   ms_time accepted_at;
   bool spread; /* It is in force at every connected router.  */
   double report_loss;
--- a/src/rpc/peer.h
+++ b/src/rpc/peer.h
@@ -14,6 +14,7 @@
 #endif
 
 #define PEER_SUSPECTS 8
+#define PEER_ADDRESS_BYTES 48
 #define PEER_DEMANDS 64
 #define PEER_RUNNING 64
 #define PEER_TOTALS 128
@@ -30,6 +31,10 @@
 	u_quad_t sequence;
 	u_quad_t generation;
 	bool_t stale;
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
 	struct {
 		u_int suspects_len;
 		peer_suspect *suspects_val;
--- a/src/rpc/peer.x
+++ b/src/rpc/peer.x
@@ -3,6 +3,7 @@
    on the sender's clock.  */
 
 const PEER_SUSPECTS = 8;
+const PEER_ADDRESS_BYTES = 48;
 const PEER_DEMANDS = 64;
 const PEER_RUNNING = 64;
 const PEER_TOTALS = 128;
@@ -20,6 +21,7 @@
   unsigned hyper sequence;
   unsigned hyper generation;
   bool stale;
+  opaque address<PEER_ADDRESS_BYTES>;
   peer_suspect suspects<PEER_SUSPECTS>;
 };
 
--- a/src/rpc/peer_xdr.c
+++ b/src/rpc/peer_xdr.c
@@ -28,6 +28,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stale))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, PEER_ADDRESS_BYTES))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, PEER_SUSPECTS,
 		sizeof (peer_suspect), (xdrproc_t) xdr_peer_suspect))
 		 return FALSE;
--- a/src/view/members.c
+++ b/src/view/members.c
@@ -20,7 +20,10 @@
   struct ms_member *member = ms_view_member (view, id);
 
   if (member && member->incarnation == record->incarnation)
-    return;
+    {
+      member->joined_at = offset;
+      return;
+    }
   if (!member)
     {
       unsigned i = place_of (view, id);
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -69,6 +69,21 @@
   return find (view->members, view->members_count, sizeof *view->members, id);
 }
 
+struct ms_member *
+ms_view_sender (struct ms_view *view, uint64_t id, uint64_t incarnation)
+{
+  struct ms_member *member = ms_view_member (view, id);
+
+  return member && member->incarnation == incarnation ? member : NULL;
+}
+
+bool
+ms_view_is_member (const struct ms_view *view)
+{
+  return ms_view_sender ((struct ms_view *)view, view->self,
+                         view->incarnation);
+}
+
 struct ms_cell *
 ms_view_cell (struct ms_view *view, uint64_t id)
 {
@@ -156,6 +171,14 @@
   return count;
 }
 
+bool
+ms_log_fades (uint64_t offset, uint64_t first_kept, uint64_t end)
+{
+  if (!first_kept || end <= first_kept)
+    return false;
+  return offset < first_kept + (end - first_kept) / 2;
+}
+
 bool
 ms_view_holds (const struct ms_view *view, const struct ms_cell *cell)
 {
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -99,6 +99,7 @@
   uint64_t self;
   uint64_t incarnation;
   uint64_t zone;
+  char peer_address[MS_ADDRESS_BYTES];
   struct ms_config *config; /* Owned; NULL before the first.  */
   struct ms_member members[MS_MAX_MEMBERS]; /* Sorted by id.  */
   unsigned members_count;
@@ -116,6 +117,11 @@
 void ms_view_destroy (struct ms_view *view);
 
 struct ms_member *ms_view_member (struct ms_view *view, uint64_t id);
+
+/* The member that sent MESSAGE; NULL if the sender is none or is an earlier or
+   later incarnation of one.  */
+struct ms_member *ms_view_sender (struct ms_view *view, uint64_t id,
+                                  uint64_t incarnation);
 struct ms_cell *ms_view_cell (struct ms_view *view, uint64_t id);
 struct ms_endpoint *ms_view_endpoint (struct ms_view *view, uint64_t id);
 
@@ -143,9 +149,16 @@
    If all, then none can have replaced another.  */
 unsigned ms_view_stale_members (const struct ms_view *view, ms_time now);
 
+/* Whether the record at OFFSET is in the older half of what the log still has,
+   between FIRST_KEPT and END, and is to be written again.  */
+bool ms_log_fades (uint64_t offset, uint64_t first_kept, uint64_t end);
+
 /* Whether the router itself holds CELL by the log.  */
 bool ms_view_holds (const struct ms_view *view, const struct ms_cell *cell);
 
+/* Whether the router itself is a member by the log.  */
+bool ms_view_is_member (const struct ms_view *view);
+
 /* Strike off predecessors that are known to know of their replacement.  */
 void ms_view_prune_predecessors (struct ms_view *view, struct ms_cell *cell);
 
