--- a/Makefile
+++ b/Makefile
@@ -64,11 +64,15 @@
 
 check: install-packages
 	$(MAKE) check-units
+	$(MAKE) check-traces
 	$(MAKE) check-e2e
 
 check-units: $(TESTS)
 	@for t in $(TESTS); do $$t || exit 1; done
 
+check-traces: $(BUILD)/monsoonspur-replay
+	BUILD=$(BUILD) sh tests/proofs.sh
+
 check-e2e: all
 	BUILD=$(BUILD) sh tests/e2e.sh
 
@@ -86,7 +90,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all install-packages demo check check-units check-e2e lint format clean
+.PHONY: all install-packages demo check check-units check-traces check-e2e lint format clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
