--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,15 @@
 check-e2e: all
 	BUILD=$(BUILD) sh tests/e2e.sh
 
+# The same tests under the address and undefined-behaviour sanitizers.
+check-asan: install-packages
+	$(MAKE) BUILD=build-asan CFLAGS="-O1 -g -fsanitize=address,undefined \
+	  -fno-sanitize-recover=undefined -fno-omit-frame-pointer" \
+	  check-units check-asan-traces check-e2e
+
+check-asan-traces: $(BUILD)/monsoonspur-replay
+	$(BUILD)/monsoonspur-replay tests/traces/*.trace
+
 FORMATTED = $(filter-out src/rpc/peer.h src/rpc/peer_xdr.c,\
 	$(shell find src include tests examples -name '*.[ch]'))
 
@@ -90,7 +99,8 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all install-packages demo check check-units check-traces check-e2e lint format clean
+.PHONY: all install-packages demo check check-units check-traces check-e2e check-asan \
+	check-asan-traces lint format clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/examples/conservas.c
+++ b/examples/conservas.c
@@ -29,7 +29,7 @@
     ms_builder_zone (builder, zones[i], "sul-rs", true);
   for (int i = 1; i <= 16; i++)
     {
-      char name[16];
+      char name[24];
 
       snprintf (name, sizeof name, "loja-%02d", i);
       ms_builder_team (builder, name, i == 1 ? 2 : 1);
--- a/examples/litoral.c
+++ b/examples/litoral.c
@@ -30,7 +30,7 @@
                      argc < 2 || strcmp (argv[1], zones[i]) != 0);
   for (int i = 1; i <= 16; i++)
     {
-      char name[16];
+      char name[24];
 
       snprintf (name, sizeof name, "silo-%02d", i);
       ms_builder_team (builder, name, 1);
