Test each module; name the line of the right entry in errors

Cause: a refused service was said to be on the line of a zone whose name began alike (test_config: line 2 for line 7). Change: the look-up begins at the section and matches whole values.

--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -19,10 +19,12 @@
 };
 
 static enum ms_status
-refuse (const struct source *source, const char *name, const char *problem)
+refuse (const struct source *source, const char *section, const char *name,
+        const char *problem)
 {
   return ms_fail (MS_INVALID, "%s: line %u: name: %s: %s", source->origin,
-                  ms_yaml_line (source->text, "name", name), name, problem);
+                  ms_yaml_line (source->text, section, "name", name), name,
+                  problem);
 }
 
 static void
@@ -43,7 +45,8 @@
       zone->in_service = zone->in_service_set ? *zone->in_service_set : true;
       for (unsigned j = 0; j < i; j++)
         if (config->zones[j].id == zone->id)
-          return refuse (source, zone->name, "is a second zone of that name");
+          return refuse (source, "availability_zones", zone->name,
+                         "is a second zone of that name");
     }
   return MS_OK;
 }
@@ -72,7 +75,7 @@
          compare_teams);
   for (unsigned i = 1; i < config->teams_count; i++)
     if (config->teams[i].id == config->teams[i - 1].id)
-      return refuse (source, config->teams[i].name,
+      return refuse (source, "teams", config->teams[i].name,
                      "is a second team of that name");
   return MS_OK;
 }
@@ -87,13 +90,16 @@
   set_default (&service->max_run_ms, DEFAULT_MAX_RUN_MS);
   set_default (&service->report_lag_ms, DEFAULT_REPORT_LAG_MS);
   if (service->cold_limit < 1)
-    return refuse (source, service->name, "cold_limit is below 1");
+    return refuse (source, "services", service->name, "cold_limit is below 1");
   if (service->warm_limit < service->cold_limit)
-    return refuse (source, service->name, "warm_limit is below cold_limit");
+    return refuse (source, "services", service->name,
+                   "warm_limit is below cold_limit");
   if (service->cells_per_zone > MAX_CELLS_PER_ZONE)
-    return refuse (source, service->name, "cells_per_zone is above 1024");
+    return refuse (source, "services", service->name,
+                   "cells_per_zone is above 1024");
   if (service->trial && service->trial->percent > 100)
-    return refuse (source, service->name, "trial.percent is above 100");
+    return refuse (source, "services", service->name,
+                   "trial.percent is above 100");
   return MS_OK;
 }
 
@@ -108,7 +114,7 @@
         return status;
       for (unsigned j = 0; j < i; j++)
         if (config->services[j].id == config->services[i].id)
-          return refuse (source, config->services[i].name,
+          return refuse (source, "services", config->services[i].name,
                          "is a second service of that name");
     }
   return MS_OK;
--- a/src/config/yaml.c
+++ b/src/config/yaml.c
@@ -76,18 +76,38 @@
   cyaml_free (&config, schema, data, 0);
 }
 
+static bool
+stands_at (struct ms_str text, size_t at, const char *wanted)
+{
+  size_t length = strlen (wanted);
+
+  return at + length <= text.length
+         && memcmp (text.data + at, wanted, length) == 0;
+}
+
+/* Whether a plain scalar ends at AT.  */
+static bool
+value_ends (struct ms_str text, size_t at)
+{
+  return at >= text.length || strchr (",}] \r\n", text.data[at]);
+}
+
 unsigned
-ms_yaml_line (struct ms_str text, const char *key, const char *value)
+ms_yaml_line (struct ms_str text, const char *section, const char *key,
+              const char *value)
 {
   char wanted[160];
+  bool inside = !*section;
   unsigned line = 1;
-  size_t length;
 
   snprintf (wanted, sizeof wanted, "%s: %s", key, value);
-  length = strlen (wanted);
-  for (size_t i = 0; i + length <= text.length; i++)
+  for (size_t i = 0; i < text.length; i++)
     {
-      if (memcmp (text.data + i, wanted, length) == 0)
+      bool line_begins = i == 0 || text.data[i - 1] == '\n';
+
+      inside |= line_begins && stands_at (text, i, section);
+      if (inside && stands_at (text, i, wanted)
+          && value_ends (text, i + strlen (wanted)))
         return line;
       line += text.data[i] == '\n';
     }
--- a/src/router/settings.c
+++ b/src/router/settings.c
@@ -53,7 +53,7 @@
   if (ms_address_parse (value, &address) == MS_OK)
     return MS_OK;
   return ms_fail (MS_INVALID, "%s: line %u: %s: \"%s\" is not IP:PORT", path,
-                  ms_yaml_line (text, field, value), field, value);
+                  ms_yaml_line (text, "", field, value), field, value);
 }
 
 static enum ms_status
@@ -64,7 +64,7 @@
       || strncmp (value, "https://", 8) == 0)
     return MS_OK;
   return ms_fail (MS_INVALID, "%s: line %u: %s: \"%s\" is no HTTP URL", path,
-                  ms_yaml_line (text, field, value), field, value);
+                  ms_yaml_line (text, "", field, value), field, value);
 }
 
 static enum ms_status
@@ -86,7 +86,7 @@
     settings->caller_threads = DEFAULT_CALLER_THREADS;
   if (status == MS_OK && settings->caller_threads > MAX_CALLER_THREADS)
     return ms_fail (MS_INVALID, "%s: line %u: caller_threads: above %d", path,
-                    ms_yaml_line (text, "caller_threads", ""),
+                    ms_yaml_line (text, "", "caller_threads", ""),
                     MAX_CALLER_THREADS);
   return status;
 }
--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,79 @@
+#include "check.h"
+
+#include "dispatch/limit.h"
+
+#define UNIT (10 * MS_MSEC)
+
+static void
+test_grows_only_near_the_usual_pace (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8);
+  for (int i = 0; i < 20; i++)
+    ms_limit_success (&limit, 10, 3 * 10 * UNIT, UNIT);
+  assert_int_equal (limit.current, 2);
+  for (int i = 0; i < 20; i++)
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
+  assert_int_equal (limit.current, 8);
+  assert_true (limit.is_warm);
+}
+
+static void
+test_slow_end_is_a_cold_sign (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8);
+  for (int i = 0; i < 20; i++)
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
+  assert_false (ms_limit_success (&limit, 10, 5 * 10 * UNIT, UNIT));
+  assert_int_equal (limit.current, 2);
+  assert_false (limit.is_warm);
+}
+
+static void
+test_slow_progress_is_a_cold_sign (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8);
+  for (int i = 0; i < 3; i++)
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
+  ms_limit_pace (&limit, 90, 100 * UNIT, UNIT);
+  assert_true (limit.is_warm);
+  ms_limit_pace (&limit, 19, 100 * UNIT, UNIT);
+  assert_false (limit.is_warm);
+}
+
+static void
+test_overload_halves (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8);
+  for (int i = 0; i < 20; i++)
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
+  ms_limit_overload (&limit);
+  assert_int_equal (limit.current, 4);
+  ms_limit_overload (&limit);
+  ms_limit_overload (&limit);
+  assert_int_equal (limit.current, 2);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_grows_only_near_the_usual_pace),
+    cmocka_unit_test (test_slow_end_is_a_cold_sign),
+    cmocka_unit_test (test_slow_progress_is_a_cold_sign),
+    cmocka_unit_test (test_overload_halves),
+  };
+
+  return RUN (tests);
+}
--- /dev/null
+++ b/tests/test_fair.c
@@ -0,0 +1,155 @@
+#include "check.h"
+
+#include "fair/fair.h"
+
+enum
+{
+  TEAM_A = 1,
+  TEAM_B = 2,
+  TEAM_C = 3
+};
+
+static size_t
+pick (struct ms_fair *fair, enum ms_policy_name policy)
+{
+  const struct ms_candidate both[] = { { TEAM_A, 10 }, { TEAM_B, 5 } };
+
+  return ms_policy (policy)->pick (fair, both, 2);
+}
+
+static void
+test_lowest_counter_is_next (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  ms_fair_charge (fair, TEAM_A, 10);
+  assert_int_equal (pick (fair, MS_POLICY_FAIR), 1);
+  ms_fair_charge (fair, TEAM_B, 30);
+  assert_int_equal (pick (fair, MS_POLICY_FAIR), 0);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_weight_divides (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  ms_fair_set_weight (fair, TEAM_A, 4);
+  ms_fair_charge (fair, TEAM_A, 30);
+  ms_fair_charge (fair, TEAM_B, 10);
+  assert_int_equal (pick (fair, MS_POLICY_FAIR), 0);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_pause_earns_nothing (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  ms_fair_waiting (fair, TEAM_A, 0);
+  ms_fair_charge (fair, TEAM_A, 1000);
+  ms_fair_waiting (fair, TEAM_A, 10 * MS_SEC);
+  ms_fair_waiting (fair, TEAM_B, 10 * MS_SEC);
+  assert_true (ms_fair_counter (fair, TEAM_B) >= 1000);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_short_pause_keeps_credit (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  ms_fair_waiting (fair, TEAM_A, 0);
+  ms_fair_waiting (fair, TEAM_B, 0);
+  ms_fair_charge (fair, TEAM_A, 500);
+  ms_fair_waiting (fair, TEAM_A, 1 * MS_SEC);
+  ms_fair_waiting (fair, TEAM_B, 1 * MS_SEC);
+  assert_true (ms_fair_counter (fair, TEAM_B) < 1);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_totals_of_others_count (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+  const struct ms_total totals[] = { { TEAM_A, 700 } };
+
+  (void)state;
+  ms_fair_merge (fair, 9, 1, 100, totals, 1);
+  assert_int_equal (pick (fair, MS_POLICY_FAIR), 1);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_older_totals_are_dropped (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+  const struct ms_total newer[] = { { TEAM_A, 700 } };
+  const struct ms_total older[] = { { TEAM_A, 200 } };
+
+  (void)state;
+  ms_fair_merge (fair, 9, 1, 100, newer, 1);
+  ms_fair_merge (fair, 9, 1, 50, older, 1);
+  assert_true (ms_fair_counter (fair, TEAM_A) == 700);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_ended_incarnation_still_counts (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+  const struct ms_total before[] = { { TEAM_A, 700 } };
+  const struct ms_total after[] = { { TEAM_A, 10 } };
+
+  (void)state;
+  ms_fair_merge (fair, 9, 1, 100, before, 1);
+  ms_fair_merge (fair, 9, 2, 5, after, 1);
+  assert_true (ms_fair_counter (fair, TEAM_A) == 710);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_estimate_learns (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  assert_int_equal (ms_fair_estimate (fair, TEAM_A, 40), 40);
+  ms_fair_learn (fair, TEAM_A, 200);
+  assert_true (ms_fair_estimate (fair, TEAM_A, 40) >= 200);
+  assert_true (ms_fair_estimate (fair, TEAM_C, 40) >= 200);
+  ms_fair_destroy (fair);
+}
+
+static void
+test_first_come_ignores_counters (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+
+  (void)state;
+  ms_fair_charge (fair, TEAM_B, 1000);
+  assert_int_equal (pick (fair, MS_POLICY_FIRST_COME), 1);
+  ms_fair_destroy (fair);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lowest_counter_is_next),
+    cmocka_unit_test (test_weight_divides),
+    cmocka_unit_test (test_pause_earns_nothing),
+    cmocka_unit_test (test_short_pause_keeps_credit),
+    cmocka_unit_test (test_totals_of_others_count),
+    cmocka_unit_test (test_older_totals_are_dropped),
+    cmocka_unit_test (test_ended_incarnation_still_counts),
+    cmocka_unit_test (test_estimate_learns),
+    cmocka_unit_test (test_first_come_ignores_counters),
+  };
+
+  return RUN (tests);
+}
--- /dev/null
+++ b/tests/test_library.c
@@ -0,0 +1,80 @@
+#include "check.h"
+
+#include <monsoonspur/builder.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/config.h"
+
+static struct ms_builder *
+two_teams (uint32_t cold_limit)
+{
+  struct ms_builder *builder = ms_builder_create ();
+  const struct ms_service_spec service
+      = { .name = "s", .cold_limit = cold_limit, .warm_limit = 8 };
+
+  ms_builder_zone (builder, "salto", "uy", false);
+  ms_builder_team (builder, "a", 2);
+  ms_builder_team (builder, "b", 1);
+  ms_builder_team_key (builder, "b", "00ff");
+  ms_builder_service (builder, &service);
+  return builder;
+}
+
+static void
+test_prints_what_parses (void **state)
+{
+  static const char *const teams[] = { "a", NULL };
+  const struct ms_trial_spec trial = { "first_come", "team", 0, teams };
+  struct ms_builder *builder = two_teams (2);
+  struct ms_config *config;
+  char *text = NULL;
+  size_t length = 0;
+  FILE *file = open_memstream (&text, &length);
+
+  (void)state;
+  ms_builder_trial (builder, "s", &trial);
+  assert_int_equal (ms_builder_print (builder, file), MS_OK);
+  fclose (file);
+  assert_int_equal (
+      ms_config_parse ((struct ms_str){ text, length }, "built", &config),
+      MS_OK);
+  assert_false (config->zones[0].in_service);
+  assert_int_equal (config->teams_count, 2);
+  assert_int_equal (
+      ms_config_team (config, ms_id (ms_str ("b")))->key_digests_count, 1);
+  assert_true (
+      ms_config_trial_team (&config->services[0], ms_id (ms_str ("a"))));
+  ms_config_destroy (config);
+  ms_builder_destroy (builder);
+  free (text);
+}
+
+static void
+test_bad_configuration_is_not_printed (void **state)
+{
+  struct ms_builder *builder = two_teams (9);
+  char *text = NULL;
+  size_t length = 0;
+  FILE *file = open_memstream (&text, &length);
+
+  (void)state;
+  assert_int_equal (ms_builder_print (builder, file), MS_INVALID);
+  fclose (file);
+  assert_int_equal (length, 0);
+  assert_non_null (strstr (ms_last_message (), "warm_limit"));
+  ms_builder_destroy (builder);
+  free (text);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_prints_what_parses),
+    cmocka_unit_test (test_bad_configuration_is_not_printed),
+  };
+
+  return RUN (tests);
+}
--- /dev/null
+++ b/tests/test_view.c
@@ -0,0 +1,174 @@
+#include "check.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "view/view.h"
+
+#define CONFIG                                                                \
+  "availability_zones:\n"                                                     \
+  "- {name: z0, region: r}\n"                                                 \
+  "- {name: z1, region: r}\n"                                                 \
+  "teams:\n"                                                                  \
+  "- {name: t}\n"                                                             \
+  "services:\n"                                                               \
+  "- {name: s, cold_limit: 2, warm_limit: 8, cells_per_zone: 8}\n"
+
+static struct ms_view *
+create (void)
+{
+  struct ms_view *view = ms_view_create (ms_id (ms_str ("n0")), 1, 1);
+  struct ms_config *config;
+
+  assert_int_equal (ms_config_parse (ms_str (CONFIG), "test", &config), MS_OK);
+  config->generation = 1;
+  assert_null (ms_view_configure (view, config, 0));
+  return view;
+}
+
+static void
+apply (struct ms_view *view, enum ms_record_kind kind, unsigned node,
+       uint64_t incarnation, uint64_t offset)
+{
+  struct ms_record record = { .kind = kind, .incarnation = incarnation };
+  char name[16];
+
+  snprintf (name, sizeof name, "n%u", node);
+  record.node = ms_name (name);
+  record.zone = ms_name (node % 2 ? "z1" : "z0");
+  ms_view_apply (view, &record, offset, 0);
+}
+
+static void
+test_cells_stay_in_their_zone (void **state)
+{
+  struct ms_view *view = create ();
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    apply (view, MS_RECORD_JOIN, i, 1, 10 + i);
+  assert_int_equal (view->cells_count, 16);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    assert_int_equal (ms_view_member (view, view->cells[i].holder)->zone,
+                      view->cells[i].zone);
+  ms_view_destroy (view);
+}
+
+static void
+test_readers_of_one_offset_agree (void **state)
+{
+  struct ms_view *a = create ();
+  struct ms_view *b = create ();
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      apply (a, MS_RECORD_JOIN, i, 1, 10 + i);
+      apply (b, MS_RECORD_JOIN, i, 1, 10 + i);
+    }
+  apply (a, MS_RECORD_EXPIRE, 2, 1, 20);
+  apply (b, MS_RECORD_EXPIRE, 2, 1, 20);
+  for (unsigned i = 0; i < a->cells_count; i++)
+    {
+      assert_int_equal (a->cells[i].holder, b->cells[i].holder);
+      assert_int_equal (a->cells[i].term, b->cells[i].term);
+    }
+  ms_view_destroy (a);
+  ms_view_destroy (b);
+}
+
+static void
+test_only_the_struck_off_holders_cells_move (void **state)
+{
+  struct ms_view *view = create ();
+  uint64_t before[16];
+  uint64_t gone = ms_id (ms_str ("n2"));
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    apply (view, MS_RECORD_JOIN, i, 1, 10 + i);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    before[i] = view->cells[i].holder;
+  apply (view, MS_RECORD_EXPIRE, 2, 1, 20);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    {
+      if (before[i] != gone)
+        assert_int_equal (view->cells[i].holder, before[i]);
+      else
+        {
+          assert_int_not_equal (view->cells[i].holder, gone);
+          assert_int_equal (view->cells[i].term, 20);
+          assert_int_equal (view->cells[i].predecessors[0].node, before[i]);
+        }
+    }
+  ms_view_destroy (view);
+}
+
+static void
+test_expiry_of_an_earlier_incarnation_is_void (void **state)
+{
+  struct ms_view *view = create ();
+
+  (void)state;
+  apply (view, MS_RECORD_JOIN, 0, 2, 10);
+  apply (view, MS_RECORD_EXPIRE, 0, 1, 11);
+  assert_int_equal (view->members_count, 1);
+  apply (view, MS_RECORD_EXPIRE, 0, 2, 12);
+  assert_int_equal (view->members_count, 0);
+  ms_view_destroy (view);
+}
+
+static void
+test_informed_predecessors_are_struck_off (void **state)
+{
+  struct ms_view *view = create ();
+  struct ms_cell *moved = NULL;
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    apply (view, MS_RECORD_JOIN, i, 1, 10 + i);
+  apply (view, MS_RECORD_EXPIRE, 2, 1, 20);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    if (view->cells[i].term == 20)
+      moved = &view->cells[i];
+  assert_non_null (moved);
+  apply (view, MS_RECORD_JOIN, 2, 1, 21);
+  for (unsigned i = 0; i < view->cells_count; i++)
+    {
+      ms_view_prune_predecessors (view, &view->cells[i]);
+      if (view->cells[i].term == 21)
+        assert_true (view->cells[i].predecessors_count > 0);
+    }
+  for (unsigned i = 0; i < view->members_count; i++)
+    view->members[i].applied = 30;
+  for (unsigned i = 0; i < view->cells_count; i++)
+    {
+      ms_view_prune_predecessors (view, &view->cells[i]);
+      assert_int_equal (view->cells[i].predecessors_count, 0);
+    }
+  ms_view_destroy (view);
+}
+
+static void
+test_old_records_fade (void **state)
+{
+  (void)state;
+  assert_false (ms_log_fades (5, 0, 100));
+  assert_true (ms_log_fades (50, 40, 100));
+  assert_false (ms_log_fades (80, 40, 100));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cells_stay_in_their_zone),
+    cmocka_unit_test (test_readers_of_one_offset_agree),
+    cmocka_unit_test (test_only_the_struck_off_holders_cells_move),
+    cmocka_unit_test (test_expiry_of_an_earlier_incarnation_is_void),
+    cmocka_unit_test (test_informed_predecessors_are_struck_off),
+    cmocka_unit_test (test_old_records_fade),
+  };
+
+  return RUN (tests);
+}
