--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 PROGRAMS = router config replay
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
-CORE_DIRS = base rpc config view member fair dispatch guard once entry node \
+CORE_DIRS = base rpc config view member fair dispatch guard once entry node journal \
 	http platform library
 CORE_SOURCES = $(foreach d,$(CORE_DIRS),$(wildcard src/$(d)/*.c))
 CORE_OBJECTS = $(CORE_SOURCES:%.c=$(BUILD)/%.o)
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/switches.h"
 #include "base/version.h"
+#include "journal/journal.h"
 #include "replay/check.h"
 
 #define MAX_POLICIES 8
@@ -35,6 +36,8 @@
         { "json", KEY_JSON, NULL, 0, "Print the measures as JSON", 0 },
         { "seed", KEY_SEED, "N", 0, "Use another seed", 0 },
         { "measure", 'm', NULL, 0, "Print the measures", 0 },
+        { "journal", 'j', "FILE", 0,
+          "Replay what a router recorded; compare the effects", 0 },
         { "verbose", 'v', NULL, 0, "Log what the routers log", 0 },
         { 0 } };
 
@@ -48,6 +51,7 @@
   bool json;
   bool measure;
   bool verbose;
+  const char *journal;
 };
 
 static error_t
@@ -67,6 +71,9 @@
       if (ms_switch_off (arg) != MS_OK)
         argp_error (state, "%s", ms_last_message ());
       return 0;
+    case 'j':
+      arguments->journal = arg;
+      return 0;
     case 'm':
       arguments->measure = true;
       return 0;
@@ -85,7 +92,8 @@
       arguments->traces_count = state->argc - state->next;
       return 0;
     case ARGP_KEY_NO_ARGS:
-      argp_usage (state);
+      if (!arguments->journal)
+        argp_usage (state);
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -164,6 +172,20 @@
   return worst;
 }
 
+static int
+replay_journal (const char *path)
+{
+  struct ms_journal_result result;
+  enum ms_status status = ms_journal_replay (path, &result);
+
+  printf ("%s: %u events, %u effects compared\n", path, result.events,
+          result.effects);
+  if (status == MS_OK)
+    return 0;
+  fprintf (stderr, "monsoonspur-replay: %s\n", ms_last_message ());
+  return status == MS_CONFLICT ? EXIT_UNMET : EXIT_BAD_INPUT;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -176,6 +198,8 @@
   argp_program_version = MS_VERSION_TEXT ("monsoonspur-replay");
   ms_log_threshold (MS_ERROR);
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (arguments.journal)
+    return replay_journal (arguments.journal);
   if (!arguments.policies_count)
     arguments.policies[arguments.policies_count++] = "fair";
   if (arguments.measure)
--- a/src/router/engine.c
+++ b/src/router/engine.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "journal/journal.h"
 #include "router/router.h"
 
 ms_time
@@ -15,7 +16,11 @@
 void
 ms_router_step_locked (struct ms_router *router, const struct ms_event *event)
 {
-  ms_node_step (router->node, event, ms_router_now (router));
+  ms_time now = ms_router_now (router);
+
+  if (router->record)
+    ms_journal_event (router->record, event, now);
+  ms_node_step (router->node, event, now);
 }
 
 void
@@ -99,6 +104,8 @@
 {
   struct ms_router *router = context;
 
+  if (router->record)
+    ms_journal_effect (router->record, effect);
   switch (effect->kind)
     {
     case MS_EFFECT_SEND:
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "base/version.h"
+#include "journal/journal.h"
 #include "router/router.h"
 
 #define TICK_NS 20000000L
@@ -84,7 +85,7 @@
 }
 
 static struct ms_router *
-create_router (const struct ms_settings *settings)
+create_router (const struct ms_settings *settings, FILE *record)
 {
   struct ms_router *router = calloc (1, sizeof *router);
   const struct ms_sink sink = { ms_router_emit, router };
@@ -106,6 +107,9 @@
   node.incarnation = router->incarnation;
   node.random_seed
       = ms_id_pair (ms_id (ms_str (settings->name)), router->incarnation);
+  router->record = record;
+  if (record)
+    ms_journal_begin (record, &node);
   router->node = ms_node_create (&node, &sink);
   return router;
 }
@@ -251,6 +255,7 @@
   struct arguments arguments = { 0 };
   struct ms_settings *settings;
   struct ms_router *router;
+  FILE *record = NULL;
   sigset_t signals;
   int code;
 
@@ -266,9 +271,20 @@
   set_log_level (settings->log_level);
   block_signals (&signals);
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  router = create_router (settings);
+  if (arguments.record)
+    {
+      record = fopen (arguments.record, "w");
+      if (!record)
+        {
+          ms_log (MS_ERROR, "router", "cannot write %s", arguments.record);
+          return 2;
+        }
+    }
+  router = create_router (settings, record);
   code = serve (router, &signals);
   destroy_router (router);
+  if (record)
+    fclose (record);
   ms_settings_destroy (settings);
   curl_global_cleanup ();
   return code;
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -50,5 +50,15 @@
 call --router="$(caller_address 4)"
 verdict "requests go on after a router has left" $?
 
+stop router0
+"$BUILD/monsoonspur-replay" --journal="$DIR/router0.journal" >"$DIR/replay.out" 2>&1
+verdict "a recorded run replays to the same effects" $?
+cat "$DIR/replay.out"
+sed 's/^\(= answer [0-9]* \)answered/\1failed/' "$DIR/router0.journal" \
+  >"$DIR/changed.journal"
+"$BUILD/monsoonspur-replay" --journal="$DIR/changed.journal" >/dev/null 2>&1
+[ $? -eq 1 ]
+verdict "a journal with another effect is told apart" $?
+
 note "$passed passed, $failed failed"
 [ $failed -eq 0 ]
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -153,7 +153,8 @@
 start_router ()
 {
   write_settings "$1"
-  start "router$1" "$BUILD/monsoonspur-router" "$DIR/router$1.yaml"
+  start "router$1" "$BUILD/monsoonspur-router" --record="$DIR/router$1.journal" \
+    "$DIR/router$1.yaml"
 }
 
 start_routers ()
