--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(shell pkg-config --cflags $(MODULES))
 LIBS = -lcivetweb $(shell pkg-config --libs $(MODULES)) -lm -pthread
 
-PROGRAMS = router config replay
+PROGRAMS = router config ctl replay
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 CORE_DIRS = base rpc config view member fair dispatch guard once entry node journal \
 	http platform library
@@ -42,6 +42,7 @@
 endef
 $(eval $(call program,router,router))
 $(eval $(call program,config,configtool))
+$(eval $(call program,ctl,ctl))
 $(eval $(call program,replay,replay))
 
 $(BUILD)/example-%: $(BUILD)/examples/%.o $(CORE)
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -43,20 +43,13 @@
     }
 }
 
-enum ms_status
-ms_http_exchange (const char *method, const char *url, const char *body,
-                  long timeout_ms, struct ms_reply *reply)
+static enum ms_status
+perform (CURL *curl, const char *method, const char *url,
+         struct ms_reply *reply)
 {
-  CURL *curl = curl_easy_init ();
-  CURLcode code;
+  CURLcode code = curl_easy_perform (curl);
 
-  memset (reply, 0, sizeof *reply);
-  if (!curl)
-    abort ();
-  set_options (curl, method, url, body, timeout_ms, reply);
-  code = curl_easy_perform (curl);
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &reply->code);
-  curl_easy_cleanup (curl);
   if (code == CURLE_OK)
     return MS_OK;
   ms_reply_clear (reply);
@@ -64,6 +57,48 @@
                   curl_easy_strerror (code));
 }
 
+static CURL *
+open_exchange (const char *method, const char *url, const char *body,
+               long timeout_ms, struct ms_reply *reply)
+{
+  CURL *curl = curl_easy_init ();
+
+  if (!curl)
+    abort ();
+  memset (reply, 0, sizeof *reply);
+  set_options (curl, method, url, body, timeout_ms, reply);
+  return curl;
+}
+
+enum ms_status
+ms_http_exchange (const char *method, const char *url, const char *body,
+                  long timeout_ms, struct ms_reply *reply)
+{
+  CURL *curl = open_exchange (method, url, body, timeout_ms, reply);
+  enum ms_status status = perform (curl, method, url, reply);
+
+  curl_easy_cleanup (curl);
+  return status;
+}
+
+enum ms_status
+ms_http_exchange_with_key (const char *method, const char *url,
+                           const char *key, long timeout_ms,
+                           struct ms_reply *reply)
+{
+  CURL *curl = open_exchange (method, url, NULL, timeout_ms, reply);
+  enum ms_status status;
+
+  if (key)
+    {
+      curl_easy_setopt (curl, CURLOPT_HTTPAUTH, (long)CURLAUTH_BEARER);
+      curl_easy_setopt (curl, CURLOPT_XOAUTH2_BEARER, key);
+    }
+  status = perform (curl, method, url, reply);
+  curl_easy_cleanup (curl);
+  return status;
+}
+
 void
 ms_reply_clear (struct ms_reply *reply)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -22,6 +22,11 @@
                                  const char *body, long timeout_ms,
                                  struct ms_reply *reply);
 
+/* Send a request without a body, with KEY as bearer token if not NULL.  */
+enum ms_status ms_http_exchange_with_key (const char *method, const char *url,
+                                          const char *key, long timeout_ms,
+                                          struct ms_reply *reply);
+
 void ms_reply_clear (struct ms_reply *reply);
 
 #endif
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -124,6 +124,21 @@
   json_decref (object);
 }
 
+static void
+print_kinds (const struct world *world)
+{
+  static const char *const names[16]
+      = { "",      "probe",  "probe-ack",   "demand",   "grant",
+          "reply", "done",   "running",     "idle",     "totals",
+          "want",  "config", "config-part", "handover", "death" };
+  double seconds = (double)world->now / (double)MS_SEC;
+
+  for (int i = 1; i < 15; i++)
+    printf ("  %-12s %8.1f messages/s %8.0f bytes/s\n", names[i],
+            (double)world->notes.kind_messages[i] / seconds,
+            (double)world->notes.kind_bytes[i] / seconds);
+}
+
 static int
 replay (const struct arguments *arguments, const struct trace *trace,
         const char *policy)
@@ -146,7 +161,11 @@
       if (arguments->json)
         print_json (trace->path, policy, &measures);
       else
-        print_table (policy, &measures);
+        {
+          print_table (policy, &measures);
+          if (arguments->verbose)
+            print_kinds (world);
+        }
     }
   world_destroy (world);
   if (status != MS_OK)
--- a/src/replay/nodes.c
+++ b/src/replay/nodes.c
@@ -35,6 +35,9 @@
 
   from->messages++;
   from->bytes += length + CALL_HEADER_BYTES;
+  world->notes.kind_messages[effect->send.message->body.kind]++;
+  world->notes.kind_bytes[effect->send.message->body.kind]
+      += length + CALL_HEADER_BYTES;
   if (to < 0 || from->cut != world->nodes[to].cut)
     return;
   if (trace->loss > 0
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -192,6 +192,8 @@
   unsigned drained;
   unsigned cut_by_drain;
   uint64_t peak_bytes;
+  uint64_t kind_bytes[16]; /* Sent between routers, by kind of message.  */
+  uint64_t kind_messages[16];
 };
 
 struct world_options
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -50,6 +50,71 @@
 call --router="$(caller_address 4)"
 verdict "requests go on after a router has left" $?
 
+# code_of ARGUMENTS...: the HTTP status of one request to router 4.
+code_of ()
+{
+  curl --silent --noproxy '*' --max-time 20 --output /dev/null \
+    --write-out '%{http_code}' "$@"
+}
+
+service="http://$(caller_address 4)/services"
+[ "$(code_of -d x "$service/agronomo/run")" = 400 ]
+verdict "a request without a team is refused" $?
+[ "$(code_of -H 'Monsoonspur-Team: nobody' -d x "$service/agronomo/run")" = 403 ]
+verdict "an unknown team is refused" $?
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -d x "$service/none/run")" = 404 ]
+verdict "an unknown service is refused" $?
+head -c 2000000 /dev/zero >"$DIR/large"
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' --data-binary "@$DIR/large" \
+  "$service/agronomo/run")" = 413 ]
+verdict "an oversized body is refused" $?
+curl --silent --noproxy '*' --max-time 3 --limit-rate 100 -o /dev/null \
+  -H 'Monsoonspur-Team: silo-01' --data-binary "@$DIR/config.yaml" \
+  "$service/agronomo/run"
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -d 'whole cost=5' \
+  "$service/agronomo/run")" = 200 ]
+verdict "a slow caller that goes away costs others nothing" $?
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -H 'Idempotency-Key: k1' \
+  -d 'whole cost=5 first' "$service/silo-mando/run")" = 200 ] \
+  && [ "$(code_of -H 'Monsoonspur-Team: silo-01' -H 'Idempotency-Key: k1' \
+    -d 'whole cost=5 first' \
+    "http://$(caller_address 7)/services/silo-mando/run")" = 200 ] \
+  && cat <<END >"$DIR/runs"
+$(get "http://$(plain_address 0)/ledger")
+$(get "http://$(plain_address 1)/ledger")
+$(get "http://$(plain_address 2)/ledger")
+END
+[ "$(grep -c '"whole cost=5 first":1' "$DIR/runs")" = 1 ]
+verdict "a key sent again through another router runs once" $?
+
+"$BUILD/example-litoral" salto >"$DIR/out.yaml"
+generation=$(publish "$DIR/out.yaml" \
+  | sed -n 's/^published generation=\([0-9]*\) .*/\1/p')
+in_force ()
+{
+  get "http://$(caller_address 8)/v1/status" \
+    | grep -q "\"generation\":$generation,"
+}
+await 10 in_force
+verdict "a publication comes in force" $?
+call --router="$(caller_address 4)"
+verdict "requests go on while an availability zone is out" $?
+
+request=$(sed -n 's/^request //p' "$DIR/caller.out")
+owner=$(echo "$request" | sed 's/^router-\([0-9]*\)-.*/\1/')
+"$BUILD/monsoonspur-ctl" --router="$(caller_address "$owner")" \
+  explain "$request" | grep -q '"outcome":"answered"'
+verdict "a request is explained by the router that took it" $?
+
+"$BUILD/monsoonspur-ctl" --router="$(caller_address 5)" --key=wrong drain \
+  >/dev/null
+[ $? -eq 1 ]
+verdict "a drain with a wrong key is refused" $?
+
+"$BUILD/monsoonspur-ctl" --router="$(caller_address 5)" --key=demo-operator \
+  drain >/dev/null && wait "$(pid_of router5)"
+verdict "a drained router exits with 0" $?
+
 stop router0
 "$BUILD/monsoonspur-replay" --journal="$DIR/router0.journal" >"$DIR/replay.out" 2>&1
 verdict "a recorded run replays to the same effects" $?
