State a new request's demand for its own team only

Cause: control traffic was 18.7 KB/s a router with 16 backlogged teams; 13.9 of it were demands of 390 bytes, as each arrival told two cells of every team. Ruled out: longer periods of the rounds, which void grants (their lifetime is bound to the demand). Change: a new request states only its team, and none where more than 16 of the team wait, since the rounds tell then.

--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -1,5 +1,9 @@
 #include "entry/internal.h"
 
+/* Where more than this many requests of a team wait, the rounds tell often
+   enough.  */
+#define KNOWN_DEMAND 16
+
 #define ROUND_PERIOD (500 * MS_MSEC)
 
 /* A request that waited this long is made known to every cell.  */
@@ -26,7 +30,7 @@
 }
 
 static unsigned
-fill_items (struct ms_entry *entry, const struct ms_cell *cell,
+fill_items (struct ms_entry *entry, const struct ms_cell *cell, uint64_t team,
             peer_demand_item *items)
 {
   const struct ms_service *service
@@ -39,6 +43,7 @@
       const struct request *first = NULL;
 
       if (q->key.service != cell->service || !ms_queue_length (q)
+          || (team && q->key.team != team)
           || !allowed (service, cell, q->key.team))
         continue;
       for (int lane = 0; lane < MS_LANES && !first; lane++)
@@ -56,7 +61,7 @@
 
 void
 ms_demand_send (struct ms_entry *entry, const struct ms_cell *cell,
-                ms_time now)
+                uint64_t team, ms_time now)
 {
   peer_demand_item items[PEER_DEMANDS];
   peer_message message = { .body = { .kind = PEER_DEMAND } };
@@ -66,7 +71,7 @@
 
   if (!dispatcher || !entry->view->config)
     return;
-  count = fill_items (entry, cell, items);
+  count = fill_items (entry, cell, team, items);
   if (!count)
     return;
   demand->cell = cell->id;
@@ -109,14 +114,15 @@
   struct ms_cell *first;
   struct ms_cell *second;
 
-  if (!entry->view->config || !entry->view->cells_count)
+  if (!entry->view->config || !entry->view->cells_count
+      || ms_queue_length (request->queue) > KNOWN_DEMAND)
     return;
   first = pick_cell (entry, request, true, NULL);
   second = pick_cell (entry, request, false, first);
   if (first)
-    ms_demand_send (entry, first, now);
+    ms_demand_send (entry, first, request->arrival.team, now);
   if (second)
-    ms_demand_send (entry, second, now);
+    ms_demand_send (entry, second, request->arrival.team, now);
 }
 
 static bool
@@ -138,7 +144,7 @@
   for (unsigned i = 0; i < view->cells_count; i++)
     if (view->cells[i].service == service
         && has_usable (entry, &view->cells[i]))
-      ms_demand_send (entry, &view->cells[i], now);
+      ms_demand_send (entry, &view->cells[i], 0, now);
 }
 
 void
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -448,7 +448,7 @@
     case PEER_IDLE:
       cell = ms_view_cell (entry->view, message->body.peer_body_u.idle.cell);
       if (cell)
-        ms_demand_send (entry, cell, now);
+        ms_demand_send (entry, cell, 0, now);
       break;
     case PEER_DEATH:
       ms_guard_told (entry->guard, death->fingerprint, death->deaths,
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -126,9 +126,10 @@
 /* When a caller of QUEUE's team should come back.  */
 ms_time ms_entry_retry_after (const struct queue *queue);
 
-/* State what waits for SERVICE to CELL's dispatcher.  */
+/* State to CELL's dispatcher what waits for its service: all teams, or only
+   TEAM if it is not 0.  */
 void ms_demand_send (struct ms_entry *entry, const struct ms_cell *cell,
-                     ms_time now);
+                     uint64_t team, ms_time now);
 
 /* State it to two cells, for a request that has just begun to wait.  */
 void ms_demand_fresh (struct ms_entry *entry, const struct request *request,
