Keep an endpoint free for a waiting suspect

Cause: requests whose endpoint ended under them are tried again alone; under a flood no endpoint is ever empty, and they waited until their deadline (two_at_once.trace: 6 failed from 46143 ms, all reset at 26500 ms). Ruled out: trying suspects beside others; a second death would then be laid to the wrong request. Change: a cell with a waiting suspect gives no new work to the endpoint that will be empty soonest, and grants it alone then.

--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -24,24 +24,17 @@
   return total > demand->pending ? total - demand->pending : 0;
 }
 
+/* Whether DEMAND is CELL's and in force, and a request of LANES waits.  */
 static bool
-only_alone (const struct demand *demand)
-{
-  return !demand->waiting[MS_LANE_INTERACTIVE]
-         && !demand->waiting[MS_LANE_LONG];
-}
-
-/* Whether DEMAND can use a slot now; CAN_BE_ALONE tells whether one stands
-   empty.  */
-static bool
-eligible (const struct demand *demand, const struct held_cell *cell,
-          bool can_be_alone, ms_time now)
+wants (const struct demand *demand, const struct held_cell *cell, bool alone,
+       ms_time now)
 {
-  if (demand->key.cell != cell->id || !unmet (demand))
-    return false;
-  if (now - demand->received_at > DEMAND_LIFETIME)
+  if (demand->key.cell != cell->id || !unmet (demand)
+      || now - demand->received_at > DEMAND_LIFETIME)
     return false;
-  return can_be_alone || !only_alone (demand);
+  if (alone)
+    return demand->waiting[MS_LANE_ALONE];
+  return demand->waiting[MS_LANE_INTERACTIVE] || demand->waiting[MS_LANE_LONG];
 }
 
 static void
@@ -61,11 +54,11 @@
 
 static void
 gather (struct ms_dispatch *dispatch, const struct held_cell *cell,
-        bool can_be_alone, struct choice *choice, ms_time now)
+        struct choice *choice, ms_time now)
 {
   choice->count = 0;
   for (struct demand *d = dispatch->demands; d; d = d->hh.next)
-    if (eligible (d, cell, can_be_alone, now))
+    if (wants (d, cell, false, now))
       add_candidate (choice, d);
 }
 
@@ -73,25 +66,22 @@
    grant.  */
 static struct demand *
 oldest_demand (struct ms_dispatch *dispatch, const struct held_cell *cell,
-               uint64_t team, bool can_be_alone, ms_time now)
+               uint64_t team, ms_time now)
 {
   struct demand *best = NULL;
 
   for (struct demand *d = dispatch->demands; d; d = d->hh.next)
-    if (d->key.team == team && eligible (d, cell, can_be_alone, now)
+    if (d->key.team == team && wants (d, cell, false, now)
         && (!best || d->since < best->since))
       best = d;
   return best;
 }
 
 static enum ms_lane
-choose_lane (struct held_cell *cell, const struct demand *demand,
-             bool can_be_alone)
+choose_lane (const struct held_cell *cell, const struct demand *demand)
 {
   bool turn = cell->interactive_run >= LONG_TURN;
 
-  if (can_be_alone && demand->waiting[MS_LANE_ALONE])
-    return MS_LANE_ALONE;
   if (demand->waiting[MS_LANE_LONG]
       && (turn || !demand->waiting[MS_LANE_INTERACTIVE]))
     return MS_LANE_LONG;
@@ -116,10 +106,12 @@
 }
 
 /* The endpoint with the least part of its limit in use, or of two chosen by
-   chance; NULL if none has room.  */
+   chance; NULL if none has room.  One that is kept for a suspect counts only
+   for that, once it is empty.  */
 static struct slot_state *
-choose_slot (struct ms_dispatch *dispatch, const struct ms_cell *cell,
-             enum ms_placement_name placement, bool alone, ms_time now)
+choose_slot (struct ms_dispatch *dispatch, const struct held_cell *held,
+             const struct ms_cell *cell, enum ms_placement_name placement,
+             bool alone, ms_time now)
 {
   struct slot_state *best = NULL;
   uint32_t best_room = 0;
@@ -133,7 +125,8 @@
           dispatch, cell->endpoints[(start + i) % count]->id);
       uint32_t room = slot ? ms_occupancy_free (dispatch, slot, now) : 0;
 
-      if (!room || (alone && !is_empty (slot)))
+      if (!room || (alone && !is_empty (slot))
+          || (!alone && slot->endpoint == held->kept_for_suspect))
         continue;
       best = best ? least_loaded (best, best_room, slot, room) : slot;
       best_room = best == slot ? room : best_room;
@@ -201,6 +194,61 @@
   ms_grant_send (dispatch, grant, now);
 }
 
+static struct demand *
+oldest_suspect (struct ms_dispatch *dispatch, const struct held_cell *held,
+                ms_time now)
+{
+  struct demand *best = NULL;
+
+  for (struct demand *d = dispatch->demands; d; d = d->hh.next)
+    if (wants (d, held, true, now) && (!best || d->since < best->since))
+      best = d;
+  return best;
+}
+
+/* The endpoint of CELL that will be empty soonest, by what runs on it.  */
+static uint64_t
+least_granted (struct ms_dispatch *dispatch, const struct ms_cell *cell)
+{
+  const struct slot_state *best = NULL;
+
+  for (unsigned i = 0; i < cell->endpoints_count; i++)
+    {
+      const struct slot_state *slot
+          = ms_dispatch_slot (dispatch, cell->endpoints[i]->id);
+
+      if (slot && slot->usable && !slot->exclusive
+          && (!best || slot->granted < best->granted))
+        best = slot;
+    }
+  return best ? best->endpoint : 0;
+}
+
+/* Give a waiting suspect an endpoint of its own, or keep one free of new
+   work until it is empty: under load none would ever be.  */
+static void
+grant_suspect (struct ms_dispatch *dispatch, struct held_cell *held,
+               const struct ms_cell *cell, const struct ms_service *service,
+               ms_time now)
+{
+  struct demand *demand = oldest_suspect (dispatch, held, now);
+  struct slot_state *slot;
+
+  if (!demand)
+    {
+      held->kept_for_suspect = 0;
+      return;
+    }
+  slot = choose_slot (dispatch, held, cell, service->placement, true, now);
+  if (slot)
+    {
+      held->kept_for_suspect = 0;
+      issue (dispatch, held, demand, slot, MS_LANE_ALONE, now);
+    }
+  else if (!held->kept_for_suspect)
+    held->kept_for_suspect = least_granted (dispatch, cell);
+}
+
 static bool
 grant_one (struct ms_dispatch *dispatch, struct held_cell *held,
            const struct ms_cell *cell, const struct ms_service *service,
@@ -209,30 +257,24 @@
   static _Thread_local struct choice choice;
   struct team_service *shared
       = ms_dispatch_service (dispatch, held->service, now);
-  struct slot_state *empty
-      = choose_slot (dispatch, cell, service->placement, true, now);
   struct slot_state *slot
-      = choose_slot (dispatch, cell, service->placement, false, now);
+      = choose_slot (dispatch, held, cell, service->placement, false, now);
   const struct ms_policy *policy = ms_policy (
       ms_config_trial_cell (service, cell->index) ? service->trial->policy
                                                   : service->policy);
   struct demand *demand;
-  enum ms_lane lane;
   size_t pick;
 
   if (!slot)
     return false;
-  gather (dispatch, held, empty != NULL, &choice, now);
+  gather (dispatch, held, &choice, now);
   if (!choice.count)
     return false;
   for (size_t i = 0; i < choice.count; i++)
     ms_fair_waiting (shared->fair, choice.candidates[i].team, now);
   pick = policy->pick (shared->fair, choice.candidates, choice.count);
-  demand = oldest_demand (dispatch, held, choice.candidates[pick].team,
-                          empty != NULL, now);
-  lane = choose_lane (held, demand, empty != NULL);
-  issue (dispatch, held, demand, lane == MS_LANE_ALONE ? empty : slot, lane,
-         now);
+  demand = oldest_demand (dispatch, held, choice.candidates[pick].team, now);
+  issue (dispatch, held, demand, slot, choose_lane (held, demand), now);
   return true;
 }
 
@@ -247,6 +289,7 @@
 
   if (!service || !cell->endpoints_count || dispatch->stopped)
     return;
+  grant_suspect (dispatch, held, cell, service, now);
   while (grant_one (dispatch, held, cell, service, now))
     continue;
 }
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -117,7 +117,8 @@
   ms_time released_at;
   ms_time next_idle;
   ms_time next_handover;
-  unsigned interactive_run; /* Grants since the last long one.  */
+  uint64_t kept_for_suspect; /* Endpoint that gets no other work, or 0.  */
+  unsigned interactive_run;  /* Grants since the last long one.  */
   UT_hash_handle hh;
 };
 
--- a/src/replay/callers.c
+++ b/src/replay/callers.c
@@ -224,6 +224,14 @@
   call->retry_after = effect->answer.retry_after;
   call->state = CALL_ENDED;
   call->ended_at = world->now;
+  if (world->options.verbose && call->outcome > MS_NOT_RUN)
+    fprintf (world->options.verbose,
+             "%.1f ms: %s: request %zu of team %d, sent at %.1f and started "
+             "at %.1f, is %s (%s)\n",
+             (double)world->now / (double)MS_MSEC, world->nodes[node].name,
+             index, call->team, (double)call->sent_at / (double)MS_MSEC,
+             (double)call->first_start / (double)MS_MSEC,
+             ms_outcome_name (call->outcome), ms_reason_name (call->reason));
   if (world->nodes[node].leaving && call->outcome != MS_ANSWERED
       && call->reason != MS_REASON_DRAINING)
     world->notes.cut_by_drain++;
