--- /dev/null
+++ b/tests/traces/make_once_sweep.sh
@@ -0,0 +1,44 @@
+#!/bin/sh
+# Writes a trace that strikes a router at every step of a non-idempotent
+# request: nine orders go out, one through each router, and so many
+# milliseconds later one router is killed, cut off or frozen.
+
+cat <<'END'
+include litoral.inc
+seed 62
+END
+at=8000
+node=1
+for step in 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 16 18 20 25 30 40 60 80 120 \
+  200 300 400 500 600 800; do
+  for fault in kill cut freeze; do
+    for i in 1 2 3 4 5 6 7 8 9; do
+      echo "at $at send team=silo-0$i service=silo-mando cost=10 once resend=2 node=r$i"
+    done
+    case $fault in
+      kill)
+        echo "at $((at + step)) kill r$node"
+        echo "at $((at + step + 1500)) start r$node"
+        ;;
+      cut)
+        echo "at $((at + step)) cut r$node"
+        echo "at $((at + step + 2500)) heal"
+        ;;
+      freeze)
+        echo "at $((at + step)) freeze r$node for=2500"
+        ;;
+    esac
+    node=$((node % 9 + 1))
+    at=$((at + 9000))
+  done
+done
+cat <<END
+until $((at + 90000))
+expect sent >= 810
+expect lost == 0
+expect answered_twice == 0
+expect double == 0
+expect false_refusals == 0
+expect cold_over == 0
+expect reverted == 0
+END
