--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -342,8 +342,7 @@
   unsigned deaths
       = ms_guard_death (entry->guard, fingerprint, request->endpoint, now);
 
-  if (deaths)
-    ms_death_note (entry, fingerprint, deaths, false);
+  ms_death_note (entry, fingerprint, deaths, false);
 }
 
 /* The outcome of a request whose last attempt gave no whole answer.  */
--- a/src/guard/guard.c
+++ b/src/guard/guard.c
@@ -16,6 +16,7 @@
 {
   uint64_t fingerprint;
   unsigned deaths;
+  bool unproved; /* One more death, in a wide failure.  */
   ms_time at;
   UT_hash_handle hh;
 };
@@ -95,6 +96,8 @@
 
   if (!ms_enabled (MS_QUARANTINE) || !mark || now - mark->at > REMEMBERED)
     return MS_CLEAR;
+  if (!mark->deaths)
+    return MS_CLEAR;
   return mark->deaths >= QUARANTINE_AFTER ? MS_QUARANTINED : MS_SUSPECT;
 }
 
@@ -122,13 +125,17 @@
 ms_guard_death (struct ms_guard *guard, uint64_t fingerprint,
                 uint64_t endpoint, ms_time now)
 {
-  struct mark *mark;
+  bool wide = wide_failure (guard, endpoint, now);
+  struct mark *mark = obtain (guard, fingerprint);
 
-  if (wide_failure (guard, endpoint, now))
-    return 0;
-  mark = obtain (guard, fingerprint);
-  mark->deaths++;
   mark->at = now;
+  if (wide && !mark->deaths && !mark->unproved)
+    {
+      mark->unproved = true;
+      return 0;
+    }
+  mark->deaths += 1 + mark->unproved;
+  mark->unproved = false;
   return mark->deaths;
 }
 
@@ -157,6 +164,8 @@
   mark = obtain (guard, fingerprint);
   if (deaths > mark->deaths)
     mark->deaths = deaths;
+  if (!deaths && !mark->deaths)
+    mark->unproved = true;
   mark->at = now;
 }
 
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -26,15 +26,17 @@
 enum ms_verdict ms_guard_check (struct ms_guard *guard, uint64_t fingerprint,
                                 ms_time now);
 
-/* An endpoint ended under the request.  Returns the deaths now known; 0 if
-   so many endpoints ended at once that no request can be the cause.  */
+/* An endpoint ended under the request.  Returns the deaths now known; 0 if so
+   many endpoints ended at once that the request is hardly the cause.  That
+   too is remembered, and counts once another endpoint ends under it.  */
 unsigned ms_guard_death (struct ms_guard *guard, uint64_t fingerprint,
                          uint64_t endpoint, ms_time now);
 
 /* The request ran well; true if it was a suspect.  */
 bool ms_guard_success (struct ms_guard *guard, uint64_t fingerprint);
 
-/* A peer or the log tells of DEATHS, or that the request was CLEARED.  */
+/* A peer or the log tells of DEATHS, 0 for an unproved one, or that the
+   request was CLEARED.  */
 void ms_guard_told (struct ms_guard *guard, uint64_t fingerprint,
                     unsigned deaths, bool cleared, ms_time now);
 
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -115,6 +115,17 @@
     }
 }
 
+/* While routers are cut off, a dispatcher may not be told of a start by the
+   routers whose requests broke: its first sign is the endpoint's report.  */
+static bool
+some_cut (const struct world *world)
+{
+  for (unsigned i = 0; i < world->nodes_count; i++)
+    if (world->nodes[i].cut)
+      return true;
+  return false;
+}
+
 void
 world_endpoint_start (struct world *world, int index)
 {
@@ -122,8 +133,9 @@
 
   e->up = true;
   e->start_id++;
+  e->started_at = world->now;
   e->warm_at = world->now + e->trace->warm_after;
-  e->unannounced_at = 0;
+  e->unannounced_at = some_cut (world) ? world->now : 0;
   world_push (world, (struct item){ .at = e->warm_at,
                                     .kind = ITEM_ENDPOINT_START,
                                     .node = -1,
@@ -411,6 +423,10 @@
           || world->endpoints[index].start_id != item->b)
         return;
       world->notes.crashes++;
+      if (world->options.verbose)
+        fprintf (world->options.verbose, "%.1f ms: a request ended %s\n",
+                 (double)world->now / (double)MS_MSEC,
+                 world->endpoints[index].trace->name);
       world_endpoint_stop (world, index);
       world_push (world, (struct item){ .at = world->now + RESTART_AFTER,
                                         .kind = ITEM_ENDPOINT_START,
--- a/src/replay/platform.c
+++ b/src/replay/platform.c
@@ -232,13 +232,15 @@
         continue;
       world_push (
           world,
-          (struct item){ .at = world->now + 1000,
-                         .kind = ITEM_LOAD_REPLY,
-                         .node = index,
-                         .incarnation = world->nodes[index].incarnation,
-                         .a = ids[i],
-                         .b = world->endpoints[e].start_id,
-                         .c = world_load_at (world, e, world->now - lag) });
+          (struct item){
+              .at = world->now + 1000,
+              .kind = ITEM_LOAD_REPLY,
+              .node = index,
+              .incarnation = world->nodes[index].incarnation,
+              .a = ids[i],
+              .b = world->endpoints[e].start_id
+                   - (world->now - lag < world->endpoints[e].started_at),
+              .c = world_load_at (world, e, world->now - lag) });
     }
 }
 
--- a/src/replay/world.h
+++ b/src/replay/world.h
@@ -100,6 +100,8 @@
   bool listed;
   ms_time leaving_since;
   uint64_t start_id;
+  ms_time started_at;
+
   ms_time warm_at;        /* When its cold start ends.  */
   ms_time unannounced_at; /* Its cold start began without a sign; or 0.  */
   unsigned running;
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -47,6 +47,23 @@
   ms_guard_destroy (guard);
 }
 
+static void
+test_unproved_death_counts_with_the_next (void **state)
+{
+  struct ms_guard *guard = ms_guard_create ();
+
+  (void)state;
+  ms_guard_death (guard, 1, 11, 0);
+  ms_guard_death (guard, 2, 12, 1000);
+  assert_int_equal (ms_guard_death (guard, POISON, 13, 2000), 0);
+  assert_int_equal (ms_guard_death (guard, POISON, 14, 3000), 2);
+  assert_int_equal (ms_guard_check (guard, POISON, 3000), MS_QUARANTINED);
+  ms_guard_told (guard, 5, 0, false, 3000);
+  assert_int_equal (ms_guard_check (guard, 5, 3000), MS_CLEAR);
+  assert_int_equal (ms_guard_death (guard, 5, 15, 9 * MS_SEC), 2);
+  ms_guard_destroy (guard);
+}
+
 static void
 test_batch_on_one_endpoint_marks_all (void **state)
 {
@@ -78,6 +95,7 @@
     cmocka_unit_test (test_two_deaths_are_quarantined),
     cmocka_unit_test (test_success_clears_a_suspect_only),
     cmocka_unit_test (test_many_endpoints_at_once_mark_nobody),
+    cmocka_unit_test (test_unproved_death_counts_with_the_next),
     cmocka_unit_test (test_batch_on_one_endpoint_marks_all),
     cmocka_unit_test (test_quarantine_ends),
   };
