Confirm warmth only by requests that surely ran

Ruled out: shorter polls. Change: requests begun before the last cold sign do not count; warmth stays confirmed only while some request has run for over 100 ms, and a report confirms only if a request ran from before it was made.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -143,7 +143,7 @@
   slot->endpoint = endpoint->id;
   slot->cell = endpoint->cell;
   slot->idle_since = now;
-  ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit);
+  ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit, now);
   ms_occupancy_distrust (slot, now);
   HASH_ADD (hh, dispatch->slots, endpoint, sizeof slot->endpoint, slot);
   return slot;
@@ -166,7 +166,7 @@
       ms_limit_bounds (&slot->limit, service->cold_limit, service->warm_limit);
       slot->cell = cell->id;
       if (usable && !slot->usable)
-        ms_limit_chill (&slot->limit);
+        ms_limit_chill (&slot->limit, now);
       slot->usable = usable;
     }
 }
@@ -184,7 +184,8 @@
 
       if (!slot)
         continue;
-      ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit);
+      ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit,
+                      now);
       ms_occupancy_distrust (slot, now);
     }
   held->held = true;
--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -182,8 +182,7 @@
   grant->charged = ms_fair_estimate (service->fair, grant->team, demand->hint);
   ms_fair_charge (service->fair, grant->team, grant->charged);
   HASH_ADD (hh, dispatch->grants, id, sizeof grant->id, grant);
-  if (!slot->granted++)
-    slot->busy_since = now;
+  slot->granted++;
   slot->exclusive = lane == MS_LANE_ALONE;
   demand->pending++;
   demand->since = now;
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -24,6 +24,9 @@
 /* An entry router silent for this long is taken to have ended.  */
 #define ENTRY_SILENT_AFTER (2500 * MS_MSEC)
 
+/* A request that an entry said it starts has begun after this time.  */
+#define START_MARGIN (100 * MS_MSEC)
+
 /* Time a done message may be under way.  */
 #define TRANSIT_MARGIN (250 * MS_MSEC)
 
@@ -99,9 +102,8 @@
   bool exclusive;     /* A suspect runs alone.  */
   bool usable;        /* At the last change of the view.  */
   ms_time idle_since; /* No grant in the ledger since.  */
-  bool confirmed;     /* Warm since it last stood idle.  */
-  ms_time busy_since;
-  bool lapsed; /* Stale and idle so long that the part is given up.  */
+  bool confirmed;     /* Known warm, and at work ever since.  */
+  bool lapsed;        /* Stale and idle so long that the part is given up.  */
   UT_hash_handle hh;
 };
 
@@ -162,6 +164,11 @@
 uint32_t ms_occupancy_free (struct ms_dispatch *dispatch,
                             struct slot_state *slot, ms_time now);
 
+/* Whether a request has certainly run on SLOT from BEFORE on until now: a
+   restart meanwhile would have broken it.  */
+bool ms_ledger_ran_since (struct ms_dispatch *dispatch,
+                          const struct slot_state *slot, ms_time before);
+
 /* Forget what is known of other dispatchers' requests on SLOT.  */
 void ms_occupancy_distrust (struct slot_state *slot, ms_time now);
 
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -31,6 +31,17 @@
     demand->pending--;
 }
 
+bool
+ms_ledger_ran_since (struct ms_dispatch *dispatch,
+                     const struct slot_state *slot, ms_time before)
+{
+  for (const struct grant *g = dispatch->grants; g; g = g->hh.next)
+    if (g->endpoint == slot->endpoint && g->state == GRANT_STARTED
+        && g->started_at + START_MARGIN < before)
+      return true;
+  return false;
+}
+
 void
 ms_ledger_close (struct ms_dispatch *dispatch, struct grant *grant,
                  uint32_t cost, ms_time now)
@@ -40,17 +51,17 @@
   struct slot_state *slot = ms_dispatch_slot (dispatch, grant->endpoint);
 
   settle_pending (dispatch, grant);
+  HASH_DEL (dispatch->grants, grant);
   ms_fair_charge (service->fair, grant->team, (int64_t)cost - grant->charged);
   if (slot && slot->granted)
     {
       slot->granted--;
       slot->idle_since = now;
-      if (!slot->granted)
+      if (!ms_ledger_ran_since (dispatch, slot, now))
         slot->confirmed = false;
       if (grant->lane == MS_LANE_ALONE)
         slot->exclusive = false;
     }
-  HASH_DEL (dispatch->grants, grant);
   free (grant);
 }
 
@@ -114,15 +125,15 @@
     case MS_RESULT_OK:
       ms_fair_learn (shared->fair, grant->team, done->cost);
       if (ms_limit_success (&slot->limit, done->cost, done->duration,
-                            service->unit_us))
+                            service->unit_us, now))
         slot->confirmed = true;
       break;
     case MS_RESULT_OVERLOADED:
-      ms_limit_overload (&slot->limit);
+      ms_limit_overload (&slot->limit, now);
       break;
     case MS_RESULT_CONNECT_FAILED:
     case MS_RESULT_RESET:
-      ms_limit_chill (&slot->limit);
+      ms_limit_chill (&slot->limit, now);
       break;
     default:
       break;
@@ -173,7 +184,7 @@
     return;
   if (grant->cost_seen && cost >= grant->cost_seen)
     ms_limit_pace (&slot->limit, cost - grant->cost_seen,
-                   now - grant->cost_seen_at, service->unit_us);
+                   now - grant->cost_seen_at, service->unit_us, now);
   grant->cost_seen = cost;
   grant->cost_seen_at = now;
 }
--- a/src/dispatch/occupancy.c
+++ b/src/dispatch/occupancy.c
@@ -241,12 +241,13 @@
   service = ms_config_service (dispatch->view->config, cell->service);
   if (slot->start_id && start_id != slot->start_id)
     {
-      ms_limit_chill (&slot->limit);
+      ms_limit_chill (&slot->limit, now);
       if (others_possible (dispatch, slot))
         ms_occupancy_distrust (slot, now);
     }
-  if (start_id == slot->start_id && slot->granted
-      && now - (ms_time)service->report_lag_ms * MS_MSEC > slot->busy_since)
+  if (start_id == slot->start_id
+      && ms_ledger_ran_since (dispatch, slot,
+                              now - (ms_time)service->report_lag_ms * MS_MSEC))
     slot->confirmed = true;
   slot->start_id = start_id;
   if (slot->report.known && others_possible (dispatch, slot))
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -3,6 +3,7 @@
 #include "dispatch/limit.h"
 
 #define UNIT (10 * MS_MSEC)
+#define NOW (100 * MS_SEC)
 
 static void
 test_grows_only_near_the_usual_pace (void **state)
@@ -10,12 +11,12 @@
   struct ms_limit limit;
 
   (void)state;
-  ms_limit_start (&limit, 2, 8);
+  ms_limit_start (&limit, 2, 8, 0);
   for (int i = 0; i < 20; i++)
-    ms_limit_success (&limit, 10, 3 * 10 * UNIT, UNIT);
+    ms_limit_success (&limit, 10, 3 * 10 * UNIT, UNIT, NOW);
   assert_int_equal (limit.current, 2);
   for (int i = 0; i < 20; i++)
-    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT, NOW);
   assert_int_equal (limit.current, 8);
   assert_true (limit.is_warm);
 }
@@ -26,10 +27,10 @@
   struct ms_limit limit;
 
   (void)state;
-  ms_limit_start (&limit, 2, 8);
+  ms_limit_start (&limit, 2, 8, 0);
   for (int i = 0; i < 20; i++)
-    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
-  assert_false (ms_limit_success (&limit, 10, 5 * 10 * UNIT, UNIT));
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT, NOW);
+  assert_false (ms_limit_success (&limit, 10, 5 * 10 * UNIT, UNIT, NOW));
   assert_int_equal (limit.current, 2);
   assert_false (limit.is_warm);
 }
@@ -40,12 +41,12 @@
   struct ms_limit limit;
 
   (void)state;
-  ms_limit_start (&limit, 2, 8);
+  ms_limit_start (&limit, 2, 8, 0);
   for (int i = 0; i < 3; i++)
-    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
-  ms_limit_pace (&limit, 90, 100 * UNIT, UNIT);
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT, NOW);
+  ms_limit_pace (&limit, 90, 100 * UNIT, UNIT, NOW);
   assert_true (limit.is_warm);
-  ms_limit_pace (&limit, 19, 100 * UNIT, UNIT);
+  ms_limit_pace (&limit, 19, 100 * UNIT, UNIT, NOW);
   assert_false (limit.is_warm);
 }
 
@@ -55,16 +56,29 @@
   struct ms_limit limit;
 
   (void)state;
-  ms_limit_start (&limit, 2, 8);
+  ms_limit_start (&limit, 2, 8, 0);
   for (int i = 0; i < 20; i++)
-    ms_limit_success (&limit, 10, 10 * UNIT, UNIT);
-  ms_limit_overload (&limit);
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT, NOW);
+  ms_limit_overload (&limit, NOW);
   assert_int_equal (limit.current, 4);
-  ms_limit_overload (&limit);
-  ms_limit_overload (&limit);
+  ms_limit_overload (&limit, NOW);
+  ms_limit_overload (&limit, NOW);
   assert_int_equal (limit.current, 2);
 }
 
+/* A request that began before the cold start ran mostly at the old pace.  */
+static void
+test_earlier_requests_do_not_warm (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8, NOW);
+  for (int i = 0; i < 20; i++)
+    ms_limit_success (&limit, 10, 10 * UNIT, UNIT, NOW + 5 * UNIT);
+  assert_false (limit.is_warm);
+}
+
 int
 main (void)
 {
@@ -73,6 +87,7 @@
     cmocka_unit_test (test_slow_end_is_a_cold_sign),
     cmocka_unit_test (test_slow_progress_is_a_cold_sign),
     cmocka_unit_test (test_overload_halves),
+    cmocka_unit_test (test_earlier_requests_do_not_warm),
   };
 
   return RUN (tests);
