Tell ends twice; allow grants under way when an endpoint restarts

Change: each end goes out again at the next tick, and a request proves an endpoint alive only while its entry lists it.

--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -27,6 +27,9 @@
 /* A request that an entry said it starts has begun after this time.  */
 #define START_MARGIN (100 * MS_MSEC)
 
+/* Entries tell this often what they run, and a little later.  */
+#define RUNNING_LIST_PERIOD (1100 * MS_MSEC)
+
 /* Time a done message may be under way.  */
 #define TRANSIT_MARGIN (250 * MS_MSEC)
 
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -37,7 +37,8 @@
 {
   for (const struct grant *g = dispatch->grants; g; g = g->hh.next)
     if (g->endpoint == slot->endpoint && g->state == GRANT_STARTED
-        && g->started_at + START_MARGIN < before)
+        && g->started_at + START_MARGIN < before
+        && g->heard_at + RUNNING_LIST_PERIOD > before)
       return true;
   return false;
 }
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -5,10 +5,6 @@
 /* Weight of the newest interval in the mean between grants.  */
 #define INTERVAL_SHARE 8
 
-/* The end of a request that tells of a fault is sent so often, since the
-   endpoint may be cold from then on.  */
-#define FAULT_COPIES 3
-
 static bool
 tried (const struct request *request, uint64_t endpoint)
 {
@@ -187,20 +183,38 @@
   start (entry, request, endpoint, grant->echo + MS_GRANT_LIFETIME);
 }
 
+static void
+tell_end (struct ms_entry *entry, const struct told_end *end)
+{
+  peer_message message = { .body = { .kind = PEER_DONE } };
+
+  message.body.peer_body_u.done = end->done;
+  ms_entry_send (entry, end->grantor, &message);
+}
+
 void
 ms_binding_done (struct ms_entry *entry, const struct request *request,
                  enum ms_result result, ms_time duration)
 {
-  peer_message message = { .body = { .kind = PEER_DONE } };
-  int copies = result == MS_RESULT_OK ? 1 : FAULT_COPIES;
-
-  message.body.peer_body_u.done = (peer_done){ .grant = request->grant,
-                                               .cell = request->cell,
-                                               .result = result,
-                                               .cost = request->cost,
-                                               .duration = duration };
-  for (int i = 0; i < copies; i++)
-    ms_entry_send (entry, request->grantor, &message);
+  const struct told_end end = { .grantor = request->grantor,
+                                .done = { .grant = request->grant,
+                                          .cell = request->cell,
+                                          .result = result,
+                                          .cost = request->cost,
+                                          .duration = duration } };
+
+  tell_end (entry, &end);
+  if (entry->ends_count < MAX_ENDS_TOLD)
+    entry->ends[entry->ends_count++] = end;
+}
+
+void
+ms_binding_repeat_ends (struct ms_entry *entry)
+{
+  for (unsigned i = 0; i < entry->ends_count; i++)
+    if (entry->ends[i].grantor != entry->view->self)
+      tell_end (entry, &entry->ends[i]);
+  entry->ends_count = 0;
 }
 
 /* The running requests of one cell, as one grantor knows them.  */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -486,6 +486,7 @@
   end_overdue (entry, now);
   ms_demand_rounds (entry, now);
   ms_death_repeat (entry);
+  ms_binding_repeat_ends (entry);
   if (now >= entry->next_running)
     {
       entry->next_running = now + RUNNING_PERIOD;
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -88,8 +88,18 @@
 /* Grants remembered, so that a repeat is not taken for a new one.  */
 #define GRANTS_REMEMBERED 512
 
+/* Ends told a second time at the next tick, since messages may be lost.  */
+#define MAX_ENDS_TOLD 64
+struct told_end
+{
+  uint64_t grantor;
+  peer_done done;
+};
+
 struct ms_entry
 {
+  struct told_end ends[MAX_ENDS_TOLD];
+  unsigned ends_count;
   uint64_t recent_grants[GRANTS_REMEMBERED];
   unsigned recent_next;
   struct ms_view *view;
@@ -143,6 +153,7 @@
 void ms_binding_done (struct ms_entry *entry, const struct request *request,
                       enum ms_result result, ms_time duration);
 void ms_binding_running (struct ms_entry *entry, ms_time now);
+void ms_binding_repeat_ends (struct ms_entry *entry);
 
 void ms_death_note (struct ms_entry *entry, uint64_t fingerprint,
                     unsigned deaths, bool cleared);
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -284,6 +284,15 @@
   return world->runs_count++;
 }
 
+/* Whether the broken connections of a start cannot have reached the dispatcher
+   and its last grants the entries yet: one message each way and the starts. */
+static bool
+sign_under_way (const struct world *world, const struct world_endpoint *e)
+{
+  return world->now - e->started_at
+         <= 2 * (world->trace->delay_high + ENDPOINT_DELAY);
+}
+
 /* Note a start that the endpoint or its zone should not have got.  */
 static void
 note_start (struct world *world, int index, int node)
@@ -302,7 +311,9 @@
                  (double)world->now / (double)MS_MSEC, e->trace->name,
                  e->running, world->nodes[node].name);
 
-      if (!e->unannounced_at)
+      if (sign_under_way (world, e))
+        notes->cold_over_unannounced[0]++;
+      else if (!e->unannounced_at)
         {
           if (!notes->cold_over++)
             notes->cold_over_first = world->now;
