Share totals with the dispatchers of the service only

Cause: each router told every other its totals each second. Ruled out: a slower period, which widens the bound on the fairness gap. Change: only routers that dispatch cells of the service get them.

--- a/src/dispatch/totals.c
+++ b/src/dispatch/totals.c
@@ -39,6 +39,17 @@
   ms_dispatch_send (dispatch, to, &message);
 }
 
+/* Only routers that dispatch the service's cells choose among its teams.  */
+static bool
+dispatches (const struct ms_view *view, uint64_t node, uint64_t service)
+{
+  for (unsigned i = 0; i < view->cells_count; i++)
+    if (view->cells[i].service == service && view->cells[i].holder == node
+        && view->cells[i].endpoints_count)
+      return true;
+  return false;
+}
+
 static void
 share (struct ms_dispatch *dispatch, struct team_service *service, bool all,
        ms_time now)
@@ -50,7 +61,8 @@
   if (!count)
     return;
   for (unsigned i = 0; i < view->members_count; i++)
-    if (view->members[i].id != view->self)
+    if (view->members[i].id != view->self
+        && dispatches (view, view->members[i].id, service->service))
       send_totals (dispatch, view->members[i].id, service->service, view->self,
                    view->incarnation, now, totals, count);
 }
