--- a/src/dispatch/limit.c
+++ b/src/dispatch/limit.c
@@ -66,7 +66,7 @@
 {
   if (!ms_enabled (MS_PACE_WATCH))
     return;
-  if (limit->is_warm && duration > COLD_PACE * (ms_time)(cost + 1) * unit)
+  if (duration > COLD_PACE * (ms_time)(cost + 1) * unit)
     ms_limit_chill (limit, now);
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -66,6 +66,20 @@
   assert_int_equal (limit.current, 2);
 }
 
+/* A cold endpoint that goes on slowly has not begun to warm up.  */
+static void
+test_slow_progress_renews_the_cold_sign (void **state)
+{
+  struct ms_limit limit;
+
+  (void)state;
+  ms_limit_start (&limit, 2, 8, 0);
+  ms_limit_pace (&limit, 19, 100 * UNIT, UNIT, NOW);
+  for (int i = 0; i < 3; i++)
+    ms_limit_success (&limit, 10, 15 * UNIT, UNIT, NOW + 10 * UNIT);
+  assert_false (limit.is_warm);
+}
+
 /* A request that began before the cold start ran mostly at the old pace.  */
 static void
 test_earlier_requests_do_not_warm (void **state)
@@ -88,6 +102,7 @@
     cmocka_unit_test (test_slow_progress_is_a_cold_sign),
     cmocka_unit_test (test_overload_halves),
     cmocka_unit_test (test_earlier_requests_do_not_warm),
+    cmocka_unit_test (test_slow_progress_renews_the_cold_sign),
   };
 
   return RUN (tests);
