State demand to eight cells of a service in a round

Ruled out: a longer period (grants are void 1.5 s after the demand they answer). Change: a round tells the next eight cells in turn.

--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -6,6 +6,10 @@
 
 #define ROUND_PERIOD (500 * MS_MSEC)
 
+/* Cells told in a round; with more of them each hears of a router's demand
+   now and then, and the shared totals keep shares even.  */
+#define ROUND_CELLS 8
+
 /* A request that waited this long is made known to every cell.  */
 #define SPREAD_AFTER (50 * MS_MSEC)
 
@@ -136,15 +140,23 @@
   return false;
 }
 
+/* Tell the next ROUND_CELLS cells of the service, in turn over the rounds.  */
 static void
-send_round (struct ms_entry *entry, uint64_t service, ms_time now)
+send_round (struct ms_entry *entry, struct service_round *round, ms_time now)
 {
   struct ms_view *view = entry->view;
+  unsigned told = 0;
 
-  for (unsigned i = 0; i < view->cells_count; i++)
-    if (view->cells[i].service == service
-        && has_usable (entry, &view->cells[i]))
-      ms_demand_send (entry, &view->cells[i], 0, now);
+  for (unsigned i = 0; i < view->cells_count && told < ROUND_CELLS; i++)
+    {
+      struct ms_cell *cell
+          = &view->cells[round->next_cell++ % view->cells_count];
+
+      if (cell->service != round->service || !has_usable (entry, cell))
+        continue;
+      ms_demand_send (entry, cell, 0, now);
+      told++;
+    }
 }
 
 void
@@ -156,6 +168,6 @@
           || !waited_long (entry, r->service, now))
         continue;
       r->last_round = now;
-      send_round (entry, r->service, now);
+      send_round (entry, r, now);
     }
 }
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -70,6 +70,7 @@
 {
   uint64_t service;
   ms_time last_round;
+  unsigned next_cell; /* Where the next round goes on.  */
   unsigned waiting;
   UT_hash_handle hh;
 };
