Predict what other routers charged but have not told

Ruled out: sharing more often, which the control budget forbids. Change: each other router that shares totals is taken to have charged what this one charged since the last mark but one, 0.5 to 1 s ago.

--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -136,6 +136,7 @@
   ms_time created_at;
   ms_time next_want;
   ms_time next_share;
+  ms_time next_mark;
   UT_hash_handle hh;
 };
 
--- a/src/dispatch/totals.c
+++ b/src/dispatch/totals.c
@@ -93,6 +93,11 @@
   for (struct team_service *s = dispatch->services; s; s = s->hh.next)
     {
       want (dispatch, s, now);
+      if (now >= s->next_mark)
+        {
+          s->next_mark = now + SHARE_PERIOD / 2;
+          ms_fair_mark (s->fair);
+        }
       if (now < s->next_share)
         continue;
       s->next_share = now + SHARE_PERIOD;
--- a/src/fair/fair.c
+++ b/src/fair/fair.c
@@ -76,10 +76,21 @@
   ms_fair_account (fair, team)->weight = weight ? weight : 1;
 }
 
+/* What the other routers charged but have not told yet: each is taken to do
+   as this one did lately.  Otherwise all would serve the same team until the
+   next totals arrive.  */
+static int64_t
+predicted (const struct ms_fair *fair, const struct account *account)
+{
+  return (int64_t)HASH_COUNT (fair->owners)
+         * (account->own - account->marked_last);
+}
+
 static double
-counter (const struct account *account)
+counter (const struct ms_fair *fair, const struct account *account)
 {
-  int64_t units = account->own + account->ended + account->others;
+  int64_t units = account->own + account->ended + account->others
+                  + predicted (fair, account);
 
   return (double)units / account->weight + account->lift;
 }
@@ -87,7 +98,7 @@
 double
 ms_fair_counter (struct ms_fair *fair, uint64_t team)
 {
-  return counter (ms_fair_account (fair, team));
+  return counter (fair, ms_fair_account (fair, team));
 }
 
 /* The lowest counter among teams that wait, other than EXCEPT.  */
@@ -99,7 +110,7 @@
 
   for (struct account *a = fair->accounts; a; a = a->hh.next)
     {
-      double value = counter (a);
+      double value = counter (fair, a);
 
       if (a == except || now - a->last_waiting > PAUSE_AFTER)
         continue;
@@ -118,8 +129,8 @@
 
   if (now - account->last_waiting > PAUSE_AFTER
       && lowest_waiting (fair, account, now, &lowest)
-      && counter (account) < lowest)
-    account->lift += lowest - counter (account);
+      && counter (fair, account) < lowest)
+    account->lift += lowest - counter (fair, account);
   account->last_waiting = now;
 }
 
@@ -132,6 +143,16 @@
   account->changed = true;
 }
 
+void
+ms_fair_mark (struct ms_fair *fair)
+{
+  for (struct account *a = fair->accounts; a; a = a->hh.next)
+    {
+      a->marked_last = a->marked;
+      a->marked = a->own;
+    }
+}
+
 uint32_t
 ms_fair_estimate (struct ms_fair *fair, uint64_t team, uint32_t hint)
 {
--- a/src/fair/fair.h
+++ b/src/fair/fair.h
@@ -46,6 +46,9 @@
 /* Add UNITS, which may be negative, to what TEAM received here.  */
 void ms_fair_charge (struct ms_fair *fair, uint64_t team, int64_t units);
 
+/* Call twice in the time that totals take to arrive.  */
+void ms_fair_mark (struct ms_fair *fair);
+
 /* The team's weighted counter.  */
 double ms_fair_counter (struct ms_fair *fair, uint64_t team);
 
--- a/src/fair/internal.h
+++ b/src/fair/internal.h
@@ -9,9 +9,11 @@
 {
   uint64_t team;
   uint32_t weight;
-  int64_t own;    /* Charged here.  */
-  int64_t ended;  /* Left by ended incarnations of any router.  */
-  int64_t others; /* Sum of the rows of other routers.  */
+  int64_t own;         /* Charged here.  */
+  int64_t marked;      /* Own at the last mark.  */
+  int64_t marked_last; /* Own at the mark before.  */
+  int64_t ended;       /* Left by ended incarnations of any router.  */
+  int64_t others;      /* Sum of the rows of other routers.  */
   double lift;
   double deficit; /* Of the deficit policy.  */
   ms_time last_waiting;
--- a/tests/test_fair.c
+++ b/tests/test_fair.c
@@ -112,6 +112,24 @@
   ms_fair_destroy (fair);
 }
 
+/* Two other routers are taken to charge what this one charged lately.  */
+static void
+test_untold_charges_are_predicted (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+  const struct ms_total totals[] = { { TEAM_A, 0 } };
+
+  (void)state;
+  ms_fair_merge (fair, 8, 1, 100, totals, 1);
+  ms_fair_merge (fair, 9, 1, 100, totals, 1);
+  ms_fair_charge (fair, TEAM_B, 50);
+  assert_true (ms_fair_counter (fair, TEAM_B) == 150);
+  ms_fair_mark (fair);
+  ms_fair_mark (fair);
+  assert_true (ms_fair_counter (fair, TEAM_B) == 50);
+  ms_fair_destroy (fair);
+}
+
 static void
 test_estimate_learns (void **state)
 {
@@ -147,6 +165,7 @@
     cmocka_unit_test (test_totals_of_others_count),
     cmocka_unit_test (test_older_totals_are_dropped),
     cmocka_unit_test (test_ended_incarnation_still_counts),
+    cmocka_unit_test (test_untold_charges_are_predicted),
     cmocka_unit_test (test_estimate_learns),
     cmocka_unit_test (test_first_come_ignores_counters),
   };
