--- a/tests/proofs.sh
+++ b/tests/proofs.sh
@@ -38,7 +38,11 @@
   case $name in
     '' | '#'*) continue ;;
   esac
-  "$BUILD/monsoonspur-replay" --without="$mechanism" \
+  case $mechanism in
+    policy:*) option=--policy=${mechanism#policy:} ;;
+    *) option=--without=$mechanism ;;
+  esac
+  "$BUILD/monsoonspur-replay" "$option" \
     "$here/traces/$name.trace" >"$BUILD/replay.out" 2>&1
   [ $? -eq 1 ]
   verdict "$name-without-$mechanism" $?
