Share totals with two dispatchers a second, in turn

Cause: at the two-year size a dispatcher would send 46.7 KB/s of totals, 16 times its limit. Ruled out for now: sums by zone, which lose state when their router changes. Change: each second the next two dispatchers of the service are told; the prediction covers as many rounds as it takes.

--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -137,6 +137,8 @@
   ms_time next_want;
   ms_time next_share;
   ms_time next_mark;
+  unsigned next_told; /* Place among the members where sharing goes on.  */
+  unsigned rounds;    /* Until all dispatchers are told.  */
   UT_hash_handle hh;
 };
 
@@ -151,7 +153,7 @@
   struct held_cell *cells;
   struct team_service *services;
   uint64_t grant_sequence;
-  unsigned share_round;
+
   bool stopped;
 };
 
--- a/src/dispatch/totals.c
+++ b/src/dispatch/totals.c
@@ -7,8 +7,8 @@
 /* A router that has no answer to its requests for totals goes without.  */
 #define WANT_FOR (3 * MS_SEC)
 
-/* Every so many rounds all totals go out again, in case some were lost.  */
-#define FULL_ROUND 10
+/* Dispatchers of a service that are told in a round.  */
+#define SHARE_FANOUT 2
 
 static void
 fill (peer_total *items, const struct ms_total *totals, size_t count)
@@ -50,21 +50,34 @@
   return false;
 }
 
-static void
-share (struct ms_dispatch *dispatch, struct team_service *service, bool all,
-       ms_time now)
+/* Tell the next SHARE_FANOUT dispatchers of the service, in turn; returns in
+   how many rounds all are told.  */
+static unsigned
+share (struct ms_dispatch *dispatch, struct team_service *service, ms_time now)
 {
   struct ms_view *view = dispatch->view;
   struct ms_total totals[PEER_TOTALS];
-  size_t count = ms_fair_changes (service->fair, all, totals, PEER_TOTALS);
+  size_t count = ms_fair_changes (service->fair, true, totals, PEER_TOTALS);
+  unsigned first = service->next_told;
+  unsigned others = 0;
+  unsigned told = 0;
 
-  if (!count)
-    return;
   for (unsigned i = 0; i < view->members_count; i++)
-    if (view->members[i].id != view->self
-        && dispatches (view, view->members[i].id, service->service))
-      send_totals (dispatch, view->members[i].id, service->service, view->self,
+    {
+      unsigned at = (first + i) % view->members_count;
+      uint64_t node = view->members[at].id;
+
+      if (node == view->self || !dispatches (view, node, service->service))
+        continue;
+      others++;
+      if (!count || told == SHARE_FANOUT)
+        continue;
+      send_totals (dispatch, node, service->service, view->self,
                    view->incarnation, now, totals, count);
+      told++;
+      service->next_told = at + 1;
+    }
+  return others ? (others + SHARE_FANOUT - 1) / SHARE_FANOUT : 1;
 }
 
 static void
@@ -95,13 +108,13 @@
       want (dispatch, s, now);
       if (now >= s->next_mark)
         {
-          s->next_mark = now + SHARE_PERIOD / 2;
+          s->next_mark = now + s->rounds * SHARE_PERIOD / 2;
           ms_fair_mark (s->fair);
         }
       if (now < s->next_share)
         continue;
       s->next_share = now + SHARE_PERIOD;
-      share (dispatch, s, dispatch->share_round++ % FULL_ROUND == 0, now);
+      s->rounds = share (dispatch, s, now);
     }
 }
 
