Tell totals of teams that waited lately only; build checks in parallel

Cause: a totals message holds 128 teams, and the first ever served filled it for good. Change: a team's total is told while it waits or is charged, and 30 s on. test_fair fails without it (2 told for 1).

--- a/Makefile
+++ b/Makefile
@@ -60,10 +60,11 @@
 	  || { apt-get update && apt-get install -y $(PACKAGES); }
 
 demo: install-packages
-	$(MAKE) all
+	$(MAKE) -j$(JOBS) all
 	BUILD=$(BUILD) sh tests/demo.sh
 
 check: install-packages
+	$(MAKE) -j$(JOBS) all-and-tests
 	$(MAKE) check-units
 	$(MAKE) check-traces
 	$(MAKE) check-e2e
@@ -89,11 +90,18 @@
 	$(BUILD)/bench-slopes
 	$(BUILD)/bench-slopes --csv >$(BUILD)/slopes.csv
 
+JOBS = $(shell nproc)
+SANITIZED = BUILD=build-asan CFLAGS="-O1 -g -fsanitize=address,undefined \
+	-fno-sanitize-recover=undefined -fno-omit-frame-pointer"
+
 # The same tests under the address and undefined-behaviour sanitizers.
 check-asan: install-packages
-	$(MAKE) BUILD=build-asan CFLAGS="-O1 -g -fsanitize=address,undefined \
-	  -fno-sanitize-recover=undefined -fno-omit-frame-pointer" \
-	  check-units check-asan-traces check-e2e
+	$(MAKE) $(SANITIZED) -j$(JOBS) all-and-tests
+	$(MAKE) $(SANITIZED) check-units
+	$(MAKE) $(SANITIZED) check-asan-traces
+	$(MAKE) $(SANITIZED) check-e2e
+
+all-and-tests: all $(TESTS)
 
 check-asan-traces: $(BUILD)/monsoonspur-replay
 	$(BUILD)/monsoonspur-replay tests/traces/*.trace
@@ -112,7 +120,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all bench slopes install-packages demo check check-units check-traces check-e2e check-asan \
+.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-traces check-e2e check-asan \
 	check-asan-traces lint format clean
 .SECONDARY:
 
--- a/src/dispatch/totals.c
+++ b/src/dispatch/totals.c
@@ -57,7 +57,7 @@
 {
   struct ms_view *view = dispatch->view;
   struct ms_total totals[PEER_TOTALS];
-  size_t count = ms_fair_changes (service->fair, true, totals, PEER_TOTALS);
+  size_t count = ms_fair_recent (service->fair, now, totals, PEER_TOTALS);
   unsigned first = service->next_told;
   unsigned others = 0;
   unsigned told = 0;
@@ -141,7 +141,7 @@
       send_totals (dispatch, message->from, service->service, owners[i],
                    incarnation, sent_at, totals, count);
     }
-  count = ms_fair_changes (service->fair, true, totals, PEER_TOTALS);
+  count = ms_fair_recent (service->fair, now, totals, PEER_TOTALS);
   send_totals (dispatch, message->from, service->service, dispatch->view->self,
                dispatch->view->incarnation, now, totals, count);
 }
--- a/src/fair/fair.c
+++ b/src/fair/fair.c
@@ -137,10 +137,7 @@
 void
 ms_fair_charge (struct ms_fair *fair, uint64_t team, int64_t units)
 {
-  struct account *account = ms_fair_account (fair, team);
-
-  account->own += units;
-  account->changed = true;
+  ms_fair_account (fair, team)->own += units;
 }
 
 void
--- a/src/fair/fair.h
+++ b/src/fair/fair.h
@@ -71,10 +71,10 @@
                     ms_time sent_at, const struct ms_total *totals,
                     size_t count);
 
-/* Copy up to SPACE own totals that changed since the last call; a call with
-   ALL gives every one.  Returns the number.  */
-size_t ms_fair_changes (struct ms_fair *fair, bool all,
-                        struct ms_total *totals, size_t space);
+/* Copy up to SPACE own totals of teams that waited or were charged lately;
+   returns the number.  */
+size_t ms_fair_recent (struct ms_fair *fair, ms_time now,
+                       struct ms_total *totals, size_t space);
 
 /* Copy up to SPACE of OWNER's totals, or with OWNER 0 what ended incarnations
    left.  */
--- a/src/fair/internal.h
+++ b/src/fair/internal.h
@@ -18,7 +18,6 @@
   double deficit; /* Of the deficit policy.  */
   ms_time last_waiting;
   double mean_cost; /* 0 before the first.  */
-  bool changed;
   UT_hash_handle hh;
 };
 
--- a/src/fair/share.c
+++ b/src/fair/share.c
@@ -2,6 +2,9 @@
 
 #include "fair/internal.h"
 
+/* Totals of a team go on being told for so long after it last waited.  */
+#define RECENT (30 * MS_SEC)
+
 static struct owner *
 find_owner (struct ms_fair *fair, uint64_t node)
 {
@@ -113,17 +116,17 @@
 }
 
 size_t
-ms_fair_changes (struct ms_fair *fair, bool all, struct ms_total *totals,
-                 size_t space)
+ms_fair_recent (struct ms_fair *fair, ms_time now, struct ms_total *totals,
+                size_t space)
 {
   size_t count = 0;
 
   for (struct account *a = fair->accounts; a && count < space; a = a->hh.next)
     {
-      if (!a->changed && !(all && a->own))
-        continue;
-      a->changed = false;
-      totals[count++] = (struct ms_total){ a->team, a->own };
+      bool waited = now - a->last_waiting < RECENT;
+
+      if (a->own && (waited || a->own != a->marked_last))
+        totals[count++] = (struct ms_total){ a->team, a->own };
     }
   return count;
 }
--- a/tests/test_fair.c
+++ b/tests/test_fair.c
@@ -130,6 +130,25 @@
   ms_fair_destroy (fair);
 }
 
+static void
+test_only_recent_totals_are_told (void **state)
+{
+  struct ms_fair *fair = ms_fair_create (1, 1);
+  struct ms_total totals[4];
+
+  (void)state;
+  ms_fair_waiting (fair, TEAM_A, 0);
+  ms_fair_charge (fair, TEAM_A, 50);
+  ms_fair_mark (fair);
+  ms_fair_mark (fair);
+  assert_int_equal (ms_fair_recent (fair, MS_SEC, totals, 4), 1);
+  assert_int_equal (ms_fair_recent (fair, 60 * MS_SEC, totals, 4), 0);
+  ms_fair_charge (fair, TEAM_A, 5);
+  assert_int_equal (ms_fair_recent (fair, 60 * MS_SEC, totals, 4), 1);
+  assert_int_equal (totals[0].units, 55);
+  ms_fair_destroy (fair);
+}
+
 static void
 test_estimate_learns (void **state)
 {
@@ -166,6 +185,7 @@
     cmocka_unit_test (test_older_totals_are_dropped),
     cmocka_unit_test (test_ended_incarnation_still_counts),
     cmocka_unit_test (test_untold_charges_are_predicted),
+    cmocka_unit_test (test_only_recent_totals_are_told),
     cmocka_unit_test (test_estimate_learns),
     cmocka_unit_test (test_first_come_ignores_counters),
   };
