--- a/src/config/follower.c
+++ b/src/config/follower.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "base/switches.h"
 #include "base/metrics.h"
@@ -33,10 +34,8 @@
 ms_follower_create (struct ms_view *view, const struct ms_sink *sink,
                     struct ms_random *random)
 {
-  struct ms_follower *follower = calloc (1, sizeof *follower);
+  struct ms_follower *follower = ms_new (sizeof *follower);
 
-  if (!follower)
-    abort ();
   follower->view = view;
   follower->sink = sink;
   follower->random = random;
@@ -200,9 +199,7 @@
     return part->total == follower->total;
   free (follower->text);
   follower->wanted = part->generation;
-  follower->text = malloc (part->total);
-  if (!follower->text)
-    abort ();
+  follower->text = ms_new (part->total);
   follower->total = part->total;
   follower->received = 0;
   return true;
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "config/config.h"
 #include "config/schema.h"
 #include "config/yaml.h"
@@ -151,11 +152,7 @@
       return status;
     }
   *config = data;
-  (*config)->text = malloc (text.length + 1);
-  if (!(*config)->text)
-    abort ();
-  memcpy ((*config)->text, text.data, text.length);
-  (*config)->text[text.length] = '\0';
+  (*config)->text = ms_copy (text.data, text.length);
   (*config)->text_length = (unsigned)text.length;
   return MS_OK;
 }
--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "dispatch/internal.h"
 
 static struct demand *
@@ -24,9 +25,7 @@
     return;
   if (!demand)
     {
-      demand = calloc (1, sizeof *demand);
-      if (!demand)
-        abort ();
+      demand = ms_new (sizeof *demand);
       demand->key = key;
       demand->since = now;
       HASH_ADD (hh, dispatch->demands, key, sizeof demand->key, demand);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/switches.h"
 #include "dispatch/internal.h"
 
@@ -10,10 +11,8 @@
 ms_dispatch_create (struct ms_view *view, const struct ms_sink *sink,
                     struct ms_random *random)
 {
-  struct ms_dispatch *dispatch = calloc (1, sizeof *dispatch);
+  struct ms_dispatch *dispatch = ms_new (sizeof *dispatch);
 
-  if (!dispatch)
-    abort ();
   dispatch->view = view;
   dispatch->sink = sink;
   dispatch->random = random;
@@ -104,9 +103,7 @@
   HASH_FIND (hh, dispatch->services, &id, sizeof id, service);
   if (service)
     return service;
-  service = calloc (1, sizeof *service);
-  if (!service)
-    abort ();
+  service = ms_new (sizeof *service);
   service->service = id;
   service->fair
       = ms_fair_create (dispatch->view->self, dispatch->view->incarnation);
@@ -136,10 +133,8 @@
 add_slot (struct ms_dispatch *dispatch, const struct ms_endpoint *endpoint,
           const struct ms_service *service, ms_time now)
 {
-  struct slot_state *slot = calloc (1, sizeof *slot);
+  struct slot_state *slot = ms_new (sizeof *slot);
 
-  if (!slot)
-    abort ();
   slot->endpoint = endpoint->id;
   slot->cell = endpoint->cell;
   slot->idle_since = now;
@@ -219,9 +214,7 @@
     return;
   if (!held)
     {
-      held = calloc (1, sizeof *held);
-      if (!held)
-        abort ();
+      held = ms_new (sizeof *held);
       held->id = cell->id;
       held->service = cell->service;
       HASH_ADD (hh, dispatch->cells, id, sizeof held->id, held);
--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "dispatch/internal.h"
 
 /* Every so many grants of a team, a waiting long request goes first.  */
@@ -162,9 +163,7 @@
 {
   struct team_service *service
       = ms_dispatch_service (dispatch, cell->service, now);
-  struct grant *grant = calloc (1, sizeof *grant);
-  if (!grant)
-    abort ();
+  struct grant *grant = ms_new (sizeof *grant);
   grant->id = ms_id_pair (
       ms_id_pair (dispatch->view->self, dispatch->view->incarnation),
       ++dispatch->grant_sequence);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/metrics.h"
 #include "base/switches.h"
 #include "entry/internal.h"
@@ -24,10 +25,8 @@
                  struct ms_random *random, struct ms_guard *guard,
                  struct ms_once *once)
 {
-  struct ms_entry *entry = calloc (1, sizeof *entry);
+  struct ms_entry *entry = ms_new (sizeof *entry);
 
-  if (!entry)
-    abort ();
   entry->view = view;
   entry->sink = sink;
   entry->random = random;
@@ -171,10 +170,8 @@
 static struct request *
 admit (struct ms_entry *entry, const struct ms_arrival *arrival, ms_time now)
 {
-  struct request *request = calloc (1, sizeof *request);
+  struct request *request = ms_new (sizeof *request);
 
-  if (!request)
-    abort ();
   request->id = arrival->request;
   request->arrival = *arrival;
   request->lane = arrival->lane;
--- a/src/entry/queue.c
+++ b/src/entry/queue.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "entry/internal.h"
 
 #define MIN_RETRY_AFTER (1 * MS_SEC)
@@ -14,9 +15,7 @@
   HASH_FIND (hh, entry->queues, &key, sizeof key, queue);
   if (queue)
     return queue;
-  queue = calloc (1, sizeof *queue);
-  if (!queue)
-    abort ();
+  queue = ms_new (sizeof *queue);
   queue->key = key;
   HASH_ADD (hh, entry->queues, key, sizeof queue->key, queue);
   return queue;
@@ -40,9 +39,7 @@
   HASH_FIND (hh, entry->rounds, &service, sizeof service, round);
   if (round)
     return round;
-  round = calloc (1, sizeof *round);
-  if (!round)
-    abort ();
+  round = ms_new (sizeof *round);
   round->service = service;
   HASH_ADD (hh, entry->rounds, service, sizeof round->service, round);
   return round;
--- a/src/fair/fair.c
+++ b/src/fair/fair.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "fair/internal.h"
 
 /* A team that waited within this time has not paused.  */
@@ -13,10 +14,8 @@
 struct ms_fair *
 ms_fair_create (uint64_t self, uint64_t incarnation)
 {
-  struct ms_fair *fair = calloc (1, sizeof *fair);
+  struct ms_fair *fair = ms_new (sizeof *fair);
 
-  if (!fair)
-    abort ();
   fair->self = self;
   fair->incarnation = incarnation;
   fair->bytes = sizeof *fair;
@@ -59,9 +58,7 @@
   HASH_FIND (hh, fair->accounts, &team, sizeof team, account);
   if (account)
     return account;
-  account = calloc (1, sizeof *account);
-  if (!account)
-    abort ();
+  account = ms_new (sizeof *account);
   account->team = team;
   account->weight = 1;
   account->last_waiting = -MS_NEVER / 2;
--- a/src/fair/share.c
+++ b/src/fair/share.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "fair/internal.h"
 
 /* Totals of a team go on being told for so long after it last waited.  */
@@ -13,9 +14,7 @@
   HASH_FIND (hh, fair->owners, &node, sizeof node, owner);
   if (owner)
     return owner;
-  owner = calloc (1, sizeof *owner);
-  if (!owner)
-    abort ();
+  owner = ms_new (sizeof *owner);
   owner->node = node;
   HASH_ADD (hh, fair->owners, node, sizeof owner->node, owner);
   fair->bytes += sizeof *owner;
@@ -30,9 +29,7 @@
   HASH_FIND (hh, owner->rows, &team, sizeof team, row);
   if (row)
     return row;
-  row = calloc (1, sizeof *row);
-  if (!row)
-    abort ();
+  row = ms_new (sizeof *row);
   row->team = team;
   row->sent_at = -MS_NEVER / 2;
   HASH_ADD (hh, owner->rows, team, sizeof row->team, row);
--- a/src/guard/guard.c
+++ b/src/guard/guard.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "base/switches.h"
 #include "guard/guard.h"
 
@@ -36,10 +37,8 @@
 struct ms_guard *
 ms_guard_create (void)
 {
-  struct ms_guard *guard = calloc (1, sizeof *guard);
+  struct ms_guard *guard = ms_new (sizeof *guard);
 
-  if (!guard)
-    abort ();
   for (int i = 0; i < WIDE_FAILURE; i++)
     guard->recent[i].at = -MS_NEVER / 2;
   return guard;
@@ -81,9 +80,7 @@
     return mark;
   if (HASH_COUNT (guard->marks) >= MAX_MARKS)
     drop (guard, guard->marks);
-  mark = calloc (1, sizeof *mark);
-  if (!mark)
-    abort ();
+  mark = ms_new (sizeof *mark);
   mark->fingerprint = fingerprint;
   HASH_ADD (hh, guard->marks, fingerprint, sizeof mark->fingerprint, mark);
   return mark;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "http/client.h"
 
 #include <curl/curl.h>
@@ -11,14 +12,10 @@
 {
   struct ms_reply *reply = context;
   size_t length = size * count;
-  char *grown;
 
   if (length > MAX_REPLY_BYTES - reply->length)
     return 0;
-  grown = realloc (reply->body, reply->length + length + 1);
-  if (!grown)
-    abort ();
-  reply->body = grown;
+  reply->body = ms_resize (reply->body, reply->length + length + 1, 1);
   memcpy (reply->body + reply->length, data, length);
   reply->length += length;
   reply->body[reply->length] = '\0';
--- a/src/library/builder.c
+++ b/src/library/builder.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <yaml.h>
 
+#include "base/alloc.h"
 #include "base/str.h"
 #include "config/config.h"
 
@@ -46,10 +47,8 @@
 static void *
 grow (void *rows, unsigned count, size_t size)
 {
-  char *grown = realloc (rows, (count + 1) * size);
+  char *grown = ms_resize (rows, (size_t)count + 1, size);
 
-  if (!grown)
-    abort ();
   memset (grown + count * size, 0, size);
   return grown;
 }
@@ -57,11 +56,7 @@
 static char *
 copy (const char *text)
 {
-  char *result = text ? strdup (text) : NULL;
-
-  if (text && !result)
-    abort ();
-  return result;
+  return text ? ms_copy (text, strlen (text)) : NULL;
 }
 
 struct ms_builder *
@@ -170,9 +165,7 @@
   service->trial.by = copy (spec->by);
   while (spec->teams && spec->teams[count])
     count++;
-  service->trial_teams = calloc (count + 1, sizeof (char *));
-  if (!service->trial_teams)
-    abort ();
+  service->trial_teams = ms_new_array ((size_t)count + 1, sizeof (char *));
   for (unsigned i = 0; i < count; i++)
     service->trial_teams[i] = copy (spec->teams[i]);
 }
@@ -351,12 +344,8 @@
 collect (void *context, unsigned char *data, size_t length)
 {
   struct buffer *buffer = context;
-  char *grown = realloc (buffer->data, buffer->length + length + 1);
-
-  if (!grown)
-    abort ();
-  memcpy (grown + buffer->length, data, length);
-  buffer->data = grown;
+  buffer->data = ms_resize (buffer->data, buffer->length + length + 1, 1);
+  memcpy (buffer->data + buffer->length, data, length);
   buffer->length += length;
   buffer->data[buffer->length] = '\0';
   return 1;
--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "member/liveness.h"
 
 #include <stdlib.h>
@@ -27,10 +28,8 @@
 ms_liveness_create (struct ms_view *view, const struct ms_sink *sink,
                     struct ms_random *random)
 {
-  struct ms_liveness *liveness = calloc (1, sizeof *liveness);
+  struct ms_liveness *liveness = ms_new (sizeof *liveness);
 
-  if (!liveness)
-    abort ();
   liveness->view = view;
   liveness->sink = sink;
   liveness->random = random;
--- a/src/member/record.c
+++ b/src/member/record.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "member/record.h"
 
 #include <inttypes.h>
@@ -98,10 +99,7 @@
   if (json_is_string (text))
     {
       record->text_length = json_string_length (text);
-      record->text = malloc (record->text_length + 1);
-      if (!record->text)
-        abort ();
-      memcpy (record->text, json_string_value (text), record->text_length + 1);
+      record->text = ms_copy (json_string_value (text), record->text_length);
     }
   return MS_OK;
 }
--- a/src/node/kept.c
+++ b/src/node/kept.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "node/internal.h"
 #include "rpc/codec.h"
 
@@ -9,10 +10,8 @@
 {
   char data[MS_MESSAGE_BYTES];
   unsigned length = ms_message_encode (message, data, sizeof data);
-  struct kept *kept = malloc (sizeof *kept + length);
+  struct kept *kept = ms_new (sizeof *kept + length);
 
-  if (!kept)
-    abort ();
   kept->next = NULL;
   kept->length = length;
   memcpy (kept->data, data, length);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "config/follower.h"
 #include "member/liveness.h"
@@ -25,10 +26,8 @@
 ms_node_create (const struct ms_node_options *options,
                 const struct ms_sink *sink)
 {
-  struct ms_node *node = calloc (1, sizeof *node);
+  struct ms_node *node = ms_new (sizeof *node);
 
-  if (!node)
-    abort ();
   node->sink = *sink;
   node->inner = (struct ms_sink){ forward, node };
   node->random.state = options->random_seed;
--- a/src/once/once.c
+++ b/src/once/once.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "once/once.h"
 
 #include <inttypes.h>
@@ -56,10 +57,8 @@
 ms_once_create (uint64_t node, uint64_t incarnation,
                 const struct ms_sink *sink)
 {
-  struct ms_once *once = calloc (1, sizeof *once);
+  struct ms_once *once = ms_new (sizeof *once);
 
-  if (!once)
-    abort ();
   once->node = node;
   once->incarnation = incarnation;
   once->sink = sink;
@@ -112,10 +111,8 @@
 submit (struct ms_once *once, uint64_t key, uint64_t request, bool is_intent,
         enum ms_outcome outcome)
 {
-  struct pending *pending = calloc (1, sizeof *pending);
+  struct pending *pending = ms_new (sizeof *pending);
 
-  if (!pending)
-    abort ();
   pending->tag = ++once->next_tag;
   pending->key = key;
   pending->request = request;
@@ -244,9 +241,7 @@
       HASH_DEL (once->keys, key);
       free (key);
     }
-  key = calloc (1, sizeof *key);
-  if (!key)
-    abort ();
+  key = ms_new (sizeof *key);
   key->key = id;
   key->owner = owner;
   key->state = KEY_INTENT;
--- a/src/platform/http_list.c
+++ b/src/platform/http_list.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "http/client.h"
 #include "platform/platform.h"
 
@@ -54,9 +55,7 @@
       json_decref (object);
       return ms_fail (MS_UNAVAILABLE, "instance list has no \"instances\"");
     }
-  *list = calloc (json_array_size (items) + 1, sizeof **list);
-  if (!*list)
-    abort ();
+  *list = ms_new_array (json_array_size (items), sizeof **list);
   *count = (unsigned)json_array_size (items);
   json_array_foreach (items, i, item) { fill (&(*list)[i], item); }
   json_decref (object);
--- a/src/replay/callers.c
+++ b/src/replay/callers.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 
 #define DEFAULT_TIMEOUT_MS 60000
@@ -34,9 +35,7 @@
     {
       world->calls_space = world->calls_space ? world->calls_space * 2 : 1024;
       world->calls
-          = realloc (world->calls, world->calls_space * sizeof *world->calls);
-      if (!world->calls)
-        abort ();
+          = ms_resize (world->calls, world->calls_space, sizeof *world->calls);
     }
   memset (&world->calls[world->calls_count], 0, sizeof *world->calls);
   return &world->calls[world->calls_count++];
--- a/src/replay/check.c
+++ b/src/replay/check.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "replay/check.h"
 
 #include <stdlib.h>
@@ -184,12 +185,10 @@
 wait_quantile (const struct world *world, const struct trace_line *line,
                double quantile)
 {
-  double *waits = calloc (world->calls_count + 1, sizeof *waits);
+  double *waits = ms_new_array (world->calls_count + 1, sizeof *waits);
   size_t count = 0;
   double result = 0;
 
-  if (!waits)
-    abort ();
   for (size_t i = 0; i < world->calls_count; i++)
     {
       const struct world_call *call = &world->calls[i];
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 
 #define PROGRESS_PERIOD (250 * MS_MSEC)
@@ -206,10 +207,8 @@
 send_end (struct world *world, const struct world_run *run,
           enum ms_result result, ms_time delay)
 {
-  struct ms_attempt_end *end = calloc (1, sizeof *end);
+  struct ms_attempt_end *end = ms_new (sizeof *end);
 
-  if (!end)
-    abort ();
   *end = (struct ms_attempt_end){ .request = run->request,
                                   .attempt = run->attempt,
                                   .result = result,
@@ -277,9 +276,7 @@
     if (!world->runs[i].active)
       return i;
   world->runs
-      = realloc (world->runs, (world->runs_count + 1) * sizeof *world->runs);
-  if (!world->runs)
-    abort ();
+      = ms_resize (world->runs, world->runs_count + 1, sizeof *world->runs);
   memset (&world->runs[world->runs_count], 0, sizeof *world->runs);
   return world->runs_count++;
 }
--- a/src/replay/heap.c
+++ b/src/replay/heap.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 
 static bool
@@ -26,9 +27,7 @@
     {
       world->heap_space = world->heap_space ? world->heap_space * 2 : 1024;
       world->heap
-          = realloc (world->heap, world->heap_space * sizeof *world->heap);
-      if (!world->heap)
-        abort ();
+          = ms_resize (world->heap, world->heap_space, sizeof *world->heap);
     }
   item.sequence = ++world->sequence;
   world->heap[i] = item;
--- a/src/replay/nodes.c
+++ b/src/replay/nodes.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 #include "rpc/codec.h"
 
@@ -44,9 +45,7 @@
       && (double)ms_random_below (&world->random, 1000000)
              < trace->loss * 1000000)
     return;
-  encoded = malloc (sizeof *encoded + length);
-  if (!encoded)
-    abort ();
+  encoded = ms_new (sizeof *encoded + length);
   encoded->length = length;
   memcpy (encoded->data, data, length);
   world_push (world,
--- a/src/replay/platform.c
+++ b/src/replay/platform.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 
 bool
@@ -92,9 +93,7 @@
     {
       stream->space = stream->space ? stream->space * 2 : 256;
       stream->records
-          = realloc (stream->records, stream->space * sizeof (void *));
-      if (!stream->records)
-        abort ();
+          = ms_resize (stream->records, stream->space, sizeof (void *));
     }
   stream->records[stream->end] = strdup (text);
   if (which == MS_STREAM_CONTROL)
@@ -260,9 +259,7 @@
   end = at ? strchr (at, '}') : NULL;
   if (!end)
     return ms_fail (MS_INVALID, "zone %s has no in_service", zone);
-  text = malloc (length);
-  if (!text)
-    abort ();
+  text = ms_new (length);
   snprintf (text, length, "%.*sin_service: %s%s", (int)(at - world->config),
             world->config, in_service ? "true" : "false", end);
   free (world->config);
--- a/src/replay/trace.c
+++ b/src/replay/trace.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/file.h"
 
 #define DEFAULT_KEEP 100000
@@ -93,9 +94,7 @@
 add_line (struct trace_line **lines, unsigned *count,
           const struct trace_line *line)
 {
-  *lines = realloc (*lines, (*count + 1) * sizeof **lines);
-  if (!*lines)
-    abort ();
+  *lines = ms_resize (*lines, *count + 1, sizeof **lines);
   (*lines)[(*count)++] = *line;
 }
 
@@ -305,11 +304,9 @@
 enum ms_status
 trace_load (const char *path, struct trace **out)
 {
-  struct trace *trace = calloc (1, sizeof *trace);
+  struct trace *trace = ms_new (sizeof *trace);
   enum ms_status status;
 
-  if (!trace)
-    abort ();
   *trace = (struct trace){ .seed = 1,
                            .delay_low = 1000,
                            .delay_high = 2000,
--- a/src/replay/world.c
+++ b/src/replay/world.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "replay/internal.h"
 #include "rpc/codec.h"
 
@@ -28,11 +29,9 @@
 {
   static const char mark[] = "${policy}";
   size_t length = strlen (text) + 1;
-  char *filled = calloc (1, length + 64 * strlen (policy));
+  char *filled = ms_new (length + 64 * strlen (policy));
   char *out = filled;
 
-  if (!filled)
-    abort ();
   while (*text)
     {
       if (strncmp (text, mark, sizeof mark - 1) == 0)
@@ -414,12 +413,10 @@
 world_run_trace (const struct trace *trace,
                  const struct world_options *options, struct world **out)
 {
-  struct world *world = calloc (1, sizeof *world);
+  struct world *world = ms_new (sizeof *world);
   enum ms_status status;
   struct item item;
 
-  if (!world)
-    abort ();
   world->trace = trace;
   world->options = *options;
   world->random.state = options->seed ? options->seed : trace->seed;
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -1,3 +1,4 @@
+#include "base/alloc.h"
 #include "router/attempt.h"
 
 #include <curl/curl.h>
@@ -130,14 +131,10 @@
 static size_t
 hold (struct ms_held *held, const char *data, size_t length)
 {
-  char *grown;
 
   if (length > MAX_HELD_BYTES - held->length)
     return 0;
-  grown = realloc (held->body, held->length + length + 1);
-  if (!grown)
-    abort ();
-  held->body = grown;
+  held->body = ms_resize (held->body, held->length + length, 1);
   memcpy (held->body + held->length, data, length);
   held->length += length;
   return length;
--- a/src/router/callers.c
+++ b/src/router/callers.c
@@ -8,6 +8,7 @@
 #include <urcu-bp.h>
 #include <xxhash.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "router/attempt.h"
@@ -151,9 +152,7 @@
 
   if (info->content_length > (long long)MAX_BODY_BYTES)
     return 413;
-  parsed->body = malloc (MAX_BODY_BYTES + 1);
-  if (!parsed->body)
-    abort ();
+  parsed->body = ms_new (MAX_BODY_BYTES + 1);
   while (used <= MAX_BODY_BYTES)
     {
       int n = mg_read (connection, parsed->body + used,
--- a/src/router/engine.c
+++ b/src/router/engine.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "journal/journal.h"
@@ -92,9 +93,8 @@
     }
   router->appends[i].stream = effect->append.stream;
   router->appends[i].tag = effect->append.tag;
-  router->appends[i].text = strdup (effect->append.text);
-  if (!router->appends[i].text)
-    abort ();
+  router->appends[i].text
+      = ms_copy (effect->append.text, strlen (effect->append.text));
   router->appends_count++;
   pthread_cond_signal (&router->append_queued);
 }
--- a/src/router/follow.c
+++ b/src/router/follow.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "http/client.h"
@@ -62,13 +63,10 @@
     {
       batch->space = batch->space ? batch->space * 2 : 64;
       batch->offsets
-          = realloc (batch->offsets, batch->space * sizeof *batch->offsets);
-      batch->texts
-          = realloc (batch->texts, batch->space * sizeof *batch->texts);
+          = ms_resize (batch->offsets, batch->space, sizeof *batch->offsets);
+      batch->texts = ms_resize (batch->texts, batch->space, sizeof (char *));
       batch->lengths
-          = realloc (batch->lengths, batch->space * sizeof *batch->lengths);
-      if (!batch->offsets || !batch->texts || !batch->lengths)
-        abort ();
+          = ms_resize (batch->lengths, batch->space, sizeof *batch->lengths);
     }
   batch->offsets[batch->count] = offset;
   batch->texts[batch->count] = strndup (text.data, text.length);
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -6,6 +6,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "base/alloc.h"
 #include "base/log.h"
 #include "base/version.h"
 #include "journal/journal.h"
@@ -87,12 +88,10 @@
 static struct ms_router *
 create_router (const struct ms_settings *settings, FILE *record)
 {
-  struct ms_router *router = calloc (1, sizeof *router);
+  struct ms_router *router = ms_new (sizeof *router);
   const struct ms_sink sink = { ms_router_emit, router };
   struct ms_node_options node = { 0 };
 
-  if (!router)
-    abort ();
   router->settings = settings;
   router->clock = ms_system_clock ();
   router->incarnation = realtime_us ();
--- a/src/rpc/transport.c
+++ b/src/rpc/transport.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/alloc.h"
 #include "base/address.h"
 #include "base/metrics.h"
 #include "rpc/codec.h"
@@ -124,11 +125,9 @@
 ms_transport_create (const char *address, ms_deliver *deliver, void *context,
                      struct ms_transport **out)
 {
-  struct ms_transport *transport = calloc (1, sizeof *transport);
+  struct ms_transport *transport = ms_new (sizeof *transport);
   enum ms_status status;
 
-  if (!transport)
-    abort ();
   transport->deliver = deliver;
   transport->context = context;
   status = bind_socket (transport, address);
--- a/src/view/cells.c
+++ b/src/view/cells.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "view/internal.h"
 
 uint64_t
@@ -171,11 +172,9 @@
 ms_view_rebuild_cells (struct ms_view *view, ms_time now)
 {
   unsigned count = count_cells (view->config);
-  struct ms_cell *cells = calloc (count ? count : 1, sizeof *cells);
+  struct ms_cell *cells = ms_new_array (count, sizeof *cells);
   unsigned used = 0;
 
-  if (!cells)
-    abort ();
   for (unsigned i = 0; i < view->config->services_count; i++)
     used += add_service_cells (cells + used, view->config,
                                &view->config->services[i]);
@@ -200,7 +199,6 @@
       struct ms_endpoint *endpoint = &view->endpoints[i];
       const struct ms_service *service;
       struct ms_cell *cell;
-      struct ms_endpoint **grown;
 
       endpoint->cell = 0;
       if (!view->config)
@@ -214,11 +212,8 @@
                       (unsigned)(endpoint->id % service->cells_per_zone)));
       if (!cell)
         continue;
-      grown = realloc (cell->endpoints,
-                       ((size_t)cell->endpoints_count + 1) * sizeof (void *));
-      if (!grown)
-        abort ();
-      cell->endpoints = grown;
+      cell->endpoints = ms_resize (
+          cell->endpoints, (size_t)cell->endpoints_count + 1, sizeof (void *));
       cell->endpoints[cell->endpoints_count++] = endpoint;
       endpoint->cell = cell->id;
     }
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -3,16 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "base/switches.h"
 #include "view/internal.h"
 
 struct ms_view *
 ms_view_create (uint64_t self, uint64_t incarnation, uint64_t zone)
 {
-  struct ms_view *view = calloc (1, sizeof *view);
+  struct ms_view *view = ms_new (sizeof *view);
 
-  if (!view)
-    abort ();
   view->self = self;
   view->incarnation = incarnation;
   view->zone = zone;
@@ -120,10 +119,8 @@
 ms_view_list (struct ms_view *view, const struct ms_endpoint *list,
               unsigned count)
 {
-  struct ms_endpoint *copy = calloc (count ? count : 1, sizeof *copy);
+  struct ms_endpoint *copy = ms_new_array (count, sizeof *copy);
 
-  if (!copy)
-    abort ();
   memcpy (copy, list, count * sizeof *copy);
   for (unsigned i = 0; i < count; i++)
     {
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -74,8 +74,31 @@
 runner_address () { echo "127.0.0.1:$((BASE + 70 + $1))"; }
 plain_address () { echo "127.0.0.1:$((BASE + 100 + $1))"; }
 
+# Take the first range of ports, from BASE on in steps of 200, where the log
+# service can listen; the others follow it.
 start_platform ()
 {
+  for attempt in 1 2 3 4 5 6 7 8 9 10; do
+    try_platform && return 0
+    BASE=$((BASE + 200))
+  done
+  note "no free ports after $attempt attempts"
+  return 1
+}
+
+ports_free ()
+{
+  for port in $BASE $((BASE + 1)) $((BASE + 10)) $((BASE + 70)) \
+    $((BASE + 100)); do
+    curl --silent --noproxy '*' --max-time 1 "http://127.0.0.1:$port/" \
+      >/dev/null
+    [ $? -eq 7 ] || return 1
+  done
+}
+
+try_platform ()
+{
+  ports_free || return 1
   start log "$BUILD/standin-log" --address="127.0.0.1:$BASE"
   start list "$BUILD/standin-list" --address="127.0.0.1:$((BASE + 1))"
   await 10 get "$(log_url)/v1/streams/control/records?from=0&wait_ms=0"
