--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,8 @@
 $(BUILD)/example-%: $(BUILD)/examples/%.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/standin-%: $(BUILD)/tests/standins/%.o $(CORE)
+$(BUILD)/standin-%: $(BUILD)/tests/standins/%.o \
+	$(BUILD)/tests/standins/common/serve.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(CORE)
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -12,7 +12,6 @@
 #include <civetweb.h>
 #include <jansson.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -22,6 +21,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/serve.h"
+
 #define MAX_BODY_BYTES (1u << 20)
 #define COLD_SLOWDOWN 5
 
@@ -62,28 +63,14 @@
   pthread_mutex_unlock (&lock);
 }
 
-static int
-send_json (struct mg_connection *connection, json_t *object)
-{
-  char *text = json_dumps (object, JSON_COMPACT);
-
-  json_decref (object);
-  mg_printf (connection,
-             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-             strlen (text));
-  mg_write (connection, text, strlen (text));
-  free (text);
-  return 1;
-}
-
 static int
 handle_load (struct mg_connection *connection, void *context)
 {
   (void)context;
-  return send_json (connection, json_pack ("{s:i,s:I,s:i}", "running",
-                                           (int)running, "start_id", start_id,
-                                           "overloads", (int)overloads));
+  return standin_send_json (connection,
+                            json_pack ("{s:i,s:I,s:i}", "running",
+                                       (int)running, "start_id", start_id,
+                                       "overloads", (int)overloads));
 }
 
 static int
@@ -95,7 +82,7 @@
   pthread_mutex_lock (&lock);
   copy = json_deep_copy (ledger);
   pthread_mutex_unlock (&lock);
-  return send_json (connection, copy);
+  return standin_send_json (connection, copy);
 }
 
 static bool
@@ -139,19 +126,12 @@
 static int
 handle_run (struct mg_connection *connection, void *context)
 {
-  char *body = calloc (1, MAX_BODY_BYTES + 1);
+  char *body = standin_read_body (connection, MAX_BODY_BYTES);
   const char *field;
-  size_t used = 0;
   long cost = 10;
   int limit;
-  int n;
 
   (void)context;
-  if (!body)
-    abort ();
-  while (used < MAX_BODY_BYTES
-         && (n = mg_read (connection, body + used, MAX_BODY_BYTES - used)) > 0)
-    used += (size_t)n;
   if (strstr (body, "crash"))
     _exit (9);
   field = strstr (body, "cost=");
@@ -206,6 +186,11 @@
 int
 main (int argc, char **argv)
 {
+  static const struct standin_handler handlers[] = {
+    { "/load$", handle_load },
+    { "/ledger$", handle_ledger },
+    { "/**", handle_run },
+  };
   static const struct argp_option argp_options[]
       = { { "address", 'a', "IP:PORT", 0, "Where to serve", 0 },
           { "unit", 'u', "US", 0, "Time of a unit of cost", 0 },
@@ -216,27 +201,11 @@
   const struct argp argp
       = { argp_options, parse_option, NULL, NULL, NULL, NULL, NULL };
   struct timespec now;
-  struct mg_context *server;
-  sigset_t signals;
-  int caught;
 
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   clock_gettime (CLOCK_REALTIME, &now);
   start_id = (json_int_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
   ledger = json_object ();
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
-  signal (SIGPIPE, SIG_IGN);
-  server = mg_start (NULL, NULL,
-                     (const char *[]){ "listening_ports", options.address,
-                                       "num_threads", "48", NULL });
-  if (!server)
-    return 1;
-  mg_set_request_handler (server, "/load$", handle_load, NULL);
-  mg_set_request_handler (server, "/ledger$", handle_ledger, NULL);
-  mg_set_request_handler (server, "/**", handle_run, NULL);
-  sigwait (&signals, &caught);
-  _exit (0);
+  return standin_serve (options.address, "48", handlers,
+                        sizeof handlers / sizeof *handlers);
 }
--- a/tests/standins/list.c
+++ b/tests/standins/list.c
@@ -6,12 +6,13 @@
 #include <argp.h>
 #include <civetweb.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "common/serve.h"
+
 #define MAX_LIST_BYTES (1u << 20)
 
 static char *shown;
@@ -56,19 +57,7 @@
 
   (void)context;
   if (strcmp (info->request_method, "PUT") == 0)
-    {
-      char *list = calloc (1, MAX_LIST_BYTES + 1);
-      size_t used = 0;
-      int n;
-
-      if (!list)
-        abort ();
-      while (used < MAX_LIST_BYTES
-             && (n = mg_read (connection, list + used, MAX_LIST_BYTES - used))
-                    > 0)
-        used += (size_t)n;
-      replace (list);
-    }
+    replace (standin_read_body (connection, MAX_LIST_BYTES));
   pthread_mutex_lock (&lock);
   advance ();
   text = shown ? shown : "{\"instances\":[]}";
@@ -99,6 +88,9 @@
 int
 main (int argc, char **argv)
 {
+  static const struct standin_handler handlers[] = {
+    { "/v1/instances$", handle },
+  };
   static const struct argp_option options[]
       = { { "address", 'a', "IP:PORT", 0, "Where to serve", 0 },
           { "lag", 'l', "MS", 0, "Delay of a change", 0 },
@@ -106,22 +98,8 @@
   const struct argp argp
       = { options, parse_option, NULL, NULL, NULL, NULL, NULL };
   const char *address = "127.0.0.1:7001";
-  struct mg_context *server;
-  sigset_t signals;
-  int caught;
 
   argp_parse (&argp, argc, argv, 0, NULL, &address);
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
-  signal (SIGPIPE, SIG_IGN);
-  server = mg_start (NULL, NULL,
-                     (const char *[]){ "listening_ports", address,
-                                       "num_threads", "16", NULL });
-  if (!server)
-    return 1;
-  mg_set_request_handler (server, "/v1/instances$", handle, NULL);
-  sigwait (&signals, &caught);
-  _exit (0);
+  return standin_serve (address, "16", handlers,
+                        sizeof handlers / sizeof *handlers);
 }
--- a/tests/standins/log.c
+++ b/tests/standins/log.c
@@ -9,7 +9,6 @@
 #include <civetweb.h>
 #include <jansson.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -19,6 +18,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/serve.h"
+
 #define MAX_STREAMS 8
 #define MAX_RECORD_BYTES (4u << 20)
 #define SLOW_MS 400
@@ -89,43 +90,19 @@
   nanosleep (&pause, NULL);
 }
 
-static int
-send_json (struct mg_connection *connection, json_t *object)
-{
-  char *text = json_dumps (object, JSON_COMPACT);
-
-  json_decref (object);
-  mg_printf (connection,
-             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-             strlen (text));
-  mg_write (connection, text, strlen (text));
-  free (text);
-  return 1;
-}
-
 static int
 handle_append (struct mg_connection *connection, struct stream *stream)
 {
-  char *record = calloc (1, MAX_RECORD_BYTES + 1);
-  size_t used = 0;
+  char *record = standin_read_body (connection, MAX_RECORD_BYTES);
   uint64_t offset;
-  int n;
 
-  if (!record)
-    abort ();
-  while (used < MAX_RECORD_BYTES
-         && (n = mg_read (connection, record + used, MAX_RECORD_BYTES - used))
-                > 0)
-    used += (size_t)n;
-  record = realloc (record, used + 1);
   pthread_mutex_lock (&lock);
   offset = append (stream, record);
   pthread_mutex_unlock (&lock);
   if (mode == MODE_LOSE_ANSWERS)
     return 1;
-  return send_json (connection,
-                    json_pack ("{s:I}", "offset", (json_int_t)offset));
+  return standin_send_json (connection,
+                            json_pack ("{s:I}", "offset", (json_int_t)offset));
 }
 
 static long
@@ -175,7 +152,7 @@
                       "next", (json_int_t)from, "end", (json_int_t)stream->end,
                       "records", records);
   pthread_mutex_unlock (&lock);
-  return send_json (connection, object);
+  return standin_send_json (connection, object);
 }
 
 static int
@@ -219,7 +196,8 @@
   for (int i = 0; i < 4; i++)
     if (strcmp (names[i], value) == 0)
       mode = i;
-  return send_json (connection, json_pack ("{s:i}", "mode", (int)mode));
+  return standin_send_json (connection,
+                            json_pack ("{s:i}", "mode", (int)mode));
 }
 
 static error_t
@@ -241,6 +219,10 @@
 int
 main (int argc, char **argv)
 {
+  static const struct standin_handler handlers[] = {
+    { "/v1/streams/**", handle_records },
+    { "/control$", handle_control },
+  };
   static const struct argp_option options[]
       = { { "address", 'a', "IP:PORT", 0, "Where to serve", 0 },
           { "keep", 'k', "N", 0, "Records kept in a stream", 0 },
@@ -248,23 +230,8 @@
   const struct argp argp
       = { options, parse_option, NULL, NULL, NULL, NULL, NULL };
   const char *address = "127.0.0.1:7000";
-  struct mg_context *server;
-  sigset_t signals;
-  int caught;
 
   argp_parse (&argp, argc, argv, 0, NULL, &address);
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
-  signal (SIGPIPE, SIG_IGN);
-  server = mg_start (NULL, NULL,
-                     (const char *[]){ "listening_ports", address,
-                                       "num_threads", "96", NULL });
-  if (!server)
-    return 1;
-  mg_set_request_handler (server, "/v1/streams/**", handle_records, NULL);
-  mg_set_request_handler (server, "/control$", handle_control, NULL);
-  sigwait (&signals, &caught);
-  _exit (0);
+  return standin_serve (address, "96", handlers,
+                        sizeof handlers / sizeof *handlers);
 }
