--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -100,6 +100,40 @@
 call --router="$(caller_address 4)"
 verdict "requests go on while an availability zone is out" $?
 
+log_mode ()
+{
+  get "$(log_url)/control?mode=$1" >/dev/null
+}
+
+stale_is ()
+{
+  get "http://$(caller_address 4)/v1/status" | grep -q "\"log_stale\":$1,"
+}
+
+log_mode down
+await 10 stale_is true
+verdict "a router tells that it cannot read the log" $?
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -H 'Idempotency-Key: k2' \
+  -d 'whole cost=5 second' "$service/silo-mando/run")" = 503 ]
+verdict "a key is refused while the log is down" $?
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -d 'whole cost=5' \
+  "$service/agronomo/run")" = 200 ]
+verdict "idempotent requests go on while the log is down" $?
+log_mode lose_answers
+await 10 stale_is false
+[ "$(code_of -H 'Monsoonspur-Team: silo-01' -H 'Idempotency-Key: k3' \
+  -d 'whole cost=5 third' "$service/silo-mando/run")" = 200 ]
+verdict "a key is settled by reading back when the answer is lost" $?
+log_mode up
+
+kill -STOP "$(pid_of router7)"
+call --router="$(caller_address 4)" --avoid="$(caller_address 7)"
+verdict "requests go on while a router is frozen" $?
+kill -CONT "$(pid_of router7)"
+stop router6 KILL
+call --router="$(caller_address 4)" --avoid="$(caller_address 6)"
+verdict "requests go on after a router was killed" $?
+
 request=$(sed -n 's/^request //p' "$DIR/caller.out")
 owner=$(echo "$request" | sed 's/^router-\([0-9]*\)-.*/\1/')
 "$BUILD/monsoonspur-ctl" --router="$(caller_address "$owner")" \
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -36,6 +36,7 @@
   const char *zone;
   const char *model;
   const char *plain;
+  const char *avoid; /* A router's address that is not used.  */
   const char *team_prefix;
   int teams;
   int threads;
@@ -49,6 +50,7 @@
                                   "",
                                   "agronomo",
                                   "silo-mando",
+                                  "",
                                   "silo-",
                                   8,
                                   12,
@@ -155,9 +157,13 @@
     object = json_loads (reply->body, 0, NULL);
   json_array_foreach (json_object_get (object, "addresses"), i, item)
   {
-    if (addresses_count < MAX_ADDRESSES)
+    const char *address
+        = json_string_value (json_object_get (item, "address"));
+
+    if (addresses_count < MAX_ADDRESSES
+        && strcmp (address, options.avoid) != 0)
       snprintf (addresses[addresses_count++], sizeof addresses[0], "%s",
-                json_string_value (json_object_get (item, "address")));
+                address);
   }
   json_decref (object);
   free (reply);
@@ -367,6 +373,9 @@
     case 'z':
       options.zone = arg;
       return 0;
+    case 'v':
+      options.avoid = arg;
+      return 0;
     case 't':
       options.threads = atoi (arg);
       return 0;
@@ -392,6 +401,7 @@
   static const struct argp_option argp_options[]
       = { { "router", 'r', "IP:PORT", 0, "Router to ask for addresses", 0 },
           { "zone", 'z', "ZONE", 0, "The callers' availability zone", 0 },
+          { "avoid", 'v', "IP:PORT", 0, "A router not to use", 0 },
           { "threads", 't', "N", 0, "Callers at once", 0 },
           { "requests", 'n', "N", 0, "Requests of each caller", 0 },
           { "cost", 'c', "UNITS", 0, "Cost of a request", 0 },
