Keep an endpoint's warmth across a cut where its requests went on

Cause: cells that return to their former dispatcher after a cut began cold though its own requests had run there all along. Ruled out: keeping cells with their successors, which rendezvous hashing does not. Change: on taking a cell the limit is kept where a request of this router has run without a break.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -166,7 +166,9 @@
     }
 }
 
-/* The cell is this router's from now on: what others run is not known.  */
+/* The cell is this router's from now on: what others run is not known.  An
+   endpoint that has run requests of this router all along is as warm as it
+   was.  */
 static void
 acquire (struct ms_dispatch *dispatch, struct held_cell *held,
          const struct ms_cell *cell, const struct ms_service *service,
@@ -179,8 +181,9 @@
 
       if (!slot)
         continue;
-      ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit,
-                      now);
+      if (!slot->limit.is_warm || !ms_ledger_ran_since (dispatch, slot, now))
+        ms_limit_start (&slot->limit, service->cold_limit, service->warm_limit,
+                        now);
       ms_occupancy_distrust (slot, now);
     }
   held->held = true;
