Cancel the request of a caller that has gone away

Cause: CivetWeb tells neither that a caller closed its connection nor its socket, so a request went on until the first byte was written. Ruled out: writing early, which would fix the status before the outcome is known. Change: after half a second the socket is found by the caller's address and looked at each half second while the request waits or runs. Before: a request of 20 s went on after its caller left after 1 s.

--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -163,6 +163,7 @@
   struct running *running = context;
 
   (void)a, (void)b, (void)c, (void)d;
+  ms_call_watch (running->router, running->call, running->inbound->connection);
   return atomic_load (&running->call->cancel);
 }
 
--- a/src/router/callers.c
+++ b/src/router/callers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <time.h>
 #include <urcu-bp.h>
 #include <xxhash.h>
 
@@ -12,12 +13,15 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "router/attempt.h"
+#include "router/caller_socket.h"
 #include "router/pages.h"
 
 #define MAX_BODY_BYTES (1u << 20)
 #define DEFAULT_TIMEOUT_MS 120000
 #define MAX_TIMEOUT_MS 3600000
 #define PREFIX "/services/"
+#define LOOK_PERIOD (500 * MS_MSEC)
+#define LOOK_PERIOD_NS 500000000L
 #define DIGEST_HEX_BYTES 65
 
 /* One request as parsed, before it is handed to the decisions.  */
@@ -296,6 +300,39 @@
                           .took = now - begun };
 }
 
+/* Wait until CALL is to start or is answered, or it is time to look whether
+   the caller is there.  The lock is held.  */
+static void
+wait_for_change (struct ms_router *router, struct ms_call *call)
+{
+  struct timespec until;
+
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_nsec += LOOK_PERIOD_NS;
+  until.tv_sec += until.tv_nsec / 1000000000;
+  until.tv_nsec %= 1000000000;
+  pthread_cond_timedwait (&call->changed, &router->lock, &until);
+}
+
+void
+ms_call_watch (struct ms_router *router, struct ms_call *call,
+               const struct mg_connection *connection)
+{
+  ms_time now = ms_router_now (router);
+  const struct ms_event event
+      = { .kind = MS_EVENT_CALLER_GONE, .caller_gone = call->id };
+
+  if (now < call->next_look)
+    return;
+  call->next_look = now + LOOK_PERIOD;
+  if (call->socket < 0)
+    call->socket = ms_caller_socket (connection);
+  if (!ms_caller_gone (call->socket))
+    return;
+  call->next_look = MS_NEVER;
+  ms_router_step (router, &event);
+}
+
 /* Take part in the decisions until the request has its answer.  Returns with
    the lock released.  */
 static void
@@ -318,7 +355,10 @@
 
       if (!call->start)
         {
-          pthread_cond_wait (&call->changed, &router->lock);
+          wait_for_change (router, call);
+          pthread_mutex_unlock (&router->lock);
+          ms_call_watch (router, call, parsed->inbound.connection);
+          pthread_mutex_lock (&router->lock);
           continue;
         }
       call->start = false;
@@ -398,10 +438,16 @@
 static void
 process (struct ms_router *router, struct parsed *parsed)
 {
-  struct ms_call call = { .id = parsed->arrival.request };
+  struct ms_call call = { .id = parsed->arrival.request,
+                          .socket = -1,
+                          .next_look = ms_router_now (router) + LOOK_PERIOD };
   struct ms_held held = { 0 };
+  pthread_condattr_t monotonic;
 
-  pthread_cond_init (&call.changed, NULL);
+  pthread_condattr_init (&monotonic);
+  pthread_condattr_setclock (&monotonic, CLOCK_MONOTONIC);
+  pthread_cond_init (&call.changed, &monotonic);
+  pthread_condattr_destroy (&monotonic);
   serve (router, &call, parsed, &held);
   respond (parsed, &call, &held);
   ms_held_clear (&held);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -1,6 +1,7 @@
 #ifndef ROUTER_ROUTER_H
 #define ROUTER_ROUTER_H
 
+#include <civetweb.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -30,6 +31,8 @@
   char address[MS_ADDRESS_BYTES];
   ms_time start_by;
   atomic_bool cancel; /* The attempt is to end.  */
+  int socket;         /* The caller's, -1 before it is looked for.  */
+  ms_time next_look;  /* When to see again whether the caller is there.  */
   bool answered;
   enum ms_outcome outcome;
   enum ms_reason reason;
@@ -100,6 +103,11 @@
 void *ms_run_list_poller (void *router);
 void *ms_run_load_poller (void *router);
 
+/* Tell the decisions if CALL's caller has gone; at most every half second,
+   and not in the first.  The caller of this does not hold the lock.  */
+void ms_call_watch (struct ms_router *router, struct ms_call *call,
+                    const struct mg_connection *connection);
+
 /* Serve callers and operators; returns the server to hand to stop.  */
 struct mg_context *ms_callers_start (struct ms_router *router);
 void ms_callers_stop (struct mg_context *server);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -100,6 +100,20 @@
 call --router="$(caller_address 4)"
 verdict "requests go on while an availability zone is out" $?
 
+idle ()
+{
+  get "http://$(caller_address 4)/v1/status" | grep -q '"open_requests":0,'
+}
+
+curl --silent --noproxy '*' --max-time 1 -o /dev/null \
+  -H 'Monsoonspur-Team: silo-01' -d 'stream cost=10000' "$service/agronomo/run"
+await 10 idle
+verdict "a caller that goes away ends its stream" $?
+curl --silent --noproxy '*' --max-time 1 -o /dev/null \
+  -H 'Monsoonspur-Team: silo-01' -d 'whole cost=10000' "$service/agronomo/run"
+await 10 idle
+verdict "a caller that goes away ends its request" $?
+
 log_mode ()
 {
   get "$(log_url)/control?mode=$1" >/dev/null
