--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -8,6 +8,7 @@
 #include "base/switches.h"
 #include "base/version.h"
 #include "journal/journal.h"
+#include "replay/extract.h"
 #include "replay/check.h"
 
 #define MAX_POLICIES 8
@@ -38,6 +39,8 @@
         { "measure", 'm', NULL, 0, "Print the measures", 0 },
         { "journal", 'j', "FILE", 0,
           "Replay what a router recorded; compare the effects", 0 },
+        { "extract", 'x', "FILE", 0,
+          "Print the arrivals of a journal as a trace", 0 },
         { "verbose", 'v', NULL, 0, "Log what the routers log", 0 },
         { 0 } };
 
@@ -52,6 +55,7 @@
   bool measure;
   bool verbose;
   const char *journal;
+  const char *extract;
 };
 
 static error_t
@@ -74,6 +78,9 @@
     case 'j':
       arguments->journal = arg;
       return 0;
+    case 'x':
+      arguments->extract = arg;
+      return 0;
     case 'm':
       arguments->measure = true;
       return 0;
@@ -92,7 +99,7 @@
       arguments->traces_count = state->argc - state->next;
       return 0;
     case ARGP_KEY_NO_ARGS:
-      if (!arguments->journal)
+      if (!arguments->journal && !arguments->extract)
         argp_usage (state);
       return 0;
     default:
@@ -217,6 +224,13 @@
   argp_program_version = MS_VERSION_TEXT ("monsoonspur-replay");
   ms_log_threshold (MS_ERROR);
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (arguments.extract)
+    {
+      if (extract_trace (arguments.extract, stdout) == MS_OK)
+        return 0;
+      fprintf (stderr, "monsoonspur-replay: %s\n", ms_last_message ());
+      return EXIT_BAD_INPUT;
+    }
   if (arguments.journal)
     return replay_journal (arguments.journal);
   if (!arguments.policies_count)
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -167,6 +167,12 @@
 "$BUILD/monsoonspur-replay" --journal="$DIR/router0.journal" >"$DIR/replay.out" 2>&1
 verdict "a recorded run replays to the same effects" $?
 cat "$DIR/replay.out"
+"$BUILD/monsoonspur-replay" --extract="$DIR/router0.journal" \
+  >"$DIR/live.trace" \
+  && "$BUILD/monsoonspur-replay" -m --policy=fair --policy=first_come \
+    "$DIR/live.trace" >"$DIR/replay.out" 2>&1
+verdict "recorded arrivals are replayed under two policies" $?
+cat "$DIR/replay.out"
 sed 's/^\(= answer [0-9]* \)answered/\1failed/' "$DIR/router0.journal" \
   >"$DIR/changed.journal"
 "$BUILD/monsoonspur-replay" --journal="$DIR/changed.journal" >/dev/null 2>&1
