Name the line of an unknown key; test the command lines

Cause: the YAML parser gives the place before an unexpected key, so the error named the line above (cli.sh: line 4 for line 5). Change: the key is looked up. test_config asks for the stricter message now: file, line and field in one.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,7 @@
 check: install-packages
 	$(MAKE) -j$(JOBS) all-and-tests
 	$(MAKE) check-units
+	$(MAKE) check-cli
 	$(MAKE) check-traces
 	$(MAKE) check-e2e
 
@@ -76,6 +77,9 @@
 check-traces: $(BUILD)/monsoonspur-replay
 	BUILD=$(BUILD) sh tests/proofs.sh
 
+check-cli: all
+	BUILD=$(BUILD) sh tests/cli.sh
+
 check-e2e: all
 	BUILD=$(BUILD) sh tests/e2e.sh
 
@@ -121,7 +125,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-traces check-e2e check-asan \
+.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-asan \
 	check-asan-traces lint format clean
 .SECONDARY:
 
--- a/src/config/yaml.c
+++ b/src/config/yaml.c
@@ -1,6 +1,7 @@
 #include "config/yaml.h"
 
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -48,6 +49,39 @@
   };
 }
 
+/* Line of the first "KEY:" in TEXT that stands alone, from 1; 0 if absent.  */
+static unsigned
+key_line (struct ms_str text, const char *key)
+{
+  size_t length = strlen (key);
+  unsigned line = 1;
+
+  for (size_t i = 0; i + length < text.length; i++)
+    {
+      bool begins = i == 0 || strchr ("\n {,-", text.data[i - 1]);
+
+      if (begins && memcmp (text.data + i, key, length) == 0
+          && text.data[i + length] == ':')
+        return line;
+      line += text.data[i] == '\n';
+    }
+  return 0;
+}
+
+/* The parser gives the place before an unexpected key; find the key itself. */
+static enum ms_status
+refuse_key (struct ms_str text, const char *origin, const char *messages)
+{
+  static const char mark[] = "Unexpected key: ";
+  const char *at = strstr (messages, mark);
+  char key[64];
+
+  if (!at || sscanf (at + sizeof mark - 1, "%63[^;\n]", key) != 1)
+    return MS_OK;
+  return ms_fail (MS_INVALID, "%s: line %u: %s: the key is not known", origin,
+                  key_line (text, key), key);
+}
+
 enum ms_status
 ms_yaml_load (struct ms_str text, const char *origin,
               const cyaml_schema_value_t *schema, void **data)
@@ -59,6 +93,8 @@
   *data = NULL;
   err = cyaml_load_data ((const uint8_t *)text.data, text.length, &config,
                          schema, data, NULL);
+  if (err != CYAML_OK && refuse_key (text, origin, log.text) != MS_OK)
+    return MS_INVALID;
   if (err != CYAML_OK)
     return ms_fail (MS_INVALID, "%s: %s: %s", origin, cyaml_strerror (err),
                     log.text);
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -266,7 +266,10 @@
       return 2;
     }
   if (arguments.check)
-    return 0;
+    {
+      printf ("%s: the settings are good\n", arguments.settings);
+      return 0;
+    }
   set_log_level (settings->log_level);
   block_signals (&signals);
   curl_global_init (CURL_GLOBAL_DEFAULT);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -53,9 +53,8 @@
 test_errors_name_file_line_and_field (void **state)
 {
   (void)state;
-  assert_refused (
-      HEAD "- {name: s, cold_limt: 2, warm_limit: 8}\n",
-      (const char *[]){ "test.yaml", "line: 7", "cold_limt", NULL });
+  assert_refused (HEAD "- {name: s, cold_limt: 2, warm_limit: 8}\n",
+                  (const char *[]){ "test.yaml: line 7: cold_limt", NULL });
   assert_refused (
       HEAD "- {name: s, cold_limit: 9, warm_limit: 8}\n",
       (const char *[]){ "test.yaml", "line 7", "warm_limit", NULL });
