--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -134,6 +134,9 @@
                       enum ms_outcome outcome, enum ms_reason reason,
                       ms_time now);
 
+/* The outcome of a request whose last attempt gave no whole answer.  */
+enum ms_outcome ms_entry_broken_outcome (const struct request *request);
+
 /* When a caller of QUEUE's team should come back.  */
 ms_time ms_entry_retry_after (const struct queue *queue);
 
--- a/src/replay/internal.h
+++ b/src/replay/internal.h
@@ -13,6 +13,13 @@
 /* An endpoint in a cold start takes this many times longer for a unit.  */
 #define COLD_SLOWDOWN 5
 
+/* A message under way.  */
+struct encoded
+{
+  unsigned length;
+  char data[];
+};
+
 void world_push (struct world *world, struct item item);
 bool world_pop (struct world *world, struct item *item);
 
--- a/src/replay/nodes.c
+++ b/src/replay/nodes.c
@@ -8,12 +8,6 @@
 /* Bytes of an RPC call header before the encoded message.  */
 #define CALL_HEADER_BYTES 40
 
-struct encoded
-{
-  unsigned length;
-  char data[];
-};
-
 int
 world_find_node (const struct world *world, const char *name)
 {
--- a/src/replay/world.c
+++ b/src/replay/world.c
@@ -7,12 +7,6 @@
 #include "replay/internal.h"
 #include "rpc/codec.h"
 
-struct encoded
-{
-  unsigned length;
-  char data[];
-};
-
 ms_time
 world_delay (struct world *world, ms_time low, ms_time high)
 {
--- /dev/null
+++ b/src/router/answer.c
@@ -0,0 +1,111 @@
+#include "router/answer.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+ms_answer_problem (struct mg_connection *connection, const char *request_id,
+                   int code, enum ms_outcome outcome, const char *reason,
+                   ms_time retry_after)
+{
+  char body[512];
+  char seconds[24];
+  int length
+      = snprintf (body, sizeof body,
+                  "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%d,"
+                  "\"outcome\":\"%s\",\"request_id\":\"%s\"}\n",
+                  reason, code, ms_outcome_name (outcome), request_id);
+
+  mg_response_header_start (connection, code);
+  mg_response_header_add (connection, "Content-Type",
+                          "application/problem+json", -1);
+  mg_response_header_add (connection, "Monsoonspur-Outcome",
+                          ms_outcome_name (outcome), -1);
+  mg_response_header_add (connection, "Monsoonspur-Request-Id", request_id,
+                          -1);
+  if (retry_after)
+    {
+      snprintf (seconds, sizeof seconds, "%lld",
+                (long long)((retry_after + MS_SEC - 1) / MS_SEC));
+      mg_response_header_add (connection, "Retry-After", seconds, -1);
+    }
+  snprintf (seconds, sizeof seconds, "%d", length);
+  mg_response_header_add (connection, "Content-Length", seconds, -1);
+  mg_response_header_add (connection, "Connection", "close", -1);
+  mg_response_header_send (connection);
+  mg_write (connection, body, (size_t)length);
+}
+
+static int
+code_of (enum ms_reason reason)
+{
+  switch (reason)
+    {
+    case MS_REASON_UNKNOWN_TEAM:
+      return 403;
+    case MS_REASON_UNKNOWN_SERVICE:
+      return 404;
+    case MS_REASON_QUEUE_FULL:
+      return 429;
+    case MS_REASON_QUARANTINED:
+      return 422;
+    case MS_REASON_REPEATED:
+      return 409;
+    case MS_REASON_ENDPOINT:
+      return 502;
+    case MS_REASON_DEADLINE:
+      return 504;
+    default:
+      return 503;
+    }
+}
+
+static void
+send_held (struct mg_connection *connection, const struct ms_parsed *parsed,
+           const struct ms_held *held)
+{
+  char length[24];
+
+  snprintf (length, sizeof length, "%zu", held->length);
+  mg_response_header_start (connection, (int)held->code);
+  if (*held->content_type)
+    mg_response_header_add (connection, "Content-Type", held->content_type,
+                            -1);
+  mg_response_header_add (connection, "Monsoonspur-Outcome", "answered", -1);
+  mg_response_header_add (connection, "Monsoonspur-Request-Id",
+                          parsed->inbound.request_id, -1);
+  mg_response_header_add (connection, "Content-Length", length, -1);
+  mg_response_header_add (connection, "Connection", "close", -1);
+  mg_response_header_send (connection);
+  mg_write (connection, held->body, held->length);
+}
+
+/* The last chunk and the outcome of an answer that was passed on as it came.
+   A broken one ends without, so that the caller can tell.  */
+static void
+end_stream (struct mg_connection *connection, const struct ms_call *call)
+{
+  static const char end[] = "0\r\nMonsoonspur-Outcome: answered\r\n\r\n";
+
+  if (call->outcome == MS_ANSWERED)
+    mg_write (connection, end, sizeof end - 1);
+}
+
+void
+ms_answer_call (const struct ms_parsed *parsed, const struct ms_call *call,
+                const struct ms_held *held)
+{
+  struct mg_connection *connection = parsed->inbound.connection;
+
+  if (held->streamed)
+    end_stream (connection, call);
+  else if (call->outcome == MS_ANSWERED && call->reason == MS_REASON_REPEATED)
+    ms_answer_problem (connection, parsed->inbound.request_id, 200,
+                       MS_ANSWERED, "repeated", 0);
+  else if (call->outcome == MS_ANSWERED)
+    send_held (connection, parsed, held);
+  else
+    ms_answer_problem (connection, parsed->inbound.request_id,
+                       code_of (call->reason), call->outcome,
+                       ms_reason_name (call->reason), call->retry_after);
+}
--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -26,6 +26,7 @@
   unsigned endpoints; /* Of the cell.  */
   unsigned keys;      /* Known to the at-most-once table.  */
   unsigned requests;  /* Through this entry, a second.  */
+  unsigned restarts;  /* Of other routers, one after the other.  */
 };
 
 struct figures
@@ -396,6 +397,38 @@
       = (double)ms_node_status (bench->node, bench->now).bytes;
 }
 
+static void
+put_member (struct bench *bench, enum ms_record_kind kind, unsigned router,
+            uint64_t incarnation, uint64_t offset)
+{
+  struct ms_record record
+      = { .kind = kind, .incarnation = incarnation, .zone = ms_name ("z") };
+  char *text;
+
+  snprintf (record.node.data, sizeof record.node.data, "r%u", router);
+  text = ms_record_print (&record);
+  put_record (bench, MS_STREAM_CONTROL, offset, text);
+  free (text);
+}
+
+static void
+restart_routers (struct bench *bench, struct figures *figures)
+{
+  uint64_t offset = bench->load.routers + 10;
+  double begun = seconds ();
+
+  for (unsigned i = 0; i < bench->load.restarts; i++)
+    {
+      unsigned router = i % bench->load.routers;
+      uint64_t incarnation = 1 + i / bench->load.routers;
+
+      put_member (bench, MS_RECORD_EXPIRE, router, incarnation, offset++);
+      put_member (bench, MS_RECORD_JOIN, router, incarnation + 1, offset++);
+    }
+  if (bench->load.restarts)
+    figures->restart_us = (seconds () - begun) * 1e6 / bench->load.restarts;
+}
+
 /* The router that dispatches the one cell, so that grants are measured.  */
 static unsigned
 find_holder (const struct load *load)
@@ -450,6 +483,7 @@
       report_loads (bench);
     }
   run (bench, &figures);
+  restart_routers (bench, &figures);
   ms_node_destroy (bench->node);
   free (bench);
   return figures;
@@ -510,6 +544,7 @@
   { "tick_ns", offsetof (struct figures, tick_ns) },
   { "config_ms", offsetof (struct figures, config_ms) },
   { "record_ns", offsetof (struct figures, record_ns) },
+  { "restart_us", offsetof (struct figures, restart_us) },
 };
 
 #define COLUMNS (sizeof columns / sizeof *columns)
@@ -586,6 +621,9 @@
       { 16, 64, 160, 320, 500 } },
     { "endpoints", offsetof (struct load, endpoints), { 4, 8, 16, 32 } },
     { "keys", offsetof (struct load, keys), { 1000, 10000, 50000, 200000 } },
+    { "restarts",
+      offsetof (struct load, restarts),
+      { 10, 50, 170, 500, 1700 } },
     { "requests", offsetof (struct load, requests), { 50, 100, 200, 400 } },
   };
   const struct argp argp
