--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -37,8 +37,9 @@
   double grants;      /* A second.  */
   double grant_ns;    /* Demand, grant, reply and end of one request.  */
   double tick_ns;
-  double config_ms; /* To parse and put in force.  */
-  double record_ns; /* To read one record of the once stream.  */
+  double config_ms;  /* To parse and put in force.  */
+  double record_ns;  /* To read one record of the once stream.  */
+  double restart_us; /* To read a router\'s expiry and its new join.  */
 };
 
 /* A grant that the feeding loop will answer.  */
