--- a/src/router/inbound.c
+++ b/src/router/inbound.c
@@ -12,6 +12,7 @@
 #include "base/alloc.h"
 
 #define MAX_BODY_BYTES (1u << 20)
+#define FIRST_BODY_BYTES 4096 /* Where the length is not told.  */
 #define DEFAULT_TIMEOUT_MS 120000
 #define MAX_TIMEOUT_MS 3600000
 #define PREFIX MS_SERVICES_PREFIX
@@ -78,22 +79,24 @@
 read_body (struct mg_connection *connection, struct ms_parsed *parsed)
 {
   const struct mg_request_info *info = mg_get_request_info (connection);
+  size_t space = info->content_length > 0 ? (size_t)info->content_length + 1
+                                          : FIRST_BODY_BYTES;
   size_t used = 0;
+  int n;
 
   if (info->content_length > (long long)MAX_BODY_BYTES)
     return 413;
-  parsed->body = ms_new (MAX_BODY_BYTES + 1);
-  while (used <= MAX_BODY_BYTES)
+  parsed->body = ms_new (space);
+  while ((n = mg_read (connection, parsed->body + used, space - used)) > 0)
     {
-      int n = mg_read (connection, parsed->body + used,
-                       MAX_BODY_BYTES + 1 - used);
-
-      if (n <= 0)
-        break;
       used += (size_t)n;
+      if (used > MAX_BODY_BYTES)
+        return 413;
+      if (used < space)
+        continue;
+      space *= 2;
+      parsed->body = ms_resize (parsed->body, space, 1);
     }
-  if (used > MAX_BODY_BYTES)
-    return 413;
   if (info->content_length > 0 && (long long)used < info->content_length)
     return 400;
   parsed->inbound.body = parsed->body;
--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -568,8 +568,11 @@
 
   while (count < MAX_POINTS && axis->points[count])
     {
-      struct load load
-          = { .routers = 9, .teams = 16, .backlogged = 16, .endpoints = 4 };
+      struct load load = { .routers = 9,
+                           .teams = 16,
+                           .backlogged = 16,
+                           .endpoints = 4,
+                           .restarts = 50 };
 
       memcpy ((char *)&load + axis->field, &axis->points[count],
               sizeof (unsigned));
