End requests at their service's longest run

Cause: the bound on what an earlier dispatcher runs rests on max_run_ms, which nothing enforced (read in the code, then shown by longest_run.trace: 0 failed, 1 expected). Change: a running request is cancelled at its deadline or the longest run, whichever is sooner. After: passes; 55 passed.

--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -142,6 +142,19 @@
   return request;
 }
 
+/* The deadline, or the longest run of the service if that is sooner.  */
+static ms_time
+latest_end (const struct ms_entry *entry, const struct request *request,
+            ms_time now)
+{
+  const struct ms_service *service
+      = ms_config_service (entry->view->config, request->arrival.service);
+  ms_time longest = now + (ms_time)service->max_run_ms * MS_MSEC;
+
+  return longest < request->arrival.deadline ? longest
+                                             : request->arrival.deadline;
+}
+
 void
 ms_binding_grant (struct ms_entry *entry, const peer_message *message,
                   ms_time now)
@@ -178,6 +191,7 @@
   request->grantor = message->from;
   request->cell = grant->cell;
   request->endpoint = grant->endpoint;
+  request->must_end = latest_end (entry, request, now);
   request->cost = 0;
   reply (entry, message, true);
   start (entry, request, endpoint, grant->echo + MS_GRANT_LIFETIME);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -319,6 +319,30 @@
     }
 }
 
+/* End REQUEST if its time is over, whatever it is doing.  */
+static void
+end_if_overdue (struct ms_entry *entry, struct request *request, ms_time now)
+{
+  switch (request->state)
+    {
+    case REQUEST_INTENT:
+      if (now - request->arrived > INTENT_TIMEOUT)
+        ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_LOG_DOWN, now);
+      else if (now >= request->arrival.deadline)
+        ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_DEADLINE, now);
+      break;
+    case REQUEST_WAITING:
+      if (now >= request->arrival.deadline)
+        ms_entry_answer (entry, request, ms_entry_broken_outcome (request),
+                         MS_REASON_DEADLINE, now);
+      break;
+    case REQUEST_RUNNING:
+      if (now >= request->must_end)
+        cancel (entry, request);
+      break;
+    }
+}
+
 static void
 end_overdue (struct ms_entry *entry, ms_time now)
 {
@@ -326,18 +350,7 @@
 
   HASH_ITER (hh, entry->requests, request, next)
   {
-    bool log_slow = request->state == REQUEST_INTENT
-                    && now - request->arrived > INTENT_TIMEOUT;
-
-    if (log_slow)
-      ms_entry_answer (entry, request, MS_NOT_RUN, MS_REASON_LOG_DOWN, now);
-    else if (now < request->arrival.deadline)
-      continue;
-    else if (request->state == REQUEST_RUNNING)
-      cancel (entry, request);
-    else
-      ms_entry_answer (entry, request, ms_entry_broken_outcome (request),
-                       MS_REASON_DEADLINE, now);
+    end_if_overdue (entry, request, now);
   }
 }
 
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -41,6 +41,7 @@
   uint32_t cost;
   ms_time arrived;
   ms_time queued_at;
+  ms_time must_end; /* While it runs: no later than this.  */
   struct queue *queue;
   struct request *prev;
   struct request *next;
