Take replies from the grant's entry only; split the serving of a call

A reply to a grant from another router is dropped, and a request that is started again can be cancelled again (both read in the code).

--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -88,7 +88,7 @@
   struct demand *demand;
   uint64_t cell;
 
-  if (!grant || grant->state != GRANT_PENDING)
+  if (!grant || grant->entry != message->from || grant->state != GRANT_PENDING)
     return;
   demand = demand_of (dispatch, grant);
   if (reply->accepted)
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -186,6 +186,7 @@
   note_interval (request->queue, now);
   ms_entry_dequeue (entry, request);
   request->state = REQUEST_RUNNING;
+  request->cancelled = false;
   request->attempts++;
   request->grant = grant->grant;
   request->grantor = message->from;
--- a/src/router/callers.c
+++ b/src/router/callers.c
@@ -36,21 +36,21 @@
 }
 
 static void
-remember (struct ms_router *router, const struct ms_call *call, ms_time begun,
-          ms_time first_start)
+remember (struct ms_router *router, const struct ms_call *call)
 {
   struct ms_past *past = &router->history[router->history_next];
   ms_time now = ms_router_now (router);
 
   router->history_next = (router->history_next + 1) % MS_HISTORY;
-  *past
-      = (struct ms_past){ .id = call->id,
-                          .outcome = call->outcome,
-                          .reason = call->reason,
-                          .endpoint = call->endpoint,
-                          .attempts = call->attempt,
-                          .waited = (first_start ? first_start : now) - begun,
-                          .took = now - begun };
+  *past = (struct ms_past){
+    .id = call->id,
+    .outcome = call->outcome,
+    .reason = call->reason,
+    .endpoint = call->endpoint,
+    .attempts = call->attempt,
+    .waited = (call->first_start ? call->first_start : now) - call->begun,
+    .took = now - call->begun
+  };
 }
 
 /* Wait until CALL is to start or is answered, or it is time to look whether
@@ -86,14 +86,40 @@
   ms_router_step (router, &event);
 }
 
-/* Take part in the decisions until the request has its answer.  Returns with
-   the lock released.  */
+/* Run the attempt that CALL is to start and tell the decisions how it ended.
+   The lock is held before and after, but not meanwhile.  */
+static void
+run_attempt (struct ms_router *router, struct ms_call *call,
+             const struct ms_parsed *parsed, struct ms_held *held)
+{
+  struct ms_event end = { .kind = MS_EVENT_ATTEMPT_END };
+  char detail[128];
+  ms_time begun;
+
+  call->start = false;
+  pthread_mutex_unlock (&router->lock);
+  begun = ms_router_now (router);
+  if (!call->first_start)
+    {
+      call->first_start = begun;
+      log_span (router, &parsed->inbound, "dispatch", 1, call->begun, begun,
+                "");
+    }
+  ms_held_clear (held);
+  ms_attempt_run (router, call, &parsed->inbound, held, &end.attempt_end);
+  snprintf (detail, sizeof detail, "endpoint=%s result=%d", call->address,
+            (int)end.attempt_end.result);
+  log_span (router, &parsed->inbound, "endpoint", 1 + call->attempt, begun,
+            ms_router_now (router), detail);
+  pthread_mutex_lock (&router->lock);
+  ms_router_step_locked (router, &end);
+}
+
+/* Take part in the decisions until the request has its answer.  */
 static void
 serve (struct ms_router *router, struct ms_call *call,
        const struct ms_parsed *parsed, struct ms_held *held)
 {
-  ms_time begun = ms_router_now (router);
-  ms_time first_start = 0;
   struct ms_event arrive
       = { .kind = MS_EVENT_ARRIVE, .arrive = parsed->arrival };
 
@@ -102,40 +128,20 @@
   ms_router_step_locked (router, &arrive);
   while (!call->answered)
     {
-      struct ms_event end = { .kind = MS_EVENT_ATTEMPT_END };
-      char detail[128];
-      ms_time attempt_begun;
-
-      if (!call->start)
+      if (call->start)
         {
-          wait_for_change (router, call);
-          pthread_mutex_unlock (&router->lock);
-          ms_call_watch (router, call, parsed->inbound.connection);
-          pthread_mutex_lock (&router->lock);
+          run_attempt (router, call, parsed, held);
           continue;
         }
-      call->start = false;
+      wait_for_change (router, call);
       pthread_mutex_unlock (&router->lock);
-      attempt_begun = ms_router_now (router);
-      if (!first_start)
-        {
-          first_start = attempt_begun;
-          log_span (router, &parsed->inbound, "dispatch", 1, begun,
-                    first_start, "");
-        }
-      ms_held_clear (held);
-      ms_attempt_run (router, call, &parsed->inbound, held, &end.attempt_end);
-      snprintf (detail, sizeof detail, "endpoint=%s result=%d", call->address,
-                (int)end.attempt_end.result);
-      log_span (router, &parsed->inbound, "endpoint", 1 + call->attempt,
-                attempt_begun, ms_router_now (router), detail);
+      ms_call_watch (router, call, parsed->inbound.connection);
       pthread_mutex_lock (&router->lock);
-      ms_router_step_locked (router, &end);
     }
   HASH_DEL (router->calls, call);
-  remember (router, call, begun, first_start);
+  remember (router, call);
   pthread_mutex_unlock (&router->lock);
-  log_span (router, &parsed->inbound, "entry", 0, begun,
+  log_span (router, &parsed->inbound, "entry", 0, call->begun,
             ms_router_now (router), ms_outcome_name (call->outcome));
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -25,7 +25,9 @@
 {
   uint64_t id;
   pthread_cond_t changed;
-  bool start; /* An attempt is to begin.  */
+  ms_time begun;
+  ms_time first_start; /* Of an attempt, 0 before.  */
+  bool start;          /* An attempt is to begin.  */
   unsigned attempt;
   uint64_t endpoint;
   char address[MS_ADDRESS_BYTES];
