--- a/src/config/follower.c
+++ b/src/config/follower.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/switches.h"
 #include "base/metrics.h"
+#include "view/send.h"
 
 #define MAX_TEXT_BYTES (16u << 20)
 #define WANT_PERIOD (200 * MS_MSEC)
@@ -127,23 +128,6 @@
   return true;
 }
 
-static void
-send_message (struct ms_follower *follower, uint64_t node,
-              peer_message *message)
-{
-  struct ms_view *view = follower->view;
-  const struct ms_member *member = ms_view_member (view, node);
-  struct ms_effect effect
-      = { .kind = MS_EFFECT_SEND,
-          .send = { node, member ? member->peer_address : "", message } };
-
-  message->from = view->self;
-  message->incarnation = view->incarnation;
-  message->applied = view->applied;
-  if (member)
-    follower->sink->emit (follower->sink->context, &effect);
-}
-
 void
 ms_follower_wanted (struct ms_follower *follower, const peer_message *message)
 {
@@ -162,7 +146,7 @@
   part->data.data_len = config->text_length - want->offset;
   if (part->data.data_len > PEER_PART_BYTES)
     part->data.data_len = PEER_PART_BYTES;
-  send_message (follower, message->from, &answer);
+  ms_view_send (follower->view, follower->sink, message->from, &answer);
 }
 
 static void
@@ -173,7 +157,7 @@
   message.body.peer_body_u.want
       = (peer_config_want){ follower->wanted, follower->received };
   follower->next_want = now + WANT_PERIOD;
-  send_message (follower, follower->source, &message);
+  ms_view_send (follower->view, follower->sink, follower->source, &message);
 }
 
 void
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -59,24 +59,6 @@
   free (dispatch);
 }
 
-void
-ms_dispatch_send (struct ms_dispatch *dispatch, uint64_t node,
-                  peer_message *message)
-{
-  struct ms_view *view = dispatch->view;
-  struct ms_member *member = ms_view_member (view, node);
-  struct ms_effect effect
-      = { .kind = MS_EFFECT_SEND,
-          .send = { node, member ? member->peer_address : "", message } };
-
-  if (!member && node != view->self)
-    return;
-  message->from = view->self;
-  message->incarnation = view->incarnation;
-  message->applied = view->applied;
-  dispatch->sink->emit (dispatch->sink->context, &effect);
-}
-
 struct held_cell *
 ms_dispatch_cell (struct ms_dispatch *dispatch, uint64_t id)
 {
@@ -288,7 +270,8 @@
     {
       uint64_t pick = ms_random_below (dispatch->random, view->members_count);
 
-      ms_dispatch_send (dispatch, view->members[pick].id, &message);
+      ms_view_send (dispatch->view, dispatch->sink, view->members[pick].id,
+                    &message);
     }
 }
 
--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -153,7 +153,7 @@
                       .start_id = slot ? slot->start_id : 0,
                       .echo = grant->echo };
   grant->next_send = now + GRANT_RESEND;
-  ms_dispatch_send (dispatch, grant->entry, &message);
+  ms_view_send (dispatch->view, dispatch->sink, grant->entry, &message);
 }
 
 static void
--- a/src/dispatch/handover.c
+++ b/src/dispatch/handover.c
@@ -46,7 +46,7 @@
   handover->term = held->moved_term;
   handover->items.items_val = items;
   handover->items.items_len = count;
-  ms_dispatch_send (dispatch, held->moved_to, &message);
+  ms_view_send (dispatch->view, dispatch->sink, held->moved_to, &message);
   held->next_handover
       = now
         + (now - held->released_at < FIRST_TIME ? FIRST_PERIOD
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -4,6 +4,7 @@
 #include <uthash.h>
 
 #include "dispatch/dispatch.h"
+#include "view/send.h"
 #include "dispatch/limit.h"
 
 #define UNBOUNDED UINT32_MAX
@@ -157,9 +158,6 @@
   bool stopped;
 };
 
-void ms_dispatch_send (struct ms_dispatch *dispatch, uint64_t node,
-                       peer_message *message);
-
 struct held_cell *ms_dispatch_cell (struct ms_dispatch *dispatch, uint64_t id);
 struct slot_state *ms_dispatch_slot (struct ms_dispatch *dispatch,
                                      uint64_t endpoint);
--- a/src/dispatch/totals.c
+++ b/src/dispatch/totals.c
@@ -36,7 +36,7 @@
   shared->sent_at = sent_at;
   shared->items.items_val = items;
   shared->items.items_len = (u_int)count;
-  ms_dispatch_send (dispatch, to, &message);
+  ms_view_send (dispatch->view, dispatch->sink, to, &message);
 }
 
 /* Only routers that dispatch the service's cells choose among its teams.  */
@@ -94,7 +94,8 @@
   if (view->members[pick].id == view->self)
     pick = (pick + 1) % view->members_count;
   message.body.peer_body_u.totals_want.service = service->service;
-  ms_dispatch_send (dispatch, view->members[pick].id, &message);
+  ms_view_send (dispatch->view, dispatch->sink, view->members[pick].id,
+                &message);
   service->next_want = now + WANT_PERIOD;
 }
 
--- a/src/entry/binding.c
+++ b/src/entry/binding.c
@@ -52,7 +52,7 @@
                                                       .accepted = accepted };
   if (!accepted)
     ms_count (MS_M_GRANTS_DECLINED, 1);
-  ms_entry_send (entry, message->from, &answer);
+  ms_view_send (entry->view, entry->sink, message->from, &answer);
 }
 
 /* Whether the endpoint may still be given work on GRANT at NOW.  */
@@ -204,7 +204,7 @@
   peer_message message = { .body = { .kind = PEER_DONE } };
 
   message.body.peer_body_u.done = end->done;
-  ms_entry_send (entry, end->grantor, &message);
+  ms_view_send (entry->view, entry->sink, end->grantor, &message);
 }
 
 void
@@ -258,7 +258,7 @@
   running->complete = complete;
   running->items.items_val = items;
   running->items.items_len = count;
-  ms_entry_send (entry, grantor, &message);
+  ms_view_send (entry->view, entry->sink, grantor, &message);
 }
 
 /* Whether an earlier request in the table has the same cell and grantor.  */
--- a/src/entry/death.c
+++ b/src/entry/death.c
@@ -14,7 +14,7 @@
                       .cleared = told->cleared };
   for (unsigned i = 0; i < view->members_count; i++)
     if (view->members[i].id != view->self)
-      ms_entry_send (entry, view->members[i].id, &message);
+      ms_view_send (entry->view, entry->sink, view->members[i].id, &message);
 }
 
 /* Routers that start later learn of it from the log.  */
--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -82,7 +82,7 @@
   demand->sent_at = now;
   demand->items.items_val = items;
   demand->items.items_len = count;
-  ms_entry_send (entry, dispatcher, &message);
+  ms_view_send (entry->view, entry->sink, dispatcher, &message);
 }
 
 /* A cell of SERVICE that can serve TEAM, the next from START on; NULL if
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -60,23 +60,6 @@
   free (entry);
 }
 
-void
-ms_entry_send (struct ms_entry *entry, uint64_t node, peer_message *message)
-{
-  struct ms_view *view = entry->view;
-  const struct ms_member *member = ms_view_member (view, node);
-  struct ms_effect effect
-      = { .kind = MS_EFFECT_SEND,
-          .send = { node, member ? member->peer_address : "", message } };
-
-  if (!member && node != view->self)
-    return;
-  message->from = view->self;
-  message->incarnation = view->incarnation;
-  message->applied = view->applied;
-  entry->sink->emit (entry->sink->context, &effect);
-}
-
 struct request *
 ms_entry_find (const struct ms_entry *entry, uint64_t id)
 {
--- a/src/entry/internal.h
+++ b/src/entry/internal.h
@@ -5,6 +5,7 @@
 #include <utlist.h>
 
 #include "entry/entry.h"
+#include "view/send.h"
 
 #define MAX_ATTEMPTS 4
 
@@ -119,9 +120,6 @@
   bool draining;
 };
 
-void ms_entry_send (struct ms_entry *entry, uint64_t node,
-                    peer_message *message);
-
 struct request *ms_entry_find (const struct ms_entry *entry, uint64_t id);
 struct queue *ms_entry_queue (struct ms_entry *entry, uint64_t service,
                               uint64_t team);
