Give an endpoint that refuses connections less and less to refuse

Ruled out: more attempts a request, which only moves the bound. Change: after a refused connection an endpoint gets nothing for 100 ms, doubling up to 6.4 s, then one request at a time until it answers or reports.

--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -31,6 +31,11 @@
 /* Entries tell this often what they run, and a little later.  */
 #define RUNNING_LIST_PERIOD (1100 * MS_MSEC)
 
+/* After a refused connection an endpoint gets nothing for this long, twice as
+   long after each further one.  */
+#define REOPEN_AFTER (100 * MS_MSEC)
+#define MAX_REOPEN_DOUBLINGS 6
+
 /* Time a done message may be under way.  */
 #define TRANSIT_MARGIN (250 * MS_MSEC)
 
@@ -103,11 +108,13 @@
   ms_time quiet_since;   /* No foreign request was seen since.  */
   uint64_t start_id;
   struct report report;
-  bool exclusive;     /* A suspect runs alone.  */
-  bool usable;        /* At the last change of the view.  */
-  ms_time idle_since; /* No grant in the ledger since.  */
-  bool confirmed;     /* Known warm, and at work ever since.  */
-  bool lapsed;        /* Stale and idle so long that the part is given up.  */
+  bool exclusive;       /* A suspect runs alone.  */
+  bool usable;          /* At the last change of the view.  */
+  ms_time idle_since;   /* No grant in the ledger since.  */
+  unsigned refusals;    /* Connections refused since it last answered.  */
+  ms_time closed_until; /* No grants before; then one at a time.  */
+  bool confirmed;       /* Known warm, and at work ever since.  */
+  bool lapsed; /* Stale and idle so long that the part is given up.  */
   UT_hash_handle hh;
 };
 
--- a/src/dispatch/ledger.c
+++ b/src/dispatch/ledger.c
@@ -108,6 +108,17 @@
   use_freed_slot (dispatch, cell, now);
 }
 
+static void
+close_for_a_while (struct slot_state *slot, ms_time now)
+{
+  unsigned doublings = slot->refusals < MAX_REOPEN_DOUBLINGS
+                           ? slot->refusals
+                           : MAX_REOPEN_DOUBLINGS;
+
+  slot->refusals++;
+  slot->closed_until = now + (REOPEN_AFTER << doublings);
+}
+
 /* A broken connection is a sign that the endpoint may have started anew.  */
 static void
 learn_from_end (struct ms_dispatch *dispatch, const struct grant *grant,
@@ -124,6 +135,7 @@
   switch (done->result)
     {
     case MS_RESULT_OK:
+      slot->refusals = 0;
       ms_fair_learn (shared->fair, grant->team, done->cost);
       if (ms_limit_success (&slot->limit, done->cost, done->duration,
                             service->unit_us, now))
@@ -133,6 +145,9 @@
       ms_limit_overload (&slot->limit, now);
       break;
     case MS_RESULT_CONNECT_FAILED:
+      ms_limit_chill (&slot->limit, now);
+      close_for_a_while (slot, now);
+      break;
     case MS_RESULT_RESET:
       ms_limit_chill (&slot->limit, now);
       break;
--- a/src/dispatch/occupancy.c
+++ b/src/dispatch/occupancy.c
@@ -160,6 +160,8 @@
     return 0;
   if (!ms_view_usable (view, endpoint))
     return 0;
+  if (slot->refusals && (slot->granted || now < slot->closed_until))
+    return 0;
   service = ms_config_service (view->config, cell->service);
   ms_view_prune_predecessors (view, cell);
   note_lapse (dispatch, slot, now);
@@ -250,6 +252,8 @@
                               now - (ms_time)service->report_lag_ms * MS_MSEC))
     slot->confirmed = true;
   slot->start_id = start_id;
+  slot->refusals = 0;
+
   if (slot->report.known && others_possible (dispatch, slot))
     weigh_report (dispatch, slot, (ms_time)service->report_lag_ms * MS_MSEC,
                   now);
--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -27,6 +27,7 @@
   unsigned keys;      /* Known to the at-most-once table.  */
   unsigned requests;  /* Through this entry, a second.  */
   unsigned restarts;  /* Of other routers, one after the other.  */
+  unsigned publications;
 };
 
 struct figures
@@ -34,12 +35,14 @@
   double state_bytes;
   double other_bytes; /* A second, but for grants.  */
   double grant_bytes; /* A grant.  */
-  double grants;      /* A second.  */
-  double grant_ns;    /* Demand, grant, reply and end of one request.  */
+  double other_messages;
+  double grants;   /* A second.  */
+  double grant_ns; /* Demand, grant, reply and end of one request.  */
   double tick_ns;
   double config_ms;  /* To parse and put in force.  */
   double record_ns;  /* To read one record of the once stream.  */
   double restart_us; /* To read a router\'s expiry and its new join.  */
+  double publish_us; /* A publication on top of the one in force.  */
 };
 
 /* A grant that the feeding loop will answer.  */
@@ -61,6 +64,7 @@
   uint64_t ids[MS_MAX_MEMBERS]; /* Of the routers.  */
   double bytes;
   double grant_bytes;
+  double other_messages; /* Sent, but for grants.  */
   struct open_grant open[MAX_OPEN];
   unsigned open_count;
   uint64_t probed[MAX_OPEN]; /* Routers that owe an answer to a probe.  */
@@ -100,6 +104,7 @@
     return;
   length = ms_message_encode (message, data, sizeof data) + HEADER_BYTES;
   bench->bytes += length;
+  bench->other_messages += message->body.kind != PEER_GRANT;
   if (message->body.kind == PEER_PROBE && bench->probed_count < MAX_OPEN)
     bench->probed[bench->probed_count++] = effect->send.node;
   if (message->body.kind != PEER_GRANT || bench->open_count == MAX_OPEN)
@@ -368,7 +373,7 @@
   double in_ticks = 0;
   double in_grants = 0;
 
-  bench->bytes = bench->grant_bytes = 0;
+  bench->bytes = bench->grant_bytes = bench->other_messages = 0;
   bench->grants = 0;
   for (unsigned i = 0; i < ticks; i++)
     {
@@ -388,6 +393,7 @@
       in_ticks += seconds () - begun;
     }
   figures->other_bytes = (bench->bytes - bench->grant_bytes) / SECONDS;
+  figures->other_messages = bench->other_messages / SECONDS;
   figures->grants = (double)bench->grants / SECONDS;
   if (bench->grants)
     figures->grant_bytes = bench->grant_bytes / (double)bench->grants;
@@ -430,6 +436,29 @@
     figures->restart_us = (seconds () - begun) * 1e6 / bench->load.restarts;
 }
 
+static void
+publish_again (struct bench *bench, struct figures *figures)
+{
+  uint64_t offset = 1000000;
+  double begun = seconds ();
+
+  for (unsigned i = 0; i < bench->load.publications; i++)
+    {
+      const struct ms_config *config = ms_node_view (bench->node)->config;
+      struct ms_record record = { .kind = MS_RECORD_CONFIG,
+                                  .generation = config->generation,
+                                  .text = config->text,
+                                  .text_length = config->text_length };
+      char *text = ms_record_print (&record);
+
+      put_record (bench, MS_STREAM_CONTROL, offset++, text);
+      free (text);
+    }
+  if (bench->load.publications)
+    figures->publish_us
+        = (seconds () - begun) * 1e6 / bench->load.publications;
+}
+
 /* The router that dispatches the one cell, so that grants are measured.  */
 static unsigned
 find_holder (const struct load *load)
@@ -485,6 +514,7 @@
     }
   run (bench, &figures);
   restart_routers (bench, &figures);
+  publish_again (bench, &figures);
   ms_node_destroy (bench->node);
   free (bench);
   return figures;
@@ -539,6 +569,7 @@
 } columns[] = {
   { "state_bytes", offsetof (struct figures, state_bytes) },
   { "other_bytes_s", offsetof (struct figures, other_bytes) },
+  { "other_messages_s", offsetof (struct figures, other_messages) },
   { "grant_bytes", offsetof (struct figures, grant_bytes) },
   { "grants_s", offsetof (struct figures, grants) },
   { "grant_ns", offsetof (struct figures, grant_ns) },
@@ -546,6 +577,7 @@
   { "config_ms", offsetof (struct figures, config_ms) },
   { "record_ns", offsetof (struct figures, record_ns) },
   { "restart_us", offsetof (struct figures, restart_us) },
+  { "publish_us", offsetof (struct figures, publish_us) },
 };
 
 #define COLUMNS (sizeof columns / sizeof *columns)
@@ -572,7 +604,8 @@
                            .teams = 16,
                            .backlogged = 16,
                            .endpoints = 4,
-                           .restarts = 50 };
+                           .restarts = 50,
+                           .publications = 10 };
 
       memcpy ((char *)&load + axis->field, &axis->points[count],
               sizeof (unsigned));
@@ -628,6 +661,9 @@
     { "restarts",
       offsetof (struct load, restarts),
       { 10, 50, 170, 500, 1700 } },
+    { "publications",
+      offsetof (struct load, publications),
+      { 10, 160, 320, 640 } },
     { "requests", offsetof (struct load, requests), { 50, 100, 200, 400 } },
   };
   const struct argp argp
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -64,6 +64,18 @@
 verdict "an unknown team is refused" $?
 [ "$(code_of -H 'Monsoonspur-Team: silo-01' -d x "$service/none/run")" = 404 ]
 verdict "an unknown service is refused" $?
+long=$(head -c 20000 /dev/zero | tr '\0' x)
+code=$(code_of -H "Long: $long" -H 'Monsoonspur-Team: silo-01' -d x \
+  "$service/agronomo/run")
+[ "$code" = 413 ] || [ "$code" = 431 ] || [ "$code" = 400 ] \
+  || [ "$code" = 000 ]
+verdict "oversized headers are refused or the connection closed" $?
+printf 'this is not HTTP\r\n\r\n' \
+  | curl --silent --max-time 5 "telnet://$(caller_address 4)" \
+    >"$DIR/malformed" 2>&1
+! grep -q ' 200 ' "$DIR/malformed" \
+  && get "http://$(caller_address 4)/healthz" >/dev/null
+verdict "a malformed request costs the others nothing" $?
 head -c 2000000 /dev/zero >"$DIR/large"
 [ "$(code_of -H 'Monsoonspur-Team: silo-01' --data-binary "@$DIR/large" \
   "$service/agronomo/run")" = 413 ]
@@ -163,6 +175,27 @@
   drain >/dev/null && wait "$(pid_of router5)"
 verdict "a drained router exits with 0" $?
 
+curl --silent --noproxy '*' --max-time 30 -o /dev/null \
+  -H 'Monsoonspur-Team: silo-01' -d 'stream cost=10000' \
+  "http://$(caller_address 8)/services/agronomo/run" &
+streaming=$!
+busy ()
+{
+  get "http://$(caller_address 8)/v1/status" | grep -q '"open_requests":1,'
+}
+await 10 busy
+kill -TERM "$(pid_of router8)"
+draining ()
+{
+  get "http://$(caller_address 8)/v1/status" | grep -q '"draining":true'
+}
+await 10 draining
+kill -TERM "$(pid_of router8)"
+wait "$(pid_of router8)"
+[ $? -eq 3 ] && grep -q 'cut off count=1' "$DIR/router8.log"
+verdict "a second SIGTERM ends a router at once and says what was cut" $?
+wait "$streaming" 2>/dev/null
+
 stop router0
 "$BUILD/monsoonspur-replay" --journal="$DIR/router0.journal" >"$DIR/replay.out" 2>&1
 verdict "a recorded run replays to the same effects" $?
