--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -2,7 +2,6 @@
 #include <curl/curl.h>
 #include <stdbool.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/version.h"
--- a/src/dispatch/grant.c
+++ b/src/dispatch/grant.c
@@ -1,5 +1,3 @@
-#include <stdlib.h>
-
 #include "base/alloc.h"
 #include "dispatch/internal.h"
 
@@ -25,7 +23,8 @@
   return total > demand->pending ? total - demand->pending : 0;
 }
 
-/* Whether DEMAND is CELL's and in force, and a request of LANES waits.  */
+/* Whether DEMAND is CELL's and in force, and a request of it waits that is to
+   run ALONE, or else one that is not.  */
 static bool
 wants (const struct demand *demand, const struct held_cell *cell, bool alone,
        ms_time now)
@@ -164,6 +163,7 @@
   struct team_service *service
       = ms_dispatch_service (dispatch, cell->service, now);
   struct grant *grant = ms_new (sizeof *grant);
+
   grant->id = ms_id_pair (
       ms_id_pair (dispatch->view->self, dispatch->view->incarnation),
       ++dispatch->grant_sequence);
--- a/src/journal/write.c
+++ b/src/journal/write.c
@@ -1,5 +1,4 @@
 #include <inttypes.h>
-#include <stdlib.h>
 
 #include "journal/journal.h"
 #include "rpc/codec.h"
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -32,9 +32,7 @@
   uint64_t once_applied;
   uint64_t first_kept;
   ms_time next_join;
-  ms_time drain_since;
   bool draining;
-  bool leave_sent;
   bool drained;
 };
 
--- a/src/node/tick.c
+++ b/src/node/tick.c
@@ -49,7 +49,6 @@
   if (node->draining)
     return;
   node->draining = true;
-  node->drain_since = now;
   ms_entry_drain (node->entry);
   ms_dispatch_stop (node->dispatch);
   ms_dispatch_view_changed (node->dispatch, now);
--- a/src/platform/http_list.c
+++ b/src/platform/http_list.c
@@ -1,6 +1,5 @@
 #include <jansson.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
--- a/src/replay/endpoints.c
+++ b/src/replay/endpoints.c
@@ -1,4 +1,3 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
--- a/src/replay/heap.c
+++ b/src/replay/heap.c
@@ -1,5 +1,3 @@
-#include <stdlib.h>
-
 #include "base/alloc.h"
 #include "replay/internal.h"
 
--- a/src/rpc/peer.x
+++ b/src/rpc/peer.x
@@ -25,6 +25,8 @@
   peer_suspect suspects<PEER_SUSPECTS>;
 };
 
+/* How many requests of TEAM wait: interactive ones, long ones (BATCH), and
+   suspects that must run ALONE.  HINT is the first one's expected cost.  */
 struct peer_demand_item
 {
   unsigned hyper team;
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -5,7 +5,7 @@
    GET /load   the requests that run and the number of this start
    GET /ledger how often each body was run
 
-   While cold it runs each unit ten times slower, and more requests at once
+   While cold it runs each unit five times slower, and more requests at once
    than it bears are refused and counted.  */
 
 #include <argp.h>
