--- a/src/config/schema.c
+++ b/src/config/schema.c
@@ -24,6 +24,12 @@
 static const cyaml_schema_value_t name_value
     = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 1, NAME_MAX_LENGTH) };
 
+/* SHA-256 in hexadecimal.  */
+#define DIGEST_LENGTH 64
+
+static const cyaml_schema_value_t digest_value = { CYAML_VALUE_STRING (
+    CYAML_FLAG_POINTER, char, DIGEST_LENGTH, DIGEST_LENGTH) };
+
 static const cyaml_schema_field_t zone_fields[]
     = { CYAML_FIELD_STRING_PTR ("name", CYAML_FLAG_POINTER, struct ms_zone,
                                 name, 1, NAME_MAX_LENGTH),
@@ -41,7 +47,8 @@
                                 name, 1, NAME_MAX_LENGTH),
         CYAML_FIELD_UINT ("weight", OPTIONAL, struct ms_team, weight),
         CYAML_FIELD_SEQUENCE ("key_digests", CYAML_FLAG_POINTER | OPTIONAL,
-                              struct ms_team, key_digests, &name_value, 0, 16),
+                              struct ms_team, key_digests, &digest_value, 0,
+                              16),
         CYAML_FIELD_END };
 
 static const cyaml_schema_value_t team_value = { CYAML_VALUE_MAPPING (
--- a/src/configtool/published.c
+++ b/src/configtool/published.c
@@ -111,64 +111,6 @@
   published->text = NULL;
 }
 
-/* The line of TEXT at *AT, which moves on to the next; false at the end.  */
-static bool
-next_line (const char *text, size_t *at, struct ms_str *line)
-{
-  const char *end;
-
-  if (!text || !text[*at])
-    return false;
-  end = strchr (text + *at, '\n');
-  line->data = text + *at;
-  line->length = end ? (size_t)(end - line->data) : strlen (line->data);
-  *at += line->length + (end ? 1 : 0);
-  return true;
-}
-
-static bool
-has_line (const char *text, struct ms_str wanted)
-{
-  struct ms_str line;
-  size_t at = 0;
-
-  while (next_line (text, &at, &line))
-    if (ms_str_equal (line, wanted))
-      return true;
-  return false;
-}
-
-static unsigned
-print_missing (const char *from, const char *in, char sign, FILE *file)
-{
-  struct ms_str line;
-  size_t at = 0;
-  unsigned count = 0;
-
-  while (next_line (from, &at, &line))
-    if (!has_line (in, line))
-      {
-        fprintf (file, "%c%.*s\n", sign, (int)line.length, line.data);
-        count++;
-      }
-  return count;
-}
-
-unsigned
-ms_published_diff (const struct ms_published *published,
-                   const struct ms_config *config, FILE *file)
-{
-  unsigned count = print_missing (published->text, config->text, '-', file);
-
-  count += print_missing (config->text, published->text, '+', file);
-  if (!count && published->text && strcmp (published->text, config->text) != 0)
-    {
-      fprintf (file, "the same lines in another order\n");
-      count = 1;
-    }
-  return count;
-}
-
 enum ms_status
 ms_publish (const char *log_url, const struct ms_config *config, uint64_t base,
             uint64_t *generation)
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -30,14 +30,15 @@
   i=$((i + 1))
 done
 # shellcheck disable=SC2086
-"$BUILD/standin-caller" --router="$(caller_address 0)" --zone=paysandu \
+"$BUILD/standin-caller" --router="$(caller_address 0)" --zone=paysandu --print \
   $ledgers >"$DIR/caller.out"
 code=$?
+grep '^answer ' "$DIR/caller.out" | sed 's/^/  /'
 request=$(sed -n 's/^request //p' "$DIR/caller.out")
 note "spans of request $request"
 cat "$DIR"/router*.log | grep "hop=" | grep -- "request=$request " \
   | sed 's/^[^ ]* info span: /  /'
-grep -v '^request ' "$DIR/caller.out"
+grep -v -e '^request ' -e '^answer ' "$DIR/caller.out"
 
 i=0
 while [ $i -lt 9 ]; do
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -26,7 +26,10 @@
 call ()
 {
   "$BUILD/standin-caller" --zone=salto "$@" "$(plain_address 0)" \
-    "$(plain_address 1)" "$(plain_address 2)" >"$DIR/caller.out" 2>&1
+    "$(plain_address 1)" "$(plain_address 2)" >"$DIR/caller.out" 2>&1 \
+    && return
+  cat "$DIR/caller.out"
+  return 1
 }
 
 start_platform || exit 1
@@ -112,6 +115,37 @@
 call --router="$(caller_address 4)"
 verdict "requests go on while an availability zone is out" $?
 
+"$BUILD/monsoonspur-config" --log="$(log_url)" diff "$DIR/out.yaml" >/dev/null
+same=$?
+"$BUILD/monsoonspur-config" --log="$(log_url)" diff "$DIR/config.yaml" \
+  >"$DIR/diff"
+[ $? -eq 1 ] && [ $same -eq 0 ] && grep -q 'salto: in_service: false -> true' "$DIR/diff"
+verdict "a difference from the configuration in force is shown" $?
+"$BUILD/monsoonspur-config" --log="$(log_url)" print \
+  | grep -q "^# generation: $generation$"
+verdict "the configuration in force is printed" $?
+
+digest=$(printf 'open sesame' | sha256sum | cut -d ' ' -f 1)
+sed "s/^- name: silo-16$/&\n  key_digests: [$digest]/" "$DIR/config.yaml" \
+  >"$DIR/keys.yaml"
+generation=$(publish "$DIR/keys.yaml" \
+  | sed -n 's/^published generation=\([0-9]*\) .*/\1/p')
+await 10 in_force
+keyed ()
+{
+  code_of -H 'Monsoonspur-Team: silo-16' -d 'whole cost=5' "$@" \
+    "http://$(caller_address 8)/services/agronomo/run"
+}
+[ "$(keyed)" = 401 ] && [ "$(keyed -H 'Authorization: Bearer wrong')" = 401 ] \
+  && [ "$(keyed -H 'Authorization: Bearer open sesame')" = 200 ]
+verdict "a team with keys is served only with one" $?
+trace=0af7651916cd43dd8448eb211c80319c
+code_of -H 'Monsoonspur-Team: silo-01' -d 'whole cost=5' \
+  -H "traceparent: 00-$trace-b7ad6b7169203331-01" "$service/agronomo/run" \
+  >/dev/null
+[ "$(grep -c "trace=$trace .*hop=" "$DIR/router4.log")" = 3 ]
+verdict "a caller's trace goes on over the three hops" $?
+
 idle ()
 {
   get "http://$(caller_address 4)/v1/status" | grep -q '"open_requests":0,'
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <strings.h>
 #include <time.h>
+#include <unistd.h>
 
 #define MAX_ADDRESSES 16
 #define MAX_TEAMS 64
@@ -30,6 +31,8 @@
   CALL_ORDER
 };
 
+static const char *const kind_names[] = { "ordinary", "streamed", "order" };
+
 struct options
 {
   const char *router;
@@ -42,6 +45,7 @@
   int threads;
   int requests; /* Of each thread.  */
   int cost;
+  bool verbose;                     /* Print each answer's outcome.  */
   const char *ledgers[MAX_LEDGERS]; /* Addresses of plain endpoints.  */
   int ledgers_count;
 };
@@ -56,6 +60,7 @@
                                   12,
                                   20,
                                   20,
+                                  false,
                                   { 0 },
                                   0 };
 
@@ -225,9 +230,9 @@
   snprintf (url, sizeof url, "http://%s/services/%s/run",
             addresses[(thread + number) % addresses_count],
             kind == CALL_ORDER ? options.plain : options.model);
-  snprintf (body, sizeof body, "%s cost=%d id=%d-%d-%ld",
+  snprintf (body, sizeof body, "%s cost=%d id=%d-%d-%ld-%d",
             kind == CALL_STREAM ? "stream" : "whole", options.cost, thread,
-            number, (long)time (NULL));
+            number, (long)time (NULL), (int)getpid ());
   snprintf (line, sizeof line, "Monsoonspur-Team: %s%02d", options.team_prefix,
             team + 1);
   headers = curl_slist_append (headers, line);
@@ -241,6 +246,10 @@
     count (kind, team, body, reply);
   else
     lost++;
+  if (options.verbose)
+    printf ("answer %s team=%s%02d kind=%s outcome=%s\n", reply->request_id,
+            options.team_prefix, team + 1, kind_names[kind],
+            *reply->outcome ? reply->outcome : "lost");
   if (latencies_count < MAX_LATENCIES)
     latencies[latencies_count++] = (long)((seconds () - begun) * 1e6);
   pthread_mutex_lock (&lock);
@@ -373,6 +382,9 @@
     case 'z':
       options.zone = arg;
       return 0;
+    case 'p':
+      options.verbose = true;
+      return 0;
     case 'v':
       options.avoid = arg;
       return 0;
@@ -401,6 +413,7 @@
   static const struct argp_option argp_options[]
       = { { "router", 'r', "IP:PORT", 0, "Router to ask for addresses", 0 },
           { "zone", 'z', "ZONE", 0, "The callers' availability zone", 0 },
+          { "print", 'p', NULL, 0, "Print each answer's outcome", 0 },
           { "avoid", 'v', "IP:PORT", 0, "A router not to use", 0 },
           { "threads", 't', "N", 0, "Callers at once", 0 },
           { "requests", 'n', "N", 0, "Requests of each caller", 0 },
--- a/tests/test_library.c
+++ b/tests/test_library.c
@@ -7,6 +7,9 @@
 
 #include "config/config.h"
 
+#define DIGEST                                                                \
+  "41ef4bb0b23661e66301aac36066912dac037827b4ae63a7b1165a5aa93ed4eb"
+
 static struct ms_builder *
 two_teams (uint32_t cold_limit)
 {
@@ -17,7 +20,7 @@
   ms_builder_zone (builder, "salto", "uy", false);
   ms_builder_team (builder, "a", 2);
   ms_builder_team (builder, "b", 1);
-  ms_builder_team_key (builder, "b", "00ff");
+  ms_builder_team_key (builder, "b", DIGEST);
   ms_builder_service (builder, &service);
   return builder;
 }
