--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,29 @@
 PACKAGES = libcivetweb-dev liburcu-dev libtirpc-dev libcmocka-dev \
 	libcyaml-dev libyaml-dev libjansson-dev libcurl4-openssl-dev libssl-dev \
 	libxxhash-dev uthash-dev rpcsvc-proto pkg-config \
+	libuv1-dev libhttp-parser-dev \
 	curl clang-format clang-tidy make gcc
 MODULES = liburcu-bp libtirpc libcyaml yaml-0.1 jansson libcurl libcrypto libxxhash
 
+GATEWAY_MODULES = libuv libtirpc libcyaml yaml-0.1 jansson libcrypto libxxhash
+
 BUILD ?= build
 CFLAGS ?= -O2 -g
 WARNINGS = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
-ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -Iinclude -Isrc -pthread \
-	$(shell pkg-config --cflags $(MODULES))
+BASE_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -Iinclude -Isrc -Iplatform -pthread
+ALL_CFLAGS = $(BASE_CFLAGS) \
+	$(shell pkg-config --cflags $(MODULES) $(GATEWAY_MODULES))
 LIBS = -lcivetweb $(shell pkg-config --libs $(MODULES)) -lm -pthread
 
 PROGRAMS = router config ctl replay
+GATEWAY_DIRS = wire route place admit fleet guard gateway
+GATEWAY_SOURCES = $(foreach d,$(GATEWAY_DIRS),$(wildcard src/$(d)/*.c)) \
+	$(wildcard platform/*.c) src/config/yaml.c \
+	$(patsubst %,src/base/%.c,address alloc clock event file log random status \
+	str switches)
+GATEWAY_OBJECTS = $(GATEWAY_SOURCES:%.c=$(BUILD)/%.o)
+GATEWAY_LIBS = -lhttp_parser $(shell pkg-config --libs $(GATEWAY_MODULES)) \
+	-lm -pthread
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 CORE_DIRS = base rpc config view member fair dispatch guard once entry node journal \
 	http platform library
@@ -19,7 +31,7 @@
 CORE_OBJECTS = $(CORE_SOURCES:%.c=$(BUILD)/%.o)
 CORE = $(BUILD)/libcore.a
 
-PROGRAM_FILES = $(PROGRAMS:%=$(BUILD)/monsoonspur-%)
+PROGRAM_FILES = $(PROGRAMS:%=$(BUILD)/monsoonspur-%) $(BUILD)/monsoonspur-gateway
 STANDINS = $(patsubst tests/standins/%.c,$(BUILD)/standin-%,\
 	$(wildcard tests/standins/*.c))
 TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
@@ -30,7 +42,14 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
 
-$(BUILD)/src/rpc/peer_xdr.o: WARNINGS =
+$(BUILD)/src/rpc/peer_xdr.o $(BUILD)/src/fleet/digest_xdr.o: WARNINGS =
+
+# The gateway is built where only its own libraries are installed.
+$(GATEWAY_OBJECTS): ALL_CFLAGS = $(BASE_CFLAGS) \
+	$(shell pkg-config --cflags $(GATEWAY_MODULES))
+
+$(BUILD)/monsoonspur-gateway: $(GATEWAY_OBJECTS)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(GATEWAY_LIBS)
 
 $(CORE): $(CORE_OBJECTS)
 	@rm -f $@
@@ -111,8 +130,9 @@
 check-asan-traces: $(BUILD)/monsoonspur-replay
 	$(BUILD)/monsoonspur-replay tests/traces/*.trace
 
-FORMATTED = $(filter-out src/rpc/peer.h src/rpc/peer_xdr.c,\
-	$(shell find src include tests examples -name '*.[ch]'))
+FORMATTED = $(filter-out src/rpc/peer.h src/rpc/peer_xdr.c \
+	src/fleet/digest.h src/fleet/digest_xdr.c,\
+	$(shell find src include platform tests examples -name '*.[ch]'))
 
 lint: install-packages
 	clang-format --dry-run -Werror $(FORMATTED)
--- /dev/null
+++ b/src/fleet/digest.x
@@ -0,0 +1,52 @@
+/* What gateways tell each other over UDP.  Identifiers are 64-bit hashes of
+   names; ages are in milliseconds at the time of sending.  */
+
+const DIGEST_LOADS = 128;
+const DIGEST_MEMBERS = 16;
+const DIGEST_DEATHS = 16;
+const DIGEST_TEAMS = 64;
+
+/* Work that the sender has at an endpoint.  */
+struct digest_load
+{
+  unsigned hyper endpoint;
+  unsigned int running;
+  unsigned int prefill;
+  unsigned int memory;
+};
+
+/* A router the sender knows of.  */
+struct digest_member
+{
+  unsigned hyper id;
+  unsigned hyper incarnation;
+  unsigned hyper zone;
+  unsigned int ip;
+};
+
+/* A request under which endpoints ended.  */
+struct digest_death
+{
+  unsigned hyper fingerprint;
+  unsigned int deaths;
+};
+
+/* What a team's callers asked of the sender lately, in tokens a second.  */
+struct digest_team
+{
+  unsigned hyper team;
+  unsigned int asked;
+};
+
+struct fleet_digest
+{
+  digest_member self;
+  unsigned int sequence;
+  bool ready;
+  bool leaving;
+  unsigned int room; /* Requests it could take beyond its own, in percent.  */
+  digest_load loads<DIGEST_LOADS>;
+  digest_member members<DIGEST_MEMBERS>;
+  digest_death deaths<DIGEST_DEATHS>;
+  digest_team teams<DIGEST_TEAMS>;
+};
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,264 @@
+#include "fleet/fleet.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+
+#define MAX_ROUTERS 1024
+
+/* Digests go to so many routers at a time, in turn.  */
+#define FAN_OUT 12
+
+struct ms_fleet
+{
+  digest_member self;
+  unsigned sequence;
+  struct ms_random random;
+  struct ms_fleet_router *routers; /* By id.  */
+  unsigned count;
+  unsigned space;
+  unsigned next_target;
+  unsigned next_member;
+};
+
+struct ms_fleet *
+ms_fleet_create (uint64_t id, uint64_t incarnation, uint64_t zone,
+                 struct in_addr ip, uint64_t random_seed)
+{
+  struct ms_fleet *fleet = ms_new (sizeof *fleet);
+
+  fleet->self = (digest_member){ id, incarnation, zone, ntohl (ip.s_addr) };
+  fleet->random.state = random_seed;
+  return fleet;
+}
+
+static void
+free_router (struct ms_fleet_router *router)
+{
+  free (router->loads);
+  free (router->teams);
+}
+
+void
+ms_fleet_destroy (struct ms_fleet *fleet)
+{
+  if (!fleet)
+    return;
+  for (unsigned i = 0; i < fleet->count; i++)
+    free_router (&fleet->routers[i]);
+  free (fleet->routers);
+  free (fleet);
+}
+
+/* Index of the first router whose id is not below ID.  */
+static unsigned
+place_of (const struct ms_fleet *fleet, uint64_t id)
+{
+  unsigned i = 0;
+
+  while (i < fleet->count && fleet->routers[i].id < id)
+    i++;
+  return i;
+}
+
+static struct ms_fleet_router *
+obtain (struct ms_fleet *fleet, uint64_t id, ms_time now)
+{
+  unsigned at = place_of (fleet, id);
+
+  if (at < fleet->count && fleet->routers[at].id == id)
+    return &fleet->routers[at];
+  if (fleet->count == MAX_ROUTERS)
+    return NULL;
+  if (fleet->count == fleet->space)
+    {
+      fleet->space = fleet->space ? fleet->space * 2 : 16;
+      fleet->routers
+          = ms_resize (fleet->routers, fleet->space, sizeof *fleet->routers);
+    }
+  memmove (&fleet->routers[at + 1], &fleet->routers[at],
+           (fleet->count - at) * sizeof *fleet->routers);
+  fleet->count++;
+  fleet->routers[at] = (struct ms_fleet_router){ .id = id, .learned = now };
+  return &fleet->routers[at];
+}
+
+void
+ms_fleet_learn (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
+                uint64_t zone, struct in_addr ip, ms_time now)
+{
+  struct ms_fleet_router *router;
+
+  if (id == fleet->self.id)
+    return;
+  router = obtain (fleet, id, now);
+  if (!router || incarnation <= router->incarnation)
+    return;
+  router->incarnation = incarnation;
+  router->sequence = 0;
+  router->zone = zone;
+  router->ip = ip;
+  router->ready = false;
+  router->leaving = false;
+  router->heard = 0;
+  router->learned = now;
+}
+
+static struct in_addr
+address_of (const digest_member *member)
+{
+  return (struct in_addr){ htonl (member->ip) };
+}
+
+bool
+ms_fleet_receive (struct ms_fleet *fleet, struct fleet_digest *d, ms_time now)
+{
+  struct ms_fleet_router *router;
+
+  if (d->self.id == fleet->self.id)
+    return false;
+  ms_fleet_learn (fleet, d->self.id, d->self.incarnation, d->self.zone,
+                  address_of (&d->self), now);
+  for (unsigned i = 0; i < d->members.members_len; i++)
+    {
+      const digest_member *m = &d->members.members_val[i];
+
+      ms_fleet_learn (fleet, m->id, m->incarnation, m->zone, address_of (m),
+                      now);
+    }
+  router = obtain (fleet, d->self.id, now);
+  if (!router || d->self.incarnation != router->incarnation
+      || d->sequence <= router->sequence)
+    return false;
+  router->sequence = d->sequence;
+  router->heard = now;
+  router->ready = d->ready;
+  router->leaving = d->leaving;
+  free_router (router);
+  router->loads = d->loads.loads_val;
+  router->loads_count = d->loads.loads_len;
+  router->teams = d->teams.teams_val;
+  router->teams_count = d->teams.teams_len;
+  d->loads.loads_val = NULL;
+  d->loads.loads_len = 0;
+  d->teams.teams_val = NULL;
+  d->teams.teams_len = 0;
+  return true;
+}
+
+void
+ms_fleet_describe (struct ms_fleet *fleet, struct fleet_digest *d,
+                   digest_member *members)
+{
+  unsigned count = 0;
+
+  d->self = fleet->self;
+  d->sequence = ++fleet->sequence;
+  for (unsigned i = 0; i < fleet->count && count < DIGEST_MEMBERS; i++)
+    {
+      const struct ms_fleet_router *r
+          = &fleet->routers[(fleet->next_member + i) % fleet->count];
+
+      if (r->heard)
+        members[count++] = (digest_member){ r->id, r->incarnation, r->zone,
+                                            ntohl (r->ip.s_addr) };
+    }
+  fleet->next_member += count;
+  d->members.members_val = members;
+  d->members.members_len = count;
+}
+
+unsigned
+ms_fleet_targets (struct ms_fleet *fleet, ms_time now, struct in_addr *targets,
+                  unsigned space)
+{
+  unsigned count = 0;
+  unsigned most = space < FAN_OUT ? space : FAN_OUT;
+  unsigned i;
+
+  for (i = 0; i < fleet->count && count < most; i++)
+    {
+      const struct ms_fleet_router *r
+          = &fleet->routers[(fleet->next_target + i) % fleet->count];
+      bool silent = !ms_fleet_alive (r, now);
+
+      /* Ask the silent ones now and then only.  */
+      if (silent && ms_random_below (&fleet->random, 8))
+        continue;
+      targets[count++] = r->ip;
+    }
+  if (fleet->count > most)
+    fleet->next_target = (fleet->next_target + i) % fleet->count;
+  return count;
+}
+
+void
+ms_fleet_tick (struct ms_fleet *fleet, ms_time now)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      struct ms_fleet_router *r = &fleet->routers[i];
+      ms_time last = r->heard > r->learned ? r->heard : r->learned;
+
+      if (now - last > MS_ROUTER_FORGOTTEN)
+        free_router (r);
+      else
+        fleet->routers[kept++] = *r;
+    }
+  fleet->count = kept;
+}
+
+bool
+ms_fleet_alive (const struct ms_fleet_router *router, ms_time now)
+{
+  return router->heard && now - router->heard <= MS_ROUTER_SILENT;
+}
+
+const struct ms_fleet_router *
+ms_fleet_routers (const struct ms_fleet *fleet, unsigned *count)
+{
+  *count = fleet->count;
+  return fleet->routers;
+}
+
+static bool
+takes_callers (const struct ms_fleet_router *router, ms_time now)
+{
+  return ms_fleet_alive (router, now) && router->ready && !router->leaving;
+}
+
+static unsigned
+collect (const struct ms_fleet *fleet, uint64_t zone, bool ready, ms_time now,
+         struct in_addr *addresses, unsigned space)
+{
+  unsigned count = 0;
+
+  if (ready && space && (!zone || fleet->self.zone == zone))
+    addresses[count++] = address_of (&fleet->self);
+  for (unsigned i = 0; i < fleet->count && count < space; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (takes_callers (r, now) && (!zone || r->zone == zone))
+        addresses[count++] = r->ip;
+    }
+  return count;
+}
+
+unsigned
+ms_fleet_addresses (const struct ms_fleet *fleet, uint64_t zone, bool ready,
+                    ms_time now, struct in_addr *addresses, unsigned space)
+{
+  unsigned count = collect (fleet, zone, ready, now, addresses, space);
+
+  if (count >= 2)
+    return count;
+  count = collect (fleet, 0, ready, now, addresses, space);
+  if (!count && space)
+    addresses[count++] = address_of (&fleet->self);
+  return count;
+}
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,86 @@
+#ifndef FLEET_FLEET_H
+#define FLEET_FLEET_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "base/str.h"
+#include "fleet/digest.h"
+
+/* Which routers there are and what they say of themselves.  Routers learn of
+   each other from the store's records, from seeds and from digests, which each
+   sends to the others several times a second.  No socket, no clock.  */
+
+struct ms_fleet;
+
+struct ms_fleet_router
+{
+  uint64_t id;
+  uint64_t incarnation;
+  uint64_t zone;
+  struct in_addr ip;
+  bool ready;
+  bool leaving;
+  unsigned sequence;
+  ms_time heard;   /* Last digest; 0 if none yet.  */
+  ms_time learned; /* When it was first told of.  */
+  digest_load *loads;
+  unsigned loads_count;
+  digest_team *teams;
+  unsigned teams_count;
+};
+
+/* Without a digest for so long a router is taken for gone, and after the
+   second time forgotten.  */
+#define MS_ROUTER_SILENT (1000 * MS_MSEC)
+#define MS_ROUTER_FORGOTTEN (60 * MS_SEC)
+
+struct ms_fleet *ms_fleet_create (uint64_t id, uint64_t incarnation,
+                                  uint64_t zone, struct in_addr ip,
+                                  uint64_t random_seed);
+void ms_fleet_destroy (struct ms_fleet *fleet);
+
+/* Someone tells of a router.  */
+void ms_fleet_learn (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
+                     uint64_t zone, struct in_addr ip, ms_time now);
+
+/* A digest came.  Returns false if it is old or the router's own.  The fleet
+   takes over the loads and teams in DIGEST.  */
+bool ms_fleet_receive (struct ms_fleet *fleet, struct fleet_digest *digest,
+                       ms_time now);
+
+/* Fill in DIGEST's sender and members; MEMBERS has room for DIGEST_MEMBERS. */
+void ms_fleet_describe (struct ms_fleet *fleet, struct fleet_digest *digest,
+                        digest_member *members);
+
+/* The routers to send a digest to, up to SPACE; returns the number.  */
+unsigned ms_fleet_targets (struct ms_fleet *fleet, ms_time now,
+                           struct in_addr *targets, unsigned space);
+
+/* Forget routers that were silent for long.  */
+void ms_fleet_tick (struct ms_fleet *fleet, ms_time now);
+
+/* Whether the router was heard of lately.  */
+bool ms_fleet_alive (const struct ms_fleet_router *router, ms_time now);
+
+/* The other routers, in the order of their ids.  */
+const struct ms_fleet_router *ms_fleet_routers (const struct ms_fleet *fleet,
+                                                unsigned *count);
+
+/* Addresses of the routers that callers in ZONE should use, this one included
+   if READY: those of the zone where at least two are ready, else all ready
+   ones, else this one.  Returns the number, at most SPACE.  */
+unsigned ms_fleet_addresses (const struct ms_fleet *fleet, uint64_t zone,
+                             bool ready, ms_time now,
+                             struct in_addr *addresses, unsigned space);
+
+/* Encode DIGEST; returns the length, 0 if it exceeds SIZE.  */
+unsigned ms_digest_encode (const struct fleet_digest *digest, char *data,
+                           size_t size);
+bool ms_digest_decode (const char *data, size_t length, struct fleet_digest *digest);
+void ms_digest_free (struct fleet_digest *digest);
+
+#endif
--- /dev/null
+++ b/src/gateway/exchange.c
@@ -0,0 +1,261 @@
+#include "gateway/exchange.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "gateway/socket.h"
+#include "wire/message.h"
+
+#define HEAD_BYTES 16384
+
+/* No answer that is asked for comes near this.  */
+#define MAX_BODY_BYTES (8u << 20)
+
+struct ms_exchange
+{
+  uv_loop_t *loop;
+  const struct ms_clock *clock;
+  uv_timer_t timer;
+  struct ms_socket *socket;
+  struct ms_parser *parser;
+  struct sockaddr_in server;
+  bool connected;
+  bool busy;
+  bool keep;
+  unsigned code;
+  char *body;
+  size_t length;
+  size_t space;
+  char *call; /* Waits for the connection.  */
+  size_t call_length;
+  ms_time sent_at;
+  ms_exchange_done *done;
+  void *context;
+};
+
+static void
+drop_connection (struct ms_exchange *x)
+{
+  if (x->socket)
+    ms_socket_reset (x->socket);
+  x->socket = NULL;
+  x->connected = false;
+}
+
+static void
+finish (struct ms_exchange *x, enum ms_status status)
+{
+  ms_exchange_done *done = x->done;
+  struct ms_str body = { x->body, status == MS_OK ? x->length : 0 };
+
+  if (!x->busy)
+    return;
+  uv_timer_stop (&x->timer);
+  if (status != MS_OK || !x->keep)
+    drop_connection (x);
+  free (x->call);
+  x->call = NULL;
+  x->busy = false;
+  /* The callee may begin the next call, which must not reuse this body.  */
+  x->body = NULL;
+  x->length = x->space = 0;
+  done (x->context, status, x->code, body, x->sent_at);
+  free ((char *)body.data);
+}
+
+static void
+on_head (void *context, const struct ms_head *head)
+{
+  struct ms_exchange *x = context;
+
+  x->code = head->status;
+  x->keep = head->keep_alive;
+}
+
+static void
+on_body (void *context, const char *data, size_t length)
+{
+  struct ms_exchange *x = context;
+
+  if (x->length + length > MAX_BODY_BYTES)
+    return;
+  if (x->length + length > x->space)
+    {
+      x->space = x->space ? x->space * 2 : 1024;
+      while (x->space < x->length + length)
+        x->space *= 2;
+      x->body = ms_resize (x->body, x->space, 1);
+    }
+  memcpy (x->body + x->length, data, length);
+  x->length += length;
+}
+
+static const struct ms_message_sink sink
+    = { .head = on_head, .body = on_body };
+
+static void
+send_call (struct ms_exchange *x)
+{
+  uv_buf_t buffer = uv_buf_init (x->call, (unsigned)x->call_length);
+
+  ms_parser_reset (x->parser);
+  ms_socket_write (x->socket, &buffer, 1);
+}
+
+static void
+on_connected (void *owner, enum ms_status status)
+{
+  struct ms_exchange *x = owner;
+
+  if (status != MS_OK)
+    {
+      finish (x, MS_UNAVAILABLE);
+      return;
+    }
+  x->connected = true;
+  send_call (x);
+}
+
+static void
+on_read (void *owner, const char *data, size_t length)
+{
+  struct ms_exchange *x = owner;
+  size_t used;
+  enum ms_parse result;
+
+  if (!x->busy)
+    {
+      /* Bytes that no call asked for.  */
+      drop_connection (x);
+      return;
+    }
+  result = ms_parser_feed (x->parser, data, length, &used);
+  if (result == MS_PARSE_MORE)
+    return;
+  if (result == MS_PARSE_COMPLETE && used < length)
+    x->keep = false;
+  finish (x, result == MS_PARSE_COMPLETE ? MS_OK : MS_UNAVAILABLE);
+}
+
+static void
+on_ended (void *owner, bool orderly)
+{
+  struct ms_exchange *x = owner;
+  bool whole = orderly && x->busy
+               && ms_parser_close (x->parser) == MS_PARSE_COMPLETE;
+
+  drop_connection (x);
+  finish (x, whole ? MS_OK : MS_UNAVAILABLE);
+}
+
+static void
+on_drained (void *owner)
+{
+  (void)owner;
+}
+
+static const struct ms_socket_events events = {
+  .connected = on_connected,
+  .read = on_read,
+  .ended = on_ended,
+  .drained = on_drained,
+};
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  finish (timer->data, MS_UNAVAILABLE);
+}
+
+struct ms_exchange *
+ms_exchange_create (uv_loop_t *loop, const struct ms_clock *clock)
+{
+  struct ms_exchange *x = ms_new (sizeof *x);
+
+  x->loop = loop;
+  x->clock = clock;
+  x->parser = ms_parser_create (false, HEAD_BYTES, &sink, x);
+  uv_timer_init (loop, &x->timer);
+  x->timer.data = x;
+  return x;
+}
+
+static void
+free_exchange (uv_handle_t *timer)
+{
+  struct ms_exchange *x = timer->data;
+
+  ms_parser_destroy (x->parser);
+  free (x->call);
+  free (x->body);
+  free (x);
+}
+
+void
+ms_exchange_destroy (struct ms_exchange *x)
+{
+  if (!x)
+    return;
+  x->busy = false;
+  drop_connection (x);
+  uv_close ((uv_handle_t *)&x->timer, free_exchange);
+}
+
+bool
+ms_exchange_busy (const struct ms_exchange *exchange)
+{
+  return exchange->busy;
+}
+
+static void
+compose (struct ms_exchange *x, const char *method, const char *path,
+         struct ms_str body)
+{
+  char host[INET_ADDRSTRLEN];
+  size_t space = strlen (path) + body.length + 256;
+  int head;
+
+  inet_ntop (AF_INET, &x->server.sin_addr, host, sizeof host);
+  x->call = ms_new (space);
+  head = snprintf (x->call, space,
+                   "%s %s HTTP/1.1\r\nHost: %s:%u\r\nContent-Length: "
+                   "%zu\r\n\r\n",
+                   method, path, host, ntohs (x->server.sin_port),
+                   body.length);
+  if (body.length)
+    memcpy (x->call + head, body.data, body.length);
+  x->call_length = (size_t)head + body.length;
+}
+
+void
+ms_exchange_call (struct ms_exchange *x, const struct sockaddr_in *server,
+                  const char *method, const char *path, struct ms_str body,
+                  ms_time timeout, ms_exchange_done *done, void *context)
+{
+  bool same = x->server.sin_addr.s_addr == server->sin_addr.s_addr
+              && x->server.sin_port == server->sin_port;
+
+  x->busy = true;
+  x->done = done;
+  x->context = context;
+  x->sent_at = ms_now (x->clock);
+  x->code = 0;
+  x->length = 0;
+  uv_timer_start (&x->timer, on_timeout, (uint64_t)(timeout / MS_MSEC), 0);
+  if (!same)
+    drop_connection (x);
+  x->server = *server;
+  compose (x, method, path, body);
+  if (x->connected)
+    {
+      send_call (x);
+      return;
+    }
+  drop_connection (x);
+  x->socket = ms_socket_connect (x->loop, server, &events, x);
+  if (!x->socket)
+    uv_timer_start (&x->timer, on_timeout, 1, 0);
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,78 @@
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
+
+#include <uv.h>
+
+#include "admit/budget.h"
+#include "base/clock.h"
+#include "base/random.h"
+#include "fleet/fleet.h"
+#include "gateway/settings.h"
+#include "gateway/socket.h"
+#include "gateway/topic.h"
+#include "guard/guard.h"
+#include "place/place.h"
+#include "platform.h"
+#include "route/route.h"
+
+/* One gateway process: an event loop around the decisions.  */
+
+struct ms_request;
+struct ms_caller;
+struct ms_peers;
+
+struct ms_gateway
+{
+  uv_loop_t loop;
+  uv_timer_t timer;
+  uv_signal_t terminate;
+  uv_signal_t hang_up;
+  uv_tcp_t caller_listener;
+  uv_tcp_t ready_listener;
+  uv_tcp_t directory_listener;
+  uv_tcp_t control_listener;
+  struct ms_clock clock;
+  struct ms_random random;
+  struct ms_gateway_settings *settings;
+  struct sockaddr_in caller_address;
+  uint64_t id;
+  uint64_t incarnation;
+  uint64_t zone;
+
+  struct ms_routes *routes; /* NULL before the first configuration.  */
+  struct ms_topic *operator_topic;
+  struct ms_topic *endpoint_topic;
+  struct ms_place *place;
+  struct ms_guard *guard;
+  struct ms_budget *budget;
+  struct ms_fleet *fleet;
+  struct ms_peers *peers;
+
+  struct ms_request *requests; /* In progress, oldest first.  */
+  struct ms_request *beginning; /* Being begun; NULL if it has ended.  */
+  unsigned requests_count;
+  struct ms_caller *callers;
+  size_t body_bytes; /* Held for requests in progress.  */
+  ms_time now;       /* Of this turn of the loop.  */
+  ms_time last_tick;
+  ms_time terminated_at; /* SIGTERM came; 0 if not.  */
+  bool retry_waiting;    /* Room may have come free.  */
+};
+
+/* How long between two turns of the gateway's clock.  */
+#define MS_TICK_MS 20
+
+/* The time, read anew.  */
+ms_time ms_gateway_time (struct ms_gateway *gw);
+
+/* Whether callers should come here.  */
+bool ms_gateway_ready (struct ms_gateway *gw);
+
+/* Whether a request that carries a key may still be sent: the configuration
+   was read recently enough for a revocation to have been seen.  */
+bool ms_gateway_keys_fresh (struct ms_gateway *gw, ms_time now);
+
+/* Whether what the configuration does not know is known not to exist.  */
+bool ms_gateway_config_recent (struct ms_gateway *gw, ms_time now);
+
+#endif
--- /dev/null
+++ b/src/gateway/internal.h
@@ -0,0 +1,72 @@
+#ifndef GATEWAY_INTERNAL_H
+#define GATEWAY_INTERNAL_H
+
+#include "gateway/gateway.h"
+#include "gateway/upstream.h"
+#include "wire/events.h"
+
+/* Endpoints that one request may be taken to.  */
+#define MS_MAX_TRIED 6
+
+/* Requests that come within this time of SIGTERM are still served.  */
+#define MS_ACCEPT_AFTER_TERM (3 * MS_SEC)
+
+#define MS_ATTEMPT_ID_BYTES 80
+
+struct ms_request
+{
+  struct ms_gateway *gw;
+  struct ms_caller *caller;
+  char attempt_id[MS_ATTEMPT_ID_BYTES];
+  struct ms_route route; /* As it was at the start; without its strings.  */
+  uint64_t service;
+  uint64_t team; /* 0 if no key is needed.  */
+  struct ms_name team_name;
+  uint64_t config_version;
+  uint64_t fingerprint;
+  bool keyed;
+  struct plat_prompt prompt;
+
+  ms_time arrived;
+  ms_time aim;
+  ms_time deadline;   /* The caller's.  */
+  ms_time timeout_at; /* The operators'.  */
+  ms_time wait_until; /* Without room by then it is refused.  */
+  ms_time first_sent_at;
+  ms_time first_at; /* First byte of the answer; 0 if none yet.  */
+
+  bool waiting;
+  unsigned attempts; /* Sent to an endpoint.  */
+  bool may_have_run;
+  struct ms_endpoint_state *tried[MS_MAX_TRIED];
+  unsigned tried_count;
+
+  /* The current attempt.  */
+  struct ms_endpoint_state *endpoint;
+  struct ms_upstream *upstream;
+  struct ms_choice choice;
+  struct ms_load load;
+  struct ms_name last_endpoint;
+  ms_time sent_at;
+  bool sent;
+  bool began;
+
+  /* Its answer.  */
+  const struct ms_head *answer;
+  unsigned answer_status;
+  bool not_run;
+  bool proper;  /* Signed, if it is a success.  */
+  bool streams; /* Events are passed on as they come.  */
+  char *held;   /* Not passed on yet.  */
+  size_t held_length;
+  size_t held_space;
+
+  /* The answer to the caller.  */
+  bool head_sent;
+  unsigned status;
+  uint64_t bytes_forwarded;
+  struct ms_event_id last_event; /* The last one passed on whole.  */
+  struct ms_request *prev, *next;
+};
+
+#endif
--- /dev/null
+++ b/src/gateway/main.c
@@ -0,0 +1,411 @@
+#include <argp.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/alloc.h"
+#include "base/event.h"
+#include "base/log.h"
+#include "base/version.h"
+#include "gateway/caller.h"
+#include "gateway/gateway.h"
+#include "gateway/internal.h"
+#include "gateway/pages.h"
+#include "gateway/peers.h"
+#include "gateway/request.h"
+
+/* Environment variable with the path of the settings.  */
+#define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
+
+#define BACKLOG 1024
+#define OPERATOR_WAIT_MS 1000
+#define OPERATOR_PAUSE (50 * MS_MSEC)
+#define ENDPOINT_WAIT_MS 1000
+#define ENDPOINT_PAUSE (250 * MS_MSEC)
+
+/* The store's list may lack live endpoints for so long after an outage.  */
+#define ENDPOINT_MISSING (1500 * MS_MSEC)
+
+/* What a revocation's bound is cut by, for a request to begin.  */
+#define REVOCATION_MARGIN (400 * MS_MSEC)
+
+/* A configuration read within this time is taken for the newest when it says
+   that a route or key does not exist.  */
+#define CONFIG_RECENT (1900 * MS_MSEC)
+
+/* A turn of the loop this late means that the process stood still.  */
+#define STOOD_STILL (700 * MS_MSEC)
+
+/* The process ends this long before it would be killed, and after SIGTERM not
+   before callers have learned of it.  */
+#define GRACE_MARGIN (300 * MS_MSEC)
+#define LEAVE_AFTER (4 * MS_SEC)
+
+static const char doc[] = "Route requests of many teams to endpoints, on one "
+                          "event loop, with the platform's store.";
+
+static const struct argp_option options[]
+    = { { "settings", 's', "FILE", 0,
+          "Read the settings from FILE instead of $" SETTINGS_VARIABLE, 0 },
+        { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+        { 0 } };
+
+struct arguments
+{
+  const char *settings;
+  bool check;
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->settings = arg;
+      return 0;
+    case 'c':
+      arguments->check = true;
+      return 0;
+    case ARGP_KEY_END:
+      if (!arguments->settings)
+        argp_error (state, "no settings: give --settings or set $%s",
+                    SETTINGS_VARIABLE);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+ms_time
+ms_gateway_time (struct ms_gateway *gw)
+{
+  gw->now = ms_now (&gw->clock);
+  return gw->now;
+}
+
+bool
+ms_gateway_keys_fresh (struct ms_gateway *gw, ms_time now)
+{
+  ms_time bound = (ms_time)(gw->settings->revocation_ms * MS_MSEC);
+
+  if (!gw->settings->strict_revocation)
+    return true;
+  return now - ms_topic_read_at (gw->operator_topic)
+         < bound - REVOCATION_MARGIN;
+}
+
+bool
+ms_gateway_config_recent (struct ms_gateway *gw, ms_time now)
+{
+  return now - ms_topic_read_at (gw->operator_topic) < CONFIG_RECENT;
+}
+
+bool
+ms_gateway_ready (struct ms_gateway *gw)
+{
+  return gw->routes && !gw->terminated_at && ms_place_count (gw->place)
+         && ms_gateway_keys_fresh (gw, gw->now);
+}
+
+static void
+take_config (struct ms_gateway *gw, struct ms_str text)
+{
+  struct ms_routes *routes;
+  struct ms_routes *old = gw->routes;
+
+  if (plat_decode_routes (text, &routes) != MS_OK)
+    {
+      ms_event (gw->now, "configuration_refused", "error=\"%s\"",
+                ms_last_message ());
+      return;
+    }
+  if (old && routes->version < old->version)
+    {
+      ms_event (gw->now, "configuration_older", "version=%llu in_force=%llu",
+                (unsigned long long)routes->version,
+                (unsigned long long)old->version);
+      ms_routes_destroy (routes);
+      return;
+    }
+  gw->routes = routes;
+  ms_place_configure (gw->place, routes);
+  ms_routes_destroy (old);
+  ms_event (gw->now, "configuration", "version=%llu routes=%u teams=%u",
+            (unsigned long long)routes->version, routes->routes_count,
+            routes->teams_count);
+}
+
+static void
+operator_changed (void *context, struct ms_str key, struct ms_str value,
+                  bool removed)
+{
+  struct ms_gateway *gw = context;
+  struct ms_str zone;
+
+  switch (plat_operator_key (key, &zone))
+    {
+    case PLAT_OPERATOR_CONFIG:
+      if (!removed)
+        take_config (gw, value);
+      break;
+    case PLAT_OPERATOR_EVACUATION:
+      ms_place_evacuate (gw->place, ms_id (zone), !removed, gw->now);
+      ms_event (gw->now, "zone", "zone=%.*s in_service=%d", (int)zone.length,
+                zone.data, removed);
+      break;
+    case PLAT_OPERATOR_OTHER:
+      break;
+    }
+}
+
+static void
+endpoint_changed (void *context, struct ms_str key, struct ms_str value,
+                  bool removed)
+{
+  struct ms_gateway *gw = context;
+  struct ms_endpoint_entry entry;
+  const struct ms_endpoint_state *known
+      = ms_place_find (gw->place, ms_id (key));
+
+  if (removed)
+    {
+      ms_event (gw->now, "endpoint_gone", "endpoint=%.*s", (int)key.length,
+                key.data);
+      ms_place_remove (gw->place, ms_id (key));
+      return;
+    }
+  if (plat_decode_endpoint (key, value, &entry) != MS_OK)
+    {
+      ms_event (gw->now, "endpoint_skipped", "error=\"%s\"",
+                ms_last_message ());
+      ms_place_remove (gw->place, ms_id (key));
+      return;
+    }
+  if (!known || known->entry.leaving != entry.leaving
+      || known->entry.born != entry.born)
+    ms_event (gw->now, "endpoint", "endpoint=%s leaving=%d cold_ms=%lld",
+              entry.id.data, entry.leaving,
+              (long long)(entry.cold_for / MS_MSEC));
+  ms_place_put (gw->place, &entry, gw->now);
+}
+
+static void
+nothing_more (void *context)
+{
+  (void)context;
+}
+
+static void
+follow_store (struct ms_gateway *gw)
+{
+  struct ms_topic_options operator_options = {
+    .name = PLAT_TOPIC_OPERATOR,
+    .wait_ms = OPERATOR_WAIT_MS,
+    .pause = OPERATOR_PAUSE,
+    .changed = operator_changed,
+    .current = nothing_more,
+    .context = gw,
+  };
+  struct ms_topic_options endpoint_options = {
+    .name = PLAT_TOPIC_ENDPOINTS,
+    .wait_ms = ENDPOINT_WAIT_MS,
+    .pause = ENDPOINT_PAUSE,
+    .missing_for = ENDPOINT_MISSING,
+    .changed = endpoint_changed,
+    .current = nothing_more,
+    .context = gw,
+  };
+
+  ms_address_parse (gw->settings->store_address, &operator_options.store);
+  endpoint_options.store = operator_options.store;
+  gw->operator_topic
+      = ms_topic_create (&gw->loop, &gw->clock, &operator_options);
+  gw->endpoint_topic
+      = ms_topic_create (&gw->loop, &gw->clock, &endpoint_options);
+}
+
+/* Whether the process may end after SIGTERM.  */
+static bool
+may_end (struct ms_gateway *gw)
+{
+  ms_time grace = (ms_time)(gw->settings->grace_period_s * MS_SEC);
+  ms_time since = gw->now - gw->terminated_at;
+
+  if (!gw->terminated_at)
+    return false;
+  if (since > grace - GRACE_MARGIN)
+    return true;
+  return since > LEAVE_AFTER && !gw->requests
+         && !ms_callers_close_idle (gw);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct ms_gateway *gw = timer->data;
+  ms_time now = ms_gateway_time (gw);
+
+  if (gw->last_tick && now - gw->last_tick > STOOD_STILL)
+    {
+      ms_event (now, "stood_still", "ms=%lld",
+                (long long)((now - gw->last_tick) / MS_MSEC));
+      ms_place_woke (gw->place, now);
+    }
+  gw->last_tick = now;
+  ms_topic_tick (gw->operator_topic, now);
+  ms_topic_tick (gw->endpoint_topic, now);
+  ms_peers_tick (gw->peers, now);
+  ms_requests_tick (gw, now);
+  ms_upstreams_tick (gw, now);
+  ms_callers_tick (gw, now);
+  ms_guard_tick (gw->guard, now);
+  if (may_end (gw))
+    {
+      ms_event (now, "stop", "requests=%u", gw->requests_count);
+      uv_stop (&gw->loop);
+    }
+  ms_event_flush (now);
+}
+
+static void
+on_terminate (uv_signal_t *handle, int number)
+{
+  struct ms_gateway *gw = handle->data;
+
+  (void)number;
+  if (gw->terminated_at)
+    return;
+  gw->terminated_at = ms_gateway_time (gw);
+  ms_event (gw->now, "leaving", "requests=%u", gw->requests_count);
+  ms_peers_announce (gw->peers, gw->now);
+}
+
+static void
+on_hang_up (uv_signal_t *handle, int number)
+{
+  struct ms_gateway *gw = handle->data;
+
+  (void)number;
+  ms_event (gw->now, "reload", "settings are read at the next start");
+}
+
+static void
+fail_start (const char *what)
+{
+  ms_log (MS_ERROR, "gateway", "%s: %s", what, ms_last_message ());
+  exit (EXIT_FAILURE);
+}
+
+static void
+listen_at (struct ms_gateway *gw, uv_tcp_t *listener, const char *address,
+           uv_connection_cb accept)
+{
+  struct sockaddr_in parsed;
+
+  listener->data = gw;
+  if (ms_address_parse (address, &parsed) != MS_OK
+      || ms_socket_listen (&gw->loop, listener, &parsed, BACKLOG, accept)
+             != MS_OK)
+    fail_start ("listen");
+}
+
+static void
+watch_signal (struct ms_gateway *gw, uv_signal_t *handle, int number,
+              uv_signal_cb callback)
+{
+  uv_signal_init (&gw->loop, handle);
+  handle->data = gw;
+  uv_signal_start (handle, callback, number);
+}
+
+static uint64_t
+wall_clock_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * MS_SEC + (uint64_t)now.tv_nsec / 1000;
+}
+
+static void
+create_decisions (struct ms_gateway *gw)
+{
+  const struct ms_gateway_settings *s = gw->settings;
+  const struct ms_place_options place = {
+    .self = gw->id,
+    .zone = gw->zone,
+    .cold_burst_factor = s->cold_burst_factor,
+    .cold_slack = s->cold_slack,
+  };
+  const struct ms_budget_options budget = {
+    .ratio = s->retry_budget_ratio,
+    .slack = s->retry_budget_slack,
+    .window = (ms_time)(s->retry_window_s * MS_SEC),
+  };
+
+  gw->place = ms_place_create (
+      &place, ms_place_policy (s->placement ? s->placement : "prefix"));
+  gw->guard = ms_guard_create ();
+  gw->budget = ms_budget_create (&budget);
+  gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
+                               gw->caller_address.sin_addr, gw->incarnation);
+}
+
+static void
+start (struct ms_gateway *gw)
+{
+  const struct ms_gateway_settings *s = gw->settings;
+
+  gw->clock = ms_system_clock ();
+  ms_gateway_time (gw);
+  gw->id = ms_id (ms_str (s->name));
+  gw->zone = ms_id (ms_str (s->availability_zone));
+  gw->incarnation = wall_clock_us ();
+  gw->random.state = gw->id ^ gw->incarnation;
+  ms_address_parse (s->caller_address, &gw->caller_address);
+  if (uv_loop_init (&gw->loop))
+    fail_start ("event loop");
+  create_decisions (gw);
+  follow_store (gw);
+  if (ms_peers_create (gw, &gw->peers) != MS_OK)
+    fail_start ("peers");
+  watch_signal (gw, &gw->terminate, SIGTERM, on_terminate);
+  watch_signal (gw, &gw->hang_up, SIGHUP, on_hang_up);
+  listen_at (gw, &gw->caller_listener, s->caller_address, ms_callers_accept);
+  listen_at (gw, &gw->ready_listener, s->ready_address, ms_pages_accept);
+  listen_at (gw, &gw->directory_listener, s->directory_address,
+             ms_pages_accept);
+  listen_at (gw, &gw->control_listener, s->control_address, ms_pages_accept);
+  uv_timer_init (&gw->loop, &gw->timer);
+  gw->timer.data = gw;
+  uv_timer_start (&gw->timer, on_tick, 0, MS_TICK_MS);
+  ms_event (gw->now, "start", "name=%s zone=%s version=%s", s->name,
+            s->availability_zone, MS_VERSION);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp = { options, parse_option, NULL, doc,
+                                    NULL,    NULL,         NULL };
+  struct arguments arguments = { .settings = getenv (SETTINGS_VARIABLE) };
+  struct ms_gateway *gw = ms_new (sizeof *gw);
+
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (ms_gateway_settings_load (arguments.settings, &gw->settings) != MS_OK)
+    fail_start ("settings");
+  if (arguments.check)
+    return EXIT_SUCCESS;
+  signal (SIGPIPE, SIG_IGN);
+  start (gw);
+  uv_run (&gw->loop, UV_RUN_DEFAULT);
+  ms_event_flush (ms_gateway_time (gw));
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/gateway/pages.c
@@ -0,0 +1,227 @@
+#include "gateway/pages.h"
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/event.h"
+#include "gateway/peers.h"
+#include "gateway/socket.h"
+
+#define HEAD_BYTES 8192
+#define MAX_ADDRESSES 64
+#define DIRECTORY_BYTES 4096
+
+/* Callers keep an answer of the directory so long, if the settings allow.  */
+#define DIRECTORY_TTL_S 2
+
+struct page
+{
+  struct ms_gateway *gw;
+  struct ms_socket *socket;
+  struct ms_parser *parser;
+  bool closed;
+};
+
+static void
+close_page (struct page *p)
+{
+  if (!p->closed)
+    ms_socket_close (p->socket);
+  p->closed = true;
+}
+
+static void
+free_page (struct page *p)
+{
+  ms_parser_destroy (p->parser);
+  free (p);
+}
+
+static void
+answer (struct page *p, unsigned status, const char *type, const char *body,
+        size_t length)
+{
+  char head[256];
+  int n = snprintf (head, sizeof head,
+                    "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n"
+                    "Content-Length: %zu\r\n\r\n",
+                    status, http_status_str (status), type, length);
+  uv_buf_t buffers[2] = { uv_buf_init (head, (unsigned)n),
+                          uv_buf_init ((char *)body, (unsigned)length) };
+
+  ms_socket_write (p->socket, buffers, 2);
+}
+
+/* The value of parameter NAME in the query of TARGET; empty if absent.  */
+static struct ms_str
+parameter (struct ms_str target, const char *name)
+{
+  const char *end = target.data + target.length;
+  const char *at = memchr (target.data, '?', target.length);
+  size_t length = strlen (name);
+
+  while (at && at < end)
+    {
+      const char *value = ++at;
+      const char *next = memchr (at, '&', (size_t)(end - at));
+      const char *stop = next ? next : end;
+
+      if ((size_t)(stop - value) > length
+          && memcmp (value, name, length) == 0 && value[length] == '=')
+        return (struct ms_str){ value + length + 1,
+                                (size_t)(stop - value) - length - 1 };
+      at = next;
+    }
+  return (struct ms_str){ "", 0 };
+}
+
+static bool
+path_is (struct ms_str target, const char *path)
+{
+  size_t length = strlen (path);
+
+  return target.length >= length && memcmp (target.data, path, length) == 0
+         && (target.length == length || target.data[length] == '?');
+}
+
+static void
+answer_directory (struct page *p, struct ms_str target)
+{
+  struct ms_gateway *gw = p->gw;
+  struct in_addr ips[MAX_ADDRESSES];
+  char texts[MAX_ADDRESSES][INET_ADDRSTRLEN + 8];
+  struct ms_str addresses[MAX_ADDRESSES];
+  char body[DIRECTORY_BYTES];
+  unsigned port = ntohs (gw->caller_address.sin_port);
+  unsigned ttl = gw->settings->directory_ttl_s < DIRECTORY_TTL_S
+                     ? (unsigned)gw->settings->directory_ttl_s
+                     : DIRECTORY_TTL_S;
+  struct ms_str zone = parameter (target, "zone");
+  unsigned count = ms_fleet_addresses (gw->fleet, ms_id (zone),
+                                       ms_gateway_ready (gw), gw->now, ips,
+                                       MAX_ADDRESSES);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      char ip[INET_ADDRSTRLEN];
+
+      inet_ntop (AF_INET, &ips[i], ip, sizeof ip);
+      snprintf (texts[i], sizeof texts[i], "%s:%u", ip, port);
+      addresses[i] = ms_str (texts[i]);
+    }
+  answer (p, 200, "application/json", body,
+          plat_encode_directory (body, sizeof body, addresses, count, ttl));
+}
+
+static void
+answer_relay (struct page *p, struct ms_str target)
+{
+  struct ms_gateway *gw = p->gw;
+  struct ms_str operator_next = parameter (target, "operator");
+  struct ms_str endpoints_next = parameter (target, "endpoints");
+  json_t *document = json_object ();
+  json_t *relay;
+  char *text;
+
+  relay = ms_topic_relay (gw->operator_topic,
+                          strtoull (operator_next.data, NULL, 10), gw->now);
+  if (relay)
+    json_object_set_new (document, "operator", relay);
+  relay = ms_topic_relay (gw->endpoint_topic,
+                          strtoull (endpoints_next.data, NULL, 10), gw->now);
+  if (relay)
+    json_object_set_new (document, "endpoints", relay);
+  text = json_dumps (document, JSON_COMPACT);
+  json_decref (document);
+  if (text)
+    answer (p, 200, "application/json", text, strlen (text));
+  else
+    answer (p, 500, "text/plain", "", 0);
+  free (text);
+}
+
+static void
+respond (struct page *p)
+{
+  struct ms_str target = ms_parser_head (p->parser)->target;
+  struct ms_gateway *gw = p->gw;
+
+  ms_gateway_time (gw);
+  if (path_is (target, PLAT_READY_PATH))
+    answer (p, ms_gateway_ready (gw) ? 200 : 503, "text/plain", "", 0);
+  else if (path_is (target, PLAT_DIRECTORY_PATH))
+    answer_directory (p, target);
+  else if (path_is (target, MS_RELAY_PATH))
+    answer_relay (p, target);
+  else
+    answer (p, 404, "text/plain", "", 0);
+}
+
+static void
+on_read (void *owner, const char *data, size_t length)
+{
+  struct page *p = owner;
+
+  while (length && !p->closed)
+    {
+      size_t used;
+      enum ms_parse result = ms_parser_feed (p->parser, data, length, &used);
+
+      data += used;
+      length -= used;
+      if (result == MS_PARSE_COMPLETE)
+        {
+          bool keep = ms_parser_head (p->parser)->keep_alive;
+
+          respond (p);
+          ms_parser_reset (p->parser);
+          if (!keep)
+            close_page (p);
+        }
+      else if (result != MS_PARSE_MORE)
+        close_page (p);
+    }
+  if (p->closed)
+    free_page (p);
+}
+
+static void
+on_ended (void *owner, bool orderly)
+{
+  (void)orderly;
+  close_page (owner);
+  free_page (owner);
+}
+
+static void
+on_drained (void *owner)
+{
+  (void)owner;
+}
+
+static const struct ms_socket_events events
+    = { .read = on_read, .ended = on_ended, .drained = on_drained };
+
+static const struct ms_message_sink sink = { 0 };
+
+void
+ms_pages_accept (uv_stream_t *listener, int status)
+{
+  struct page *p;
+
+  if (status)
+    return;
+  p = ms_new (sizeof *p);
+  p->gw = listener->data;
+  p->socket = ms_socket_accept (listener, &events, p);
+  if (!p->socket)
+    {
+      free (p);
+      return;
+    }
+  p->parser = ms_parser_create (true, HEAD_BYTES, &sink, p);
+}
--- /dev/null
+++ b/src/gateway/peers.h
@@ -0,0 +1,28 @@
+#ifndef GATEWAY_PEERS_H
+#define GATEWAY_PEERS_H
+
+#include "gateway/gateway.h"
+
+/* Talk between gateways: digests over UDP, the store's topics relayed over
+   HTTP where the store cannot be read, and the store's record of members.  */
+
+struct ms_peers;
+
+/* Path on the control address at which topics are relayed.  */
+#define MS_RELAY_PATH "/fleet/topics"
+
+enum ms_status ms_peers_create (struct ms_gateway *gw,
+                                struct ms_peers **peers);
+void ms_peers_destroy (struct ms_peers *peers);
+
+/* Send and ask what is due.  */
+void ms_peers_tick (struct ms_peers *peers, ms_time now);
+
+/* Send a digest to all at once, as when the gateway begins to leave.  */
+void ms_peers_announce (struct ms_peers *peers, ms_time now);
+
+/* A request ended an endpoint: tell the others.  */
+void ms_peers_death (struct ms_peers *peers, uint64_t fingerprint,
+                     unsigned deaths, ms_time now);
+
+#endif
--- /dev/null
+++ b/src/gateway/settings.c
@@ -0,0 +1,138 @@
+#include "gateway/settings.h"
+
+#include <stdlib.h>
+
+#include "base/address.h"
+#include "base/file.h"
+#include "base/str.h"
+#include "config/yaml.h"
+#include "place/place.h"
+
+#define MAX_TEXT 200
+#define MAX_SEEDS 16
+
+#define TEXT_FIELD(field, flags)                                              \
+  CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER | (flags),               \
+                          struct ms_gateway_settings, field, 1, MAX_TEXT)
+#define NUMBER_FIELD(field)                                                   \
+  CYAML_FIELD_FLOAT (#field, CYAML_FLAG_DEFAULT, struct ms_gateway_settings,  \
+                     field)
+#define COUNT_FIELD(field)                                                    \
+  CYAML_FIELD_UINT (#field, CYAML_FLAG_DEFAULT, struct ms_gateway_settings,   \
+                    field)
+
+static const cyaml_schema_value_t seed
+    = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 1, MAX_TEXT) };
+
+static const cyaml_schema_field_t fields[] = {
+  TEXT_FIELD (name, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (availability_zone, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (region, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (ip_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (caller_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (ready_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (directory_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (control_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (store_address, CYAML_FLAG_DEFAULT),
+  TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
+  TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
+  COUNT_FIELD (peer_port),
+  COUNT_FIELD (memory_mb),
+  COUNT_FIELD (file_descriptors),
+  CYAML_FIELD_SEQUENCE ("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                        struct ms_gateway_settings, seeds, &seed, 0,
+                        MAX_SEEDS),
+  NUMBER_FIELD (drain_timeout_ms),
+  NUMBER_FIELD (grace_period_s),
+  NUMBER_FIELD (config_apply_ms),
+  CYAML_FIELD_BOOL ("strict_revocation", CYAML_FLAG_DEFAULT,
+                    struct ms_gateway_settings, strict_revocation),
+  NUMBER_FIELD (revocation_ms),
+  NUMBER_FIELD (retry_budget_ratio),
+  NUMBER_FIELD (retry_window_s),
+  NUMBER_FIELD (retry_budget_slack),
+  NUMBER_FIELD (cold_burst_factor),
+  NUMBER_FIELD (cold_slack),
+  NUMBER_FIELD (evacuation_ms),
+  NUMBER_FIELD (pass_ms),
+  NUMBER_FIELD (quota_window_s),
+  NUMBER_FIELD (directory_ttl_s),
+  CYAML_FIELD_END
+};
+
+static const cyaml_schema_value_t schema = { CYAML_VALUE_MAPPING (
+    CYAML_FLAG_POINTER, struct ms_gateway_settings, fields) };
+
+static enum ms_status
+check_address (struct ms_str text, const char *path, const char *field,
+               const char *value)
+{
+  struct sockaddr_in address;
+
+  if (ms_address_parse (value, &address) == MS_OK)
+    return MS_OK;
+  return ms_fail (MS_INVALID, "%s: line %u: %s: \"%s\" is not IP:PORT", path,
+                  ms_yaml_line (text, "", field, ""), field, value);
+}
+
+static enum ms_status
+check (const struct ms_gateway_settings *s, struct ms_str text,
+       const char *path)
+{
+  const struct
+  {
+    const char *field;
+    const char *value;
+  } addresses[] = { { "caller_address", s->caller_address },
+                    { "ready_address", s->ready_address },
+                    { "directory_address", s->directory_address },
+                    { "control_address", s->control_address },
+                    { "store_address", s->store_address } };
+  enum ms_status status = MS_OK;
+
+  for (size_t i = 0; status == MS_OK && i < 5; i++)
+    status = check_address (text, path, addresses[i].field,
+                            addresses[i].value);
+  for (unsigned i = 0; status == MS_OK && i < s->seeds_count; i++)
+    status = check_address (text, path, "seeds", s->seeds[i]);
+  if (status == MS_OK && s->peer_port > UINT16_MAX)
+    return ms_fail (MS_INVALID, "%s: line %u: peer_port: above %d", path,
+                    ms_yaml_line (text, "", "peer_port", ""), UINT16_MAX);
+  if (status == MS_OK && s->placement && !ms_place_policy (s->placement))
+    return ms_fail (MS_INVALID, "%s: line %u: placement: \"%s\" is no policy",
+                    path, ms_yaml_line (text, "", "placement", ""),
+                    s->placement);
+  return status;
+}
+
+enum ms_status
+ms_gateway_settings_load (const char *path,
+                          struct ms_gateway_settings **result)
+{
+  char *data;
+  size_t length;
+  void *loaded;
+  enum ms_status status = ms_file_read (path, &data, &length);
+
+  *result = NULL;
+  if (status != MS_OK)
+    return status;
+  status
+      = ms_yaml_load ((struct ms_str){ data, length }, path, &schema, &loaded);
+  if (status == MS_OK)
+    {
+      status = check (loaded, (struct ms_str){ data, length }, path);
+      if (status == MS_OK)
+        *result = loaded;
+      else
+        ms_gateway_settings_destroy (loaded);
+    }
+  free (data);
+  return status;
+}
+
+void
+ms_gateway_settings_destroy (struct ms_gateway_settings *settings)
+{
+  ms_yaml_free (&schema, settings);
+}
--- /dev/null
+++ b/src/gateway/socket.c
@@ -0,0 +1,297 @@
+#include "gateway/socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/alloc.h"
+#include "base/log.h"
+
+#define READ_BYTES 65536
+
+struct ms_socket
+{
+  uv_tcp_t tcp;
+  const struct ms_socket_events *events;
+  void *owner; /* NULL once closed.  */
+  size_t queued;
+  bool reading;
+  bool closing;
+  uv_connect_t connect;
+};
+
+struct pending_write
+{
+  uv_write_t request;
+  struct ms_socket *socket;
+  size_t length;
+  char data[];
+};
+
+static unsigned open_count;
+static char read_buffer[READ_BYTES];
+
+unsigned
+ms_socket_open_count (void)
+{
+  return open_count;
+}
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  open_count--;
+  free (handle->data);
+}
+
+static struct ms_socket *
+create (uv_loop_t *loop, const struct ms_socket_events *events, void *owner)
+{
+  struct ms_socket *s = ms_new (sizeof *s);
+
+  if (uv_tcp_init (loop, &s->tcp))
+    {
+      free (s);
+      return NULL;
+    }
+  open_count++;
+  s->tcp.data = s;
+  s->events = events;
+  s->owner = owner;
+  return s;
+}
+
+static void
+give_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  (void)handle;
+  (void)suggested;
+  *buffer = uv_buf_init (read_buffer, sizeof read_buffer);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct ms_socket *s = stream->data;
+
+  if (!s->owner || length == 0)
+    return;
+  if (length > 0)
+    {
+      s->events->read (s->owner, buffer->base, (size_t)length);
+      return;
+    }
+  s->reading = false;
+  uv_read_stop (stream);
+  s->events->ended (s->owner, length == UV_EOF);
+}
+
+void
+ms_socket_resume (struct ms_socket *s)
+{
+  if (!s->reading && !s->closing
+      && uv_read_start ((uv_stream_t *)&s->tcp, give_buffer, on_read) == 0)
+    s->reading = true;
+}
+
+void
+ms_socket_pause (struct ms_socket *s)
+{
+  if (s->reading)
+    uv_read_stop ((uv_stream_t *)&s->tcp);
+  s->reading = false;
+}
+
+/* Find silent connections by probes and unacknowledged data.  */
+static void
+watch_silence (struct ms_socket *s)
+{
+  static const int on = 1;
+  static const int idle = MS_KEEPALIVE_IDLE_S;
+  static const int interval = MS_KEEPALIVE_INTERVAL_S;
+  static const int probes = MS_KEEPALIVE_PROBES;
+  static const unsigned unacked = MS_UNACKED_LIMIT_MS;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((uv_handle_t *)&s->tcp, &fd))
+    return;
+  if (setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on)
+      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle)
+      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
+                     sizeof interval)
+      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes)
+      || setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+                     sizeof unacked))
+    ms_log (MS_WARN, "socket", "silent connections are not watched for");
+  uv_tcp_nodelay (&s->tcp, 1);
+}
+
+struct ms_socket *
+ms_socket_accept (uv_stream_t *listener, const struct ms_socket_events *events,
+                  void *owner)
+{
+  struct ms_socket *s = create (listener->loop, events, owner);
+
+  if (!s)
+    return NULL;
+  if (uv_accept (listener, (uv_stream_t *)&s->tcp))
+    {
+      ms_socket_close (s);
+      return NULL;
+    }
+  watch_silence (s);
+  ms_socket_resume (s);
+  return s;
+}
+
+static void
+on_connected (uv_connect_t *connect, int error)
+{
+  struct ms_socket *s = connect->data;
+
+  if (!s->owner)
+    return;
+  if (!error)
+    {
+      watch_silence (s);
+      ms_socket_resume (s);
+    }
+  s->events->connected (s->owner, error ? MS_UNAVAILABLE : MS_OK);
+}
+
+struct ms_socket *
+ms_socket_connect (uv_loop_t *loop, const struct sockaddr_in *address,
+                   const struct ms_socket_events *events, void *owner)
+{
+  struct ms_socket *s = create (loop, events, owner);
+
+  if (!s)
+    return NULL;
+  s->connect.data = s;
+  if (uv_tcp_connect (&s->connect, &s->tcp, (const struct sockaddr *)address,
+                      on_connected))
+    {
+      ms_socket_close (s);
+      return NULL;
+    }
+  return s;
+}
+
+enum ms_status
+ms_socket_listen (uv_loop_t *loop, uv_tcp_t *listener,
+                  const struct sockaddr_in *address, int backlog,
+                  uv_connection_cb accept)
+{
+  int error = uv_tcp_init (loop, listener);
+
+  if (!error)
+    error = uv_tcp_bind (listener, (const struct sockaddr *)address, 0);
+  if (!error)
+    error = uv_listen ((uv_stream_t *)listener, backlog, accept);
+  if (error)
+    return ms_fail (MS_UNAVAILABLE, "port %u: %s", ntohs (address->sin_port),
+                    uv_strerror (error));
+  return MS_OK;
+}
+
+static void
+on_written (uv_write_t *request, int error)
+{
+  struct pending_write *w = request->data;
+  struct ms_socket *s = w->socket;
+
+  s->queued -= w->length;
+  free (w);
+  if (!s->owner)
+    {
+      if (!s->queued && !uv_is_closing ((uv_handle_t *)&s->tcp))
+        uv_close ((uv_handle_t *)&s->tcp, on_closed);
+      return;
+    }
+  if (error)
+    s->events->ended (s->owner, false);
+  else if (!s->queued)
+    s->events->drained (s->owner);
+}
+
+/* Copy what is left of BUFFERS behind the first SENT bytes and queue it.  */
+static void
+queue (struct ms_socket *s, const uv_buf_t *buffers, unsigned count,
+       size_t total, size_t sent)
+{
+  struct pending_write *w = ms_new (sizeof *w + total - sent);
+  uv_buf_t buffer;
+  size_t at = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      size_t skip = sent < buffers[i].len ? sent : buffers[i].len;
+
+      memcpy (w->data + at, buffers[i].base + skip, buffers[i].len - skip);
+      at += buffers[i].len - skip;
+      sent -= skip;
+    }
+  w->socket = s;
+  w->length = at;
+  w->request.data = w;
+  s->queued += at;
+  buffer = uv_buf_init (w->data, (unsigned)at);
+  if (uv_write (&w->request, (uv_stream_t *)&s->tcp, &buffer, 1, on_written))
+    {
+      s->queued -= at;
+      free (w);
+    }
+}
+
+void
+ms_socket_write (struct ms_socket *s, const uv_buf_t *buffers, unsigned count)
+{
+  size_t total = 0;
+  int sent = 0;
+
+  if (s->closing)
+    return;
+  for (unsigned i = 0; i < count; i++)
+    total += buffers[i].len;
+  if (!total)
+    return;
+  if (!s->queued)
+    sent = uv_try_write ((uv_stream_t *)&s->tcp, buffers, count);
+  if (sent < 0)
+    sent = 0;
+  if ((size_t)sent < total)
+    queue (s, buffers, count, total, (size_t)sent);
+}
+
+size_t
+ms_socket_queued (const struct ms_socket *s)
+{
+  return s->queued;
+}
+
+void
+ms_socket_close (struct ms_socket *s)
+{
+  s->owner = NULL;
+  if (s->closing)
+    return;
+  s->closing = true;
+  ms_socket_pause (s);
+  if (!s->queued)
+    uv_close ((uv_handle_t *)&s->tcp, on_closed);
+}
+
+void
+ms_socket_reset (struct ms_socket *s)
+{
+  bool was_closing = s->closing;
+
+  s->owner = NULL;
+  s->closing = true;
+  if (was_closing && uv_is_closing ((uv_handle_t *)&s->tcp))
+    return;
+  if (uv_tcp_close_reset (&s->tcp, on_closed))
+    uv_close ((uv_handle_t *)&s->tcp, on_closed);
+}
--- /dev/null
+++ b/src/place/place.h
@@ -0,0 +1,182 @@
+#ifndef PLACE_PLACE_H
+#define PLACE_PLACE_H
+
+#include "place/endpoint.h"
+#include "route/route.h"
+
+/* Which endpoint a request goes to, decided by the router that took it from
+   its caller.  Answers the load of all routers together: what the others have
+   sent is known by their digests.  No socket, no clock.  */
+
+struct ms_place;
+
+/* Work that routers have at an endpoint.  */
+struct ms_load
+{
+  uint32_t running;  /* Requests.  */
+  uint32_t prefill;  /* Uncached prompt tokens of requests without a first
+                        token.  */
+  uint32_t memory;   /* Prompt and expected output tokens.  */
+};
+
+struct ms_endpoint_state
+{
+  uint64_t id;
+  struct ms_endpoint_entry entry;
+  bool listed;
+  unsigned holds; /* Attempts and connections that refer to it.  */
+  struct ms_load own;
+  struct ms_load others;
+  ms_time cold_until;
+  ms_time cold_sends[8]; /* Ring of the last sends.  */
+  unsigned cold_next;
+  unsigned failures; /* In a row.  */
+  ms_time down_until;
+  bool probing; /* One request is finding out whether it is back.  */
+  double slowness;   /* Measured against predicted time, 1 when as expected.  */
+  double error_rate; /* Of answers, as an exponential mean.  */
+  ms_time last_failure;
+  ms_time waiting_seen; /* When it last told that requests wait there.  */
+  void *attachment;     /* The data plane's.  */
+};
+
+/* What is known of a request when it is to be placed.  */
+struct ms_offer
+{
+  uint64_t service;
+  uint32_t prompt_tokens;
+  uint32_t output_tokens;
+  unsigned parts_count;
+  const struct ms_prompt_part *parts;
+  ms_time aim_left; /* Until the answer should begin.  */
+  unsigned tried_count;
+  struct ms_endpoint_state *const *tried;
+  bool alone; /* Only on an endpoint on which nothing else runs.  */
+};
+
+enum ms_place_result
+{
+  MS_PLACED,
+  MS_PLACE_FULL, /* Endpoints exist; none can begin it in time.  */
+  MS_PLACE_NONE  /* No endpoint may be used.  */
+};
+
+struct ms_choice
+{
+  enum ms_place_result result;
+  struct ms_endpoint_state *endpoint;
+  uint32_t uncached; /* Prompt tokens that it must read.  */
+  ms_time expected;  /* Time to the first token.  */
+  unsigned usable;   /* Endpoints that were weighed.  */
+  ms_time room_in;   /* With MS_PLACE_FULL: when there may be room.  */
+};
+
+struct ms_place_options
+{
+  uint64_t self; /* Of this router.  */
+  uint64_t zone;
+  double cold_burst_factor;
+  double cold_slack;
+};
+
+/* A way to choose among usable endpoints: the lower the score, the better.  */
+struct ms_place_policy
+{
+  const char *name;
+  double (*score) (const struct ms_place *place,
+                   const struct ms_endpoint_state *endpoint,
+                   const struct ms_offer *offer, uint32_t uncached,
+                   ms_time expected);
+};
+
+/* The policy called NAME: "prefix" or "least_in_flight"; NULL if unknown.  */
+const struct ms_place_policy *ms_place_policy (const char *name);
+
+struct ms_place *ms_place_create (const struct ms_place_options *options,
+                                  const struct ms_place_policy *policy);
+void ms_place_destroy (struct ms_place *place);
+
+/* Take over the services of ROUTES, which is borrowed until the next call.  */
+void ms_place_configure (struct ms_place *place,
+                         const struct ms_routes *routes);
+
+/* The list says ENTRY of an endpoint.  */
+struct ms_endpoint_state *
+ms_place_put (struct ms_place *place, const struct ms_endpoint_entry *entry,
+              ms_time now);
+
+/* The list has no endpoint ID any more.  */
+void ms_place_remove (struct ms_place *place, uint64_t id);
+
+/* Mark all as not listed before a whole list is read, and drop after it those
+   that were not in it.  */
+void ms_place_list_begins (struct ms_place *place);
+void ms_place_list_ends (struct ms_place *place);
+
+/* Zones that get no new work.  */
+void ms_place_evacuate (struct ms_place *place, uint64_t zone, bool out,
+                        ms_time now);
+
+/* The routers of the fleet, this one among them; they share cold limits.  */
+void ms_place_routers (struct ms_place *place, const uint64_t *ids,
+                       unsigned count);
+
+/* What the other routers have at endpoint ID in all.  */
+void ms_place_clear_others (struct ms_place *place);
+void ms_place_add_others (struct ms_place *place, uint64_t id,
+                          const struct ms_load *load);
+
+/* Until NOW this router may have missed what happened.  */
+void ms_place_woke (struct ms_place *place, ms_time now);
+
+void ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
+                      ms_time now, struct ms_choice *choice);
+
+/* Whether ENDPOINT may get a request now: the last check before a send.  */
+bool ms_place_may_send (struct ms_place *place,
+                        const struct ms_endpoint_state *endpoint, ms_time now);
+
+/* A request was sent to its choice.  */
+void ms_place_sent (struct ms_place *place, const struct ms_offer *offer,
+                    struct ms_choice *choice, struct ms_load *load,
+                    ms_time now);
+
+/* The answer began after TOOK; LOAD is what ms_place_sent filled.  */
+void ms_place_began (struct ms_place *place,
+                     struct ms_endpoint_state *endpoint, struct ms_load *load,
+                     ms_time expected, ms_time took);
+
+/* How an attempt ended, as far as the endpoint is concerned.  */
+enum ms_place_end
+{
+  MS_END_GOOD,
+  MS_END_CANCELLED,   /* By the caller or the router.  */
+  MS_END_REFUSED,     /* Full.  */
+  MS_END_MISDIRECTED, /* Another endpoint has the address.  */
+  MS_END_ERROR,       /* An answer that says that it failed.  */
+  MS_END_BROKEN,      /* No whole answer, or not this request's.  */
+  MS_END_UNREACHABLE  /* No connection.  */
+};
+void ms_place_ended (struct ms_place *place,
+                     struct ms_endpoint_state *endpoint, struct ms_load *load,
+                     enum ms_place_end end, ms_time now);
+
+/* The endpoint tells in an answer what it runs.  */
+void ms_place_reported (struct ms_endpoint_state *endpoint, unsigned running,
+                        unsigned waiting, ms_time now);
+
+/* Endpoint ID, or NULL.  */
+struct ms_endpoint_state *ms_place_find (struct ms_place *place, uint64_t id);
+
+void ms_place_hold (struct ms_endpoint_state *endpoint);
+void ms_place_release (struct ms_place *place,
+                       struct ms_endpoint_state *endpoint);
+
+/* Call TAKE for each endpoint that is listed or held.  */
+void ms_place_each (struct ms_place *place,
+                    void (*take) (void *, struct ms_endpoint_state *),
+                    void *context);
+
+unsigned ms_place_count (const struct ms_place *place);
+
+#endif
--- /dev/null
+++ b/src/wire/events.c
@@ -0,0 +1,48 @@
+#include "wire/events.h"
+
+#include <string.h>
+
+static void
+take_line (const char *line, size_t length, struct ms_event_id *id)
+{
+  static const char field[] = "id:";
+  size_t skip = sizeof field - 1;
+
+  if (length && line[length - 1] == '\r')
+    length--;
+  if (length < skip || memcmp (line, field, skip) != 0)
+    return;
+  if (skip < length && line[skip] == ' ')
+    skip++;
+  if (length - skip >= sizeof id->data)
+    return;
+  id->length = length - skip;
+  memcpy (id->data, line + skip, id->length);
+  id->data[id->length] = '\0';
+}
+
+size_t
+ms_events_whole (const char *data, size_t length, struct ms_event_id *id)
+{
+  struct ms_event_id current = { 0 };
+  size_t line = 0;
+  size_t whole = 0;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      size_t line_length = i - line;
+
+      if (data[i] != '\n')
+        continue;
+      if (line_length == 0 || (line_length == 1 && data[line] == '\r'))
+        {
+          whole = i + 1;
+          if (current.length)
+            *id = current;
+        }
+      else
+        take_line (data + line, line_length, &current);
+      line = i + 1;
+    }
+  return whole;
+}
--- /dev/null
+++ b/src/wire/message.c
@@ -0,0 +1,283 @@
+#include "wire/message.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/alloc.h"
+
+#define FIRST_TEXT_BYTES 1024
+
+struct span
+{
+  size_t at;
+  size_t length;
+};
+
+struct ms_parser
+{
+  http_parser parser;
+  const struct ms_message_sink *sink;
+  void *context;
+  size_t head_limit;
+  char *text; /* Target, header names and values.  */
+  size_t length;
+  size_t space;
+  struct span target;
+  struct span names[MS_MAX_HEADERS];
+  struct span values[MS_MAX_HEADERS];
+  unsigned count;
+  bool in_value; /* The last piece was of a value.  */
+  bool begun;
+  bool has_head;
+  bool complete;
+  bool too_large;
+  struct ms_head head;
+};
+
+bool
+ms_header_is (struct ms_str name, const char *wanted)
+{
+  return name.length == strlen (wanted)
+         && strncasecmp (name.data, wanted, name.length) == 0;
+}
+
+struct ms_str
+ms_head_find (const struct ms_head *head, const char *name)
+{
+  for (unsigned i = 0; i < head->headers_count; i++)
+    if (ms_header_is (head->headers[i].name, name))
+      return head->headers[i].value;
+  return (struct ms_str){ NULL, 0 };
+}
+
+static int
+keep (struct ms_parser *p, struct span *span, const char *data, size_t length)
+{
+  if (p->length + length > p->head_limit)
+    {
+      p->too_large = true;
+      return 1;
+    }
+  if (p->length + length > p->space)
+    {
+      size_t wanted = p->space ? p->space * 2 : FIRST_TEXT_BYTES;
+
+      while (wanted < p->length + length)
+        wanted *= 2;
+      p->text = ms_resize (p->text, wanted, 1);
+      p->space = wanted;
+    }
+  memcpy (p->text + p->length, data, length);
+  if (!span->length)
+    span->at = p->length;
+  span->length += length;
+  p->length += length;
+  return 0;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  struct ms_parser *p = parser->data;
+
+  p->begun = true;
+  return 0;
+}
+
+static int
+on_target (http_parser *parser, const char *data, size_t length)
+{
+  struct ms_parser *p = parser->data;
+
+  return keep (p, &p->target, data, length);
+}
+
+static int
+on_name (http_parser *parser, const char *data, size_t length)
+{
+  struct ms_parser *p = parser->data;
+
+  if (p->in_value || !p->count)
+    {
+      if (p->count == MS_MAX_HEADERS)
+        {
+          p->too_large = true;
+          return 1;
+        }
+      p->count++;
+      p->in_value = false;
+    }
+  return keep (p, &p->names[p->count - 1], data, length);
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t length)
+{
+  struct ms_parser *p = parser->data;
+
+  p->in_value = true;
+  return keep (p, &p->values[p->count - 1], data, length);
+}
+
+static struct ms_str
+text_of (const struct ms_parser *p, struct span span)
+{
+  return (struct ms_str){ span.length ? p->text + span.at : "", span.length };
+}
+
+static int
+on_head (http_parser *parser)
+{
+  struct ms_parser *p = parser->data;
+  struct ms_head *head = &p->head;
+
+  if (parser->type == HTTP_REQUEST)
+    head->method = ms_str (http_method_str (parser->method));
+  head->target = text_of (p, p->target);
+  head->status = parser->status_code;
+  head->headers_count = p->count;
+  for (unsigned i = 0; i < p->count; i++)
+    {
+      head->headers[i].name = text_of (p, p->names[i]);
+      head->headers[i].value = text_of (p, p->values[i]);
+    }
+  head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  head->content_length = head->has_length ? parser->content_length : 0;
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  p->has_head = true;
+  if (p->sink->head)
+    p->sink->head (p->context, head);
+  /* Switching protocols is not offered; the message is read as any other.  */
+  parser->upgrade = 0;
+  return parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT ? -1
+                                                                        : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t length)
+{
+  struct ms_parser *p = parser->data;
+
+  if (p->sink->body)
+    p->sink->body (p->context, data, length);
+  return 0;
+}
+
+static int
+on_end (http_parser *parser)
+{
+  struct ms_parser *p = parser->data;
+
+  p->complete = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_target,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_end,
+};
+
+struct ms_parser *
+ms_parser_create (bool requests, size_t head_limit,
+                  const struct ms_message_sink *sink, void *context)
+{
+  struct ms_parser *p = ms_new (sizeof *p);
+
+  p->sink = sink;
+  p->context = context;
+  p->head_limit = head_limit;
+  p->parser.type = requests ? HTTP_REQUEST : HTTP_RESPONSE;
+  ms_parser_reset (p);
+  return p;
+}
+
+void
+ms_parser_destroy (struct ms_parser *parser)
+{
+  if (!parser)
+    return;
+  free (parser->text);
+  free (parser);
+}
+
+void
+ms_parser_reset (struct ms_parser *p)
+{
+  http_parser_init (&p->parser, p->parser.type);
+  p->parser.data = p;
+  p->length = 0;
+  p->target = (struct span){ 0, 0 };
+  memset (p->names, 0, p->count * sizeof *p->names);
+  memset (p->values, 0, p->count * sizeof *p->values);
+  p->count = 0;
+  p->in_value = false;
+  p->begun = false;
+  p->has_head = false;
+  p->complete = false;
+  p->too_large = false;
+}
+
+enum ms_parse
+ms_parser_feed (struct ms_parser *p, const char *data, size_t length,
+                size_t *used)
+{
+  enum http_errno error;
+
+  *used = 0;
+  if (!length)
+    return MS_PARSE_MORE;
+  *used = http_parser_execute (&p->parser, &callbacks, data, length);
+  error = HTTP_PARSER_ERRNO (&p->parser);
+  if (p->complete && error == HPE_PAUSED)
+    {
+      http_parser_pause (&p->parser, 0);
+      if (p->sink->end)
+        p->sink->end (p->context);
+      return MS_PARSE_COMPLETE;
+    }
+  if (p->too_large || error == HPE_HEADER_OVERFLOW)
+    return MS_PARSE_TOO_LARGE;
+  if (error != HPE_OK)
+    return MS_PARSE_BAD;
+  return MS_PARSE_MORE;
+}
+
+enum ms_parse
+ms_parser_close (struct ms_parser *p)
+{
+  if (!p->begun)
+    return MS_PARSE_MORE;
+  http_parser_execute (&p->parser, &callbacks, NULL, 0);
+  if (!p->complete)
+    return MS_PARSE_BAD;
+  if (p->sink->end)
+    p->sink->end (p->context);
+  return MS_PARSE_COMPLETE;
+}
+
+bool
+ms_parser_begun (const struct ms_parser *parser)
+{
+  return parser->begun;
+}
+
+bool
+ms_parser_has_head (const struct ms_parser *parser)
+{
+  return parser->has_head;
+}
+
+const struct ms_head *
+ms_parser_head (const struct ms_parser *parser)
+{
+  return &parser->head;
+}
