Pass an answer without a length on without one

Ruled out: resets taken for orderly ends (a trial printed the ends: all such answers had ended in order). Change: the caller gets the same framing, by close.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -56,7 +56,6 @@
   unsigned refuse_status;
   bool complete;
   bool keep_alive;
-  bool in_answer;
   bool chunked;
   bool closed;
   bool advancing;
@@ -427,12 +426,13 @@
 
 void
 ms_caller_answer (struct ms_caller *c, const struct ms_head *head,
-                  bool has_length, uint64_t length)
+                  enum ms_framing framing, uint64_t length)
 {
   if (c->closed)
     return;
-  c->in_answer = true;
-  c->chunked = !has_length;
+  c->chunked = framing == MS_FRAMED_CHUNKS;
+  if (framing == MS_FRAMED_CLOSE)
+    c->keep_alive = false;
   print_status (c, head->status);
   for (unsigned i = 0; i < head->headers_count; i++)
     {
@@ -445,10 +445,11 @@
       append (&c->out, h->value.data, h->value.length);
       append (&c->out, "\r\n", 2);
     }
-  if (has_length)
-    print (c, "Content-Length: %llu\r\n\r\n", (unsigned long long)length);
-  else
-    print (c, "Transfer-Encoding: chunked\r\n\r\n");
+  if (framing == MS_FRAMED_LENGTH)
+    print (c, "Content-Length: %llu\r\n", (unsigned long long)length);
+  else if (framing == MS_FRAMED_CHUNKS)
+    print (c, "Transfer-Encoding: chunked\r\n");
+  append (&c->out, "\r\n", 2);
 }
 
 void
@@ -484,7 +485,6 @@
 answered (struct ms_caller *c)
 {
   c->request = NULL;
-  c->in_answer = false;
   release (&c->out);
   if (c->closed)
     {
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -19,10 +19,19 @@
 const struct ms_head *ms_caller_head (const struct ms_caller *caller);
 struct ms_str ms_caller_body (const struct ms_caller *caller);
 
-/* Begin the answer with the STATUS and headers of HEAD.  HAS_LENGTH tells
-   whether LENGTH bytes follow; otherwise it is sent in chunks.  */
+/* How the end of an answer's body is told.  */
+enum ms_framing
+{
+  MS_FRAMED_LENGTH,
+  MS_FRAMED_CHUNKS,
+  MS_FRAMED_CLOSE /* By closing: the endpoint told no length either, so that
+                     whether the body is whole is not known here.  */
+};
+
+/* Begin the answer with the STATUS and headers of HEAD.  With
+   MS_FRAMED_LENGTH, LENGTH bytes follow.  */
 void ms_caller_answer (struct ms_caller *caller, const struct ms_head *head,
-                       bool has_length, uint64_t length);
+                       enum ms_framing framing, uint64_t length);
 void ms_caller_send (struct ms_caller *caller, const char *data,
                      size_t length);
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -440,19 +440,25 @@
   r->held_length += length;
 }
 
+static enum ms_framing
+framing_of (const struct ms_request *r, const struct ms_head *answer)
+{
+  /* A stream may go on from another endpoint, of another length.  */
+  if (answer->has_length)
+    return r->streams ? MS_FRAMED_CHUNKS : MS_FRAMED_LENGTH;
+  return answer->chunked ? MS_FRAMED_CHUNKS : MS_FRAMED_CLOSE;
+}
+
 /* Begin the answer to the caller, unless an earlier attempt did.  */
 static void
-begin_answer (struct ms_request *r, bool whole)
+begin_answer (struct ms_request *r)
 {
   if (r->head_sent)
     return;
   r->head_sent = true;
   r->status = r->answer_status;
-  if (whole)
-    ms_caller_answer (r->caller, r->answer, true, r->held_length);
-  else
-    ms_caller_answer (r->caller, r->answer, r->answer->has_length,
-                      r->answer->content_length);
+  ms_caller_answer (r->caller, r->answer, framing_of (r, r->answer),
+                    r->answer->content_length);
 }
 
 static void
@@ -486,7 +492,7 @@
   if (!whole)
     return;
   note_begin (r);
-  begin_answer (r, false);
+  begin_answer (r);
   forward_held (r, whole);
 }
 
@@ -502,7 +508,7 @@
   if (r->held_length <= MAX_HELD_BYTES || !r->proper || r->not_run)
     return;
   note_begin (r);
-  begin_answer (r, false);
+  begin_answer (r);
   forward_held (r, r->held_length);
 }
 
@@ -528,7 +534,7 @@
   unsigned status = r->answer_status;
 
   note_begin (r);
-  begin_answer (r, !r->streams);
+  begin_answer (r);
   forward_held (r, r->held_length);
   if (status < 500)
     ms_guard_success (r->gw->guard, r->fingerprint);
