--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -24,14 +24,20 @@
 /* Idle connections are kept a little longer than callers are told.  */
 #define IDLE_MARGIN (1 * MS_SEC)
 
+/* A connection is not closed for room before it was idle so long.  */
+#define LEAST_IDLE (1 * MS_SEC)
+
 /* Bytes behind a request that are kept until it is answered.  */
 #define MAX_PENDING_BYTES 65536
 
 /* Answer bytes that may wait for a slow caller.  */
 #define MAX_QUEUED_BYTES 131072
 
-/* Sockets kept free for endpoints, the store and peers, in percent.  */
-#define RESERVED_SOCKETS_PERCENT 40
+/* Of the descriptors: beyond the first part the connections that were idle
+   longest are closed, beyond the second callers are turned away; the rest is
+   for files, endpoints, the store and peers.  */
+#define CROWDED_PERCENT 60
+#define FULL_PERCENT 75
 
 /* Part of the memory that may hold bodies, in percent.  */
 #define BODY_MEMORY_PERCENT 25
@@ -309,8 +315,7 @@
 {
   struct ms_gateway *gw = listener->data;
   struct ms_caller *c;
-  unsigned most = gw->settings->file_descriptors
-                  / 100 * (100 - RESERVED_SOCKETS_PERCENT);
+  unsigned most = gw->settings->file_descriptors / 100 * FULL_PERCENT;
 
   if (status)
     {
@@ -340,6 +345,29 @@
   DL_APPEND (gw->callers, c);
 }
 
+/* Close those of the connections that were idle longest by which there are
+   too many.  */
+static void
+make_room (struct ms_gateway *gw)
+{
+  unsigned most = gw->settings->file_descriptors / 100 * CROWDED_PERCENT;
+  unsigned open = ms_socket_open_count ();
+  struct ms_caller *c, *next;
+
+  if (open <= most)
+    return;
+  /* The list begins with the oldest connections.  */
+  DL_FOREACH_SAFE (gw->callers, c, next)
+  {
+    if (c->request || c->closed || ms_parser_begun (c->parser)
+        || gw->now - c->since < LEAST_IDLE)
+      continue;
+    close_caller (c, false);
+    if (--open <= most)
+      return;
+  }
+}
+
 /* Answer or close a connection that took too long.  */
 static void
 check_times (struct ms_caller *c, ms_time now)
@@ -366,6 +394,7 @@
   struct ms_caller *c, *next;
 
   DL_FOREACH_SAFE (gw->callers, c, next) { check_times (c, now); }
+  make_room (gw);
 }
 
 unsigned
@@ -528,6 +557,10 @@
   char body[160];
   int length = snprintf (body, sizeof body, "{\"error\":\"%s\"}\n", reason);
 
+  /* Callers come again on a new connection; this one would stay idle.  */
+  if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+    c->keep_alive = false;
+
   if (!c->closed)
     {
       struct ms_str id
