Keep each shared part of a prompt at a home endpoint

Cause: every router learned for itself where a shared part is kept, so each part was read at several endpoints. Ruled out: eviction (parts are used again within seconds).

--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -58,16 +58,16 @@
   ms_event (now, "request",
             "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
             "attempts=%u waited_ms=%.1f expected_ms=%.1f first_ms=%.1f "
-            "total_ms=%.1f prompt=%u uncached=%u events=%llu config=%llu",
+            "total_ms=%.1f prompt=%u output=%u uncached=%u bytes=%llu config=%llu",
             r->attempt_id, r->route.name.data, (int)r->team_name.length,
             r->team_name.data, outcome, status,
             r->last_endpoint.length ? r->last_endpoint.data : "-", r->attempts,
             (double)((r->first_sent_at ? r->first_sent_at : now) - r->arrived)
                 / MS_MSEC,
-            (double)r->choice.expected / MS_MSEC,
+            (double)r->choice.fit.expected / MS_MSEC,
             r->first_at ? (double)(r->first_at - r->arrived) / MS_MSEC : -1.0,
-            (double)(now - r->arrived) / MS_MSEC, r->prompt.tokens,
-            r->choice.uncached, (unsigned long long)r->bytes_forwarded,
+            (double)(now - r->arrived) / MS_MSEC, r->prompt.tokens, r->prompt.max_output,
+            r->choice.fit.uncached, (unsigned long long)r->bytes_forwarded,
             (unsigned long long)r->config_version);
 }
 
@@ -479,7 +479,7 @@
   r->began = true;
   if (!r->first_at)
     r->first_at = r->gw->now;
-  ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.expected,
+  ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
                   r->gw->now - r->sent_at);
 }
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -248,16 +248,22 @@
   place->woke_until = now + WOKE_FOR;
 }
 
-bool
-ms_place_may_send (struct ms_place *place,
-                   const struct ms_endpoint_state *e, ms_time now)
+/* Whether E takes requests, apart from its cold limit.  */
+static bool
+is_open (const struct ms_place *place, const struct ms_endpoint_state *e,
+         ms_time now)
 {
   if (!e->listed || e->entry.leaving || now < e->down_until
       || ms_place_zone_out (place, e->entry.zone))
     return false;
-  if (e->failures && e->probing)
-    return false;
-  return ms_cold_allows (place, e, now);
+  return !e->failures || !e->probing;
+}
+
+bool
+ms_place_may_send (struct ms_place *place,
+                   const struct ms_endpoint_state *e, ms_time now)
+{
+  return is_open (place, e, now) && ms_cold_allows (place, e, now);
 }
 
 static bool
@@ -269,22 +275,58 @@
   return false;
 }
 
-/* Prompt tokens that E has to read, if the parts sent to it are still
-   there.  */
+/* The endpoint that keeps the last shared part of the prompt: the first in an
+   order that is the same at all routers.  NULL if nothing is shared.  */
+static const struct ms_endpoint_state *
+home_of (const struct ms_place *place, const struct ms_offer *offer,
+         ms_time now)
+{
+  const struct ms_endpoint_state *home = NULL;
+  uint64_t highest = 0;
+
+  if (offer->parts_count < 2)
+    return NULL;
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      const struct ms_endpoint_state *e = place->endpoints[i];
+      uint64_t rank
+          = ms_id_pair (e->id, offer->parts[offer->parts_count - 2].id);
+
+      if (e->entry.service != offer->service || rank <= highest
+          || !is_open (place, e, now))
+        continue;
+      highest = rank;
+      home = e;
+    }
+  return home;
+}
+
+/* Tokens of shared parts that E should have to read.  */
 static uint32_t
-uncached_tokens (const struct ms_place *place,
-                 const struct ms_endpoint_state *e,
-                 const struct ms_offer *offer, ms_time now)
+missing_tokens (const struct ms_place *place,
+                const struct ms_endpoint_state *e,
+                const struct ms_offer *offer, ms_time now)
 {
-  uint32_t kept = 0;
+  uint32_t missing = 0;
 
   for (unsigned i = 0; i + 1 < offer->parts_count; i++)
     {
-      if (!ms_prefix_kept (place->prefix, e->id, offer->parts[i].id, now))
-        break;
-      kept += offer->parts[i].tokens;
+      /* Without a part, those behind it are of no use.  */
+      if (missing
+          || !ms_prefix_kept (place->prefix, e->id, offer->parts[i].id, now))
+        missing += offer->parts[i].tokens;
     }
-  return kept < offer->prompt_tokens ? offer->prompt_tokens - kept : 1;
+  return missing;
+}
+
+static uint32_t
+own_tokens (const struct ms_offer *offer)
+{
+  uint32_t shared = 0;
+
+  for (unsigned i = 0; i + 1 < offer->parts_count; i++)
+    shared += offer->parts[i].tokens;
+  return shared < offer->prompt_tokens ? offer->prompt_tokens - shared : 1;
 }
 
 static ms_time
@@ -323,6 +365,17 @@
          || (double)memory < MEMORY_PART * (double)kind->memory_tokens;
 }
 
+/* What E would do with the request.  */
+static void
+fit (const struct ms_place *place, const struct ms_endpoint_state *e,
+     const struct ms_endpoint_kind *kind, const struct ms_offer *offer,
+     const struct ms_endpoint_state *home, ms_time now, struct ms_fit *f)
+{
+  f->again = e == home ? 0 : missing_tokens (place, e, offer, now);
+  f->uncached = own_tokens (offer) + f->again;
+  f->expected = expected_time (e, kind, f->uncached);
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -330,6 +383,8 @@
   const struct ms_endpoint_kind *kind
       = place->routes ? ms_routes_service (place->routes, offer->service)
                       : NULL;
+  const struct ms_endpoint_state *home
+      = kind ? home_of (place, offer, now) : NULL;
   double best = 0;
   ms_time soonest = MS_NEVER;
 
@@ -338,8 +393,7 @@
   for (unsigned i = 0; kind && i < place->count; i++)
     {
       struct ms_endpoint_state *e = place->endpoints[i];
-      uint32_t uncached;
-      ms_time expected;
+      struct ms_fit f;
       double score;
 
       if (e->entry.service != offer->service || was_tried (offer, e)
@@ -348,19 +402,17 @@
       if (offer->alone && e->own.running + e->others.running)
         continue;
       choice->usable++;
-      uncached = uncached_tokens (place, e, offer, now);
-      expected = expected_time (e, kind, uncached);
-      if (expected < soonest)
-        soonest = expected;
-      if (!has_room (e, kind, offer) || expected > offer->aim_left)
+      fit (place, e, kind, offer, home, now, &f);
+      if (f.expected < soonest)
+        soonest = f.expected;
+      if (!has_room (e, kind, offer) || f.expected > offer->aim_left)
         continue;
-      score = place->policy->score (place, e, offer, uncached, expected);
+      score = place->policy->score (place, e, &f);
       if (choice->endpoint && score >= best)
         continue;
       best = score;
       choice->endpoint = e;
-      choice->uncached = uncached;
-      choice->expected = expected;
+      choice->fit = f;
     }
   if (choice->endpoint)
     choice->result = MS_PLACED;
@@ -377,7 +429,7 @@
   struct ms_endpoint_state *e = choice->endpoint;
 
   load->running = 1;
-  load->prefill = offer->prompt_tokens ? choice->uncached : 0;
+  load->prefill = offer->prompt_tokens ? choice->fit.uncached : 0;
   load->memory = offer->prompt_tokens + offer->output_tokens;
   e->own.running += load->running;
   e->own.prefill += load->prefill;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -61,12 +61,19 @@
   MS_PLACE_NONE  /* No endpoint may be used.  */
 };
 
+/* What one endpoint would do with a request.  */
+struct ms_fit
+{
+  uint32_t uncached; /* Prompt tokens that it must read.  */
+  uint32_t again;    /* Of these, shared ones that others have read.  */
+  ms_time expected;  /* Time to the first token.  */
+};
+
 struct ms_choice
 {
   enum ms_place_result result;
   struct ms_endpoint_state *endpoint;
-  uint32_t uncached; /* Prompt tokens that it must read.  */
-  ms_time expected;  /* Time to the first token.  */
+  struct ms_fit fit;
   unsigned usable;   /* Endpoints that were weighed.  */
   ms_time room_in;   /* With MS_PLACE_FULL: when there may be room.  */
 };
@@ -85,8 +92,7 @@
   const char *name;
   double (*score) (const struct ms_place *place,
                    const struct ms_endpoint_state *endpoint,
-                   const struct ms_offer *offer, uint32_t uncached,
-                   ms_time expected);
+                   const struct ms_fit *fit);
 };
 
 /* The policy called NAME: "prefix" or "least_in_flight"; NULL if unknown.  */
--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -2,48 +2,31 @@
 
 #include <string.h>
 
-/* Milliseconds that a chance of failure of 1, another zone, and a step of the
-   order of a part's endpoints are worth.  */
+/* What a chance of failure of 1, another zone, a request that runs there, and
+   a token of a shared part that is read again are worth, in milliseconds until
+   the first token.  */
 #define ERROR_MS 2000.0
 #define OTHER_ZONE_MS 3.0
 #define RUNNING_MS 0.5
-
-/* Spreads a part's first sends over endpoints in the same way everywhere.  */
-#define SPREAD_MS 40.0
-
-static double
-spread (const struct ms_endpoint_state *e, const struct ms_offer *offer)
-{
-  uint64_t part;
-
-  if (offer->parts_count < 2)
-    return 0;
-  part = offer->parts[offer->parts_count - 2].id;
-  return SPREAD_MS * (double)(ms_id_pair (e->id, part) >> 11)
-         / (double)(UINT64_C (1) << 53);
-}
+#define AGAIN_MS 0.075
 
 /* Time to the first token, with shared parts kept on few endpoints.  */
 static double
 score_prefix (const struct ms_place *place, const struct ms_endpoint_state *e,
-              const struct ms_offer *offer, uint32_t uncached,
-              ms_time expected)
+              const struct ms_fit *fit)
 {
-  (void)uncached;
-  return (double)expected / MS_MSEC + e->error_rate * ERROR_MS
+  return (double)fit->expected / MS_MSEC + AGAIN_MS * fit->again
+         + ERROR_MS * e->error_rate
          + RUNNING_MS * (e->own.running + e->others.running)
-         + (e->entry.zone == place->options.zone ? 0 : OTHER_ZONE_MS)
-         + spread (e, offer);
+         + (e->entry.zone == place->options.zone ? 0 : OTHER_ZONE_MS);
 }
 
 static double
 score_least (const struct ms_place *place, const struct ms_endpoint_state *e,
-             const struct ms_offer *offer, uint32_t uncached, ms_time expected)
+             const struct ms_fit *fit)
 {
   (void)place;
-  (void)offer;
-  (void)uncached;
-  (void)expected;
+  (void)fit;
   return e->own.running + e->others.running;
 }
 
