--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -23,6 +23,7 @@
 	u_int running;
 	u_int prefill;
 	u_int memory;
+	u_int pace;
 };
 typedef struct digest_load digest_load;
 
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -13,6 +13,7 @@
   unsigned int running;
   unsigned int prefill;
   unsigned int memory;
+  unsigned int pace; /* Microseconds a token takes; 0 if not known.  */
 };
 
 /* A router the sender knows of.  */
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -10,6 +10,49 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->prefill))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pace))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->prefill);
+			IXDR_PUT_U_LONG(buf, objp->memory);
+			IXDR_PUT_U_LONG(buf, objp->pace);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->prefill))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pace))
+				 return FALSE;
+		} else {
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->prefill = IXDR_GET_U_LONG(buf);
+			objp->memory = IXDR_GET_U_LONG(buf);
+			objp->pace = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
@@ -18,6 +61,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->memory))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -48,6 +48,7 @@
   struct ms_load load;
   struct ms_name last_endpoint;
   ms_time sent_at;
+  ms_time last_event_at;
   bool sent;
   bool began;
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -262,6 +262,7 @@
   ms_topic_tick (gw->operator_topic, now);
   ms_topic_tick (gw->endpoint_topic, now);
   ms_peers_tick (gw->peers, now);
+  ms_place_tick (gw->place, now);
   ms_requests_tick (gw, now);
   ms_upstreams_tick (gw, now);
   ms_callers_tick (gw, now);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -81,7 +81,8 @@
       for (unsigned j = 0; j < routers[i].loads_count; j++)
         {
           const digest_load *l = &routers[i].loads[j];
-          const struct ms_load load = { l->running, l->prefill, l->memory };
+          const struct ms_load load
+              = { l->running, l->prefill, l->memory, l->pace };
 
           ms_place_add_others (gw->place, l->endpoint, &load);
         }
@@ -110,6 +111,7 @@
 
 struct load_list
 {
+  ms_time now;
   digest_load loads[DIGEST_LOADS];
   unsigned count;
 };
@@ -119,9 +121,11 @@
 {
   struct load_list *list = context;
 
-  if (e->own.running && list->count < DIGEST_LOADS)
+  const struct ms_load load = ms_place_load (e, list->now);
+
+  if (load.running && list->count < DIGEST_LOADS)
     list->loads[list->count++] = (digest_load){
-      e->id, e->own.running, e->own.prefill, e->own.memory
+      e->id, load.running, load.prefill, load.memory, load.pace
     };
 }
 
@@ -152,6 +156,7 @@
   ms_fleet_describe (gw->fleet, &digest, members);
   digest.ready = ms_gateway_ready (gw);
   digest.leaving = gw->terminated_at != 0;
+  list.now = now;
   list.count = 0;
   ms_place_each (gw->place, collect_load, &list);
   digest.loads.loads_val = list.loads;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -40,9 +40,6 @@
 /* Whole answers of up to so many bytes are held until they are complete.  */
 #define MAX_HELD_BYTES 262144
 
-/* Output is expected to be this part of what a caller allows.  */
-#define OUTPUT_PART 0.7
-
 static bool
 may_repeat (const struct ms_request *r)
 {
@@ -163,7 +160,8 @@
   memset (offer, 0, sizeof *offer);
   offer->service = r->service;
   offer->prompt_tokens = r->prompt.tokens;
-  offer->output_tokens = (uint32_t)(OUTPUT_PART * r->prompt.max_output);
+  offer->output_tokens = r->prompt.output;
+  offer->time_left = time_left (r, r->gw->now);
   offer->parts_count = r->prompt.parts_count;
   offer->parts = r->prompt.parts;
   offer->aim_left = left > LEAST_AIM ? left : LEAST_AIM;
@@ -487,10 +485,16 @@
 static void
 forward_events (struct ms_request *r)
 {
-  size_t whole = ms_events_whole (r->held, r->held_length, &r->last_event);
+  unsigned count;
+  size_t whole = ms_events_whole (r->held, r->held_length, &r->last_event,
+                                  &count);
 
   if (!whole)
     return;
+  if (r->began)
+    ms_place_paced (r->gw->place, r->endpoint, count,
+                    r->gw->now - r->last_event_at, r->gw->now);
+  r->last_event_at = r->gw->now;
   note_begin (r);
   begin_answer (r);
   forward_held (r, whole);
@@ -747,6 +751,8 @@
       return NULL;
     }
   gw->beginning = r;
+  ms_place_arrived (gw->place, r->service, r->prompt.output,
+                    time_left (r, gw->now) - r->aim);
   dispatch (r);
   if (gw->beginning != r)
     return NULL; /* It is answered already.  */
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -15,8 +15,19 @@
 void ms_prefix_note (struct ms_prefix_memory *memory, uint64_t endpoint,
                      uint64_t part, ms_time now);
 
+/* The pace that a service's requests need.  */
+struct ms_need;
+struct ms_need *ms_need_of (struct ms_place *place, uint64_t service);
+
+/* Microseconds that a token may take for nearly all requests to end in time;
+   0 if nothing is known.  */
+double ms_need_pace (struct ms_place *place, uint64_t service);
+void ms_need_destroy (struct ms_place *place);
+
 struct ms_place
 {
+  struct ms_need *needs;
+  ms_time limits_at; /* When limits were last moved.  */
   struct ms_place_options options;
   const struct ms_place_policy *policy;
   const struct ms_routes *routes;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -23,11 +23,30 @@
 #define FIRST_DOWN (200 * MS_MSEC)
 #define LONGEST_DOWN (2 * MS_SEC)
 
+/* An endpoint reads more than a little of shared parts again only while it
+   runs less than this part of its limit.  */
+#define LITTLE_AGAIN 256
+#define SPARE_PART 0.6
+
 /* Coldness is assumed after a zone is taken back, beyond the service's own
    time, and after a wake-up until the list was read anew.  */
 #define COLD_MARGIN (500 * MS_MSEC)
 #define WOKE_FOR (1 * MS_SEC)
 
+/* A measured pace is used for so long.  */
+#define PACE_KNOWN_FOR (500 * MS_MSEC)
+#define PACE_WEIGHT 0.06
+
+/* Limits of requests at once: the first, as a part of the slots, and how they
+   move while the pace is off the needed one by more than the band.  */
+#define FIRST_LIMIT_PART 0.5
+#define LEAST_LIMIT_PART 0.3
+#define PACE_BAND 0.1
+#define LIMIT_SHRINKS 0.95
+#define LIMIT_GROWS 1.5
+#define LIMIT_USED_PART 0.8
+#define LIMIT_PERIOD (200 * MS_MSEC)
+
 #define ERROR_WEIGHT 0.1
 #define SLOWNESS_WEIGHT 0.1
 #define MOST_SLOWNESS 20.0
@@ -53,6 +72,7 @@
     free (place->endpoints[i]);
   free (place->endpoints);
   ms_prefix_destroy (place->prefix);
+  ms_need_destroy (place);
   free (place);
 }
 
@@ -226,7 +246,11 @@
 ms_place_clear_others (struct ms_place *place)
 {
   for (unsigned i = 0; i < place->count; i++)
-    place->endpoints[i]->others = (struct ms_load){ 0 };
+    {
+      place->endpoints[i]->others = (struct ms_load){ 0 };
+      place->endpoints[i]->others_pace = 0;
+      place->endpoints[i]->others_paced = 0;
+    }
 }
 
 void
@@ -240,6 +264,21 @@
   e->others.running += load->running;
   e->others.prefill += load->prefill;
   e->others.memory += load->memory;
+  if (load->pace)
+    {
+      e->others_pace += (double)load->pace * load->running;
+      e->others_paced += load->running;
+    }
+}
+
+struct ms_load
+ms_place_load (const struct ms_endpoint_state *e, ms_time now)
+{
+  struct ms_load load = e->own;
+
+  if (e->paced_at && now - e->paced_at < PACE_KNOWN_FOR)
+    load.pace = (uint32_t)e->pace;
+  return load;
 }
 
 void
@@ -275,30 +314,47 @@
   return false;
 }
 
-/* The endpoint that keeps the last shared part of the prompt: the first in an
-   order that is the same at all routers.  NULL if nothing is shared.  */
-static const struct ms_endpoint_state *
-home_of (const struct ms_place *place, const struct ms_offer *offer,
-         ms_time now)
+/* The endpoints that keep the last shared part of the prompt: the first two in
+   an order that is the same at all routers.  */
+struct homes
+{
+  const struct ms_endpoint_state *first;
+  const struct ms_endpoint_state *second;
+};
+
+static struct homes
+homes_of (const struct ms_place *place, const struct ms_offer *offer,
+          ms_time now)
 {
-  const struct ms_endpoint_state *home = NULL;
+  struct homes homes = { NULL, NULL };
   uint64_t highest = 0;
+  uint64_t next = 0;
 
   if (offer->parts_count < 2)
-    return NULL;
+    return homes;
   for (unsigned i = 0; i < place->count; i++)
     {
       const struct ms_endpoint_state *e = place->endpoints[i];
       uint64_t rank
           = ms_id_pair (e->id, offer->parts[offer->parts_count - 2].id);
 
-      if (e->entry.service != offer->service || rank <= highest
+      if (e->entry.service != offer->service || rank <= next
           || !is_open (place, e, now))
         continue;
-      highest = rank;
-      home = e;
+      if (rank > highest)
+        {
+          homes.second = homes.first;
+          next = highest;
+          homes.first = e;
+          highest = rank;
+        }
+      else
+        {
+          homes.second = e;
+          next = rank;
+        }
     }
-  return home;
+  return homes;
 }
 
 /* Tokens of shared parts that E should have to read.  */
@@ -347,6 +403,64 @@
   return (ms_time)(ms * e->slowness * MS_MSEC);
 }
 
+/* Microseconds that a generated token takes at E.  */
+static double
+pace_of (const struct ms_endpoint_state *e, ms_time now)
+{
+  unsigned running = e->own.running + e->others.running;
+  double sum = e->others_pace;
+  double weight = e->others_paced;
+
+  if (e->paced_at && now - e->paced_at < PACE_KNOWN_FOR)
+    {
+      sum += e->pace * (e->own.running + 1);
+      weight += e->own.running + 1;
+    }
+  if (weight > 0)
+    return sum / weight;
+  return (STEP_MS + STEP_MS_PER_RUNNING * running) * MS_MSEC;
+}
+
+/* Move the limit of E towards what keeps its pace at NEED.  */
+static void
+move_limit (struct ms_endpoint_state *e, const struct ms_endpoint_kind *kind,
+            double need, ms_time now)
+{
+  double running = e->own.running + e->others.running;
+  double slots = kind->slots ? kind->slots : e->entry.slots;
+  double pace = pace_of (e, now);
+
+  if (e->limit <= 0)
+    e->limit = FIRST_LIMIT_PART * slots;
+  if (pace > need * (1 + PACE_BAND))
+    e->limit = (running < e->limit ? running : e->limit) * LIMIT_SHRINKS;
+  else if (pace < need * (1 - PACE_BAND)
+           && running > LIMIT_USED_PART * e->limit)
+    e->limit += LIMIT_GROWS;
+  if (e->limit < LEAST_LIMIT_PART * slots)
+    e->limit = LEAST_LIMIT_PART * slots;
+  if (e->limit > SLOTS_PART * slots)
+    e->limit = SLOTS_PART * slots;
+}
+
+void
+ms_place_tick (struct ms_place *place, ms_time now)
+{
+  if (!place->routes || now - place->limits_at < LIMIT_PERIOD)
+    return;
+  place->limits_at = now;
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      struct ms_endpoint_state *e = place->endpoints[i];
+      const struct ms_endpoint_kind *kind
+          = ms_routes_service (place->routes, e->entry.service);
+      double need = ms_need_pace (place, e->entry.service);
+
+      if (kind && kind->model && need > 0)
+        move_limit (e, kind, need, now);
+    }
+}
+
 /* Whether E has room for the request at all.  */
 static bool
 has_room (const struct ms_endpoint_state *e,
@@ -361,6 +475,8 @@
     return running < slots * (1 + PLAIN_QUEUE_PART);
   if (running >= slots * SLOTS_PART)
     return false;
+  if (e->limit > 0 && running >= e->limit)
+    return false;
   return !kind->memory_tokens || running == 0
          || (double)memory < MEMORY_PART * (double)kind->memory_tokens;
 }
@@ -369,13 +485,26 @@
 static void
 fit (const struct ms_place *place, const struct ms_endpoint_state *e,
      const struct ms_endpoint_kind *kind, const struct ms_offer *offer,
-     const struct ms_endpoint_state *home, ms_time now, struct ms_fit *f)
+     const struct homes *homes, ms_time now, struct ms_fit *f)
 {
-  f->again = e == home ? 0 : missing_tokens (place, e, offer, now);
+  f->home = e == homes->first ? 1 : e == homes->second ? 2 : 0;
+  f->again = f->home ? 0 : missing_tokens (place, e, offer, now);
   f->uncached = own_tokens (offer) + f->again;
   f->expected = expected_time (e, kind, f->uncached);
 }
 
+/* Whether E would otherwise idle, so that it may read again what others
+   keep.  */
+static bool
+has_spare (const struct ms_endpoint_state *e,
+           const struct ms_endpoint_kind *kind)
+{
+  unsigned running = e->own.running + e->others.running;
+  double most = e->limit > 0 ? e->limit : SLOTS_PART * kind->slots;
+
+  return !kind->model || running < SPARE_PART * most;
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -383,8 +512,7 @@
   const struct ms_endpoint_kind *kind
       = place->routes ? ms_routes_service (place->routes, offer->service)
                       : NULL;
-  const struct ms_endpoint_state *home
-      = kind ? home_of (place, offer, now) : NULL;
+  const struct homes homes = homes_of (place, offer, now);
   double best = 0;
   ms_time soonest = MS_NEVER;
 
@@ -402,10 +530,11 @@
       if (offer->alone && e->own.running + e->others.running)
         continue;
       choice->usable++;
-      fit (place, e, kind, offer, home, now, &f);
+      fit (place, e, kind, offer, &homes, now, &f);
       if (f.expected < soonest)
         soonest = f.expected;
-      if (!has_room (e, kind, offer) || f.expected > offer->aim_left)
+      if (!has_room (e, kind, offer) || f.expected > offer->aim_left
+          || (f.again > LITTLE_AGAIN && !has_spare (e, kind)))
         continue;
       score = place->policy->score (place, e, &f);
       if (choice->endpoint && score >= best)
@@ -459,6 +588,25 @@
     e->slowness = 1;
 }
 
+void
+ms_place_paced (struct ms_place *place, struct ms_endpoint_state *e,
+                unsigned count, ms_time took, ms_time now)
+{
+  const struct ms_endpoint_kind *kind
+      = place->routes ? ms_routes_service (place->routes, e->entry.service)
+                      : NULL;
+  double pace;
+
+  if (!kind || !kind->tokens_per_event || !count)
+    return;
+  pace = (double)took / ((double)count * kind->tokens_per_event);
+  if (!e->paced_at || now - e->paced_at > PACE_KNOWN_FOR)
+    e->pace = pace;
+  else
+    e->pace += PACE_WEIGHT * (pace - e->pace);
+  e->paced_at = now;
+}
+
 static void
 note_failure (struct ms_endpoint_state *e, ms_time now)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -17,6 +17,8 @@
   uint32_t prefill;  /* Uncached prompt tokens of requests without a first
                         token.  */
   uint32_t memory;   /* Prompt and expected output tokens.  */
+  uint32_t pace;     /* Microseconds that a generated token takes there; 0 if
+                        not known.  */
 };
 
 struct ms_endpoint_state
@@ -34,6 +36,12 @@
   ms_time down_until;
   bool probing; /* One request is finding out whether it is back.  */
   double slowness;   /* Measured against predicted time, 1 when as expected.  */
+  double pace;       /* Microseconds a generated token takes, by own
+                        streams.  */
+  double others_pace; /* By the streams of others, weighted by...  */
+  double others_paced; /* ...how many those run.  */
+  ms_time paced_at;  /* Last measured; 0 if never.  */
+  double limit;       /* Requests that it may run at once; 0 until known.  */
   double error_rate; /* Of answers, as an exponential mean.  */
   ms_time last_failure;
   ms_time waiting_seen; /* When it last told that requests wait there.  */
@@ -48,7 +56,8 @@
   uint32_t output_tokens;
   unsigned parts_count;
   const struct ms_prompt_part *parts;
-  ms_time aim_left; /* Until the answer should begin.  */
+  ms_time aim_left;  /* Until the answer should begin.  */
+  ms_time time_left; /* Until it has to be complete.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried;
   bool alone; /* Only on an endpoint on which nothing else runs.  */
@@ -66,6 +75,8 @@
 {
   uint32_t uncached; /* Prompt tokens that it must read.  */
   uint32_t again;    /* Of these, shared ones that others have read.  */
+  unsigned home;     /* 1 for the first endpoint that keeps the shared parts, 2
+                        for the second, else 0.  */
   ms_time expected;  /* Time to the first token.  */
 };
 
@@ -135,6 +146,14 @@
 /* Until NOW this router may have missed what happened.  */
 void ms_place_woke (struct ms_place *place, ms_time now);
 
+/* Move the limits of endpoints towards what keeps their pace.  */
+void ms_place_tick (struct ms_place *place, ms_time now);
+
+/* A request for SERVICE came that has TIME for its OUTPUT tokens.  Endpoints
+   are kept so fast that nearly all such requests end in time.  */
+void ms_place_arrived (struct ms_place *place, uint64_t service,
+                       uint32_t output, ms_time time);
+
 void ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                       ms_time now, struct ms_choice *choice);
 
@@ -152,6 +171,11 @@
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      ms_time expected, ms_time took);
 
+/* COUNT further events of a stream came within TOOK.  */
+void ms_place_paced (struct ms_place *place,
+                     struct ms_endpoint_state *endpoint, unsigned count,
+                     ms_time took, ms_time now);
+
 /* How an attempt ended, as far as the endpoint is concerned.  */
 enum ms_place_end
 {
@@ -172,6 +196,10 @@
                         unsigned waiting, ms_time now);
 
 /* Endpoint ID, or NULL.  */
+/* What this router has at ENDPOINT, to tell the others.  */
+struct ms_load ms_place_load (const struct ms_endpoint_state *endpoint,
+                              ms_time now);
+
 struct ms_endpoint_state *ms_place_find (struct ms_place *place, uint64_t id);
 
 void ms_place_hold (struct ms_endpoint_state *endpoint);
--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -10,13 +10,16 @@
 #define RUNNING_MS 0.5
 #define AGAIN_MS 0.075
 
+/* The second home is taken when the first is that much slower.  */
+#define SECOND_HOME_MS 60.0
+
 /* Time to the first token, with shared parts kept on few endpoints.  */
 static double
 score_prefix (const struct ms_place *place, const struct ms_endpoint_state *e,
               const struct ms_fit *fit)
 {
   return (double)fit->expected / MS_MSEC + AGAIN_MS * fit->again
-         + ERROR_MS * e->error_rate
+         + (fit->home == 2 ? SECOND_HOME_MS : 0) + ERROR_MS * e->error_rate
          + RUNNING_MS * (e->own.running + e->others.running)
          + (e->entry.zone == place->options.zone ? 0 : OTHER_ZONE_MS);
 }
--- a/src/wire/events.c
+++ b/src/wire/events.c
@@ -22,12 +22,14 @@
 }
 
 size_t
-ms_events_whole (const char *data, size_t length, struct ms_event_id *id)
+ms_events_whole (const char *data, size_t length, struct ms_event_id *id,
+                 unsigned *count)
 {
   struct ms_event_id current = { 0 };
   size_t line = 0;
   size_t whole = 0;
 
+  *count = 0;
   for (size_t i = 0; i < length; i++)
     {
       size_t line_length = i - line;
@@ -37,6 +39,7 @@
       if (line_length == 0 || (line_length == 1 && data[line] == '\r'))
         {
           whole = i + 1;
+          ++*count;
           if (current.length)
             *id = current;
         }
--- a/src/wire/events.h
+++ b/src/wire/events.h
@@ -14,8 +14,8 @@
 };
 
 /* Length of the whole events that DATA begins with; 0 if none is complete.
-   ID is set to that of the last one that has an id.  */
+   ID is set to that of the last one that has an id, *COUNT to their number. */
 size_t ms_events_whole (const char *data, size_t length,
-                        struct ms_event_id *id);
+                        struct ms_event_id *id, unsigned *count);
 
 #endif
