Give teams max-min shares over all routers while room is scarce

A team whose callers all use one router got 12k of 479k tokens: room that comes free is known at once where the request ended and 100 ms later elsewhere, so routers that serve a hot team refill it. Left: the level falls too far (tokens begun 1400k -> 500k a second in bursts) and large requests are refused more.

--- /dev/null
+++ b/src/admit/share.c
@@ -0,0 +1,270 @@
+#include "admit/share.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "base/alloc.h"
+
+/* Rates are means over about so long.  */
+#define RATE_TIME (2.0 * MS_SEC)
+
+#define LEVEL_PERIOD (200 * MS_MSEC)
+
+/* The level goes down while more than this part of what teams below it ask is
+   refused, and up otherwise.  */
+#define REFUSED_PART 0.04
+#define LEVEL_FALLS 0.93
+#define LEVEL_RISES 1.04
+
+/* A team may save up so much time of its share.  */
+#define CREDIT_S 0.3
+
+/* A team that asked for nothing for so long is forgotten.  */
+#define FORGOTTEN (30 * MS_SEC)
+
+struct rate
+{
+  double sum;
+  ms_time at;
+};
+
+struct team
+{
+  uint64_t id;
+  struct rate asked;
+  struct rate refused;
+  double others_asked;
+  double others_refused;
+  double credit; /* Cost that may still be admitted.  */
+  ms_time credit_at;
+  UT_hash_handle hh;
+};
+
+struct ms_share
+{
+  struct team *teams;
+  double level;
+  ms_time moved_at;
+};
+
+struct ms_share *
+ms_share_create (void)
+{
+  return ms_new (sizeof (struct ms_share));
+}
+
+void
+ms_share_destroy (struct ms_share *share)
+{
+  struct team *t, *next;
+
+  if (!share)
+    return;
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    HASH_DEL (share->teams, t);
+    free (t);
+  }
+  free (share);
+}
+
+static void
+decay (struct rate *rate, ms_time now)
+{
+  if (now > rate->at)
+    rate->sum *= exp (-(double)(now - rate->at) / RATE_TIME);
+  rate->at = now;
+}
+
+static void
+add (struct rate *rate, double amount, ms_time now)
+{
+  decay (rate, now);
+  rate->sum += amount;
+}
+
+/* Amount a second.  */
+static double
+value (struct rate *rate, ms_time now)
+{
+  decay (rate, now);
+  return rate->sum * MS_SEC / RATE_TIME;
+}
+
+static struct team *
+obtain (struct ms_share *share, uint64_t id)
+{
+  struct team *t;
+
+  HASH_FIND (hh, share->teams, &id, sizeof id, t);
+  if (t)
+    return t;
+  t = ms_new (sizeof *t);
+  t->id = id;
+  HASH_ADD (hh, share->teams, id, sizeof t->id, t);
+  return t;
+}
+
+bool
+ms_share_arrive (struct ms_share *share, uint64_t team, double cost,
+                 ms_time now)
+{
+  struct team *t = obtain (share, team);
+  double own;
+  double all;
+  double rate;
+  double most;
+
+  add (&t->asked, cost, now);
+  own = value (&t->asked, now);
+  all = own + t->others_asked;
+  if (share->level <= 0 || all <= share->level)
+    {
+      t->credit = 0;
+      t->credit_at = now;
+      return true;
+    }
+  /* This router's part of the level is its part of what the team asks.  */
+  rate = share->level * own / all;
+  most = rate * CREDIT_S > cost ? rate * CREDIT_S : cost;
+  t->credit += rate * (double)(now - t->credit_at) / MS_SEC;
+  t->credit_at = now;
+  if (t->credit > most)
+    t->credit = most;
+  if (t->credit < cost)
+    return false;
+  t->credit -= cost;
+  return true;
+}
+
+void
+ms_share_refused (struct ms_share *share, uint64_t team, double cost,
+                  ms_time now)
+{
+  add (&obtain (share, team)->refused, cost, now);
+}
+
+void
+ms_share_clear_others (struct ms_share *share)
+{
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    t->others_asked = 0;
+    t->others_refused = 0;
+  }
+}
+
+void
+ms_share_add_others (struct ms_share *share, const struct ms_asked *asked)
+{
+  struct team *t = obtain (share, asked->team);
+
+  t->others_asked += asked->asked;
+  t->others_refused += asked->refused;
+}
+
+/* What is asked and refused in all of teams that ask no more than MOST, and
+   the most that any team asks.  */
+struct sums
+{
+  double asked;
+  double refused;
+  double largest;
+};
+
+static struct sums
+sum_up (struct ms_share *share, double most, ms_time now)
+{
+  struct sums sums = { 0 };
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    double asked = value (&t->asked, now) + t->others_asked;
+
+    if (asked > sums.largest)
+      sums.largest = asked;
+    if (asked > most)
+      continue;
+    sums.asked += asked;
+    sums.refused += value (&t->refused, now) + t->others_refused;
+  }
+  return sums;
+}
+
+static void
+forget (struct ms_share *share, ms_time now)
+{
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    if (now - t->asked.at <= FORGOTTEN || t->others_asked > 0
+        || value (&t->asked, now) >= 1)
+      continue;
+    HASH_DEL (share->teams, t);
+    free (t);
+  }
+}
+
+void
+ms_share_tick (struct ms_share *share, ms_time now)
+{
+  struct sums sums;
+
+  if (now - share->moved_at < LEVEL_PERIOD)
+    return;
+  share->moved_at = now;
+  forget (share, now);
+  sums = sum_up (share, share->level > 0 ? share->level : HUGE_VAL, now);
+  if (sums.refused > REFUSED_PART * sums.asked && sums.asked > 0)
+    share->level = (share->level > 0 ? share->level : sums.largest)
+                   * LEVEL_FALLS;
+  else if (share->level > 0)
+    share->level *= LEVEL_RISES;
+  if (share->level > sums.largest)
+    share->level = 0;
+}
+
+static int
+by_asked (const void *left, const void *right)
+{
+  double a = ((const struct ms_asked *)left)->asked;
+  double b = ((const struct ms_asked *)right)->asked;
+
+  return (a < b) - (a > b);
+}
+
+unsigned
+ms_share_report (struct ms_share *share, ms_time now, struct ms_asked *asked,
+                 unsigned space)
+{
+  struct ms_asked *all
+      = ms_new_array (HASH_COUNT (share->teams), sizeof *all);
+  unsigned count = 0;
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    double rate = value (&t->asked, now);
+
+    if (rate >= 1)
+      all[count++] = (struct ms_asked){ t->id, rate, value (&t->refused, now) };
+  }
+  qsort (all, count, sizeof *all, by_asked);
+  if (count > space)
+    count = space;
+  for (unsigned i = 0; i < count; i++)
+    asked[i] = all[i];
+  free (all);
+  return count;
+}
+
+double
+ms_share_level (const struct ms_share *share)
+{
+  return share->level;
+}
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -44,6 +44,7 @@
 struct digest_team {
 	u_quad_t team;
 	u_int asked;
+	u_int refused;
 };
 typedef struct digest_team digest_team;
 
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -32,11 +32,13 @@
   unsigned int deaths;
 };
 
-/* What a team's callers asked of the sender lately, in tokens a second.  */
+/* What a team's callers asked of the sender lately, and what of it was refused
+   for want of room, in tokens a second.  */
 struct digest_team
 {
   unsigned hyper team;
   unsigned int asked;
+  unsigned int refused;
 };
 
 struct fleet_digest
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -103,6 +103,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->asked))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->refused))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include "admit/budget.h"
+#include "admit/share.h"
 #include "base/clock.h"
 #include "base/random.h"
 #include "fleet/fleet.h"
@@ -45,6 +46,7 @@
   struct ms_place *place;
   struct ms_guard *guard;
   struct ms_budget *budget;
+  struct ms_share *share;
   struct ms_fleet *fleet;
   struct ms_peers *peers;
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -26,6 +26,7 @@
   uint64_t fingerprint;
   bool keyed;
   struct plat_prompt prompt;
+  double cost; /* In tokens, for the shares of teams.  */
 
   ms_time arrived;
   ms_time aim;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -263,6 +263,7 @@
   ms_topic_tick (gw->endpoint_topic, now);
   ms_peers_tick (gw->peers, now);
   ms_place_tick (gw->place, now);
+  ms_share_tick (gw->share, now);
   ms_requests_tick (gw, now);
   ms_upstreams_tick (gw, now);
   ms_callers_tick (gw, now);
@@ -354,6 +355,7 @@
   gw->place = ms_place_create (
       &place, ms_place_policy (s->placement ? s->placement : "prefix"));
   gw->guard = ms_guard_create ();
+  gw->share = ms_share_create ();
   gw->budget = ms_budget_create (&budget);
   gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
                                gw->caller_address.sin_addr, gw->incarnation);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -71,6 +71,7 @@
   unsigned alive = 0;
 
   ms_place_clear_others (gw->place);
+  ms_share_clear_others (gw->share);
   ids[alive++] = gw->id;
   for (unsigned i = 0; i < count; i++)
     {
@@ -86,6 +87,13 @@
 
           ms_place_add_others (gw->place, l->endpoint, &load);
         }
+      for (unsigned j = 0; j < routers[i].teams_count; j++)
+        {
+          const digest_team *t = &routers[i].teams[j];
+          const struct ms_asked asked = { t->team, t->asked, t->refused };
+
+          ms_share_add_others (gw->share, &asked);
+        }
     }
   ms_place_routers (gw->place, ids, alive);
   ms_budget_routers (gw->budget, alive);
@@ -129,6 +137,18 @@
     };
 }
 
+static unsigned
+collect_teams (struct ms_gateway *gw, digest_team *teams, ms_time now)
+{
+  struct ms_asked asked[DIGEST_TEAMS];
+  unsigned count = ms_share_report (gw->share, now, asked, DIGEST_TEAMS);
+
+  for (unsigned i = 0; i < count; i++)
+    teams[i] = (digest_team){ asked[i].team, (unsigned)asked[i].asked,
+                              (unsigned)asked[i].refused };
+  return count;
+}
+
 static unsigned
 collect_deaths (struct ms_peers *p, digest_death *deaths, ms_time now)
 {
@@ -148,6 +168,7 @@
   struct in_addr targets[64];
   digest_member members[DIGEST_MEMBERS];
   digest_death deaths[DIGEST_DEATHS];
+  digest_team teams[DIGEST_TEAMS];
   struct fleet_digest digest = { 0 };
   char data[DIGEST_BYTES];
   unsigned count = ms_fleet_targets (gw->fleet, now, targets, 64);
@@ -161,6 +182,8 @@
   ms_place_each (gw->place, collect_load, &list);
   digest.loads.loads_val = list.loads;
   digest.loads.loads_len = list.count;
+  digest.teams.teams_val = teams;
+  digest.teams.teams_len = collect_teams (gw, teams, now);
   digest.deaths.deaths_val = deaths;
   digest.deaths.deaths_len = collect_deaths (p, deaths, now);
   buffer = uv_buf_init (data, ms_digest_encode (&digest, data, sizeof data));
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -19,6 +19,9 @@
 /* Without a deadline of the caller's.  */
 #define DEFAULT_DEADLINE (60 * MS_SEC)
 
+/* A generated token costs as much as so many tokens of a prompt.  */
+#define OUTPUT_COST 2.0
+
 /* Of a route without an aim.  */
 #define DEFAULT_AIM (1 * MS_SEC)
 
@@ -135,6 +138,8 @@
 static void
 give_up (struct ms_request *r, const char *reason)
 {
+  if (!r->attempts && r->choice.result == MS_PLACE_FULL && r->cost > 0)
+    ms_share_refused (r->gw->share, r->team, r->cost, r->gw->now);
   if (r->head_sent)
     break_off (r, reason);
   else if (r->may_have_run)
@@ -703,6 +708,7 @@
   r->arrived = gw->now;
   read_deadline (r, head);
   plat_decode_prompt (head, &r->prompt);
+  r->cost = r->prompt.tokens + OUTPUT_COST * r->prompt.output;
   r->fingerprint = fingerprint_of (r);
   r->aim = route->aim ? route->aim : DEFAULT_AIM;
   wait = (ms_time)(WAIT_PART * (double)r->aim);
@@ -750,6 +756,12 @@
       refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
       return NULL;
     }
+  if (team && r->cost > 0
+      && !ms_share_arrive (gw->share, team, r->cost, gw->now))
+    {
+      refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "over_share");
+      return NULL;
+    }
   gw->beginning = r;
   ms_place_arrived (gw->place, r->service, r->prompt.output,
                     time_left (r, gw->now) - r->aim);
