Let the level of shares see refusals sooner, and sizes alike

Cause: refusals were a mean over 2 s, so the level fell on for seconds after there was room again (500k of 1400k tokens a second begun in bursts), and a team's saved share was used up by small requests before a large one fitted. Change: refusals are a mean over 0.4 s, a share may go below 0.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -6,15 +6,17 @@
 
 #include "base/alloc.h"
 
-/* Rates are means over about so long.  */
-#define RATE_TIME (2.0 * MS_SEC)
+/* Rates are means over about so long; what is refused has to be seen
+   sooner, or the level goes on falling after there is room.  */
+#define ASKED_TIME (2.0 * MS_SEC)
+#define REFUSED_TIME (0.4 * MS_SEC)
 
 #define LEVEL_PERIOD (200 * MS_MSEC)
 
 /* The level goes down while more than this part of what teams below it ask is
    refused, and up otherwise.  */
 #define REFUSED_PART 0.04
-#define LEVEL_FALLS 0.93
+#define LEVEL_FALLS 0.95
 #define LEVEL_RISES 1.04
 
 /* A team may save up so much time of its share.  */
@@ -25,6 +27,7 @@
 
 struct rate
 {
+  double time; /* Of the mean.  */
   double sum;
   ms_time at;
 };
@@ -73,7 +76,7 @@
 decay (struct rate *rate, ms_time now)
 {
   if (now > rate->at)
-    rate->sum *= exp (-(double)(now - rate->at) / RATE_TIME);
+    rate->sum *= exp (-(double)(now - rate->at) / rate->time);
   rate->at = now;
 }
 
@@ -89,7 +92,7 @@
 value (struct rate *rate, ms_time now)
 {
   decay (rate, now);
-  return rate->sum * MS_SEC / RATE_TIME;
+  return rate->sum * MS_SEC / rate->time;
 }
 
 static struct team *
@@ -102,6 +105,8 @@
     return t;
   t = ms_new (sizeof *t);
   t->id = id;
+  t->asked.time = ASKED_TIME;
+  t->refused.time = REFUSED_TIME;
   HASH_ADD (hh, share->teams, id, sizeof t->id, t);
   return t;
 }
@@ -127,12 +132,13 @@
     }
   /* This router's part of the level is its part of what the team asks.  */
   rate = share->level * own / all;
-  most = rate * CREDIT_S > cost ? rate * CREDIT_S : cost;
+  most = rate * CREDIT_S;
   t->credit += rate * (double)(now - t->credit_at) / MS_SEC;
   t->credit_at = now;
   if (t->credit > most)
     t->credit = most;
-  if (t->credit < cost)
+  /* Going below 0 keeps large requests from being refused more often.  */
+  if (t->credit <= 0)
     return false;
   t->credit -= cost;
   return true;
