Drop at once what a relay lacks; relay sooner where the store fails

An entry that a peer's relay lacked was kept for 1.5 s, as after an outage, while the relay's offset jumped past the record of its removal; and relays were asked only once the last read was 1.6 s old, in calm times too, since a held read counts from its sending. Ruled out: the store's delay, placement (a request is placed by the list). Change: only what is missing just after an outage of the own reads is kept for a while; a relay is asked 0.3 s after a failed read; reads are held for 0.6 s.

--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -22,9 +22,9 @@
 #define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
 
 #define BACKLOG 1024
-#define OPERATOR_WAIT_MS 1000
+#define OPERATOR_WAIT_MS 600
 #define OPERATOR_PAUSE (50 * MS_MSEC)
-#define ENDPOINT_WAIT_MS 1000
+#define ENDPOINT_WAIT_MS 600
 #define ENDPOINT_PAUSE (250 * MS_MSEC)
 
 /* The store's list may lack live endpoints for so long after an outage.  */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -12,9 +12,11 @@
 #define DIGEST_BYTES 8192
 #define DIGEST_PERIOD (100 * MS_MSEC)
 
-/* A topic whose last read is older is asked of a peer.  */
-#define RELAY_AFTER (1600 * MS_MSEC)
-#define RELAY_PERIOD (400 * MS_MSEC)
+/* A topic whose last read is older is asked of a peer; the first time where
+   reads of the store fail.  */
+#define RELAY_AFTER_FAILURE (300 * MS_MSEC)
+#define RELAY_AFTER (1500 * MS_MSEC)
+#define RELAY_PERIOD (300 * MS_MSEC)
 #define RELAY_TIMEOUT (800 * MS_MSEC)
 
 /* The store's list of members is read again so often, and the own record
@@ -274,7 +276,9 @@
 static bool
 is_old (const struct ms_topic *topic, ms_time now)
 {
-  return now - ms_topic_read_at (topic) > RELAY_AFTER;
+  ms_time bound = ms_topic_failing (topic) ? RELAY_AFTER_FAILURE : RELAY_AFTER;
+
+  return now - ms_topic_read_at (topic) > bound;
 }
 
 static void
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -16,6 +16,9 @@
 #define FIRST_RETRY (200 * MS_MSEC)
 #define LONGEST_RETRY (1600 * MS_MSEC)
 
+/* So long after an outage entries may be missing that come back.  */
+#define REGAINED_FOR (600 * MS_MSEC)
+
 struct record
 {
   char *key;
@@ -44,6 +47,8 @@
   ms_time read_at;
   ms_time call_at;
   unsigned failures;
+  ms_time regained_at;  /* End of the last outage.  */
+  ms_time read_done_at; /* When the answer that is being taken came.  */
 };
 
 struct ms_topic *
@@ -140,6 +145,26 @@
   free_record (r);
 }
 
+/* Whether what is missing now may be missing only since its writer could not
+   reach the store.  */
+static bool
+after_outage (const struct ms_topic *t, ms_time now)
+{
+  return t->options.missing_for
+         && (t->failures
+             || (t->regained_at && now - t->regained_at < REGAINED_FOR));
+}
+
+/* KEY is not there any more: drop it, soon if LATER.  */
+static void
+lose (struct ms_topic *t, struct record *r, bool later, ms_time now)
+{
+  if (!later)
+    erase (t, r);
+  else if (!r->missing_since)
+    r->missing_since = now;
+}
+
 static void
 take_change (void *context, const struct plat_record *record)
 {
@@ -153,7 +178,7 @@
     }
   r = find (t->records, record->key);
   if (r)
-    erase (t, r);
+    lose (t, r, after_outage (t, t->read_done_at), t->read_done_at);
 }
 
 static void
@@ -166,10 +191,10 @@
 }
 
 /* Make the records those of the whole read in *TABLE, which is emptied.  What
-   it lacks goes at once, or later if MISSING_FOR asks for it.  */
+   it lacks goes, soon if LATER.  */
 static void
 apply_whole (struct ms_topic *t, struct record **table, uint64_t end,
-             ms_time now)
+             bool later, ms_time now)
 {
   struct record *r, *next;
 
@@ -177,10 +202,7 @@
   {
     if (find (*table, (struct ms_str){ r->key, r->key_length }))
       continue;
-    if (t->options.missing_for && t->known)
-      r->missing_since = r->missing_since ? r->missing_since : now;
-    else
-      erase (t, r);
+    lose (t, r, later, now);
   }
   HASH_ITER (hh, *table, r, next)
   {
@@ -208,6 +230,8 @@
 static void
 succeeded (struct ms_topic *t, ms_time sent_at)
 {
+  if (t->failures)
+    t->regained_at = ms_now (t->clock);
   if (t->failures)
     ms_event (sent_at, "topic_regained", "topic=%s failures=%u",
               t->options.name, t->failures);
@@ -264,7 +288,7 @@
   if (t->known && t->whole_end < t->next)
     free_table (&t->whole); /* A peer relayed a newer state meanwhile.  */
   else
-    apply_whole (t, &t->whole, t->whole_end, now);
+    apply_whole (t, &t->whole, t->whole_end, after_outage (t, now), now);
   t->follow = true;
   succeeded (t, t->whole_sent_at);
 }
@@ -277,6 +301,7 @@
   ms_time now = ms_now (t->clock);
   uint64_t next;
 
+  t->read_done_at = now;
   if (status == MS_OK && code == 410)
     {
       /* The records were deleted: read the newest ones as a whole.  */
@@ -398,7 +423,7 @@
              (struct ms_str){ json_string_value (value),
                               json_string_length (value) });
       }
-      apply_whole (t, &table, offset, now);
+      apply_whole (t, &table, offset, false, now);
     }
   t->read_at = read_at;
   t->options.current (t->options.context);
