--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 BASE_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) -Iinclude -Isrc -Iplatform -pthread
 ALL_CFLAGS = $(BASE_CFLAGS) \
 	$(shell pkg-config --cflags $(MODULES) $(GATEWAY_MODULES))
-LIBS = -lcivetweb $(shell pkg-config --libs $(MODULES)) -lm -pthread
+LIBS = -lcivetweb -lhttp_parser $(shell pkg-config --libs $(MODULES)) -lm -pthread
 
 PROGRAMS = router config ctl replay
 GATEWAY_DIRS = wire route place admit fleet guard gateway
@@ -26,8 +26,9 @@
 	-lm -pthread
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 CORE_DIRS = base rpc config view member fair dispatch guard once entry node journal \
-	http platform library
-CORE_SOURCES = $(foreach d,$(CORE_DIRS),$(wildcard src/$(d)/*.c))
+	http backing library wire route place admit fleet
+CORE_SOURCES = $(foreach d,$(CORE_DIRS),$(wildcard src/$(d)/*.c)) \
+	$(wildcard platform/*.c)
 CORE_OBJECTS = $(CORE_SOURCES:%.c=$(BUILD)/%.o)
 CORE = $(BUILD)/libcore.a
 
--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -14,9 +14,10 @@
 #define LEVEL_PERIOD (200 * MS_MSEC)
 
 /* The level goes down while more than this part of what teams below it ask is
-   refused, and up otherwise.  */
+   refused, in proportion and at most by a part, and up otherwise.  */
 #define REFUSED_PART 0.04
-#define LEVEL_FALLS 0.95
+#define FALL_FACTOR 0.4
+#define MOST_FALL 0.15
 #define LEVEL_RISES 1.04
 
 /* A team may save up so much time of its share.  */
@@ -172,33 +173,39 @@
   t->others_refused += asked->refused;
 }
 
-/* What is asked and refused in all of teams that ask no more than MOST, and
-   the most that any team asks.  */
-struct sums
+/* The part that is refused of what teams ask that ask no more than the level,
+   and the most that any team asks.  */
+struct want
 {
-  double asked;
-  double refused;
+  double refused_part;
   double largest;
 };
 
-static struct sums
-sum_up (struct ms_share *share, double most, ms_time now)
+static struct want
+look (struct ms_share *share, ms_time now)
 {
-  struct sums sums = { 0 };
+  double most = share->level > 0 ? share->level : HUGE_VAL;
+  struct want want = { 0, 0 };
+  double weights = 0;
   struct team *t, *next;
 
   HASH_ITER (hh, share->teams, t, next)
   {
     double asked = value (&t->asked, now) + t->others_asked;
+    double refused = value (&t->refused, now) + t->others_refused;
+    double weight = sqrt (asked);
 
-    if (asked > sums.largest)
-      sums.largest = asked;
-    if (asked > most)
+    if (asked > want.largest)
+      want.largest = asked;
+    if (asked > most || asked <= 0)
       continue;
-    sums.asked += asked;
-    sums.refused += value (&t->refused, now) + t->others_refused;
+    /* By the root, lest a team that asks for much hide the others.  */
+    weights += weight;
+    want.refused_part += weight * fmin (1, refused / asked);
   }
-  return sums;
+  if (weights > 0)
+    want.refused_part /= weights;
+  return want;
 }
 
 static void
@@ -219,19 +226,19 @@
 void
 ms_share_tick (struct ms_share *share, ms_time now)
 {
-  struct sums sums;
+  struct want want;
 
   if (now - share->moved_at < LEVEL_PERIOD)
     return;
   share->moved_at = now;
   forget (share, now);
-  sums = sum_up (share, share->level > 0 ? share->level : HUGE_VAL, now);
-  if (sums.refused > REFUSED_PART * sums.asked && sums.asked > 0)
-    share->level = (share->level > 0 ? share->level : sums.largest)
-                   * LEVEL_FALLS;
-  else if (share->level > 0)
+  want = look (share, now);
+  if (want.refused_part > REFUSED_PART)
+    share->level = (share->level > 0 ? share->level : want.largest)
+                   * (1 - fmin (MOST_FALL, FALL_FACTOR * want.refused_part));
+  else
     share->level *= LEVEL_RISES;
-  if (share->level > sums.largest)
+  if (share->level > want.largest)
     share->level = 0;
 }
 
@@ -248,8 +255,7 @@
 ms_share_report (struct ms_share *share, ms_time now, struct ms_asked *asked,
                  unsigned space)
 {
-  struct ms_asked *all
-      = ms_new_array (HASH_COUNT (share->teams), sizeof *all);
+  struct ms_asked *all = ms_new_array (HASH_COUNT (share->teams), sizeof *all);
   unsigned count = 0;
   struct team *t, *next;
 
@@ -258,7 +264,8 @@
     double rate = value (&t->asked, now);
 
     if (rate >= 1)
-      all[count++] = (struct ms_asked){ t->id, rate, value (&t->refused, now) };
+      all[count++]
+          = (struct ms_asked){ t->id, rate, value (&t->refused, now) };
   }
   qsort (all, count, sizeof *all, by_asked);
   if (count > space)
--- a/src/platform/platform.h
+++ b/src/backing/backing.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_PLATFORM_H
-#define PLATFORM_PLATFORM_H
+#ifndef BACKING_BACKING_H
+#define BACKING_BACKING_H
 
 #include <monsoonspur/status.h>
 
--- a/src/platform/http_list.c
+++ b/src/backing/http_list.c
@@ -4,7 +4,7 @@
 
 #include "base/alloc.h"
 #include "http/client.h"
-#include "platform/platform.h"
+#include "backing/backing.h"
 
 #define URL_BYTES 256
 #define FETCH_TIMEOUT_MS 1000
--- a/src/platform/http_log.c
+++ b/src/backing/http_log.c
@@ -5,7 +5,7 @@
 
 #include "http/client.h"
 #include "node/effect.h"
-#include "platform/platform.h"
+#include "backing/backing.h"
 
 #define URL_BYTES 256
 #define APPEND_TIMEOUT_MS 1000
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -29,13 +29,12 @@
 {
   char line[LINE_BYTES];
   va_list args;
-  size_t length = (size_t)snprintf (line, sizeof line,
-                                    "time=%.6f event=%s ",
+  size_t length = (size_t)snprintf (line, sizeof line, "time=%.6f event=%s ",
                                     (double)now / MS_SEC, name);
 
   va_start (args, format);
-  length += (size_t)vsnprintf (line + length, sizeof line - length, format,
-                               args);
+  length
+      += (size_t)vsnprintf (line + length, sizeof line - length, format, args);
   va_end (args);
   if (length > sizeof line - 2)
     length = sizeof line - 2;
--- a/src/configtool/published.c
+++ b/src/configtool/published.c
@@ -7,7 +7,7 @@
 #include "base/log.h"
 #include "config/follower.h"
 #include "node/effect.h"
-#include "platform/platform.h"
+#include "backing/backing.h"
 
 #define READ_WAIT_MS 100
 #define READ_BACK_TRIES 20
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -112,6 +112,20 @@
   return (struct in_addr){ htonl (member->ip) };
 }
 
+/* A router tells of itself.  One that was silent may have started again after
+   its clock was set back, with a lower incarnation.  */
+static void
+hear_of (struct ms_fleet *fleet, const digest_member *self, ms_time now)
+{
+  struct ms_fleet_router *router = obtain (fleet, self->id, now);
+
+  if (router && self->incarnation < router->incarnation
+      && !ms_fleet_alive (router, now))
+    router->incarnation = 0;
+  ms_fleet_learn (fleet, self->id, self->incarnation, self->zone,
+                  address_of (self), now);
+}
+
 bool
 ms_fleet_receive (struct ms_fleet *fleet, struct fleet_digest *d, ms_time now)
 {
@@ -119,8 +133,7 @@
 
   if (d->self.id == fleet->self.id)
     return false;
-  ms_fleet_learn (fleet, d->self.id, d->self.incarnation, d->self.zone,
-                  address_of (&d->self), now);
+  hear_of (fleet, &d->self, now);
   for (unsigned i = 0; i < d->members.members_len; i++)
     {
       const digest_member *m = &d->members.members_val[i];
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -80,7 +80,8 @@
 /* Encode DIGEST; returns the length, 0 if it exceeds SIZE.  */
 unsigned ms_digest_encode (const struct fleet_digest *digest, char *data,
                            size_t size);
-bool ms_digest_decode (const char *data, size_t length, struct fleet_digest *digest);
+bool ms_digest_decode (const char *data, size_t length,
+                       struct fleet_digest *digest);
 void ms_digest_free (struct fleet_digest *digest);
 
 #endif
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -172,7 +172,8 @@
     }
   if (hosts != 1 || !head->target.length || head->target.data[0] != '/')
     return HTTP_STATUS_BAD_REQUEST;
-  if (head->has_length && head->content_length > limits_of (gw)->max_body_bytes)
+  if (head->has_length
+      && head->content_length > limits_of (gw)->max_body_bytes)
     return HTTP_STATUS_PAYLOAD_TOO_LARGE;
   return 0;
 }
@@ -235,8 +236,8 @@
 parse_pending (struct ms_caller *c)
 {
   size_t used;
-  enum ms_parse result = ms_parser_feed (c->parser, c->pending.data,
-                                         c->pending.length, &used);
+  enum ms_parse result
+      = ms_parser_feed (c->parser, c->pending.data, c->pending.length, &used);
 
   memmove (c->pending.data, c->pending.data + used, c->pending.length - used);
   c->pending.length -= used;
@@ -340,8 +341,8 @@
       free (c);
       return;
     }
-  c->parser = ms_parser_create (true, limits_of (gw)->max_head_bytes, &sink,
-                                c);
+  c->parser
+      = ms_parser_create (true, limits_of (gw)->max_head_bytes, &sink, c);
   DL_APPEND (gw->callers, c);
 }
 
@@ -382,9 +383,9 @@
       if (spent > limits->idle_timeout + IDLE_MARGIN)
         close_caller (c, false);
     }
-  else if (spent > limits->head_timeout
-                       * (ms_parser_has_head (c->parser) ? BODY_TIMEOUT_FACTOR
-                                                         : 1))
+  else if (spent
+           > limits->head_timeout
+                 * (ms_parser_has_head (c->parser) ? BODY_TIMEOUT_FACTOR : 1))
     refuse_and_close (c, HTTP_STATUS_REQUEST_TIMEOUT);
 }
 
@@ -413,8 +414,7 @@
   return open;
 }
 
-static void
-print (struct ms_caller *c, const char *format, ...)
+static void print (struct ms_caller *c, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
 static void
@@ -443,9 +443,13 @@
 static bool
 concerns_connection (struct ms_str name)
 {
-  static const char *const names[]
-      = { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-          "Upgrade",    "Trailer",    "TE" };
+  static const char *const names[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Transfer-Encoding",
+                                       "Content-Length",
+                                       "Upgrade",
+                                       "Trailer",
+                                       "TE" };
 
   for (size_t i = 0; i < sizeof names / sizeof *names; i++)
     if (ms_header_is (name, names[i]))
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -144,8 +144,8 @@
 on_ended (void *owner, bool orderly)
 {
   struct ms_exchange *x = owner;
-  bool whole = orderly && x->busy
-               && ms_parser_close (x->parser) == MS_PARSE_COMPLETE;
+  bool whole
+      = orderly && x->busy && ms_parser_close (x->parser) == MS_PARSE_COMPLETE;
 
   drop_connection (x);
   finish (x, whole ? MS_OK : MS_UNAVAILABLE);
@@ -220,11 +220,11 @@
 
   inet_ntop (AF_INET, &x->server.sin_addr, host, sizeof host);
   x->call = ms_new (space);
-  head = snprintf (x->call, space,
-                   "%s %s HTTP/1.1\r\nHost: %s:%u\r\nContent-Length: "
-                   "%zu\r\n\r\n",
-                   method, path, host, ntohs (x->server.sin_port),
-                   body.length);
+  head
+      = snprintf (x->call, space,
+                  "%s %s HTTP/1.1\r\nHost: %s:%u\r\nContent-Length: "
+                  "%zu\r\n\r\n",
+                  method, path, host, ntohs (x->server.sin_port), body.length);
   if (body.length)
     memcpy (x->call + head, body.data, body.length);
   x->call_length = (size_t)head + body.length;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,7 +50,7 @@
   struct ms_fleet *fleet;
   struct ms_peers *peers;
 
-  struct ms_request *requests; /* In progress, oldest first.  */
+  struct ms_request *requests;  /* In progress, oldest first.  */
   struct ms_request *beginning; /* Being begun; NULL if it has ended.  */
   unsigned requests_count;
   struct ms_caller *callers;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -242,8 +242,7 @@
     return false;
   if (since > grace - GRACE_MARGIN)
     return true;
-  return since > LEAVE_AFTER && !gw->requests
-         && !ms_callers_close_idle (gw);
+  return since > LEAVE_AFTER && !gw->requests && !ms_callers_close_idle (gw);
 }
 
 static void
@@ -396,8 +395,8 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp argp = { options, parse_option, NULL, doc,
-                                    NULL,    NULL,         NULL };
+  static const struct argp argp
+      = { options, parse_option, NULL, doc, NULL, NULL, NULL };
   struct arguments arguments = { .settings = getenv (SETTINGS_VARIABLE) };
   struct ms_gateway *gw = ms_new (sizeof *gw);
 
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -70,8 +70,8 @@
       const char *next = memchr (at, '&', (size_t)(end - at));
       const char *stop = next ? next : end;
 
-      if ((size_t)(stop - value) > length
-          && memcmp (value, name, length) == 0 && value[length] == '=')
+      if ((size_t)(stop - value) > length && memcmp (value, name, length) == 0
+          && value[length] == '=')
         return (struct ms_str){ value + length + 1,
                                 (size_t)(stop - value) - length - 1 };
       at = next;
@@ -101,9 +101,9 @@
                      ? (unsigned)gw->settings->directory_ttl_s
                      : DIRECTORY_TTL_S;
   struct ms_str zone = parameter (target, "zone");
-  unsigned count = ms_fleet_addresses (gw->fleet, ms_id (zone),
-                                       ms_gateway_ready (gw), gw->now, ips,
-                                       MAX_ADDRESSES);
+  unsigned count
+      = ms_fleet_addresses (gw->fleet, ms_id (zone), ms_gateway_ready (gw),
+                            gw->now, ips, MAX_ADDRESSES);
 
   for (unsigned i = 0; i < count; i++)
     {
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -67,8 +67,7 @@
 sum_loads (struct ms_gateway *gw)
 {
   unsigned count;
-  const struct ms_fleet_router *routers
-      = ms_fleet_routers (gw->fleet, &count);
+  const struct ms_fleet_router *routers = ms_fleet_routers (gw->fleet, &count);
   uint64_t ids[DIGEST_MEMBERS * 64];
   unsigned alive = 0;
 
@@ -134,9 +133,9 @@
   const struct ms_load load = ms_place_load (e, list->now);
 
   if (load.running && list->count < DIGEST_LOADS)
-    list->loads[list->count++] = (digest_load){
-      e->id, load.running, load.prefill, load.memory, load.pace
-    };
+    list->loads[list->count++]
+        = (digest_load){ e->id, load.running, load.prefill, load.memory,
+                         load.pace };
 }
 
 static unsigned
@@ -212,8 +211,7 @@
 ms_peers_death (struct ms_peers *p, uint64_t fingerprint, unsigned deaths,
                 ms_time now)
 {
-  p->deaths[p->next_death]
-      = (struct death){ { fingerprint, deaths }, now };
+  p->deaths[p->next_death] = (struct death){ { fingerprint, deaths }, now };
   p->next_death = (p->next_death + 1) % DIGEST_DEATHS;
 }
 
@@ -249,8 +247,7 @@
 relay_source (struct ms_gateway *gw, struct sockaddr_in *address)
 {
   unsigned count;
-  const struct ms_fleet_router *routers
-      = ms_fleet_routers (gw->fleet, &count);
+  const struct ms_fleet_router *routers = ms_fleet_routers (gw->fleet, &count);
   struct sockaddr_in own;
   unsigned first = (unsigned)ms_random_below (&gw->random, count + 1);
 
@@ -306,8 +303,8 @@
 take_member (void *context, const struct plat_record *record)
 {
   struct ms_peers *p = context;
-  json_t *value = json_loadb (record->value.data, record->value.length, 0,
-                              NULL);
+  json_t *value
+      = json_loadb (record->value.data, record->value.length, 0, NULL);
   const char *ip = json_string_value (json_object_get (value, "ip"));
   const char *zone = json_string_value (json_object_get (value, "zone"));
   const json_t *incarnation = json_object_get (value, "incarnation");
@@ -333,7 +330,7 @@
   (void)sent_at;
   if (status == MS_OK && code == 200
       && plat_decode_newest (body, take_member, p, &end, &more, after,
-                           sizeof after)
+                             sizeof after)
              == MS_OK)
     {
       p->members_at = p->gw->now + MEMBERS_PERIOD;
@@ -371,7 +368,7 @@
             s->ip_address, s->availability_zone,
             (unsigned long long)p->gw->incarnation);
   length = plat_encode_record (p->record, sizeof p->record, ms_str (s->name),
-                             ms_str (value));
+                               ms_str (value));
   plat_append_path (p->path, sizeof p->path, PLAT_TOPIC_MEMBERS);
   ms_exchange_call (p->members, &p->store, "POST", p->path,
                     (struct ms_str){ p->record, length }, STORE_TIMEOUT,
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -55,20 +55,22 @@
 {
   ms_time now = r->gw->now;
 
-  ms_event (now, "request",
-            "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
-            "attempts=%u waited_ms=%.1f expected_ms=%.1f first_ms=%.1f "
-            "total_ms=%.1f prompt=%u output=%u uncached=%u bytes=%llu config=%llu",
-            r->attempt_id, r->route.name.data, (int)r->team_name.length,
-            r->team_name.data, outcome, status,
-            r->last_endpoint.length ? r->last_endpoint.data : "-", r->attempts,
-            (double)((r->first_sent_at ? r->first_sent_at : now) - r->arrived)
-                / MS_MSEC,
-            (double)r->choice.fit.expected / MS_MSEC,
-            r->first_at ? (double)(r->first_at - r->arrived) / MS_MSEC : -1.0,
-            (double)(now - r->arrived) / MS_MSEC, r->prompt.tokens, r->prompt.max_output,
-            r->choice.fit.uncached, (unsigned long long)r->bytes_forwarded,
-            (unsigned long long)r->config_version);
+  ms_event (
+      now, "request",
+      "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
+      "attempts=%u waited_ms=%.1f expected_ms=%.1f first_ms=%.1f "
+      "total_ms=%.1f prompt=%u output=%u uncached=%u bytes=%llu config=%llu",
+      r->attempt_id, r->route.name.data, (int)r->team_name.length,
+      r->team_name.data, outcome, status,
+      r->last_endpoint.length ? r->last_endpoint.data : "-", r->attempts,
+      (double)((r->first_sent_at ? r->first_sent_at : now) - r->arrived)
+          / MS_MSEC,
+      (double)r->choice.fit.expected / MS_MSEC,
+      r->first_at ? (double)(r->first_at - r->arrived) / MS_MSEC : -1.0,
+      (double)(now - r->arrived) / MS_MSEC, r->prompt.tokens,
+      r->prompt.max_output, r->choice.fit.uncached,
+      (unsigned long long)r->bytes_forwarded,
+      (unsigned long long)r->config_version);
 }
 
 /* Let go of the attempt's endpoint, which ended with END.  */
@@ -115,8 +117,8 @@
 refuse (struct ms_request *r, unsigned status, const char *reason)
 {
   struct ms_caller *caller = r->caller;
-  ms_time later = status == HTTP_STATUS_SERVICE_UNAVAILABLE ? retry_after (r)
-                                                            : 0;
+  ms_time later
+      = status == HTTP_STATUS_SERVICE_UNAVAILABLE ? retry_after (r) : 0;
 
   log_end (r, status, reason);
   free_request (r);
@@ -198,8 +200,7 @@
   char number[32];
   size_t used = (size_t)snprintf (out, size, "%.*s %.*s HTTP/1.1\r\n",
                                   (int)head->method.length, head->method.data,
-                                  (int)head->target.length,
-                                  head->target.data);
+                                  (int)head->target.length, head->target.data);
 
   for (unsigned i = 0; i < head->headers_count; i++)
     if (!plat_header_dropped (head->headers[i].name)
@@ -216,9 +217,8 @@
     print_header (out, size, &used, ms_str (PLAT_TEAM),
                   (struct ms_str){ r->team_name.data, r->team_name.length });
   if (r->last_event.length)
-    print_header (
-        out, size, &used, ms_str (PLAT_RESUME_AFTER),
-        (struct ms_str){ r->last_event.data, r->last_event.length });
+    print_header (out, size, &used, ms_str (PLAT_RESUME_AFTER),
+                  (struct ms_str){ r->last_event.data, r->last_event.length });
   if (body.length || head->has_length || head->chunked)
     {
       snprintf (number, sizeof number, "%zu", body.length);
@@ -227,8 +227,9 @@
     }
   if (used + 2 >= size)
     return 0;
-  memcpy (out + used, "\r\n", 2);
-  return used + 2;
+  out[used++] = '\r';
+  out[used++] = '\n';
+  return used;
 }
 
 /* Whether the request may still be sent, by what is known right now.  */
@@ -348,8 +349,8 @@
       give_up (r, reason);
       return;
     }
-  ms_event (r->gw->now, "retry", "id=%s reason=%s attempts=%u",
-            r->attempt_id, reason, r->attempts);
+  ms_event (r->gw->now, "retry", "id=%s reason=%s attempts=%u", r->attempt_id,
+            reason, r->attempts);
   dispatch (r);
 }
 
@@ -368,9 +369,9 @@
 void
 ms_request_failed (struct ms_request *r, enum ms_upstream_error error)
 {
-  static const char *const names[]
-      = { [MS_UP_CONNECT] = "connect", [MS_UP_BROKEN] = "broken",
-          [MS_UP_BAD_BYTES] = "bad_bytes" };
+  static const char *const names[] = { [MS_UP_CONNECT] = "connect",
+                                       [MS_UP_BROKEN] = "broken",
+                                       [MS_UP_BAD_BYTES] = "bad_bytes" };
   uint64_t endpoint = r->endpoint->id;
 
   r->upstream = NULL;
@@ -415,7 +416,7 @@
       return false;
     }
   if (plat_decode_load (ms_head_find (head, PLAT_LOAD), &running, &waiting,
-                      &slots))
+                        &slots))
     ms_place_reported (r->endpoint, running, waiting, r->gw->now);
   r->answer_status = head->status;
   r->answer = head;
@@ -424,8 +425,8 @@
   r->proper = head->status >= 300
               || (ms_head_find (head, PLAT_SIGNATURE).data != NULL
                   && !ms_head_find (head, "Content-Encoding").data);
-  r->streams = r->route.repeat == MS_STREAMING && head->status == 200
-               && r->proper;
+  r->streams
+      = r->route.repeat == MS_STREAMING && head->status == 200 && r->proper;
   return true;
 }
 
@@ -491,8 +492,8 @@
 forward_events (struct ms_request *r)
 {
   unsigned count;
-  size_t whole = ms_events_whole (r->held, r->held_length, &r->last_event,
-                                  &count);
+  size_t whole
+      = ms_events_whole (r->held, r->held_length, &r->last_event, &count);
 
   if (!whole)
     return;
@@ -577,8 +578,7 @@
       return;
     }
   if (r->answer_status >= 500 && may_repeat (r)
-      && r->attempts < r->route.max_attempts
-      && r->tried_count < MS_MAX_TRIED
+      && r->attempts < r->route.max_attempts && r->tried_count < MS_MAX_TRIED
       && ms_budget_take (r->gw->budget, r->service, r->gw->now))
     {
       end_attempt (r, MS_END_ERROR);
@@ -662,8 +662,7 @@
   r->deadline = r->arrived
                 + (*copy ? (ms_time)(strtod (copy, NULL) * MS_MSEC)
                          : DEFAULT_DEADLINE);
-  r->timeout_at
-      = r->route.timeout ? r->arrived + r->route.timeout : MS_NEVER;
+  r->timeout_at = r->route.timeout ? r->arrived + r->route.timeout : MS_NEVER;
 }
 
 static uint64_t
@@ -750,8 +749,7 @@
       refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "quarantined");
       return NULL;
     }
-  if (gw->terminated_at
-      && gw->now - gw->terminated_at > MS_ACCEPT_AFTER_TERM)
+  if (gw->terminated_at && gw->now - gw->terminated_at > MS_ACCEPT_AFTER_TERM)
     {
       refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
       return NULL;
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -24,41 +24,40 @@
 static const cyaml_schema_value_t seed
     = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char, 1, MAX_TEXT) };
 
-static const cyaml_schema_field_t fields[] = {
-  TEXT_FIELD (name, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (availability_zone, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (region, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (ip_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (caller_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (ready_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (directory_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (control_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (store_address, CYAML_FLAG_DEFAULT),
-  TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
-  TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
-  COUNT_FIELD (peer_port),
-  COUNT_FIELD (memory_mb),
-  COUNT_FIELD (file_descriptors),
-  CYAML_FIELD_SEQUENCE ("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
-                        struct ms_gateway_settings, seeds, &seed, 0,
-                        MAX_SEEDS),
-  NUMBER_FIELD (drain_timeout_ms),
-  NUMBER_FIELD (grace_period_s),
-  NUMBER_FIELD (config_apply_ms),
-  CYAML_FIELD_BOOL ("strict_revocation", CYAML_FLAG_DEFAULT,
-                    struct ms_gateway_settings, strict_revocation),
-  NUMBER_FIELD (revocation_ms),
-  NUMBER_FIELD (retry_budget_ratio),
-  NUMBER_FIELD (retry_window_s),
-  NUMBER_FIELD (retry_budget_slack),
-  NUMBER_FIELD (cold_burst_factor),
-  NUMBER_FIELD (cold_slack),
-  NUMBER_FIELD (evacuation_ms),
-  NUMBER_FIELD (pass_ms),
-  NUMBER_FIELD (quota_window_s),
-  NUMBER_FIELD (directory_ttl_s),
-  CYAML_FIELD_END
-};
+static const cyaml_schema_field_t fields[]
+    = { TEXT_FIELD (name, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (availability_zone, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (region, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (ip_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (caller_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (ready_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (directory_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (control_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (store_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
+        TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
+        COUNT_FIELD (peer_port),
+        COUNT_FIELD (memory_mb),
+        COUNT_FIELD (file_descriptors),
+        CYAML_FIELD_SEQUENCE (
+            "seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+            struct ms_gateway_settings, seeds, &seed, 0, MAX_SEEDS),
+        NUMBER_FIELD (drain_timeout_ms),
+        NUMBER_FIELD (grace_period_s),
+        NUMBER_FIELD (config_apply_ms),
+        CYAML_FIELD_BOOL ("strict_revocation", CYAML_FLAG_DEFAULT,
+                          struct ms_gateway_settings, strict_revocation),
+        NUMBER_FIELD (revocation_ms),
+        NUMBER_FIELD (retry_budget_ratio),
+        NUMBER_FIELD (retry_window_s),
+        NUMBER_FIELD (retry_budget_slack),
+        NUMBER_FIELD (cold_burst_factor),
+        NUMBER_FIELD (cold_slack),
+        NUMBER_FIELD (evacuation_ms),
+        NUMBER_FIELD (pass_ms),
+        NUMBER_FIELD (quota_window_s),
+        NUMBER_FIELD (directory_ttl_s),
+        CYAML_FIELD_END };
 
 static const cyaml_schema_value_t schema = { CYAML_VALUE_MAPPING (
     CYAML_FLAG_POINTER, struct ms_gateway_settings, fields) };
@@ -91,8 +90,8 @@
   enum ms_status status = MS_OK;
 
   for (size_t i = 0; status == MS_OK && i < 5; i++)
-    status = check_address (text, path, addresses[i].field,
-                            addresses[i].value);
+    status
+        = check_address (text, path, addresses[i].field, addresses[i].value);
   for (unsigned i = 0; status == MS_OK && i < s->seeds_count; i++)
     status = check_address (text, path, "seeds", s->seeds[i]);
   if (status == MS_OK && s->peer_port > UINT16_MAX)
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -269,7 +269,7 @@
 
   if (status != MS_OK || code != 200
       || plat_decode_newest (body, take_whole, t, &end, &more, t->after,
-                           sizeof t->after)
+                             sizeof t->after)
              != MS_OK)
     {
       failed (t, code, now);
@@ -339,7 +339,7 @@
   if (!t->follow)
     {
       plat_newest_path (path, sizeof path, t->options.name,
-                      t->paging ? t->after : "");
+                        t->paging ? t->after : "");
       ms_exchange_call (t->exchange, &t->options.store, "GET", path,
                         (struct ms_str){ "", 0 }, ANSWER_TIMEOUT, whole_done,
                         t);
@@ -347,11 +347,10 @@
     }
   t->call_from = t->next;
   plat_read_path (path, sizeof path, t->options.name, t->next,
-                t->options.wait_ms);
-  ms_exchange_call (t->exchange, &t->options.store, "GET", path,
-                    (struct ms_str){ "", 0 },
-                    t->options.wait_ms * MS_MSEC + ANSWER_TIMEOUT, read_done,
-                    t);
+                  t->options.wait_ms);
+  ms_exchange_call (
+      t->exchange, &t->options.store, "GET", path, (struct ms_str){ "", 0 },
+      t->options.wait_ms * MS_MSEC + ANSWER_TIMEOUT, read_done, t);
 }
 
 ms_time
@@ -410,8 +409,8 @@
   const char *key;
   json_t *value;
 
-  if (!json_is_integer (next) || !json_is_integer (age)
-      || offset < t->next || (t->known && read_at <= t->read_at))
+  if (!json_is_integer (next) || !json_is_integer (age) || offset < t->next
+      || (t->known && read_at <= t->read_at))
     return false;
   if (offset > t->next || !t->known)
     {
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -19,8 +19,8 @@
 {
   const char *name;
   struct sockaddr_in store;
-  unsigned wait_ms; /* A read is held so long while nothing is new.  */
-  ms_time pause;    /* Between two reads.  */
+  unsigned wait_ms;    /* A read is held so long while nothing is new.  */
+  ms_time pause;       /* Between two reads.  */
   ms_time missing_for; /* How long a key that a whole read lacks is kept.  */
 
   /* KEY has a new VALUE, or none any more.  */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -38,8 +38,8 @@
   ms_time keep_for; /* How long the endpoint keeps it idle.  */
   unsigned served;
   bool keep;
-  bool whole;  /* The answer was read to its end.  */
-  bool skip;   /* The answer belongs to another request.  */
+  bool whole; /* The answer was read to its end.  */
+  bool skip;  /* The answer belongs to another request.  */
   bool parsing;
   struct ms_upstream *prev, *next;
 };
@@ -232,8 +232,8 @@
   ms_gateway_time (u->gw);
   u->parsing = true;
   u->keep = false;
-  if (orderly && u->request
-      && ms_parser_close (u->parser) == MS_PARSE_COMPLETE && u->request)
+  if (orderly && u->request && ms_parser_close (u->parser) == MS_PARSE_COMPLETE
+      && u->request)
     end_message (u, 1);
   if (u->state != CLOSED)
     fail (u, MS_UP_BROKEN);
@@ -263,7 +263,8 @@
   /* The one used last is the least likely to be closed.  */
   DL_FOREACH (pool->all, u)
   {
-    if (u->state == IDLE && u->until > now && (!best || u->until > best->until))
+    if (u->state == IDLE && u->until > now
+        && (!best || u->until > best->until))
       best = u;
   }
   return best;
--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -7,8 +7,8 @@
 /* The bound is on any second; sends and arrivals differ by a link's delay.  */
 #define WINDOW (1100 * MS_MSEC)
 
-#define RING (sizeof ((struct ms_endpoint_state *)0)->cold_sends             \
-              / sizeof (ms_time))
+#define RING                                                                  \
+  (sizeof ((struct ms_endpoint_state *)0)->cold_sends / sizeof (ms_time))
 
 /* Requests a second that this router may send to a cold endpoint.  Where
    there are more routers than requests, those that come first in an order of
@@ -17,9 +17,9 @@
 own_part (const struct ms_place *place,
           const struct ms_endpoint_state *endpoint, double rate)
 {
-  double bound = (rate * place->options.cold_burst_factor
-                  + place->options.cold_slack)
-                 * USED_PART;
+  double bound
+      = (rate * place->options.cold_burst_factor + place->options.cold_slack)
+        * USED_PART;
   unsigned routers = place->routers_count ? place->routers_count : 1;
   uint64_t own = ms_id_pair (endpoint->id, place->options.self);
   unsigned before = 0;
@@ -48,7 +48,8 @@
     return true;
   part = own_part (place, endpoint, kind->cold_rate);
   for (unsigned i = 0; i < RING; i++)
-    within += endpoint->cold_sends[i] && now - endpoint->cold_sends[i] < WINDOW;
+    within
+        += endpoint->cold_sends[i] && now - endpoint->cold_sends[i] < WINDOW;
   return within < part && within < RING;
 }
 
--- a/src/place/need.c
+++ b/src/place/need.c
@@ -95,8 +95,7 @@
       need->service = service;
       HASH_ADD (hh, place->needs, service, sizeof need->service, need);
     }
-  need->samples[need->next]
-      = (struct sample){ (double)time / output, output };
+  need->samples[need->next] = (struct sample){ (double)time / output, output };
   need->next = (need->next + 1) % REMEMBERED;
   if (need->count < REMEMBERED)
     need->count++;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -99,8 +99,8 @@
   if (place->count == place->space)
     {
       place->space = place->space ? place->space * 2 : 32;
-      place->endpoints = ms_resize (place->endpoints, place->space,
-                                    sizeof *place->endpoints);
+      place->endpoints
+          = ms_resize (place->endpoints, place->space, sizeof (void *));
     }
   e->id = id;
   e->slowness = 1;
@@ -299,8 +299,8 @@
 }
 
 bool
-ms_place_may_send (struct ms_place *place,
-                   const struct ms_endpoint_state *e, ms_time now)
+ms_place_may_send (struct ms_place *place, const struct ms_endpoint_state *e,
+                   ms_time now)
 {
   return is_open (place, e, now) && ms_cold_allows (place, e, now);
 }
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -13,12 +13,12 @@
 /* Work that routers have at an endpoint.  */
 struct ms_load
 {
-  uint32_t running;  /* Requests.  */
-  uint32_t prefill;  /* Uncached prompt tokens of requests without a first
-                        token.  */
-  uint32_t memory;   /* Prompt and expected output tokens.  */
-  uint32_t pace;     /* Microseconds that a generated token takes there; 0 if
-                        not known.  */
+  uint32_t running; /* Requests.  */
+  uint32_t prefill; /* Uncached prompt tokens of requests without a first
+                       token.  */
+  uint32_t memory;  /* Prompt and expected output tokens.  */
+  uint32_t pace;    /* Microseconds that a generated token takes there; 0 if
+                       not known.  */
 };
 
 struct ms_endpoint_state
@@ -34,15 +34,15 @@
   unsigned cold_next;
   unsigned failures; /* In a row.  */
   ms_time down_until;
-  bool probing; /* One request is finding out whether it is back.  */
-  double slowness;   /* Measured against predicted time, 1 when as expected.  */
-  double pace;       /* Microseconds a generated token takes, by own
-                        streams.  */
-  double others_pace; /* By the streams of others, weighted by...  */
+  bool probing;    /* One request is finding out whether it is back.  */
+  double slowness; /* Measured against predicted time, 1 when as expected.  */
+  double pace;     /* Microseconds a generated token takes, by own
+                      streams.  */
+  double others_pace;  /* By the streams of others, weighted by...  */
   double others_paced; /* ...how many those run.  */
-  ms_time paced_at;  /* Last measured; 0 if never.  */
-  double limit;       /* Requests that it may run at once; 0 until known.  */
-  double error_rate; /* Of answers, as an exponential mean.  */
+  ms_time paced_at;    /* Last measured; 0 if never.  */
+  double limit;        /* Requests that it may run at once; 0 until known.  */
+  double error_rate;   /* Of answers, as an exponential mean.  */
   ms_time last_failure;
   ms_time waiting_seen; /* When it last told that requests wait there.  */
   void *attachment;     /* The data plane's.  */
@@ -85,8 +85,8 @@
   enum ms_place_result result;
   struct ms_endpoint_state *endpoint;
   struct ms_fit fit;
-  unsigned usable;   /* Endpoints that were weighed.  */
-  ms_time room_in;   /* With MS_PLACE_FULL: when there may be room.  */
+  unsigned usable; /* Endpoints that were weighed.  */
+  ms_time room_in; /* With MS_PLACE_FULL: when there may be room.  */
 };
 
 struct ms_place_options
@@ -118,9 +118,9 @@
                          const struct ms_routes *routes);
 
 /* The list says ENTRY of an endpoint.  */
-struct ms_endpoint_state *
-ms_place_put (struct ms_place *place, const struct ms_endpoint_entry *entry,
-              ms_time now);
+struct ms_endpoint_state *ms_place_put (struct ms_place *place,
+                                        const struct ms_endpoint_entry *entry,
+                                        ms_time now);
 
 /* The list has no endpoint ID any more.  */
 void ms_place_remove (struct ms_place *place, uint64_t id);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "config/config.h"
 #include "node/node.h"
-#include "platform/platform.h"
+#include "backing/backing.h"
 #include "router/settings.h"
 #include "rpc/transport.h"
 
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,220 @@
+#include "check.h"
+
+#include <string.h>
+
+#include "platform.h"
+
+static const char config[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"a\",\"hostname\":\"h.example\",\"path_prefix\":\"/x/\","
+      "\"route_kind\":\"streaming\",\"timeout_ms\":1500,"
+      "\"target_latency_ms\":800,\"priority\":1,\"traffic_split\":["
+      "{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+      "\"max_attempts\":1,\"resumable\":true,\"gap_target_ms\":500},"
+      "{\"name\":\"b\",\"hostname\":\"h.example\","
+      "\"path_prefix\":\"/x/y/\",\"route_kind\":\"idempotent\","
+      "\"service\":\"s2\",\"max_attempts\":2,\"public\":true}],"
+      "\"services\":[{\"name\":\"s1\",\"cold_start_s\":3.0,"
+      "\"cold_per_s\":16.0,\"engine\":{\"slots\":128,"
+      "\"kv_cache_tokens\":1000,\"stride\":6}},{\"name\":\"s2\"}],"
+      "\"limits\":{\"max_header_bytes\":16384},"
+      "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"]},"
+      "{\"name\":\"t2\",\"api_keys\":[\"k3\"],\"priority\":1}]}";
+
+static void
+test_reads_a_configuration (void **state)
+{
+  struct ms_routes *routes;
+  const struct ms_route *route;
+
+  (void)state;
+  assert_int_equal (plat_decode_routes (ms_str (config), &routes), MS_OK);
+  assert_int_equal (routes->version, 7);
+  route = ms_routes_find (routes, ms_str ("H.example"), ms_str ("/x/1"));
+  assert_non_null (route);
+  assert_int_equal (route->repeat, MS_STREAMING);
+  assert_true (route->resumable);
+  assert_int_equal (route->timeout, 1500 * MS_MSEC);
+  assert_int_equal (ms_route_service (route, 89), ms_id (ms_str ("s1")));
+  assert_int_equal (ms_route_service (route, 90), ms_id (ms_str ("s2")));
+  route = ms_routes_find (routes, ms_str ("h.example"), ms_str ("/x/y/z"));
+  assert_string_equal (route->name.data, "b");
+  assert_true (route->public);
+  assert_null (ms_routes_find (routes, ms_str ("h.example"), ms_str ("/xy")));
+  assert_null (ms_routes_find (routes, ms_str ("g.example"), ms_str ("/x/")));
+  assert_int_equal (ms_routes_key (routes, ms_str ("k2")),
+                    ms_id (ms_str ("t1")));
+  assert_int_equal (ms_routes_key (routes, ms_str ("k")), 0);
+  assert_true (ms_routes_service (routes, ms_id (ms_str ("s1")))->model);
+  ms_routes_destroy (routes);
+}
+
+static void
+test_names_what_is_wrong (void **state)
+{
+  struct ms_routes *routes;
+
+  (void)state;
+  assert_int_equal (plat_decode_routes (ms_str ("{\"version\":"), &routes),
+                    MS_INVALID);
+  assert_null (routes);
+  assert_int_equal (
+      plat_decode_routes (
+          ms_str ("{\"version\":1,\"routes\":[{\"name\":\"a\"}]}"), &routes),
+      MS_INVALID);
+  assert_non_null (strstr (ms_last_message (), "path_prefix"));
+}
+
+static enum ms_status
+decode (const char *text, struct ms_endpoint_entry *entry)
+{
+  return plat_decode_endpoint (ms_str ("i-1"), ms_str (text), entry);
+}
+
+#define ENTRY(state, more)                                                    \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","            \
+  "\"slots\":8,\"cold_remaining_ms\":250,\"state\":\"" state "\"" more "}"
+
+static void
+test_reads_an_endpoint (void **state)
+{
+  struct ms_endpoint_entry entry;
+
+  (void)state;
+  assert_int_equal (decode (ENTRY ("draining", ",\"born\":1700"), &entry),
+                    MS_OK);
+  assert_true (entry.leaving);
+  assert_int_equal (entry.cold_for, 250 * MS_MSEC);
+  assert_int_equal (entry.born, 1700);
+  assert_string_equal (entry.id.data, "i-1");
+}
+
+/* Entries of other writers name no endpoint to use.  */
+static void
+test_skips_alien_endpoints (void **state)
+{
+  struct ms_endpoint_entry entry;
+
+  (void)state;
+  assert_int_equal (decode (ENTRY ("sleeping", ""), &entry), MS_INVALID);
+  assert_int_equal (decode ("{\"service\":\"s\"}", &entry), MS_INVALID);
+  assert_int_equal (decode ("\xff\xfe", &entry), MS_INVALID);
+  assert_int_equal (decode ("[]", &entry), MS_INVALID);
+}
+
+struct records
+{
+  char keys[4][16];
+  char values[4][16];
+  bool removed[4];
+  unsigned count;
+};
+
+static void
+take (void *context, const struct plat_record *record)
+{
+  struct records *r = context;
+
+  memcpy (r->keys[r->count], record->key.data, record->key.length);
+  memcpy (r->values[r->count], record->value.data, record->value.length);
+  r->removed[r->count++] = record->removed;
+}
+
+static void
+test_reads_records (void **state)
+{
+  char body[64] = { 0 };
+  struct records records = { 0 };
+  uint64_t next;
+  size_t length = 16;
+
+  (void)state;
+  length += plat_encode_record (body + length, sizeof body - length,
+                                ms_str ("a"), ms_str ("1"));
+  length += plat_encode_record (body + length, sizeof body - length,
+                                ms_str ("b"), ms_str (""));
+  assert_int_equal (plat_decode_read ((struct ms_str){ body, length }, 5, take,
+                                      &records, &next),
+                    MS_OK);
+  assert_int_equal (next, 7);
+  assert_int_equal (records.count, 2);
+  assert_string_equal (records.values[0], "1");
+  assert_true (records.removed[1]);
+  assert_int_equal (plat_decode_read ((struct ms_str){ body, length - 1 }, 5,
+                                      take, &records, &next),
+                    MS_INVALID);
+}
+
+static void
+test_reads_newest_records (void **state)
+{
+  struct records records = { 0 };
+  char after[16];
+  uint64_t end;
+  bool more;
+
+  (void)state;
+  assert_int_equal (
+      plat_decode_newest (ms_str ("{\"items\":[{\"key\":\"config\",\"value\":"
+                                  "\"e30=\",\"offset\":4}],\"truncated\":true,"
+                                  "\"end\":6}"),
+                          take, &records, &end, &more, after, sizeof after),
+      MS_OK);
+  assert_int_equal (end, 6);
+  assert_true (more);
+  assert_string_equal (after, "config");
+  assert_string_equal (records.values[0], "{}");
+}
+
+static void
+test_reads_a_prompt (void **state)
+{
+  struct ms_head head = { 0 };
+  struct plat_prompt prompt;
+
+  (void)state;
+  head.headers[0]
+      = (struct ms_header){ ms_str ("X-Token-Counts"), ms_str ("1460,80") };
+  head.headers[1] = (struct ms_header){ ms_str ("x-prompt-prefix"),
+                                        ms_str ("5c1e07a2:800, 91bd:410") };
+  head.headers[2]
+      = (struct ms_header){ ms_str ("X-Length-Hint"), ms_str ("200") };
+  head.headers_count = 3;
+  plat_decode_prompt (&head, &prompt);
+  assert_int_equal (prompt.tokens, 1460);
+  assert_int_equal (prompt.max_output, 80);
+  assert_int_equal (prompt.output, 80);
+  assert_int_equal (prompt.parts_count, 2);
+  assert_int_equal (prompt.parts[0].id, 0x5c1e07a2);
+  assert_int_equal (prompt.parts[1].tokens, 410);
+}
+
+/* Neither a key nor what the router sets itself comes through.  */
+static void
+test_drops_headers_of_its_own (void **state)
+{
+  (void)state;
+  assert_true (plat_header_dropped (ms_str ("x-key")));
+  assert_true (plat_header_dropped (ms_str ("X-Tenant")));
+  assert_true (plat_header_dropped (ms_str ("X-Hold")));
+  assert_true (plat_header_dropped (ms_str ("transfer-encoding")));
+  assert_false (plat_header_dropped (ms_str ("X-Model")));
+  assert_false (plat_header_dropped (ms_str ("X-Request-Attempt-Id")));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_reads_a_configuration),
+    cmocka_unit_test (test_names_what_is_wrong),
+    cmocka_unit_test (test_reads_an_endpoint),
+    cmocka_unit_test (test_skips_alien_endpoints),
+    cmocka_unit_test (test_reads_records),
+    cmocka_unit_test (test_reads_newest_records),
+    cmocka_unit_test (test_reads_a_prompt),
+    cmocka_unit_test (test_drops_headers_of_its_own),
+  };
+
+  return RUN (tests);
+}
