--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,7 @@
 	$(MAKE) check-cli
 	$(MAKE) check-traces
 	$(MAKE) check-e2e
+	$(MAKE) check-gateway
 
 check-units: $(TESTS)
 	@for t in $(TESTS); do $$t || exit 1; done
@@ -103,6 +104,9 @@
 check-e2e: all
 	BUILD=$(BUILD) sh tests/e2e.sh
 
+check-gateway: all
+	BUILD=$(BUILD) sh tests/gateway.sh
+
 $(BUILD)/bench-%: $(BUILD)/tests/bench/%.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
@@ -125,6 +129,7 @@
 	$(MAKE) $(SANITIZED) check-units
 	$(MAKE) $(SANITIZED) check-asan-traces
 	$(MAKE) $(SANITIZED) check-e2e
+	$(MAKE) $(SANITIZED) check-gateway
 
 all-and-tests: all $(TESTS)
 
@@ -146,7 +151,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-asan \
+.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-gateway check-asan \
 	check-asan-traces lint format clean
 .SECONDARY:
 
--- /dev/null
+++ b/tests/standins/store.c
@@ -0,0 +1,347 @@
+/* Stand-in for the users' store, in its form of a log with keyed topics:
+
+   GET  /log-read, GET /log-newest, POST /log-append   as the users' pages say
+   PUT  /put?topic=T&key=K    the body becomes K's value; empty: K is dropped
+   PUT  /mode?to=up|down      down: every call but these two gets 503
+   PUT  /forget?topic=T       drop all records but the newest of each key  */
+
+#include <argp.h>
+#include <civetweb.h>
+#include <openssl/evp.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/alloc.h"
+#include "common/serve.h"
+
+#define MAX_TOPICS 8
+#define MAX_RECORDS 65536
+#define MAX_BODY_BYTES (4u << 20)
+
+struct record
+{
+  char *data; /* Key's length, key, value.  */
+  size_t length;
+};
+
+struct topic
+{
+  char name[64];
+  struct record *records;
+  unsigned long first;
+  unsigned long end;
+};
+
+static struct topic topics[MAX_TOPICS];
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static bool down;
+
+static struct topic *
+topic_of (const char *name)
+{
+  for (int i = 0; i < MAX_TOPICS; i++)
+    {
+      if (strcmp (topics[i].name, name) == 0)
+        return &topics[i];
+      if (!topics[i].name[0])
+        {
+          snprintf (topics[i].name, sizeof topics[i].name, "%s", name);
+          topics[i].records
+              = ms_new_array (MAX_RECORDS, sizeof (struct record));
+          return &topics[i];
+        }
+    }
+  return &topics[0];
+}
+
+static void
+append (struct topic *t, const char *data, size_t length)
+{
+  if (t->end == MAX_RECORDS)
+    return;
+  t->records[t->end].data = ms_copy (data, length);
+  t->records[t->end].length = length;
+  t->end++;
+}
+
+static size_t
+key_length (const struct record *r)
+{
+  return (unsigned char)r->data[0];
+}
+
+/* Whether a later record of T has the key of record AT.  */
+static bool
+is_replaced (const struct topic *t, unsigned long at)
+{
+  const struct record *r = &t->records[at];
+
+  for (unsigned long i = at + 1; i < t->end; i++)
+    if (key_length (&t->records[i]) == key_length (r)
+        && memcmp (t->records[i].data, r->data, key_length (r) + 1) == 0)
+      return true;
+  return false;
+}
+
+static void
+parameter (const struct mg_connection *connection, const char *name,
+           char *value, size_t size)
+{
+  const char *query = mg_get_request_info (connection)->query_string;
+
+  value[0] = '\0';
+  if (query)
+    mg_get_var (query, strlen (query), name, value, size);
+}
+
+static int
+answer (struct mg_connection *connection, int status, const char *data,
+        size_t length)
+{
+  mg_printf (connection,
+             "HTTP/1.1 %d -\r\nContent-Length: %zu\r\n"
+             "Connection: keep-alive\r\n\r\n",
+             status, length);
+  mg_write (connection, data, length);
+  return 1;
+}
+
+static void
+put_number (char *out, unsigned long value, unsigned bytes)
+{
+  for (unsigned i = 0; i < bytes; i++)
+    out[i] = (char)(value >> (8 * (bytes - 1 - i)));
+}
+
+static void
+wait_for_records (const struct topic *t, unsigned long from, long wait_ms)
+{
+  struct timespec until;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += wait_ms / 1000;
+  until.tv_nsec += wait_ms % 1000 * 1000000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_sec++;
+      until.tv_nsec -= 1000000000;
+    }
+  while (t->end <= from && !down
+         && pthread_cond_timedwait (&changed, &lock, &until) == 0)
+    ;
+}
+
+static int
+send_records (struct mg_connection *connection, const struct topic *t,
+              unsigned long from)
+{
+  size_t length = 16;
+  char *out;
+  int result;
+
+  for (unsigned long i = from; i < t->end; i++)
+    length += 4 + t->records[i].length;
+  out = ms_new (length);
+  put_number (out, t->end, 8);
+  put_number (out + 8, t->first, 8);
+  length = 16;
+  for (unsigned long i = from; i < t->end; i++)
+    {
+      put_number (out + length, t->records[i].length, 4);
+      memcpy (out + length + 4, t->records[i].data, t->records[i].length);
+      length += 4 + t->records[i].length;
+    }
+  result = answer (connection, 200, out, length);
+  free (out);
+  return result;
+}
+
+static int
+log_read (struct mg_connection *connection, void *context)
+{
+  char name[64];
+  char from_text[24];
+  char wait_text[24];
+  struct topic *t;
+  unsigned long from;
+  int result;
+
+  (void)context;
+  parameter (connection, "topic", name, sizeof name);
+  parameter (connection, "from", from_text, sizeof from_text);
+  parameter (connection, "wait_ms", wait_text, sizeof wait_text);
+  from = strtoul (from_text, NULL, 10);
+  pthread_mutex_lock (&lock);
+  t = topic_of (name);
+  if (!down)
+    wait_for_records (t, from, strtol (wait_text, NULL, 10));
+  if (down)
+    result = answer (connection, 503, "", 0);
+  else if (from < t->first)
+    result = answer (connection, 410, "{}", 2);
+  else
+    result = send_records (connection, t, from);
+  pthread_mutex_unlock (&lock);
+  return result;
+}
+
+static json_t *
+item_of (const struct record *r, unsigned long offset)
+{
+  size_t key = key_length (r);
+  size_t length = r->length - 1 - key;
+  char *text = ms_new (4 * length / 3 + 8);
+  json_t *item;
+
+  EVP_EncodeBlock ((unsigned char *)text,
+                   (const unsigned char *)r->data + 1 + key, (int)length);
+  item = json_pack ("{s:s#, s:s, s:I}", "key", r->data + 1, key, "value", text,
+                    "offset", (json_int_t)offset);
+  free (text);
+  return item;
+}
+
+static int
+log_newest (struct mg_connection *connection, void *context)
+{
+  char name[64];
+  struct topic *t;
+  json_t *items = json_array ();
+  char *text;
+  int result;
+
+  (void)context;
+  parameter (connection, "topic", name, sizeof name);
+  pthread_mutex_lock (&lock);
+  t = topic_of (name);
+  for (unsigned long i = 0; i < t->end; i++)
+    if (t->records[i].length > 1 + key_length (&t->records[i])
+        && !is_replaced (t, i))
+      json_array_append_new (items, item_of (&t->records[i], i));
+  text = json_dumps (json_pack ("{s:o, s:b, s:I}", "items", items, "truncated",
+                                0, "end", (json_int_t)t->end),
+                     JSON_COMPACT);
+  result = down ? answer (connection, 503, "", 0)
+                : answer (connection, 200, text, strlen (text));
+  pthread_mutex_unlock (&lock);
+  free (text);
+  return result;
+}
+
+static int
+log_append (struct mg_connection *connection, void *context)
+{
+  char name[64];
+  long long length = mg_get_request_info (connection)->content_length;
+  char *body = standin_read_body (connection, MAX_BODY_BYTES);
+  struct topic *t;
+  long long at = 0;
+  int result;
+
+  (void)context;
+  parameter (connection, "topic", name, sizeof name);
+  pthread_mutex_lock (&lock);
+  t = topic_of (name);
+  while (!down && at + 4 <= length)
+    {
+      size_t record = 0;
+
+      for (int i = 0; i < 4; i++)
+        record = record << 8 | (unsigned char)body[at + i];
+      append (t, body + at + 4, record);
+      at += 4 + (long long)record;
+    }
+  pthread_cond_broadcast (&changed);
+  result = answer (connection, down ? 503 : 200, "{}", 2);
+  pthread_mutex_unlock (&lock);
+  free (body);
+  return result;
+}
+
+static int
+put (struct mg_connection *connection, void *context)
+{
+  char name[64];
+  char key[128];
+  char *body = standin_read_body (connection, MAX_BODY_BYTES);
+  size_t length = strlen (body);
+  char *record;
+
+  (void)context;
+  parameter (connection, "topic", name, sizeof name);
+  parameter (connection, "key", key, sizeof key);
+  record = ms_new (1 + strlen (key) + length);
+  record[0] = (char)strlen (key);
+  memcpy (record + 1, key, strlen (key));
+  memcpy (record + 1 + strlen (key), body, length);
+  pthread_mutex_lock (&lock);
+  append (topic_of (name), record, 1 + strlen (key) + length);
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+  free (record);
+  free (body);
+  return answer (connection, 200, "", 0);
+}
+
+static int
+set_mode (struct mg_connection *connection, void *context)
+{
+  char to[16];
+
+  (void)context;
+  parameter (connection, "to", to, sizeof to);
+  pthread_mutex_lock (&lock);
+  down = strcmp (to, "down") == 0;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+  return answer (connection, 200, "", 0);
+}
+
+static int
+forget (struct mg_connection *connection, void *context)
+{
+  char name[64];
+  struct topic *t;
+
+  (void)context;
+  parameter (connection, "topic", name, sizeof name);
+  pthread_mutex_lock (&lock);
+  t = topic_of (name);
+  t->first = t->end;
+  pthread_mutex_unlock (&lock);
+  return answer (connection, 200, "", 0);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  if (key != 'a')
+    return ARGP_ERR_UNKNOWN;
+  *(const char **)state->input = arg;
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[]
+      = { { "address", 'a', "IP:PORT", 0, "Listen there", 0 }, { 0 } };
+  static const struct argp argp
+      = { options, parse_option, NULL, "Stand-in for the users' store.",
+          NULL,    NULL,         NULL };
+  static const struct standin_handler handlers[] = {
+    { "/log-read$", log_read },     { "/log-newest$", log_newest },
+    { "/log-append$", log_append }, { "/put$", put },
+    { "/mode$", set_mode },         { "/forget$", forget },
+  };
+  const char *address = "127.0.0.1:0";
+
+  argp_parse (&argp, argc, argv, 0, NULL, &address);
+  return standin_serve (address, "64", handlers,
+                        sizeof handlers / sizeof *handlers);
+}
