Let two routers of a zone read the store and relay to the others

Change: in each zone the first two routers in an order of their ids read the store; the others ask one of them, and read for themselves when that fails for 1.3 s.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,9 @@
 
 #define MAX_ROUTERS 1024
 
+/* Routers of a zone that read the store, so that one may be lost.  */
+#define READERS 2
+
 /* Digests go to so many routers at a time, in turn.  */
 #define FAN_OUT 12
 
@@ -238,6 +241,68 @@
   return fleet->routers;
 }
 
+/* Place of ID in the order in which routers become readers.  */
+static uint64_t
+reader_order (uint64_t id)
+{
+  return ms_id_pair (id, READERS);
+}
+
+/* How many live routers of the zone become readers before ID.  */
+static unsigned
+readers_before (const struct ms_fleet *fleet, uint64_t id, ms_time now)
+{
+  unsigned before = 0;
+
+  if (id != fleet->self.id)
+    before += reader_order (fleet->self.id) < reader_order (id);
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (r->id != id && r->zone == fleet->self.zone && !r->leaving
+          && ms_fleet_alive (r, now))
+        before += reader_order (r->id) < reader_order (id);
+    }
+  return before;
+}
+
+bool
+ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now)
+{
+  return readers_before (fleet, fleet->self.id, now) < READERS;
+}
+
+const struct ms_fleet_router *
+ms_fleet_source (struct ms_fleet *fleet, ms_time now)
+{
+  const struct ms_fleet_router *source = NULL;
+  const struct ms_fleet_router *other = NULL;
+  unsigned sources = 0;
+  unsigned others = 0;
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (!ms_fleet_alive (r, now) || r->leaving)
+        continue;
+      /* Each of those that qualify is chosen with the same chance.  */
+      if (r->zone == fleet->self.zone
+          && readers_before (fleet, r->id, now) < READERS)
+        {
+          if (ms_random_below (&fleet->random, ++sources) == 0)
+            source = r;
+        }
+      else if (ms_random_below (&fleet->random, ++others) == 0)
+        other = r;
+    }
+  /* Now and then another, lest a zone that is cut off has only itself.  */
+  if (source && other && ms_random_below (&fleet->random, 4) == 0)
+    return other;
+  return source ? source : other;
+}
+
 static bool
 takes_callers (const struct ms_fleet_router *router, ms_time now)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -63,6 +63,15 @@
 /* Forget routers that were silent for long.  */
 void ms_fleet_tick (struct ms_fleet *fleet, ms_time now);
 
+/* Whether this router reads the store itself.  In each zone the first few
+   routers, in an order of their ids, do; they relay to the others.  */
+bool ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now);
+
+/* A router to ask for what the store holds: one of those in the zone that read
+   it, or any.  NULL if none was heard of lately.  */
+const struct ms_fleet_router *ms_fleet_source (struct ms_fleet *fleet,
+                                               ms_time now);
+
 /* Whether the router was heard of lately.  */
 bool ms_fleet_alive (const struct ms_fleet_router *router, ms_time now);
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -22,10 +22,10 @@
 #define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
 
 #define BACKLOG 1024
-#define OPERATOR_WAIT_MS 600
+#define OPERATOR_WAIT_MS 800
 #define OPERATOR_PAUSE (50 * MS_MSEC)
 #define ENDPOINT_WAIT_MS 600
-#define ENDPOINT_PAUSE (250 * MS_MSEC)
+#define ENDPOINT_PAUSE (400 * MS_MSEC)
 
 /* The store's list may lack live endpoints for so long after an outage.  */
 #define ENDPOINT_MISSING (1500 * MS_MSEC)
@@ -250,6 +250,7 @@
 {
   struct ms_gateway *gw = timer->data;
   ms_time now = ms_gateway_time (gw);
+  bool direct;
 
   if (gw->last_tick && now - gw->last_tick > STOOD_STILL)
     {
@@ -258,8 +259,9 @@
       ms_place_woke (gw->place, now);
     }
   gw->last_tick = now;
-  ms_topic_tick (gw->operator_topic, now);
-  ms_topic_tick (gw->endpoint_topic, now);
+  direct = ms_fleet_reads_store (gw->fleet, now);
+  ms_topic_tick (gw->operator_topic, direct, now);
+  ms_topic_tick (gw->endpoint_topic, direct, now);
   ms_peers_tick (gw->peers, now);
   ms_place_tick (gw->place, now);
   ms_share_tick (gw->share, now);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -16,12 +16,13 @@
    reads of the store fail.  */
 #define RELAY_AFTER_FAILURE (300 * MS_MSEC)
 #define RELAY_AFTER (1500 * MS_MSEC)
-#define RELAY_PERIOD (300 * MS_MSEC)
-#define RELAY_TIMEOUT (800 * MS_MSEC)
+#define RELAY_PERIOD (350 * MS_MSEC)
+#define RELAY_TIMEOUT (400 * MS_MSEC)
 
-/* The store's list of members is read again so often, and the own record
-   written again at every so many reads, which brings back what was lost.  */
+/* The store's list of members is read again so often: by those that read the
+   store, and by the others.  */
 #define MEMBERS_PERIOD (10 * MS_SEC)
+#define MEMBERS_PERIOD_RELAYED (60 * MS_SEC)
 #define MEMBERS_RETRY (500 * MS_MSEC)
 #define STORE_TIMEOUT (1500 * MS_MSEC)
 
@@ -47,7 +48,6 @@
   ms_time digest_at;
   ms_time relay_at;
   ms_time members_at;
-  ms_time now_reading;
   struct death deaths[DIGEST_DEATHS];
   unsigned next_death;
 };
@@ -234,7 +234,7 @@
                              json_object_get (document, "endpoints"), sent_at,
                              gw->now);
   json_decref (document);
-  if (newer)
+  if (newer && ms_fleet_reads_store (gw->fleet, gw->now))
     ms_event (gw->now, "relayed", "operator_age_ms=%lld endpoints_age_ms=%lld",
               (long long)((gw->now - ms_topic_read_at (gw->operator_topic))
                           / MS_MSEC),
@@ -246,27 +246,22 @@
 static bool
 relay_source (struct ms_gateway *gw, struct sockaddr_in *address)
 {
-  unsigned count;
-  const struct ms_fleet_router *routers = ms_fleet_routers (gw->fleet, &count);
+  const struct ms_fleet_router *router = ms_fleet_source (gw->fleet, gw->now);
   struct sockaddr_in own;
-  unsigned first = (unsigned)ms_random_below (&gw->random, count + 1);
+  unsigned seed;
 
   if (ms_address_parse (gw->settings->control_address, &own) != MS_OK)
     return false;
-  for (unsigned i = 0; i < count; i++)
+  if (router)
     {
-      const struct ms_fleet_router *r = &routers[(first + i) % count];
-
-      if (!ms_fleet_alive (r, gw->now))
-        continue;
       *address = own;
-      address->sin_addr = r->ip;
+      address->sin_addr = router->ip;
       return true;
     }
   if (!gw->settings->seeds_count)
     return false;
-  first = (unsigned)ms_random_below (&gw->random, gw->settings->seeds_count);
-  return ms_address_parse (gw->settings->seeds[first], address) == MS_OK
+  seed = (unsigned)ms_random_below (&gw->random, gw->settings->seeds_count);
+  return ms_address_parse (gw->settings->seeds[seed], address) == MS_OK
          && address->sin_addr.s_addr != own.sin_addr.s_addr;
 }
 
@@ -286,7 +281,8 @@
   char path[128];
 
   if (ms_exchange_busy (p->relay)
-      || (!is_old (gw->operator_topic, now)
+      || (ms_fleet_reads_store (gw->fleet, now)
+          && !is_old (gw->operator_topic, now)
           && !is_old (gw->endpoint_topic, now)))
     return;
   p->relay_at = now + RELAY_PERIOD;
@@ -333,7 +329,10 @@
                              sizeof after)
              == MS_OK)
     {
-      p->members_at = p->gw->now + MEMBERS_PERIOD;
+      p->members_at = p->gw->now
+                      + (ms_fleet_reads_store (p->gw->fleet, p->gw->now)
+                             ? MEMBERS_PERIOD
+                             : MEMBERS_PERIOD_RELAYED);
       return;
     }
   ms_event (p->gw->now, "members_unread", "code=%u", code);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -12,6 +12,9 @@
 /* A read is given up so long after the time for which it may be held.  */
 #define ANSWER_TIMEOUT (1000 * MS_MSEC)
 
+/* Without word by relay for so long a gateway reads for itself.  */
+#define RELAY_MISSED (1300 * MS_MSEC)
+
 /* Between reads that fail, doubled for each.  */
 #define FIRST_RETRY (200 * MS_MSEC)
 #define LONGEST_RETRY (1600 * MS_MSEC)
@@ -329,12 +332,13 @@
 }
 
 void
-ms_topic_tick (struct ms_topic *t, ms_time now)
+ms_topic_tick (struct ms_topic *t, bool direct, ms_time now)
 {
   char path[512];
 
   drop_missing (t, now);
-  if (ms_exchange_busy (t->exchange) || now < t->call_at)
+  if (ms_exchange_busy (t->exchange) || now < t->call_at
+      || (!direct && t->known && now - t->read_at < RELAY_MISSED))
     return;
   if (!t->follow)
     {
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -37,8 +37,10 @@
                                   const struct ms_topic_options *options);
 void ms_topic_destroy (struct ms_topic *topic);
 
-/* Begin a read if one is due.  */
-void ms_topic_tick (struct ms_topic *topic, ms_time now);
+/* Begin a read if one is due: with DIRECT whenever the pause is over, else
+   only once the last read is so old that the peers who read seem to be gone.
+ */
+void ms_topic_tick (struct ms_topic *topic, bool direct, ms_time now);
 
 /* When the read was sent by which the records are known; 0 if never.  */
 ms_time ms_topic_read_at (const struct ms_topic *topic);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -275,10 +275,9 @@
   (void)context;
   parameter (connection, "topic", name, sizeof name);
   parameter (connection, "key", key, sizeof key);
-  record = ms_new (1 + strlen (key) + length);
+  record = ms_new (2 + strlen (key) + length);
   record[0] = (char)strlen (key);
-  memcpy (record + 1, key, strlen (key));
-  memcpy (record + 1 + strlen (key), body, length);
+  snprintf (record + 1, 1 + strlen (key) + length, "%s%s", key, body);
   pthread_mutex_lock (&lock);
   append (topic_of (name), record, 1 + strlen (key) + length);
   pthread_cond_broadcast (&changed);
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -33,7 +33,7 @@
 
       ms_budget_routers (budget, 9);
       for (int j = 0; j < 100; j++)
-        ms_budget_request (budget, SERVICE, j * 50 * MS_MSEC);
+        ms_budget_request (budget, SERVICE, (ms_time)j * 50 * MS_MSEC);
       total += take_all (budget, 5 * MS_SEC);
       ms_budget_destroy (budget);
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -120,7 +120,7 @@
       struct ms_load load;
       struct ms_endpoint_state *e;
       unsigned at;
-      ms_time now = MS_SEC + i * 20 * MS_MSEC;
+      ms_time now = MS_SEC + (ms_time)i * 20 * MS_MSEC;
 
       offer.parts = own;
       e = place_one (place, &offer, &load, now);
