--- a/src/base/event.c
+++ b/src/base/event.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define BUFFER_BYTES 65536
+#define BUFFER_BYTES 131072
 #define LINE_BYTES 1024
 
 static char buffer[BUFFER_BYTES];
@@ -39,6 +39,8 @@
   if (length > sizeof line - 2)
     length = sizeof line - 2;
   line[length++] = '\n';
+  if (used + length > sizeof buffer)
+    ms_event_flush (now);
   if (!add (line, length))
     dropped++;
 }
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -73,6 +73,8 @@
 	u_int sequence;
 	bool_t ready;
 	bool_t leaving;
+	u_int capacity;
+	u_int rate;
 	struct {
 		u_int loads_len;
 		digest_load *loads_val;
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -59,6 +59,8 @@
   unsigned int sequence;
   bool ready;
   bool leaving;
+  unsigned int capacity; /* Thousandths of a core.  */
+  unsigned int rate;     /* Requests in ten seconds.  */
   digest_load loads<DIGEST_LOADS>;
   digest_member members<DIGEST_MEMBERS>;
   digest_death deaths<DIGEST_DEATHS>;
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -140,7 +140,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->sequence))
 				 return FALSE;
@@ -148,11 +148,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->sequence);
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->capacity);
+		IXDR_PUT_U_LONG(buf, objp->rate);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS,
 			sizeof (digest_load), (xdrproc_t) xdr_digest_load))
@@ -173,7 +179,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->sequence))
 				 return FALSE;
@@ -181,11 +187,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
 
 		} else {
 		objp->sequence = IXDR_GET_U_LONG(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->capacity = IXDR_GET_U_LONG(buf);
+		objp->rate = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS,
 			sizeof (digest_load), (xdrproc_t) xdr_digest_load))
@@ -213,6 +225,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS,
 		sizeof (digest_load), (xdrproc_t) xdr_digest_load))
 		 return FALSE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet/internal.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,15 @@
 
 #define MAX_ROUTERS 1024
 
+/* A router is crowded with this many times the mean of requests for its
+   capacity, and at least so many in ten seconds.  */
+#define CROWDED_FACTOR 2.0
+#define CROWDED_LEAST 100
+
+/* Of more routers than these, half are named to a caller.  */
+#define DRAWN_ABOVE 6
+#define DRAWS 1000000
+
 /* Routers that one digest tells of.  */
 #define MEMBERS_TOLD 8
 
@@ -142,6 +152,8 @@
   router->heard = now;
   router->ready = d->ready;
   router->leaving = d->leaving;
+  router->capacity = d->capacity;
+  router->rate = d->rate;
   free_router (router);
   router->loads = d->loads.loads_val;
   router->loads_count = d->loads.loads_len;
@@ -162,6 +174,8 @@
 
   d->self = fleet->self;
   d->sequence = ++fleet->sequence;
+  d->capacity = fleet->capacity;
+  d->rate = fleet->rate;
   for (unsigned i = 0; i < fleet->count && count < MEMBERS_TOLD; i++)
     {
       const struct ms_fleet_router *r
@@ -256,34 +270,97 @@
   return ms_fleet_alive (router, now) && router->ready && !router->leaving;
 }
 
+void
+ms_fleet_own (struct ms_fleet *fleet, unsigned capacity, unsigned rate)
+{
+  fleet->capacity = capacity;
+  fleet->rate = rate;
+}
+
+bool
+ms_fleet_crowded (const struct ms_fleet *fleet, ms_time now)
+{
+  double capacity = fleet->capacity;
+  double rate = fleet->rate;
+
+  if (fleet->rate < CROWDED_LEAST || !fleet->capacity)
+    return false;
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (r->zone != fleet->self.zone || !takes_callers (r, now))
+        continue;
+      capacity += r->capacity;
+      rate += r->rate;
+    }
+  return fleet->rate > CROWDED_FACTOR * fleet->capacity * rate / capacity;
+}
+
+/* A router that callers may be sent to; the lowest keys are drawn.  */
+struct candidate
+{
+  struct in_addr ip;
+  double key;
+};
+
+static int
+by_key (const void *left, const void *right)
+{
+  double a = ((const struct candidate *)left)->key;
+  double b = ((const struct candidate *)right)->key;
+
+  return (a > b) - (a < b);
+}
+
+/* A key that is the lower the more likely, the greater the capacity.  */
+static double
+draw_key (struct ms_fleet *fleet, unsigned capacity)
+{
+  double chance
+      = ((double)ms_random_below (&fleet->random, DRAWS) + 1) / DRAWS;
+
+  return -log (chance) / (capacity ? capacity : 1);
+}
+
 static unsigned
-collect (const struct ms_fleet *fleet, uint64_t zone, bool ready, ms_time now,
-         struct in_addr *addresses, unsigned space)
+collect (struct ms_fleet *fleet, uint64_t zone, bool ready, ms_time now,
+         struct candidate *candidates)
 {
   unsigned count = 0;
 
-  if (ready && space && (!zone || fleet->self.zone == zone))
-    addresses[count++] = address_of (&fleet->self);
-  for (unsigned i = 0; i < fleet->count && count < space; i++)
+  if (ready && (!zone || fleet->self.zone == zone))
+    candidates[count++]
+        = (struct candidate){ address_of (&fleet->self),
+                              draw_key (fleet, fleet->capacity) };
+  for (unsigned i = 0; i < fleet->count; i++)
     {
       const struct ms_fleet_router *r = &fleet->routers[i];
 
       if (takes_callers (r, now) && (!zone || r->zone == zone))
-        addresses[count++] = r->ip;
+        candidates[count++]
+            = (struct candidate){ r->ip, draw_key (fleet, r->capacity) };
     }
   return count;
 }
 
 unsigned
-ms_fleet_addresses (const struct ms_fleet *fleet, uint64_t zone, bool ready,
+ms_fleet_addresses (struct ms_fleet *fleet, uint64_t zone, bool ready,
                     ms_time now, struct in_addr *addresses, unsigned space)
 {
-  unsigned count = collect (fleet, zone, ready, now, addresses, space);
-
-  if (count >= 2)
-    return count;
-  count = collect (fleet, 0, ready, now, addresses, space);
-  if (!count && space)
-    addresses[count++] = address_of (&fleet->self);
-  return count;
+  static struct candidate candidates[MAX_ROUTERS + 1];
+  unsigned count = collect (fleet, zone, ready, now, candidates);
+  unsigned drawn;
+
+  if (count < 2)
+    count = collect (fleet, 0, ready, now, candidates);
+  if (!count)
+    candidates[count++].ip = address_of (&fleet->self);
+  qsort (candidates, count, sizeof *candidates, by_key);
+  drawn = count > DRAWN_ABOVE ? (count + 1) / 2 : count;
+  if (drawn > space)
+    drawn = space;
+  for (unsigned i = 0; i < drawn; i++)
+    addresses[i] = candidates[i].ip;
+  return drawn;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -24,6 +24,8 @@
   struct in_addr ip;
   bool ready;
   bool leaving;
+  unsigned capacity; /* Thousandths of a core.  */
+  unsigned rate;     /* Requests in ten seconds.  */
   unsigned sequence;
   ms_time heard;   /* Last digest; 0 if none yet.  */
   ms_time learned; /* When it was first told of.  */
@@ -127,12 +129,20 @@
 const struct ms_fleet_router *ms_fleet_routers (const struct ms_fleet *fleet,
                                                 unsigned *count);
 
+/* Tell the fleet what this router has itself.  */
+void ms_fleet_own (struct ms_fleet *fleet, unsigned capacity, unsigned rate);
+
+/* Whether this router gets far more requests for its capacity than those of
+   its zone do in the mean, so that callers had better connect anew.  */
+bool ms_fleet_crowded (const struct ms_fleet *fleet, ms_time now);
+
 /* Addresses of the routers that callers in ZONE should use, this one included
    if READY: those of the zone where at least two are ready, else all ready
-   ones, else this one.  Returns the number, at most SPACE.  */
-unsigned ms_fleet_addresses (const struct ms_fleet *fleet, uint64_t zone,
-                             bool ready, ms_time now,
-                             struct in_addr *addresses, unsigned space);
+   ones, else this one.  Of many, some are drawn, by their capacity.  Returns
+   the number, at most SPACE.  */
+unsigned ms_fleet_addresses (struct ms_fleet *fleet, uint64_t zone, bool ready,
+                             ms_time now, struct in_addr *addresses,
+                             unsigned space);
 
 /* Encode DIGEST; returns the length, 0 if it exceeds SIZE.  */
 unsigned ms_digest_encode (const struct fleet_digest *digest, char *data,
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -14,6 +14,8 @@
 {
   digest_member self;
   unsigned sequence;
+  unsigned capacity;
+  unsigned rate;
   struct ms_random random;
   struct ms_fleet_router *routers; /* By id.  */
   unsigned count;
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -145,6 +145,12 @@
   return (struct ms_str){ c->body.data, c->body.length };
 }
 
+bool
+ms_caller_left (const struct ms_caller *c)
+{
+  return c->closed || ms_socket_half_closed (c->socket);
+}
+
 static bool
 is_token (struct ms_str name)
 {
@@ -335,8 +341,7 @@
     }
   if (ms_socket_open_count () > most)
     {
-      ms_event (gw->now, "caller_turned_away", "sockets=%u",
-                ms_socket_open_count ());
+      gw->turned_away++;
       ms_socket_reset (c->socket);
       free (c);
       return;
@@ -394,6 +399,10 @@
 {
   struct ms_caller *c, *next;
 
+  if (gw->turned_away)
+    ms_event (now, "callers_turned_away", "count=%u sockets=%u",
+              gw->turned_away, ms_socket_open_count ());
+  gw->turned_away = 0;
   DL_FOREACH_SAFE (gw->callers, c, next) { check_times (c, now); }
   make_room (gw);
 }
@@ -434,7 +443,7 @@
 print_status (struct ms_caller *c, unsigned status)
 {
   print (c, "HTTP/1.1 %u %s\r\n", status, http_status_str (status));
-  if (c->gw->terminated_at)
+  if (c->gw->terminated_at || c->gw->crowded)
     c->keep_alive = false;
   if (!c->keep_alive)
     print (c, "Connection: close\r\n");
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -28,6 +28,10 @@
                      whether the body is whole is not known here.  */
 };
 
+/* Whether the caller has closed its connection, though that was not read
+   yet.  */
+bool ms_caller_left (const struct ms_caller *caller);
+
 /* Begin the answer with the STATUS and headers of HEAD.  With
    MS_FRAMED_LENGTH, LENGTH bytes follow.  */
 void ms_caller_answer (struct ms_caller *caller, const struct ms_head *head,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,14 @@
 
 /* One gateway process: an event loop around the decisions.  */
 
+/* Requests counted since a time.  */
+struct ms_tally
+{
+  ms_time since;
+  unsigned count;
+  double rate; /* A second, as an exponential mean.  */
+};
+
 struct ms_request;
 struct ms_caller;
 struct ms_peers;
@@ -58,7 +66,11 @@
   ms_time now;       /* Of this turn of the loop.  */
   ms_time last_tick;
   ms_time terminated_at; /* SIGTERM came; 0 if not.  */
-  bool relay_fails;      /* The last relay that was asked for did not come.  */
+  unsigned turned_away;  /* Callers since the last turn, for want of room.  */
+  bool late;    /* The loop's turns come late: callers may have left.  */
+  bool crowded; /* Callers had better connect anew.  */
+  struct ms_tally tally;
+  bool relay_fails; /* The last relay that was asked for did not come.  */
 };
 
 /* How long between two turns of the gateway's clock.  */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -37,9 +37,16 @@
    that a route or key does not exist.  */
 #define CONFIG_RECENT (1900 * MS_MSEC)
 
+/* A turn of the loop this late means that what is read may be old.  */
+#define LATE (100 * MS_MSEC)
+
 /* A turn of the loop this late means that the process stood still.  */
 #define STOOD_STILL (700 * MS_MSEC)
 
+/* The mean rate of requests.  */
+#define TALLY_PERIOD (250 * MS_MSEC)
+#define TALLY_WEIGHT 0.25
+
 /* The process ends this long before it would be killed, and after SIGTERM not
    before callers have learned of it.  */
 #define GRACE_MARGIN (300 * MS_MSEC)
@@ -245,6 +252,25 @@
   return since > LEAVE_AFTER && !gw->requests && !ms_callers_close_idle (gw);
 }
 
+/* Move the mean rate of requests on, and tell the fleet.  */
+static void
+count_requests (struct ms_gateway *gw)
+{
+  struct ms_tally *tally = &gw->tally;
+  ms_time passed = gw->now - tally->since;
+
+  if (passed < TALLY_PERIOD)
+    return;
+  tally->rate
+      += TALLY_WEIGHT
+         * ((double)tally->count * MS_SEC / (double)passed - tally->rate);
+  tally->count = 0;
+  tally->since = gw->now;
+  ms_fleet_own (gw->fleet, (unsigned)(gw->settings->cpu_cores * 1000),
+                (unsigned)(tally->rate * 10));
+  gw->crowded = ms_fleet_crowded (gw->fleet, gw->now);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -258,6 +284,7 @@
                 (long long)((now - gw->last_tick) / MS_MSEC));
       ms_place_woke (gw->place, now);
     }
+  gw->late = now - gw->last_tick > LATE;
   gw->last_tick = now;
   direct = gw->relay_fails || ms_fleet_reads_store (gw->fleet, now);
   ms_topic_tick (gw->operator_topic, direct, now);
@@ -269,6 +296,7 @@
   ms_upstreams_tick (gw, now);
   ms_callers_tick (gw, now);
   ms_guard_tick (gw->guard, now);
+  count_requests (gw);
   if (may_end (gw))
     {
       ms_event (now, "stop", "requests=%u", gw->requests_count);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -725,6 +725,13 @@
   enum ms_verdict verdict;
 
   ms_gateway_time (gw);
+  gw->tally.count++;
+  if (gw->late && ms_caller_left (caller))
+    {
+      ms_event (gw->now, "caller_left", "read late");
+      ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE, "left", 0);
+      return NULL;
+    }
   if (!gw->routes)
     {
       ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -42,6 +42,7 @@
         CYAML_FIELD_SEQUENCE (
             "seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
             struct ms_gateway_settings, seeds, &seed, 0, MAX_SEEDS),
+        NUMBER_FIELD (cpu_cores),
         NUMBER_FIELD (drain_timeout_ms),
         NUMBER_FIELD (grace_period_s),
         NUMBER_FIELD (config_apply_ms),
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -24,8 +24,9 @@
   unsigned seeds_count;
   uint32_t memory_mb;
   uint32_t file_descriptors;
-  char *placement; /* NULL: "prefix".  */
-  char *log_level; /* NULL: "info".  */
+  double cpu_cores; /* That the process may use, in all.  */
+  char *placement;  /* NULL: "prefix".  */
+  char *log_level;  /* NULL: "info".  */
 
   /* What the operators promise and ask of the fleet.  */
   double drain_timeout_ms;
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -104,9 +104,10 @@
   s->reading = false;
 }
 
-/* Find silent connections by probes and unacknowledged data.  */
+/* Find silent connections by probes and unacknowledged data.  Connections
+   inherit it from the listener that accepts them.  */
 static void
-watch_silence (struct ms_socket *s)
+watch_silence (uv_tcp_t *tcp)
 {
   static const int on = 1;
   static const int idle = MS_KEEPALIVE_IDLE_S;
@@ -115,7 +116,7 @@
   static const unsigned unacked = MS_UNACKED_LIMIT_MS;
   uv_os_fd_t fd;
 
-  if (uv_fileno ((uv_handle_t *)&s->tcp, &fd))
+  if (uv_fileno ((uv_handle_t *)tcp, &fd))
     return;
   if (setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on)
       || setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle)
@@ -125,7 +126,7 @@
       || setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
                      sizeof unacked))
     ms_log (MS_WARN, "socket", "silent connections are not watched for");
-  uv_tcp_nodelay (&s->tcp, 1);
+  uv_tcp_nodelay (tcp, 1);
 }
 
 struct ms_socket *
@@ -141,7 +142,6 @@
       ms_socket_close (s);
       return NULL;
     }
-  watch_silence (s);
   ms_socket_resume (s);
   return s;
 }
@@ -155,7 +155,7 @@
     return;
   if (!error)
     {
-      watch_silence (s);
+      watch_silence (&s->tcp);
       ms_socket_resume (s);
     }
   s->events->connected (s->owner, error ? MS_UNAVAILABLE : MS_OK);
@@ -188,6 +188,8 @@
 
   if (!error)
     error = uv_tcp_bind (listener, (const struct sockaddr *)address, 0);
+  if (!error)
+    watch_silence (listener);
   if (!error)
     error = uv_listen ((uv_stream_t *)listener, backlog, accept);
   if (error)
@@ -271,6 +273,16 @@
   return s->queued;
 }
 
+bool
+ms_socket_half_closed (const struct ms_socket *s)
+{
+  char byte;
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void
 ms_socket_close (struct ms_socket *s)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -63,6 +63,9 @@
 void ms_socket_pause (struct ms_socket *socket);
 void ms_socket_resume (struct ms_socket *socket);
 
+/* Whether the other side has closed behind what was read so far.  */
+bool ms_socket_half_closed (const struct ms_socket *socket);
+
 /* Close after what was written has left; no event follows.  */
 void ms_socket_close (struct ms_socket *socket);
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -98,6 +98,7 @@
 seeds: ["$(ip 1):$((BASE + 4))", "$(ip 2):$((BASE + 4))"]
 memory_mb: 200
 file_descriptors: 1000
+cpu_cores: 0.25
 drain_timeout_ms: 2000
 grace_period_s: 8
 config_apply_ms: 2000
