Tell counters and latency histograms; name the line of wrong settings

Two checks that failed first: a wrong address was told as of line 0 (the value is quoted there), and the fleet's size was asked for before it was known.

--- a/src/config/yaml.c
+++ b/src/config/yaml.c
@@ -49,9 +49,8 @@
   };
 }
 
-/* Line of the first "KEY:" in TEXT that stands alone, from 1; 0 if absent.  */
-static unsigned
-key_line (struct ms_str text, const char *key)
+unsigned
+ms_yaml_key_line (struct ms_str text, const char *key)
 {
   size_t length = strlen (key);
   unsigned line = 1;
@@ -79,7 +78,7 @@
   if (!at || sscanf (at + sizeof mark - 1, "%63[^;\n]", key) != 1)
     return MS_OK;
   return ms_fail (MS_INVALID, "%s: line %u: %s: the key is not known", origin,
-                  key_line (text, key), key);
+                  ms_yaml_key_line (text, key), key);
 }
 
 enum ms_status
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -211,7 +211,7 @@
         continue;
       targets[count++] = r->ip;
     }
-  if (count == most)
+  if (fleet->count && count == most)
     fleet->next_target = (fleet->next_target + i) % fleet->count;
   return count;
 }
@@ -240,6 +240,16 @@
   return router->heard && now - router->heard <= MS_ROUTER_SILENT;
 }
 
+unsigned
+ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now)
+{
+  unsigned count = 1;
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    count += ms_fleet_alive (&fleet->routers[i], now);
+  return count;
+}
+
 const struct ms_fleet_router *
 ms_fleet_routers (const struct ms_fleet *fleet, unsigned *count)
 {
@@ -294,7 +304,7 @@
       capacity += r->capacity;
       rate += r->rate;
     }
-  return fleet->rate > CROWDED_FACTOR * fleet->capacity * rate / capacity;
+  return fleet->rate * capacity > CROWDED_FACTOR * fleet->capacity * rate;
 }
 
 /* A router that callers may be sent to; the lowest keys are drawn.  */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -125,6 +125,9 @@
 /* Whether the router was heard of lately.  */
 bool ms_fleet_alive (const struct ms_fleet_router *router, ms_time now);
 
+/* Routers that were heard of lately, this one included.  */
+unsigned ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now);
+
 /* The other routers, in the order of their ids.  */
 const struct ms_fleet_router *ms_fleet_routers (const struct ms_fleet *fleet,
                                                 unsigned *count);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,7 @@
   uv_tcp_t ready_listener;
   uv_tcp_t directory_listener;
   uv_tcp_t control_listener;
+  uv_tcp_t metrics_listener;
   struct ms_clock clock;
   struct ms_random random;
   struct ms_gateway_settings *settings;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -415,6 +415,8 @@
   listen_at (gw, &gw->directory_listener, s->directory_address,
              ms_pages_accept);
   listen_at (gw, &gw->control_listener, s->control_address, ms_pages_accept);
+  if (s->metrics_address)
+    listen_at (gw, &gw->metrics_listener, s->metrics_address, ms_pages_accept);
   uv_timer_init (&gw->loop, &gw->timer);
   gw->timer.data = gw;
   uv_timer_start (&gw->timer, on_tick, 0, MS_TICK_MS);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -8,10 +8,13 @@
 
 #include "base/alloc.h"
 #include "base/event.h"
+#include "gateway/metrics.h"
 #include "gateway/peers.h"
 #include "gateway/socket.h"
 
 #define HEAD_BYTES 8192
+#define METRICS_BYTES 16384
+#define METRICS_PATH "/metrics"
 #define MAX_ADDRESSES 64
 #define DIRECTORY_BYTES 4096
 
@@ -144,6 +147,28 @@
   free (text);
 }
 
+static void
+answer_metrics (struct page *p)
+{
+  struct ms_gateway *gw = p->gw;
+  static char text[METRICS_BYTES];
+  struct ms_metric_gauges gauges = {
+    .requests = gw->requests_count,
+    .sockets = ms_socket_open_count (),
+    .endpoints = ms_place_count (gw->place),
+    .routers = ms_fleet_alive_count (gw->fleet, gw->now),
+    .config_version = gw->routes ? gw->routes->version : 0,
+    .config_age_s
+    = (double)(gw->now - ms_topic_read_at (gw->operator_topic)) / MS_SEC,
+    .endpoints_age_s
+    = (double)(gw->now - ms_topic_read_at (gw->endpoint_topic)) / MS_SEC,
+    .share_level = ms_share_level (gw->share),
+  };
+
+  answer (p, 200, "text/plain; version=0.0.4", text,
+          ms_metrics_page (&gauges, text, sizeof text));
+}
+
 static void
 respond (struct page *p)
 {
@@ -155,6 +180,8 @@
     answer (p, ms_gateway_ready (gw) ? 200 : 503, "text/plain", "", 0);
   else if (path_is (target, PLAT_DIRECTORY_PATH))
     answer_directory (p, target);
+  else if (path_is (target, METRICS_PATH))
+    answer_metrics (p);
   else if (path_is (target, MS_RELAY_PATH))
     answer_relay (p, target);
   else
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -210,8 +210,8 @@
 send_sums (struct ms_peers *p, struct fleet_digest *digest, ms_time now)
 {
   static struct ms_zone_sums sums;
+  static digest_zone zone;
   struct in_addr targets[MAX_TARGETS];
-  digest_zone zone;
   unsigned count = ms_fleet_readers (p->gw->fleet, now, targets, MAX_TARGETS);
 
   ms_fleet_sum_zone (p->gw->fleet, digest, &sums, &zone, now);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -10,6 +10,7 @@
 #include "base/event.h"
 #include "gateway/caller.h"
 #include "gateway/internal.h"
+#include "gateway/metrics.h"
 #include "gateway/peers.h"
 
 /* After its deadline or timeout an attempt is given up; the endpoint itself
@@ -50,11 +51,37 @@
          || (r->route.repeat == MS_STREAMING && r->route.resumable);
 }
 
+static enum ms_result_metric
+result_of (const struct ms_request *r, unsigned status, const char *outcome)
+{
+  if (strcmp (outcome, "answered") == 0)
+    return MS_RESULT_ANSWERED;
+  if (strcmp (outcome, "caller_gone") == 0)
+    return MS_RESULT_CALLER_GONE;
+  if (r->head_sent)
+    return MS_RESULT_BROKEN_OFF;
+  return status == HTTP_STATUS_SERVICE_UNAVAILABLE ? MS_RESULT_REFUSED
+                                                   : MS_RESULT_FAILED;
+}
+
+static void
+count_end (const struct ms_request *r, unsigned status, const char *outcome)
+{
+  ms_metric_result (result_of (r, status, outcome));
+  if (r->first_sent_at)
+    ms_metric_latency (MS_LATENCY_WAIT, r->first_sent_at - r->arrived);
+  if (r->first_at)
+    ms_metric_latency (MS_LATENCY_FIRST, r->first_at - r->arrived);
+  ms_metric_latency (MS_LATENCY_TOTAL, r->gw->now - r->arrived);
+}
+
 static void
 log_end (const struct ms_request *r, unsigned status, const char *outcome)
 {
   ms_time now = r->gw->now;
 
+  count_end (r, status, outcome);
+
   ms_event (
       now, "request",
       "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
@@ -272,6 +299,7 @@
   if (!r->first_sent_at)
     r->first_sent_at = now;
   r->attempts++;
+  ms_metric_attempt ();
   r->last_endpoint = r->endpoint->entry.id;
   ms_upstream_send (r->upstream, buffers, body.length ? 2 : 1);
 }
@@ -348,6 +376,7 @@
       give_up (r, reason);
       return;
     }
+  ms_metric_retry ();
   ms_event (r->gw->now, "retry", "id=%s reason=%s attempts=%u", r->attempt_id,
             reason, r->attempts);
   dispatch (r);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -34,6 +34,7 @@
         TEXT_FIELD (directory_address, CYAML_FLAG_DEFAULT),
         TEXT_FIELD (control_address, CYAML_FLAG_DEFAULT),
         TEXT_FIELD (store_address, CYAML_FLAG_DEFAULT),
+        TEXT_FIELD (metrics_address, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
         COUNT_FIELD (peer_port),
@@ -72,7 +73,7 @@
   if (ms_address_parse (value, &address) == MS_OK)
     return MS_OK;
   return ms_fail (MS_INVALID, "%s: line %u: %s: \"%s\" is not IP:PORT", path,
-                  ms_yaml_line (text, "", field, ""), field, value);
+                  ms_yaml_key_line (text, field), field, value);
 }
 
 static enum ms_status
@@ -93,15 +94,16 @@
   for (size_t i = 0; status == MS_OK && i < 5; i++)
     status
         = check_address (text, path, addresses[i].field, addresses[i].value);
+  if (status == MS_OK && s->metrics_address)
+    status = check_address (text, path, "metrics_address", s->metrics_address);
   for (unsigned i = 0; status == MS_OK && i < s->seeds_count; i++)
     status = check_address (text, path, "seeds", s->seeds[i]);
   if (status == MS_OK && s->peer_port > UINT16_MAX)
     return ms_fail (MS_INVALID, "%s: line %u: peer_port: above %d", path,
-                    ms_yaml_line (text, "", "peer_port", ""), UINT16_MAX);
+                    ms_yaml_key_line (text, "peer_port"), UINT16_MAX);
   if (status == MS_OK && s->placement && !ms_place_policy (s->placement))
     return ms_fail (MS_INVALID, "%s: line %u: placement: \"%s\" is no policy",
-                    path, ms_yaml_line (text, "", "placement", ""),
-                    s->placement);
+                    path, ms_yaml_key_line (text, "placement"), s->placement);
   return status;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -19,6 +19,7 @@
   char *directory_address;
   char *control_address;
   char *store_address;
+  char *metrics_address; /* NULL: only at the control address.  */
   uint32_t peer_port;
   char **seeds; /* Control addresses of other gateways.  */
   unsigned seeds_count;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -168,6 +168,15 @@
 until ports_free_here; do
   BASE=$((BASE + 100))
 done
+sed 's/^caller_address: .*/caller_address: "nowhere"/' "$here/settings.yaml" \
+  >"$DIR/wrong.yaml"
+"$BUILD/monsoonspur-gateway" --check --settings="$here/settings.yaml"
+verdict "proper settings pass the check" $?
+"$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
+  2>"$DIR/message"
+is $? 1 && grep -q 'wrong.yaml: line 5: caller_address: "nowhere"' \
+  "$DIR/message"
+verdict "wrong settings are told by file, line and field" $?
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store)/log-newest?topic=keyed.op&part=0" || exit 1
 gateway 1
@@ -203,6 +212,13 @@
 is "$status" 200 && is "$first" "$(grep -o '"sum":[0-9]*' "$DIR/body")"
 verdict "a body in chunks is the same body" $?
 
+metrics () { get "http://$(ip 1):$((BASE + 4))/metrics" >"$DIR/metrics"; }
+all_alive () { metrics && grep -q '^monsoonspur_routers_alive 3' "$DIR/metrics"; }
+await 10 all_alive \
+  && grep -q '^monsoonspur_requests_total{result="answered"} [1-9]' "$DIR/metrics" \
+  && grep -q '^monsoonspur_total_seconds_bucket' "$DIR/metrics"
+verdict "the control address tells counters and histograms" $?
+
 request 1 /none/x
 is "$status" 404
 verdict "a path without a route gets 404" $?
