--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -8,9 +8,6 @@
 /* Endpoints that one request may be taken to.  */
 #define MS_MAX_TRIED 6
 
-/* Requests that come within this time of SIGTERM are still served.  */
-#define MS_ACCEPT_AFTER_TERM (3 * MS_SEC)
-
 #define MS_ATTEMPT_ID_BYTES 80
 
 struct ms_request
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -17,6 +17,11 @@
    stops then and may still say so.  */
 #define ENDPOINT_SAYS_SO (60 * MS_MSEC)
 
+/* Requests that come within this time of SIGTERM are served whatever they
+   take; later ones if they end so long before the grace period does.  */
+#define ACCEPT_AFTER_TERM (3 * MS_SEC)
+#define EXIT_MARGIN (600 * MS_MSEC)
+
 /* Without a deadline of the caller's.  */
 #define DEFAULT_DEADLINE (60 * MS_SEC)
 
@@ -745,6 +750,20 @@
   return r;
 }
 
+/* Whether a gateway that is told to end can still serve R: it came soon after
+   that, or is sure to end before the process does.  */
+static bool
+ends_before_exit (const struct ms_request *r)
+{
+  const struct ms_gateway *gw = r->gw;
+  ms_time exit_at = gw->terminated_at
+                    + (ms_time)(gw->settings->grace_period_s * MS_SEC)
+                    - EXIT_MARGIN;
+
+  return !gw->terminated_at || gw->now - gw->terminated_at <= ACCEPT_AFTER_TERM
+         || gw->now + time_left (r, gw->now) < exit_at;
+}
+
 struct ms_request *
 ms_request_begin (struct ms_gateway *gw, struct ms_caller *caller)
 {
@@ -784,7 +803,7 @@
       refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "quarantined");
       return NULL;
     }
-  if (gw->terminated_at && gw->now - gw->terminated_at > MS_ACCEPT_AFTER_TERM)
+  if (!ends_before_exit (r))
     {
       refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
       return NULL;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -135,7 +135,7 @@
   shift 2
   status=$(curl --silent --noproxy '*' --max-time 10 -H 'Host: h' \
     ${KEY:+-H} ${KEY:+"X-Key: $KEY"} -H "X-Request-Attempt-Id: $id" \
-    -H 'X-Deadline-Remaining-Ms: 5000' -D "$DIR/head" -o "$DIR/body" \
+    -H 'X-Deadline-Remaining-Ms: 5000' -D "$DIR/head" -o "${BODY:-$DIR/body}" \
     -w '%{http_code}' "$@" "$(at "$where")$path")
   code=$?
 }
@@ -378,14 +378,21 @@
 await 10 known 1 && await 10 known 2
 verdict "and keys are again when the store is back" $?
 
-request 2 '/events/stream?n=120&ms=20' &
+(BODY=$DIR/stream; request 2 '/events/stream?n=250&ms=20') &
 waiter=$!
 sleep 0.5
 kill -TERM "$(pid_of gateway2)"
 await 2 not_ready 2
 verdict "a gateway that is told to end is not ready" $?
+sleep 3.2
+request 2 /any/x
+is "$status" 200
+verdict "it serves what is sure to end before it does" $?
+request 2 /events/x
+is "$status" 503 && head_has '^Retry-After:'
+verdict "and refuses what is not" $?
 wait $waiter
-is "$(grep -c '^id: ' "$DIR/body")" 120
+is "$(grep -c '^id: ' "$DIR/stream")" 250
 verdict "and cuts no stream" $?
 wait "$(pid_of gateway2)"
 verdict "and ends in order" $?
