--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -68,4 +68,48 @@
   struct ms_request *prev, *next;
 };
 
+/* Attempts (attempt.c).  */
+
+/* Whether a second run does no harm: of idempotent requests and of streams
+   that may be resumed.  */
+bool ms_request_may_repeat (const struct ms_request *request);
+
+/* Until the caller or the operators want it ended.  */
+ms_time ms_request_time_left (const struct ms_request *request, ms_time now);
+
+/* Place the request, let it wait, or refuse it.  */
+void ms_request_dispatch (struct ms_request *request);
+
+/* Try again after an attempt that failed, or give the final answer.  COUNTS
+   tells whether a further attempt is a retry.  */
+void ms_request_try_again (struct ms_request *request, bool counts,
+                           const char *reason);
+
+/* The endpoint ended or broke off while the request may have run there.  */
+void ms_request_broken (struct ms_request *request, const char *reason);
+
+/* The endpoint says with STATUS that it did not run the request.  */
+void ms_request_not_taken (struct ms_request *request, unsigned status);
+
+/* Ends (outcome.c).  All but ms_request_end_attempt free the request.  */
+
+/* Let go of the attempt's endpoint, which ended with END.  */
+void ms_request_end_attempt (struct ms_request *request,
+                             enum ms_place_end end);
+void ms_request_free (struct ms_request *request);
+
+/* Give the final answer STATUS of the gateway's own.  */
+void ms_request_refuse (struct ms_request *request, unsigned status,
+                        const char *reason);
+
+/* End an answer that has begun and cannot be completed.  */
+void ms_request_break_off (struct ms_request *request, const char *reason);
+
+/* Answer for a request that no endpoint answers.  */
+void ms_request_give_up (struct ms_request *request, const char *reason);
+
+/* Log and count the end of the request.  */
+void ms_request_log_end (const struct ms_request *request, unsigned status,
+                         const char *outcome);
+
 #endif
--- /dev/null
+++ b/src/gateway/outcome.c
@@ -0,0 +1,140 @@
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "base/event.h"
+#include "gateway/caller.h"
+#include "gateway/internal.h"
+#include "gateway/metrics.h"
+#include "gateway/request.h"
+
+/* Bounds of the time after which callers are asked to come again.  */
+#define LEAST_RETRY_AFTER (200 * MS_MSEC)
+#define RETRY_SPREAD (400 * MS_MSEC)
+
+static enum ms_result_metric
+result_of (const struct ms_request *r, unsigned status, const char *outcome)
+{
+  if (strcmp (outcome, "answered") == 0)
+    return MS_RESULT_ANSWERED;
+  if (strcmp (outcome, "caller_gone") == 0)
+    return MS_RESULT_CALLER_GONE;
+  if (r->head_sent)
+    return MS_RESULT_BROKEN_OFF;
+  return status == HTTP_STATUS_SERVICE_UNAVAILABLE ? MS_RESULT_REFUSED
+                                                   : MS_RESULT_FAILED;
+}
+
+static void
+count_end (const struct ms_request *r, unsigned status, const char *outcome)
+{
+  ms_metric_result (result_of (r, status, outcome));
+  if (r->first_sent_at)
+    ms_metric_latency (MS_LATENCY_WAIT, r->first_sent_at - r->arrived);
+  if (r->first_at)
+    ms_metric_latency (MS_LATENCY_FIRST, r->first_at - r->arrived);
+  ms_metric_latency (MS_LATENCY_TOTAL, r->gw->now - r->arrived);
+}
+
+void
+ms_request_log_end (const struct ms_request *r, unsigned status,
+                    const char *outcome)
+{
+  ms_time now = r->gw->now;
+
+  count_end (r, status, outcome);
+
+  ms_event (
+      now, "request",
+      "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
+      "attempts=%u waited_ms=%.1f expected_ms=%.1f first_ms=%.1f "
+      "total_ms=%.1f prompt=%u output=%u uncached=%u bytes=%llu config=%llu",
+      r->attempt_id, r->route.name.data, (int)r->team_name.length,
+      r->team_name.data, outcome, status,
+      r->last_endpoint.length ? r->last_endpoint.data : "-", r->attempts,
+      (double)((r->first_sent_at ? r->first_sent_at : now) - r->arrived)
+          / MS_MSEC,
+      (double)r->choice.fit.expected / MS_MSEC,
+      r->first_at ? (double)(r->first_at - r->arrived) / MS_MSEC : -1.0,
+      (double)(now - r->arrived) / MS_MSEC, r->prompt.tokens,
+      r->prompt.max_output, r->choice.fit.uncached,
+      (unsigned long long)r->bytes_forwarded,
+      (unsigned long long)r->config_version);
+}
+
+/* Let go of the attempt's endpoint, which ended with END.  */
+void
+ms_request_end_attempt (struct ms_request *r, enum ms_place_end end)
+{
+  struct ms_endpoint_state *e = r->endpoint;
+
+  if (!e)
+    return;
+  r->endpoint = NULL;
+  if (r->upstream)
+    ms_upstream_release (r->upstream);
+  r->upstream = NULL;
+  ms_place_ended (r->gw->place, e, &r->load, end, r->gw->now);
+}
+
+void
+ms_request_free (struct ms_request *r)
+{
+  struct ms_gateway *gw = r->gw;
+
+  ms_request_end_attempt (r, MS_END_CANCELLED);
+  for (unsigned i = 0; i < r->tried_count; i++)
+    ms_place_release (gw->place, r->tried[i]);
+  DL_DELETE (gw->requests, r);
+  if (gw->beginning == r)
+    gw->beginning = NULL;
+  gw->requests_count--;
+  free (r->held);
+  free (r);
+}
+
+static ms_time
+retry_after (struct ms_request *r)
+{
+  return LEAST_RETRY_AFTER + r->choice.room_in
+         + (ms_time)ms_random_below (&r->gw->random, RETRY_SPREAD);
+}
+
+/* Give the final answer STATUS of the gateway's own.  */
+void
+ms_request_refuse (struct ms_request *r, unsigned status, const char *reason)
+{
+  struct ms_caller *caller = r->caller;
+  ms_time later
+      = status == HTTP_STATUS_SERVICE_UNAVAILABLE ? retry_after (r) : 0;
+
+  ms_request_log_end (r, status, reason);
+  ms_request_free (r);
+  ms_caller_refuse (caller, status, reason, later);
+}
+
+/* End an answer that has begun and cannot be completed.  */
+void
+ms_request_break_off (struct ms_request *r, const char *reason)
+{
+  struct ms_caller *caller = r->caller;
+
+  ms_request_log_end (r, r->status, reason);
+  ms_request_free (r);
+  ms_caller_abort (caller);
+}
+
+/* Answer for a request that no endpoint answers.  */
+void
+ms_request_give_up (struct ms_request *r, const char *reason)
+{
+  if (!r->attempts && r->choice.result == MS_PLACE_FULL && r->cost > 0)
+    ms_share_refused (r->gw->share, r->team, r->cost, r->gw->now);
+  if (r->head_sent)
+    ms_request_break_off (r, reason);
+  else if (r->may_have_run)
+    ms_request_refuse (r, HTTP_STATUS_BAD_GATEWAY, reason);
+  else
+    ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, reason);
+}
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -3,6 +3,14 @@
 
 #include "place/place.h"
 
+/* Milliseconds that an engine takes for a token, and more for each request
+   that runs; from the users' sheet.  */
+#define MS_STEP_MS 3.41
+#define MS_STEP_MS_PER_RUNNING 0.097
+
+/* Part of an endpoint's slots that is filled at most.  */
+#define MS_SLOTS_PART 0.85
+
 #define MS_MAX_OUT_ZONES 16
 #define MS_MAX_ROUTERS 1024
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -43,9 +43,7 @@
   ms_time paced_at;    /* Last measured; 0 if never.  */
   double limit;        /* Requests that it may run at once; 0 until known.  */
   double error_rate;   /* Of answers, as an exponential mean.  */
-  ms_time last_failure;
-  ms_time waiting_seen; /* When it last told that requests wait there.  */
-  void *attachment;     /* The data plane's.  */
+  void *attachment;    /* The data plane's.  */
 };
 
 /* What is known of a request when it is to be placed.  */
@@ -60,7 +58,6 @@
   ms_time time_left; /* Until it has to be complete.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried;
-  bool alone; /* Only on an endpoint on which nothing else runs.  */
 };
 
 enum ms_place_result
@@ -125,11 +122,6 @@
 /* The list has no endpoint ID any more.  */
 void ms_place_remove (struct ms_place *place, uint64_t id);
 
-/* Mark all as not listed before a whole list is read, and drop after it those
-   that were not in it.  */
-void ms_place_list_begins (struct ms_place *place);
-void ms_place_list_ends (struct ms_place *place);
-
 /* Zones that get no new work.  */
 void ms_place_evacuate (struct ms_place *place, uint64_t zone, bool out,
                         ms_time now);
@@ -191,10 +183,6 @@
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      enum ms_place_end end, ms_time now);
 
-/* The endpoint tells in an answer what it runs.  */
-void ms_place_reported (struct ms_endpoint_state *endpoint, unsigned running,
-                        unsigned waiting, ms_time now);
-
 /* Endpoint ID, or NULL.  */
 /* What this router has at ENDPOINT, to tell the others.  */
 struct ms_load ms_place_load (const struct ms_endpoint_state *endpoint,
