--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -155,6 +155,7 @@
     || get "http://$(engine_address 1)/cancelled?id=$1" | grep -q 1
 }
 
+known () { request "$1" /any/x; is "$status" 200; }
 is () { [ "$1" = "$2" ]; }
 body_has () { grep -q -- "$1" "$DIR/body"; }
 head_has () { grep -qi -- "$1" "$DIR/head"; }
@@ -239,6 +240,17 @@
 request 1 /once/crash -X POST -d x
 is "$status" 502 && is "$(runs $id)" 1
 verdict "a non-idempotent request whose endpoint breaks off runs once" $?
+request 1 /any/crash -X POST -d poison
+is "$(runs $id)" 2
+verdict "an idempotent one is tried on a second endpoint, no third" $?
+quarantined ()
+{
+  request 2 /any/crash -X POST -d poison
+  is "$status" 503 && is "$(runs $id)" 0
+}
+await 5 quarantined
+verdict "what ended two endpoints is run by no gateway again" $?
+await 5 known 1
 request 1 /any/flaky
 is "$status" 200 || is "$status" 500
 verdict "an idempotent request that failed is tried again" $?
@@ -313,7 +325,6 @@
 is "$status" 401
 verdict "an older configuration changes nothing" $?
 config 3 '"k1"'
-known () { request "$1" /any/x; is "$status" 200; }
 await 5 known 1 && await 5 known 2
 
 put keyed.servers alien 'no entry'
