--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -11,7 +11,7 @@
 #define AGAIN_MS 0.075
 
 /* The second home is taken when the first is that much slower.  */
-#define SECOND_HOME_MS 60.0
+#define SECOND_HOME_MS 150.0
 
 /* Time to the first token, with shared parts kept on few endpoints.  */
 static double
