--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -8,7 +8,7 @@
 #define ERROR_MS 2000.0
 #define OTHER_ZONE_MS 3.0
 #define RUNNING_MS 0.5
-#define AGAIN_MS 0.075
+#define AGAIN_MS 0.2
 
 /* The second home is taken when the first is that much slower.  */
 #define SECOND_HOME_MS 150.0
