Bound what is kept of an answer that is not passed on

Cause: an unsigned or refused answer was kept whole, however long (found in reading; 64 MiB took as much memory). The check in tests/gateway.sh failed first.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -113,13 +113,15 @@
 void
 ms_request_body (struct ms_request *r, const char *data, size_t length)
 {
+  bool useless = !r->proper || r->not_run;
+
+  /* What is not passed on need not be kept beyond the bound.  */
+  if (useless && r->held_length + length > MAX_HELD_BYTES)
+    return;
   hold (r, data, length);
   if (r->streams)
-    {
-      forward_events (r);
-      return;
-    }
-  if (r->held_length <= MAX_HELD_BYTES || !r->proper || r->not_run)
+    forward_events (r);
+  if (r->held_length <= MAX_HELD_BYTES || useless)
     return;
   note_begin (r);
   begin_answer (r);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -262,6 +262,10 @@
 request 1 /any/unsigned
 is "$status" 502
 verdict "a success without signature is none" $?
+request 1 /once/endless
+peak=$(grep VmHWM "/proc/$(pid_of gateway1)/status" | tr -dc 0-9)
+is "$status" 502 && { [ "$BUILD" != build ] || [ "$peak" -lt 65536 ]; }
+verdict "an answer that nobody wants takes no memory" $?
 request 1 /any/short
 is "$status" 502
 verdict "half an answer is none" $?
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -8,6 +8,7 @@
                                                     its third event, unless it
                                                     is resumed
    /slow       answers after MS         /flaky      500, the first time
+   /endless    64 MiB without signature
 
    ?n=N and ?ms=MS set the figures.  GET /runs?id=ID tells how often the
    attempt ID was run, GET /cancelled?id=ID how often its connection was found
@@ -151,6 +152,18 @@
   return 1;
 }
 
+/* Many bytes that are signed by nobody.  */
+static void
+send_endless (struct mg_connection *connection)
+{
+  static const char block[65536];
+
+  send_head (connection, 200, "Content-Length: 67108864\r\n\r\n");
+  for (int i = 0; i < 1024; i++)
+    if (mg_write (connection, block, sizeof block) <= 0)
+      return;
+}
+
 /* The answer of a request that runs well: what came with it.  */
 static void
 send_echo (struct mg_connection *connection, const char *body, size_t length)
@@ -218,7 +231,9 @@
     }
   if (strstr (path, "/slow"))
     pause_ms (figure (connection, "ms", 1000));
-  if (strstr (path, "/unsigned"))
+  if (strstr (path, "/endless"))
+    send_endless (connection);
+  else if (strstr (path, "/unsigned"))
     send_head (connection, 200, "Content-Length: 2\r\n\r\nno");
   else if (strstr (path, "/unframed"))
     {
