--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -430,13 +430,20 @@
   static const struct argp argp
       = { options, parse_option, NULL, doc, NULL, NULL, NULL };
   struct arguments arguments = { .settings = getenv (SETTINGS_VARIABLE) };
-  struct ms_gateway *gw = ms_new (sizeof *gw);
+  struct ms_gateway_settings *settings;
+  /* Static: it lasts, and can be reached, until the process has ended.  */
+  static struct ms_gateway *gw;
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  if (ms_gateway_settings_load (arguments.settings, &gw->settings) != MS_OK)
+  if (ms_gateway_settings_load (arguments.settings, &settings) != MS_OK)
     fail_start ("settings");
   if (arguments.check)
-    return EXIT_SUCCESS;
+    {
+      ms_gateway_settings_destroy (settings);
+      return EXIT_SUCCESS;
+    }
+  gw = ms_new (sizeof *gw);
+  gw->settings = settings;
   signal (SIGPIPE, SIG_IGN);
   start (gw);
   uv_run (&gw->loop, UV_RUN_DEFAULT);
