Try few of those that wait in a turn; look through connections every 100 ms

Change: a queue of those that wait, by the operator's priority and age, with a bound on tries that find no room; idle connections are swept every 100 ms. The priority of teams counts now.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -186,26 +186,32 @@
     send_request (r);
 }
 
-/* Place the request, let it wait, or refuse it.  */
-void
+bool
 ms_request_dispatch (struct ms_request *r)
 {
   struct ms_offer offer;
 
   if (!check_send (r, r->gw->now))
-    return;
+    return true;
   fill_offer (r, &offer);
   ms_place_choose (r->gw->place, &offer, r->gw->now, &r->choice);
   if (r->choice.result == MS_PLACED)
     {
-      r->waiting = false;
       attempt (r, &offer);
-      return;
+      return true;
     }
-  r->waiting = true;
-  if (r->gw->now >= r->wait_until)
-    ms_request_give_up (r, r->choice.result == MS_PLACE_FULL ? "full"
-                                                             : "no_endpoint");
+  if (r->gw->now < r->waiter.until)
+    ms_waiting_add (r->gw->waiting, &r->waiter);
+  else
+    ms_request_find_no_room (r);
+  return false;
+}
+
+void
+ms_request_find_no_room (struct ms_request *r)
+{
+  ms_request_give_up (r, r->choice.result == MS_PLACE_FULL ? "full"
+                                                           : "no_endpoint");
 }
 
 /* Try again after an attempt that failed, or give the final answer.  SENT_ON
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
 };
 
 struct ms_request;
+struct ms_waiting;
 struct ms_caller;
 struct ms_peers;
 
@@ -60,12 +61,14 @@
   struct ms_peers *peers;
 
   struct ms_request *requests;  /* In progress, oldest first.  */
+  struct ms_waiting *waiting;   /* Those for which there is no room.  */
   struct ms_request *beginning; /* Being begun; NULL if it has ended.  */
   unsigned requests_count;
   struct ms_caller *callers;
   size_t body_bytes; /* Held for requests in progress.  */
   ms_time now;       /* Of this turn of the loop.  */
   ms_time last_tick;
+  ms_time swept_at;      /* Connections were looked through.  */
   ms_time terminated_at; /* SIGTERM came; 0 if not.  */
   unsigned turned_away;  /* Callers since the last turn, for want of room.  */
   bool late;    /* The loop's turns come late: callers may have left.  */
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_INTERNAL_H
 #define GATEWAY_INTERNAL_H
 
+#include "admit/waiting.h"
 #include "gateway/gateway.h"
 #include "gateway/upstream.h"
 #include "wire/events.h"
@@ -29,11 +30,10 @@
   ms_time aim;
   ms_time deadline;   /* The caller's.  */
   ms_time timeout_at; /* The operators'.  */
-  ms_time wait_until; /* Without room by then it is refused.  */
   ms_time first_sent_at;
   ms_time first_at; /* First byte of the answer; 0 if none yet.  */
 
-  bool waiting;
+  struct ms_waiter waiter;
   unsigned attempts; /* Sent to an endpoint.  */
   bool may_have_run;
   struct ms_endpoint_state *tried[MS_MAX_TRIED];
@@ -77,8 +77,12 @@
 /* Until the caller or the operators want it ended.  */
 ms_time ms_request_time_left (const struct ms_request *request, ms_time now);
 
-/* Place the request, let it wait, or refuse it.  */
-void ms_request_dispatch (struct ms_request *request);
+/* Place the request, let it wait, or refuse it.  Returns whether there was
+   room for it.  */
+bool ms_request_dispatch (struct ms_request *request);
+
+/* There was no room for the request until it may wait no longer.  */
+void ms_request_find_no_room (struct ms_request *request);
 
 /* Try again after an attempt that failed, or give the final answer.  COUNTS
    tells whether a further attempt is a retry.  */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -43,6 +43,10 @@
 /* A turn of the loop this late means that the process stood still.  */
 #define STOOD_STILL (700 * MS_MSEC)
 
+/* Connections, of which there are thousands, are looked through so often for
+   those whose time is over.  */
+#define SWEEP_PERIOD (100 * MS_MSEC)
+
 /* The mean rate of requests.  */
 #define TALLY_PERIOD (250 * MS_MSEC)
 #define TALLY_WEIGHT 0.25
@@ -293,9 +297,13 @@
   ms_place_tick (gw->place, now);
   ms_share_tick (gw->share, now);
   ms_requests_tick (gw, now);
-  ms_upstreams_tick (gw, now);
-  ms_callers_tick (gw, now);
-  ms_guard_tick (gw->guard, now);
+  if (now - gw->swept_at >= SWEEP_PERIOD)
+    {
+      gw->swept_at = now;
+      ms_upstreams_tick (gw, now);
+      ms_callers_tick (gw, now);
+      ms_guard_tick (gw->guard, now);
+    }
   count_requests (gw);
   if (may_end (gw))
     {
@@ -385,6 +393,7 @@
       &place, ms_place_policy (s->placement ? s->placement : "prefix"));
   gw->guard = ms_guard_create ();
   gw->share = ms_share_create ();
+  gw->waiting = ms_requests_waiting ();
   gw->budget = ms_budget_create (&budget);
   gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
                                gw->caller_address.sin_addr, gw->incarnation);
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -83,6 +83,7 @@
 {
   struct ms_gateway *gw = r->gw;
 
+  ms_waiting_remove (gw->waiting, &r->waiter);
   ms_request_end_attempt (r, MS_END_CANCELLED);
   for (unsigned i = 0; i < r->tried_count; i++)
     ms_place_release (gw->place, r->tried[i]);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -144,7 +144,13 @@
   r->fingerprint = fingerprint_of (r);
   r->aim = route->aim ? route->aim : DEFAULT_AIM;
   wait = (ms_time)(WAIT_PART * (double)r->aim);
-  r->wait_until = r->arrived + (wait < LONGEST_WAIT ? wait : LONGEST_WAIT);
+  r->waiter = (struct ms_waiter){
+    .owner = r,
+    .service = r->service,
+    .priority
+    = entry && entry->has_priority ? entry->priority : route->priority,
+    .until = r->arrived + (wait < LONGEST_WAIT ? wait : LONGEST_WAIT),
+  };
   DL_APPEND (gw->requests, r);
   gw->requests_count++;
   return r;
@@ -234,21 +240,20 @@
   ms_caller_abort (caller);
 }
 
-/* Whether R is over time; answers it then.  */
-static bool
+/* Answer R if it is over time.  */
+static void
 check_time (struct ms_request *r, ms_time now)
 {
   ms_time margin = r->sent ? ENDPOINT_SAYS_SO : 0;
 
   if (ms_request_time_left (r, now) > -margin)
-    return false;
+    return;
   if (r->head_sent)
     ms_request_break_off (r, "timeout");
   else if (r->sent || r->may_have_run)
     ms_request_refuse (r, HTTP_STATUS_GATEWAY_TIMEOUT, "timeout");
   else
     ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "timeout");
-  return true;
 }
 
 void
@@ -256,9 +261,27 @@
 {
   struct ms_request *r, *next;
 
-  DL_FOREACH_SAFE (gw->requests, r, next)
-  {
-    if (!check_time (r, now) && r->waiting)
-      ms_request_dispatch (r);
-  }
+  DL_FOREACH_SAFE (gw->requests, r, next) { check_time (r, now); }
+  ms_waiting_turn (gw->waiting, now);
+}
+
+static bool
+try_waiting (void *owner)
+{
+  return ms_request_dispatch (owner);
+}
+
+static void
+give_up_waiting (void *owner)
+{
+  ms_request_find_no_room (owner);
+}
+
+struct ms_waiting *
+ms_requests_waiting (void)
+{
+  static const struct ms_waiting_calls calls
+      = { .try = try_waiting, .give_up = give_up_waiting };
+
+  return ms_waiting_create (&calls);
 }
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_REQUEST_H
 #define GATEWAY_REQUEST_H
 
+#include "admit/waiting.h"
 #include "gateway/gateway.h"
 #include "gateway/upstream.h"
 
@@ -33,6 +34,9 @@
 /* The answer is whole; the request has to release the connection.  */
 void ms_request_end (struct ms_request *request);
 
+/* The queue of requests for which there is no room.  */
+struct ms_waiting *ms_requests_waiting (void);
+
 /* End what ran out of time, and place what waits.  */
 void ms_requests_tick (struct ms_gateway *gw, ms_time now);
 
