--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include "admit/budget.h"
+#include "admit/pressure.h"
 #include "admit/share.h"
 #include "base/clock.h"
 #include "base/random.h"
@@ -38,6 +39,8 @@
   uv_signal_t terminate;
   uv_signal_t hang_up;
   uv_tcp_t caller_listener;
+  bool listening; /* For callers; else the listener is closed...  */
+  bool closing;   /* ...or about to be.  */
   uv_tcp_t ready_listener;
   uv_tcp_t directory_listener;
   uv_tcp_t control_listener;
@@ -57,6 +60,7 @@
   struct ms_guard *guard;
   struct ms_budget *budget;
   struct ms_share *share;
+  struct ms_pressure *pressure;
   struct ms_fleet *fleet;
   struct ms_peers *peers;
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -275,6 +275,57 @@
   gw->crowded = ms_fleet_crowded (gw->fleet, gw->now);
 }
 
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct ms_gateway *gw = handle->data;
+
+  gw->closing = false;
+}
+
+/* Open the callers' port; a failure is logged and tried again.  */
+static void
+listen_to_callers (struct ms_gateway *gw)
+{
+  gw->caller_listener.data = gw;
+  gw->listening
+      = ms_socket_listen (&gw->loop, &gw->caller_listener, &gw->caller_address,
+                          BACKLOG, ms_callers_accept)
+        == MS_OK;
+  if (gw->listening)
+    return;
+  ms_event (gw->now, "listen_failed", "error=\"%s\"", ms_last_message ());
+  gw->closing = true;
+  uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
+}
+
+/* Close the callers' port while the loop is pressed too hard, so that callers
+   try another router at once; open it again after.  */
+static void
+mind_pressure (struct ms_gateway *gw)
+{
+  bool high = ms_pressure_high (gw->pressure);
+  bool shut;
+
+  ms_pressure_turn (gw->pressure, gw->now, MS_TICK_MS * MS_MSEC,
+                    (ms_time)(uv_metrics_idle_time (&gw->loop) / 1000));
+  shut = ms_pressure_shut (gw->pressure);
+  if (ms_pressure_high (gw->pressure) != high)
+    ms_event (gw->now, "pressure", "high=%d busy=%.2f requests=%u sockets=%u",
+              !high, ms_pressure_busy (gw->pressure), gw->requests_count,
+              ms_socket_open_count ());
+  if (shut && gw->listening)
+    {
+      ms_event (gw->now, "shut", "requests=%u sockets=%u", gw->requests_count,
+                ms_socket_open_count ());
+      gw->listening = false;
+      gw->closing = true;
+      uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
+    }
+  else if (!shut && !gw->listening && !gw->closing)
+    listen_to_callers (gw);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -290,6 +341,7 @@
     }
   gw->late = now - gw->last_tick > LATE;
   gw->last_tick = now;
+  mind_pressure (gw);
   direct = gw->relay_fails || ms_fleet_reads_store (gw->fleet, now);
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
@@ -393,6 +445,7 @@
       &place, ms_place_policy (s->placement ? s->placement : "prefix"));
   gw->guard = ms_guard_create ();
   gw->share = ms_share_create ();
+  gw->pressure = ms_pressure_create ();
   gw->waiting = ms_requests_waiting ();
   gw->budget = ms_budget_create (&budget);
   gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
@@ -411,7 +464,8 @@
   gw->incarnation = wall_clock_us ();
   gw->random.state = gw->id ^ gw->incarnation;
   ms_address_parse (s->caller_address, &gw->caller_address);
-  if (uv_loop_init (&gw->loop))
+  if (uv_loop_init (&gw->loop)
+      || uv_loop_configure (&gw->loop, UV_METRICS_IDLE_TIME))
     fail_start ("event loop");
   create_decisions (gw);
   follow_store (gw);
@@ -419,7 +473,9 @@
     fail_start ("peers");
   watch_signal (gw, &gw->terminate, SIGTERM, on_terminate);
   watch_signal (gw, &gw->hang_up, SIGHUP, on_hang_up);
-  listen_at (gw, &gw->caller_listener, s->caller_address, ms_callers_accept);
+  listen_to_callers (gw);
+  if (!gw->listening)
+    fail_start ("listen");
   listen_at (gw, &gw->ready_listener, s->ready_address, ms_pages_accept);
   listen_at (gw, &gw->directory_listener, s->directory_address,
              ms_pages_accept);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -104,9 +104,10 @@
                      ? (unsigned)gw->settings->directory_ttl_s
                      : DIRECTORY_TTL_S;
   struct ms_str zone = parameter (target, "zone");
-  unsigned count
-      = ms_fleet_addresses (gw->fleet, ms_id (zone), ms_gateway_ready (gw),
-                            gw->now, ips, MAX_ADDRESSES);
+  unsigned count = ms_fleet_addresses (gw->fleet, ms_id (zone),
+                                       ms_gateway_ready (gw)
+                                           && !ms_pressure_high (gw->pressure),
+                                       gw->now, ips, MAX_ADDRESSES);
 
   for (unsigned i = 0; i < count; i++)
     {
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -238,7 +238,7 @@
   unsigned count = ms_fleet_targets (gw->fleet, now, targets, MAX_TARGETS);
 
   ms_fleet_describe (gw->fleet, &digest, members);
-  digest.ready = ms_gateway_ready (gw);
+  digest.ready = ms_gateway_ready (gw) && !ms_pressure_high (gw->pressure);
   digest.leaving = gw->terminated_at != 0;
   list.now = now;
   list.count = 0;
