Leave the last room at an endpoint to routers below their part of the work

Change: shares tell a router's part of the work; one that has more than its part uses nine tenths of each limit. Capacity rises at most a tenth beyond what is served, and falls faster.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -11,7 +11,7 @@
    too, or capacity goes on falling after there is room.  */
 #define ASKED_TIME (0.6 * MS_SEC)
 #define REFUSED_TIME (0.4 * MS_SEC)
-#define SERVED_TIME (0.4 * MS_SEC)
+#define SERVED_TIME (0.6 * MS_SEC)
 
 #define CAPACITY_PERIOD (200 * MS_MSEC)
 
@@ -23,9 +23,9 @@
 
 /* Capacity falls by so much at a time at most, and rises by so much while
    nothing is scarce, up to this many times what is served.  */
-#define MOST_FALL 0.25
-#define RISES 1.08
-#define MOST_ABOVE_SERVED 1.25
+#define MOST_FALL .25
+#define RISES 1.06
+#define MOST_ABOVE_SERVED 1.1
 
 /* A team may save up so much time of its share.  */
 #define CREDIT_S 0.3
@@ -348,3 +348,24 @@
 {
   return share->level;
 }
+
+double
+ms_share_part (struct ms_share *share, ms_time now)
+{
+  double most = share->level > 0 ? share->level : HUGE_VAL;
+  double here = 0;
+  double sum = 0;
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    double own = value (&t->asked, now);
+    double all = own + t->others_asked;
+    double given = fmin (all, most);
+
+    sum += given;
+    if (all > 0)
+      here += given * own / all;
+  }
+  return sum > 0 ? here / sum : 1;
+}
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -52,6 +52,10 @@
 unsigned ms_share_report (struct ms_share *share, ms_time now,
                           struct ms_asked *asked, unsigned space);
 
+/* This router's part of what all routers may give their teams, by what is
+   asked up to the level; 1 while nothing is asked.  */
+double ms_share_part (struct ms_share *share, ms_time now);
+
 /* Cost a second that a team is given at most; 0 while nothing is scarce.  */
 double ms_share_level (const struct ms_share *share);
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -346,8 +346,9 @@
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
   ms_peers_tick (gw->peers, now);
-  ms_place_tick (gw->place, now);
   ms_share_tick (gw->share, now);
+  ms_place_part (gw->place, ms_share_part (gw->share, now));
+  ms_place_tick (gw->place, now);
   ms_requests_tick (gw, now);
   if (now - gw->swept_at >= SWEEP_PERIOD)
     {
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -13,6 +13,10 @@
 /* A plain endpoint queues a few requests beyond its slots.  */
 #define PLAIN_QUEUE_PART 0.34
 
+/* Of an endpoint's limit, what routers may use that have more than their part
+   of the work.  */
+#define UNRESERVED_PART 0.9
+
 /* An endpoint reads more than a little of shared parts again only while it
    runs less than this part of its limit.  */
 #define LITTLE_AGAIN 256
@@ -136,7 +140,7 @@
 
 /* Whether E has room for the request at all.  */
 static bool
-has_room (const struct ms_endpoint_state *e,
+has_room (const struct ms_place *place, const struct ms_endpoint_state *e,
           const struct ms_endpoint_kind *kind, const struct ms_offer *offer)
 {
   unsigned running = e->own.running + e->others.running;
@@ -148,7 +152,8 @@
     return running < slots * (1 + PLAIN_QUEUE_PART);
   if (running >= slots * MS_SLOTS_PART)
     return false;
-  if (e->limit > 0 && running >= e->limit)
+  if (e->limit > 0
+      && running >= e->limit * (place->above_part ? UNRESERVED_PART : 1))
     return false;
   return !kind->memory_tokens || running == 0
          || (double)memory < MEMORY_PART * (double)kind->memory_tokens;
@@ -204,7 +209,7 @@
       fit (place, e, kind, offer, &homes, now, &f);
       if (f.expected < soonest)
         soonest = f.expected;
-      if (!has_room (e, kind, offer) || f.expected > offer->aim_left
+      if (!has_room (place, e, kind, offer) || f.expected > offer->aim_left
           || (f.again > LITTLE_AGAIN && !has_spare (e, kind)))
         continue;
       score = place->policy->score (place, e, &f);
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -46,6 +46,7 @@
   unsigned out_count;
   uint64_t routers[MS_MAX_ROUTERS];
   unsigned routers_count;
+  bool above_part;    /* This router has more than its part of the work.  */
   ms_time woke_until; /* Every endpoint counts as cold.  */
   struct ms_prefix_memory *prefix;
 };
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -10,6 +10,9 @@
 #define COLD_MARGIN (500 * MS_MSEC)
 #define WOKE_FOR (1 * MS_SEC)
 
+/* A router has more than its part of the work beyond this band.  */
+#define PART_BAND 0.05
+
 struct ms_place *
 ms_place_create (const struct ms_place_options *options,
                  const struct ms_place_policy *policy)
@@ -217,6 +220,21 @@
     }
 }
 
+void
+ms_place_part (struct ms_place *place, double part)
+{
+  double own = 0;
+  double all = 0;
+
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      own += place->endpoints[i]->own.memory;
+      all += place->endpoints[i]->own.memory
+             + place->endpoints[i]->others.memory;
+    }
+  place->above_part = own > part * all * (1 + PART_BAND);
+}
+
 void
 ms_place_woke (struct ms_place *place, ms_time now)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -135,6 +135,11 @@
 void ms_place_add_others (struct ms_place *place, uint64_t id,
                           const struct ms_load *load);
 
+/* This router's part of the work that endpoints are given, 0 to 1.  While it
+   has more than that it leaves the last room at each endpoint to the others:
+   they learn later than it does that a request of its own has ended.  */
+void ms_place_part (struct ms_place *place, double part);
+
 /* Until NOW this router may have missed what happened.  */
 void ms_place_woke (struct ms_place *place, ms_time now);
 
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "admit/share.h"
@@ -261,6 +262,24 @@
     ms_share_destroy (fleet.shares[i]);
 }
 
+/* A router's part of the work is that of its callers, where what a hot team
+   asks beyond the level does not count.  */
+static void
+test_part_follows_what_may_be_given (void **state)
+{
+  struct ms_share *share = ms_share_create ();
+  const struct ms_asked elsewhere = { 2, 300000, 0, 300000 };
+
+  (void)state;
+  assert_true (ms_share_part (share, MS_SEC) == 1);
+  ms_share_add_others (share, &elsewhere);
+  for (ms_time now = TICK; now < 5 * MS_SEC; now += TICK)
+    ms_share_arrive (share, 1, 2000, now);
+  /* 100000 a second here.  */
+  assert_true (fabs (ms_share_part (share, 5 * MS_SEC) - 0.25) < 0.02);
+  ms_share_destroy (share);
+}
+
 int
 main (void)
 {
@@ -269,6 +288,7 @@
     cmocka_unit_test (test_sizes_are_refused_alike),
     cmocka_unit_test (test_nothing_is_refused_while_there_is_room),
     cmocka_unit_test (test_shares_hold_over_routers),
+    cmocka_unit_test (test_part_follows_what_may_be_given),
     cmocka_unit_test (test_second_hot_team_gets_no_more_than_the_first),
   };
 
