Shares by what ends and how full endpoints are; limits agreed on by all routers

Ruled out: the level alone; it was the same at all routers. Change: digests tell limits, and each router draws its own to the mean. Shares give out what ends at endpoints, more or less of it as less or more than 0.82 of their limits is used, and nothing is limited below 0.6; what finds no room gives its share back. Limits keep the pace at 0.7 of the slowest that does, so that room is left for prompts whose parts are kept.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -7,25 +7,26 @@
 #include "base/alloc.h"
 
 /* Rates are means over about so long.  What is asked has to be seen soon, or
-   a team gets far more than its share before it is held to it; what is refused
-   too, or capacity goes on falling after there is room.  */
-#define ASKED_TIME (0.6 * MS_SEC)
+   a team gets far more than its share before it is held to it.  */
+#define RATE_TIME (0.6 * MS_SEC)
 #define REFUSED_TIME (0.4 * MS_SEC)
-#define SERVED_TIME (0.6 * MS_SEC)
 
-#define CAPACITY_PERIOD (200 * MS_MSEC)
+#define LEVEL_PERIOD (100 * MS_MSEC)
 
-/* Room is scarce while more than this part of what teams below the level ask
-   is refused.  Capacity is what is served then, less a part of that.  */
+/* Teams are given what they ask while less than the first part of the room is
+   used.  Beyond that they are given what ends, and the more above it the more
+   the use is below the target.  */
+#define FREE_USE 0.6
+#define TARGET_USE 0.82
+#define GAIN 3.0
+#define LEAST_FACTOR 0.5
+
+/* While more than this part is refused of what teams below the level ask, room
+   is scarce, however much seems to be left.  */
 #define REFUSED_PART 0.04
-#define LITTLE_REFUSED 0.01
-#define FALL_FACTOR 0.4
 
-/* Capacity falls by so much at a time at most, and rises by so much while
-   nothing is scarce, up to this many times what is served.  */
-#define MOST_FALL .25
-#define RISES 1.06
-#define MOST_ABOVE_SERVED 1.1
+/* Requests seldom run for longer than so; what runs ends at least so fast.  */
+#define LONGEST_RUN_S 6.0
 
 /* A team may save up so much time of its share.  */
 #define CREDIT_S 0.3
@@ -45,10 +46,10 @@
   uint64_t id;
   struct rate asked;
   struct rate refused;
-  struct rate served;
+  struct rate ended;
   double others_asked;
   double others_refused;
-  double others_served;
+  double others_ended;
   double credit; /* Cost that may still be admitted.  */
   ms_time credit_at;
   UT_hash_handle hh;
@@ -57,7 +58,6 @@
 struct ms_share
 {
   struct team *teams;
-  double capacity; /* Cost a second that is served; 0 before it was scarce.  */
   double level;
   ms_time moved_at;
 };
@@ -116,9 +116,9 @@
     return t;
   t = ms_new (sizeof *t);
   t->id = id;
-  t->asked.time = ASKED_TIME;
+  t->asked.time = RATE_TIME;
   t->refused.time = REFUSED_TIME;
-  t->served.time = SERVED_TIME;
+  t->ended.time = RATE_TIME;
   HASH_ADD (hh, share->teams, id, sizeof t->id, t);
   return t;
 }
@@ -160,14 +160,18 @@
 ms_share_refused (struct ms_share *share, uint64_t team, double cost,
                   ms_time now)
 {
-  add (&obtain (share, team)->refused, cost, now);
+  struct team *t = obtain (share, team);
+
+  add (&t->refused, cost, now);
+  /* It has not used up any of the share.  */
+  t->credit += cost;
 }
 
 void
-ms_share_served (struct ms_share *share, uint64_t team, double cost,
-                 ms_time now)
+ms_share_ended (struct ms_share *share, uint64_t team, double cost,
+                ms_time now)
 {
-  add (&obtain (share, team)->served, cost, now);
+  add (&obtain (share, team)->ended, cost, now);
 }
 
 void
@@ -179,7 +183,7 @@
   {
     t->others_asked = 0;
     t->others_refused = 0;
-    t->others_served = 0;
+    t->others_ended = 0;
   }
 }
 
@@ -190,22 +194,21 @@
 
   t->others_asked += asked->asked;
   t->others_refused += asked->refused;
-  t->others_served += asked->served;
+  t->others_ended += asked->ended;
 }
 
 /* What teams ask for and get in all.  */
 struct want
 {
   double refused_part; /* Of what teams ask that ask no more than the level. */
-  double asked;
-  double served;
+  double ended;
 };
 
 static struct want
 look (struct ms_share *share, ms_time now)
 {
   double most = share->level > 0 ? share->level : HUGE_VAL;
-  struct want want = { 0, 0, 0 };
+  struct want want = { 0, 0 };
   double weights = 0;
   struct team *t, *next;
 
@@ -215,8 +218,7 @@
     double refused = value (&t->refused, now) + t->others_refused;
     double weight = sqrt (asked);
 
-    want.asked += asked;
-    want.served += value (&t->served, now) + t->others_served;
+    want.ended += value (&t->ended, now) + t->others_ended;
     if (asked > most || asked <= 0)
       continue;
     /* By the root, lest a team that asks for much hide the others.  */
@@ -260,23 +262,18 @@
   return level;
 }
 
-/* Move the capacity on.  */
-static void
-follow_capacity (struct ms_share *share, const struct want *want)
+/* What may be given a second.  */
+static double
+capacity_of (const struct want *want, const struct ms_share_room *room)
 {
-  double found;
+  double use = room->use;
+  double ends = fmax (want->ended, room->held / LONGEST_RUN_S);
 
   if (want->refused_part > REFUSED_PART)
-    {
-      found = want->served * (1 - FALL_FACTOR * want->refused_part);
-      if (share->capacity > 0)
-        found = fmax (found, share->capacity * (1 - MOST_FALL));
-      if (share->capacity <= 0 || found < share->capacity)
-        share->capacity = found;
-    }
-  else if (want->refused_part < LITTLE_REFUSED && share->capacity > 0
-           && share->capacity < MOST_ABOVE_SERVED * want->served)
-    share->capacity *= RISES;
+    use = fmax (use, TARGET_USE + want->refused_part);
+  if (use < FREE_USE)
+    return HUGE_VAL;
+  return ends * fmax (LEAST_FACTOR, 1 + GAIN * (TARGET_USE - use));
 }
 
 static void
@@ -295,18 +292,17 @@
 }
 
 void
-ms_share_tick (struct ms_share *share, ms_time now)
+ms_share_tick (struct ms_share *share, const struct ms_share_room *room,
+               ms_time now)
 {
   struct want want;
 
-  if (now - share->moved_at < CAPACITY_PERIOD)
+  if (now - share->moved_at < LEVEL_PERIOD)
     return;
   share->moved_at = now;
   forget (share, now);
   want = look (share, now);
-  follow_capacity (share, &want);
-  share->level
-      = share->capacity > 0 ? level_for (share, share->capacity, now) : 0;
+  share->level = level_for (share, capacity_of (&want, room), now);
 }
 
 static int
@@ -332,7 +328,7 @@
 
     if (rate >= 1)
       all[count++] = (struct ms_asked){ t->id, rate, value (&t->refused, now),
-                                        value (&t->served, now) };
+                                        value (&t->ended, now) };
   }
   qsort (all, count, sizeof *all, by_asked);
   if (count > space)
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -7,11 +7,12 @@
 #include "base/clock.h"
 
 /* Max-min shares of teams while there is less room than is asked for, over all
-   routers together.  While teams below the level are refused, the level goes
-   down; while they are not, it goes up.  What a team asks beyond the level is
-   refused at once, in proportion at all routers.  Answers the load of a team
-   that asks for many times its usual: room that its requests would hold stays
-   for the others, whichever router those come to.  */
+   routers together.  Where endpoints fill up, all teams together are given
+   about what ends there, so that some room is left; teams that ask for more
+   than a level get the same, the others what they ask.  What a team asks
+   beyond the level is refused at once, in proportion at all routers.  Answers
+   the load of teams that ask for many times their usual: room that their
+   requests would hold stays for the others, whichever router those come to. */
 
 struct ms_share;
 
@@ -21,7 +22,7 @@
   uint64_t team;
   double asked;
   double refused; /* Of it, for want of room.  */
-  double served;  /* Of it, by endpoints.  */
+  double ended;   /* Answered by endpoints.  */
 };
 
 struct ms_share *ms_share_create (void);
@@ -36,17 +37,25 @@
 void ms_share_refused (struct ms_share *share, uint64_t team, double cost,
                        ms_time now);
 
-/* A request found room.  */
-void ms_share_served (struct ms_share *share, uint64_t team, double cost,
-                      ms_time now);
+/* A request was answered by an endpoint.  */
+void ms_share_ended (struct ms_share *share, uint64_t team, double cost,
+                     ms_time now);
 
 /* Replace what the other routers ask for.  */
 void ms_share_clear_others (struct ms_share *share);
 void ms_share_add_others (struct ms_share *share,
                           const struct ms_asked *asked);
 
+/* The room at endpoints.  */
+struct ms_share_room
+{
+  double use;  /* Part of it that is used.  */
+  double held; /* Cost of what runs.  */
+};
+
 /* Move the level.  Call several times a second.  */
-void ms_share_tick (struct ms_share *share, ms_time now);
+void ms_share_tick (struct ms_share *share, const struct ms_share_room *room,
+                    ms_time now);
 
 /* What is asked here, the most first; returns the number, at most SPACE.  */
 unsigned ms_share_report (struct ms_share *share, ms_time now,
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -25,6 +25,7 @@
 	u_int prefill;
 	u_int memory;
 	u_int pace;
+	u_int limit;
 };
 typedef struct digest_load digest_load;
 
@@ -46,7 +47,7 @@
 	u_quad_t team;
 	u_int asked;
 	u_int refused;
-	u_int served;
+	u_int ended;
 };
 typedef struct digest_team digest_team;
 
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -15,6 +15,7 @@
   unsigned int prefill;
   unsigned int memory;
   unsigned int pace; /* Microseconds a token takes; 0 if not known.  */
+  unsigned int limit; /* Requests that may run there; 0 if not known.  */
 };
 
 /* A router the sender knows of.  */
@@ -34,13 +35,13 @@
 };
 
 /* What a team's callers asked of the sender lately, what of it was refused for
-   want of room and what went to endpoints, in tokens a second.  */
+   want of room and what endpoints answered, in tokens a second.  */
 struct digest_team
 {
   unsigned hyper team;
   unsigned int asked;
   unsigned int refused;
-  unsigned int served;
+  unsigned int ended;
 };
 
 /* The routers of a zone together, by one of them.  */
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -14,7 +14,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -24,17 +24,20 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->running);
 			IXDR_PUT_U_LONG(buf, objp->prefill);
 			IXDR_PUT_U_LONG(buf, objp->memory);
 			IXDR_PUT_U_LONG(buf, objp->pace);
+			IXDR_PUT_U_LONG(buf, objp->limit);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -44,11 +47,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
 		} else {
 			objp->running = IXDR_GET_U_LONG(buf);
 			objp->prefill = IXDR_GET_U_LONG(buf);
 			objp->memory = IXDR_GET_U_LONG(buf);
 			objp->pace = IXDR_GET_U_LONG(buf);
+			objp->limit = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -63,6 +69,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pace))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -105,7 +113,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->refused))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->served))
+	 if (!xdr_u_int (xdrs, &objp->ended))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -178,6 +178,16 @@
   digest->zones.zones_len = count;
 }
 
+/* The mean of two figures by requests; 0 is a figure that is not known.  */
+static unsigned
+mean (unsigned a, unsigned a_running, unsigned b, unsigned b_running)
+{
+  if (!a || !b || a_running + b_running == 0)
+    return a ? a : b;
+  return (unsigned)(((uint64_t)a * a_running + (uint64_t)b * b_running)
+                    / (a_running + b_running));
+}
+
 static void
 add_load (digest_zone *zone, const digest_load *load)
 {
@@ -191,14 +201,11 @@
     return;
   if (i == zone->loads.loads_len)
     sums[zone->loads.loads_len++]
-        = (digest_load){ load->endpoint, 0, 0, 0, 0 };
-  /* The pace is a mean by requests.  */
-  if (load->pace && sums[i].running + load->running)
-    sums[i].pace = sums[i].pace
-                       ? (unsigned)(((uint64_t)sums[i].pace * sums[i].running
-                                     + (uint64_t)load->pace * load->running)
-                                    / (sums[i].running + load->running))
-                       : load->pace;
+        = (digest_load){ .endpoint = load->endpoint };
+  sums[i].pace
+      = mean (sums[i].pace, sums[i].running, load->pace, load->running);
+  sums[i].limit
+      = mean (sums[i].limit, sums[i].running, load->limit, load->running);
   sums[i].running += load->running;
   sums[i].prefill += load->prefill;
   sums[i].memory += load->memory;
@@ -219,7 +226,7 @@
     sums[zone->teams.teams_len++] = (digest_team){ .team = team->team };
   sums[i].asked += team->asked;
   sums[i].refused += team->refused;
-  sums[i].served += team->served;
+  sums[i].ended += team->ended;
 }
 
 void
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -145,11 +145,7 @@
   r->sent = true;
   r->sent_at = now;
   if (!r->first_sent_at)
-    {
-      r->first_sent_at = now;
-      if (r->cost > 0)
-        ms_share_served (r->gw->share, r->team, r->cost, now);
-    }
+    r->first_sent_at = now;
   r->attempts++;
   ms_metric_attempt ();
   r->last_endpoint = r->endpoint->entry.id;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -326,6 +326,17 @@
     listen_to_callers (gw);
 }
 
+/* Let shares follow the room at endpoints, and placing the shares.  */
+static void
+share_room (struct ms_gateway *gw, ms_time now)
+{
+  const struct ms_place_use use = ms_place_use (gw->place, now);
+  const struct ms_share_room room = { use.part, use.tokens };
+
+  ms_share_tick (gw->share, &room, now);
+  ms_place_part (gw->place, ms_share_part (gw->share, now));
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -346,8 +357,7 @@
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
   ms_peers_tick (gw->peers, now);
-  ms_share_tick (gw->share, now);
-  ms_place_part (gw->place, ms_share_part (gw->share, now));
+  share_room (gw, now);
   ms_place_tick (gw->place, now);
   ms_requests_tick (gw, now);
   if (now - gw->swept_at >= SWEEP_PERIOD)
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -29,7 +29,11 @@
 static void
 count_end (const struct ms_request *r, unsigned status, const char *outcome)
 {
-  ms_metric_result (result_of (r, status, outcome));
+  enum ms_result_metric result = result_of (r, status, outcome);
+
+  ms_metric_result (result);
+  if (result == MS_RESULT_ANSWERED && r->cost > 0)
+    ms_share_ended (r->gw->share, r->team, r->cost, r->gw->now);
   if (r->first_sent_at)
     ms_metric_latency (MS_LATENCY_WAIT, r->first_sent_at - r->arrived);
   if (r->first_at)
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -73,15 +73,16 @@
 {
   for (unsigned i = 0; i < loads_count; i++)
     {
-      const struct ms_load load = { loads[i].running, loads[i].prefill,
-                                    loads[i].memory, loads[i].pace };
+      const struct ms_load load
+          = { loads[i].running, loads[i].prefill, loads[i].memory,
+              loads[i].pace, loads[i].limit };
 
       ms_place_add_others (gw->place, loads[i].endpoint, &load);
     }
   for (unsigned i = 0; i < teams_count; i++)
     {
       const struct ms_asked asked = { teams[i].team, teams[i].asked,
-                                      teams[i].refused, teams[i].served };
+                                      teams[i].refused, teams[i].ended };
 
       ms_share_add_others (gw->share, &asked);
     }
@@ -155,8 +156,8 @@
 
   if (load.running && list->count < DIGEST_LOADS)
     list->loads[list->count++]
-        = (digest_load){ e->id, load.running, load.prefill, load.memory,
-                         load.pace };
+        = (digest_load){ e->id,       load.running, load.prefill,
+                         load.memory, load.pace,    load.limit };
 }
 
 static unsigned
@@ -168,7 +169,7 @@
   for (unsigned i = 0; i < count; i++)
     teams[i] = (digest_team){ asked[i].team, (unsigned)asked[i].asked,
                               (unsigned)asked[i].refused,
-                              (unsigned)asked[i].served };
+                              (unsigned)asked[i].ended };
   return count;
 }
 
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -226,3 +226,29 @@
   if (soonest != MS_NEVER && soonest > offer->aim_left)
     choice->room_in = soonest - offer->aim_left;
 }
+
+struct ms_place_use
+ms_place_use (const struct ms_place *place, ms_time now)
+{
+  struct ms_place_use use = { 0, 0 };
+  double most = 0;
+
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      const struct ms_endpoint_state *e = place->endpoints[i];
+      const struct ms_endpoint_kind *kind
+          = place->routes ? ms_routes_service (place->routes, e->entry.service)
+                          : NULL;
+
+      if (!kind || !kind->model || !is_open (place, e, now))
+        continue;
+      most += e->limit > 0
+                  ? e->limit
+                  : MS_SLOTS_PART
+                        * (kind->slots ? kind->slots : e->entry.slots);
+      use.part += e->own.running + e->others.running;
+      use.tokens += (double)e->own.memory + e->others.memory;
+    }
+  use.part = most > 0 ? use.part / most : 0;
+  return use;
+}
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -10,13 +10,15 @@
 
 /* Limits of requests at once: the first, as a part of the slots, and how they
    move while the pace is off the needed one by more than the band.  */
-#define FIRST_LIMIT_PART 0.5
-#define LEAST_LIMIT_PART 0.3
+#define FIRST_LIMIT_PART 0.35
+#define LEAST_LIMIT_PART 0.22
+#define NEED_PART 0.7
 #define PACE_BAND 0.1
 #define LIMIT_SHRINKS 0.95
 #define LIMIT_GROWS 1.5
 #define LIMIT_USED_PART 0.8
 #define LIMIT_PERIOD (200 * MS_MSEC)
+#define AGREE_WEIGHT 0.2
 
 /* Weights of the newest sample in exponential means, and a bound.  */
 #define ERROR_WEIGHT 0.1
@@ -30,6 +32,7 @@
 
   if (e->paced_at && now - e->paced_at < PACE_KNOWN_FOR)
     load.pace = (uint32_t)e->pace;
+  load.limit = (uint32_t)e->limit;
   return load;
 }
 
@@ -51,6 +54,21 @@
   return (MS_STEP_MS + MS_STEP_MS_PER_RUNNING * running) * MS_MSEC;
 }
 
+/* Draw the limit of E to the others': with limits of their own, those with the
+   lowest would find no room.  */
+static void
+agree_on_limit (struct ms_endpoint_state *e)
+{
+  double told
+      = e->others_limited > 0 ? e->others_limit / e->others_limited : 0;
+
+  if (told <= 0)
+    return;
+  if (e->limit <= 0)
+    e->limit = told;
+  e->limit += AGREE_WEIGHT * (told - e->limit);
+}
+
 /* Move the limit of E towards what keeps its pace at NEED.  */
 static void
 move_limit (struct ms_endpoint_state *e, const struct ms_endpoint_kind *kind,
@@ -58,7 +76,7 @@
 {
   double running = e->own.running + e->others.running;
   double slots = kind->slots ? kind->slots : e->entry.slots;
-  double pace = pace_of (e, now);
+  double pace = pace_of (e, now) / NEED_PART;
 
   if (e->limit <= 0)
     e->limit = FIRST_LIMIT_PART * slots;
@@ -86,7 +104,10 @@
           = ms_routes_service (place->routes, e->entry.service);
       double need = ms_need_pace (place, e->entry.service);
 
-      if (kind && kind->model && need > 0)
+      if (!kind || !kind->model)
+        continue;
+      agree_on_limit (e);
+      if (need > 0)
         move_limit (e, kind, need, now);
     }
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -199,6 +199,8 @@
       place->endpoints[i]->others = (struct ms_load){ 0 };
       place->endpoints[i]->others_pace = 0;
       place->endpoints[i]->others_paced = 0;
+      place->endpoints[i]->others_limit = 0;
+      place->endpoints[i]->others_limited = 0;
     }
 }
 
@@ -218,6 +220,11 @@
       e->others_pace += (double)load->pace * load->running;
       e->others_paced += load->running;
     }
+  if (load->limit)
+    {
+      e->others_limit += (double)load->limit * load->running;
+      e->others_limited += load->running;
+    }
 }
 
 void
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -19,6 +19,7 @@
   uint32_t memory;  /* Prompt and expected output tokens.  */
   uint32_t pace;    /* Microseconds that a generated token takes there; 0 if
                        not known.  */
+  uint32_t limit;   /* Requests that may run there at once; 0 if not known.  */
 };
 
 struct ms_endpoint_state
@@ -41,9 +42,11 @@
   double others_pace;  /* By the streams of others, weighted by...  */
   double others_paced; /* ...how many those run.  */
   ms_time paced_at;    /* Last measured; 0 if never.  */
-  double limit;        /* Requests that it may run at once; 0 until known.  */
-  double error_rate;   /* Of answers, as an exponential mean.  */
-  void *attachment;    /* The data plane's.  */
+  double others_limit; /* The limits of others, weighted likewise.  */
+  double others_limited;
+  double limit;      /* Requests that it may run at once; 0 until known.  */
+  double error_rate; /* Of answers, as an exponential mean.  */
+  void *attachment;  /* The data plane's.  */
 };
 
 /* What is known of a request when it is to be placed.  */
@@ -135,6 +138,15 @@
 void ms_place_add_others (struct ms_place *place, uint64_t id,
                           const struct ms_load *load);
 
+/* How much of the room at model endpoints is used, by all routers.  */
+struct ms_place_use
+{
+  double part;   /* Of the requests that may run at once; 0 to 1 or a little
+                    more.  */
+  double tokens; /* Of the requests that run: prompts and expected output.  */
+};
+struct ms_place_use ms_place_use (const struct ms_place *place, ms_time now);
+
 /* This router's part of the work that endpoints are given, 0 to 1.  While it
    has more than that it leaves the last room at each endpoint to the others:
    they learn later than it does that a request of its own has ended.  */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -28,7 +28,8 @@
 hear (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
       unsigned sequence, uint64_t zone, bool ready, ms_time now)
 {
-  digest_load load = { 7, 3, 1000, 2000, 0 };
+  digest_load load
+      = { .endpoint = 7, .running = 3, .prefill = 1000, .memory = 2000 };
   struct fleet_digest sent = { 0 };
   struct fleet_digest received;
   char data[1024];
@@ -173,7 +174,11 @@
 tell (struct network *net, unsigned i, ms_time now)
 {
   struct ms_fleet *fleet = net->fleets[i];
-  digest_load load = { 7, 1, 10, 20, 0 };
+  digest_load load = { .endpoint = 7,
+                       .running = 1,
+                       .prefill = 10,
+                       .memory = 20,
+                       .limit = 40 + i % 3 };
   digest_member members[DIGEST_MEMBERS];
   digest_zone zones[DIGEST_ZONES];
   struct ms_zone_sums sums;
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -211,9 +212,6 @@
   memset (fleet.placed, 0, sizeof fleet.placed);
   memset (fleet.refused, 0, sizeof fleet.refused);
   play (&fleet, 20 * MS_SEC, 30 * MS_SEC, four);
-  for (unsigned i = 0; i < ROUTERS; i++)
-    print_message ("%u placed %u refused %u\n", i, fleet.placed[i],
-                   fleet.refused[i]);
   for (unsigned i = 1; i < ROUTERS; i++)
     others += refused_part (&fleet, i) / (ROUTERS - 1);
   assert_true (refused_part (&fleet, 0) < others + 0.15);
@@ -221,11 +219,45 @@
     ms_place_destroy (fleet.places[i]);
 }
 
+/* Routers with few requests have the limits of those with many: on their own
+   they would have none until they had seen enough requests.  */
+static void
+test_routers_agree_on_limits (void **state)
+{
+  static const unsigned calls[] = { 8, 0, 0, 0 };
+  static struct fleet fleet;
+
+  (void)state;
+  create_fleet (&fleet);
+  for (ms_time now = 0; now < 10 * MS_SEC; now += 500 * MS_MSEC)
+    {
+      play (&fleet, now, now + 500 * MS_MSEC, calls);
+      for (unsigned i = 1; i < ROUTERS; i++)
+        call (&fleet, i, now + 500 * MS_MSEC);
+    }
+  for (unsigned i = 0; i < ENDPOINTS; i++)
+    {
+      char name[8];
+      int length = snprintf (name, sizeof name, "e%u", i);
+      uint64_t id = ms_id ((struct ms_str){ name, (size_t)length });
+      double limit = ms_place_find (fleet.places[0], id)->limit;
+
+      assert_true (limit > 0);
+      for (unsigned j = 1; j < ROUTERS; j++)
+        assert_true (
+            fabs (ms_place_find (fleet.places[j], id)->limit / limit - 1)
+            < 0.2);
+    }
+  for (unsigned i = 0; i < ROUTERS; i++)
+    ms_place_destroy (fleet.places[i]);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_full_endpoints_are_shared_by_routers),
+    cmocka_unit_test (test_routers_agree_on_limits),
   };
 
   return RUN (tests);
