Settings are read again at SIGHUP; figures out of bounds are refused

SIGHUP was only logged. Now the file is read and checked, and put in force if nothing in it takes a restart; else the old settings stay and the log names the field. What a configuration does not know is believed for 0.95 of config_apply_ms instead of a constant. Settings that no decision used, and ms_offer.time_left, are gone. main.c is split: beliefs, the callers' port, settings in force.

--- a/src/admit/budget.c
+++ b/src/admit/budget.c
@@ -39,6 +39,13 @@
   return budget;
 }
 
+void
+ms_budget_set_options (struct ms_budget *budget,
+                       const struct ms_budget_options *options)
+{
+  budget->options = *options;
+}
+
 void
 ms_budget_destroy (struct ms_budget *budget)
 {
--- a/src/admit/budget.h
+++ b/src/admit/budget.h
@@ -23,6 +23,10 @@
 struct ms_budget *ms_budget_create (const struct ms_budget_options *options);
 void ms_budget_destroy (struct ms_budget *budget);
 
+/* Go on with OPTIONS.  */
+void ms_budget_set_options (struct ms_budget *budget,
+                            const struct ms_budget_options *options);
+
 /* Routers that share the fixed number.  */
 void ms_budget_routers (struct ms_budget *budget, unsigned routers);
 
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -41,7 +41,6 @@
   offer->service = r->service;
   offer->prompt_tokens = r->prompt.tokens;
   offer->output_tokens = r->prompt.output;
-  offer->time_left = ms_request_time_left (r, r->gw->now);
   offer->parts_count = r->prompt.parts_count;
   offer->parts = r->prompt.parts;
   offer->aim_left = left > LEAST_AIM ? left : LEAST_AIM;
--- /dev/null
+++ b/src/gateway/beliefs.c
@@ -0,0 +1,162 @@
+#include "base/event.h"
+#include "gateway/gateway.h"
+
+#define OPERATOR_WAIT_MS 600
+#define OPERATOR_PAUSE (50 * MS_MSEC)
+#define ENDPOINT_WAIT_MS 600
+#define ENDPOINT_PAUSE (400 * MS_MSEC)
+
+/* The store's list may lack live endpoints for so long after an outage.  */
+#define ENDPOINT_MISSING (1500 * MS_MSEC)
+
+/* What a revocation's bound is cut by, for a request to begin.  */
+#define REVOCATION_MARGIN (400 * MS_MSEC)
+
+/* A configuration read within this part of the time in which a change has to
+   be in force is taken for the newest when it says that a route or key does
+   not exist.  */
+#define CONFIG_RECENT_PART 0.95
+
+bool
+ms_gateway_keys_fresh (struct ms_gateway *gw, ms_time now)
+{
+  ms_time bound = (ms_time)(gw->settings->revocation_ms * MS_MSEC);
+
+  if (!gw->settings->strict_revocation)
+    return true;
+  return now - ms_topic_read_at (gw->operator_topic)
+         < bound - REVOCATION_MARGIN;
+}
+
+bool
+ms_gateway_config_recent (struct ms_gateway *gw, ms_time now)
+{
+  ms_time bound = (ms_time)(gw->settings->config_apply_ms * MS_MSEC
+                            * CONFIG_RECENT_PART);
+
+  return now - ms_topic_read_at (gw->operator_topic) < bound;
+}
+
+bool
+ms_gateway_ready (struct ms_gateway *gw)
+{
+  return gw->routes && !gw->terminated_at && ms_place_count (gw->place)
+         && ms_gateway_keys_fresh (gw, gw->now);
+}
+
+static void
+take_config (struct ms_gateway *gw, struct ms_str text)
+{
+  struct ms_routes *routes;
+  struct ms_routes *old = gw->routes;
+
+  if (plat_decode_routes (text, &routes) != MS_OK)
+    {
+      ms_event (gw->now, "configuration_refused", "error=\"%s\"",
+                ms_last_message ());
+      return;
+    }
+  if (old && routes->version < old->version)
+    {
+      ms_event (gw->now, "configuration_older", "version=%llu in_force=%llu",
+                (unsigned long long)routes->version,
+                (unsigned long long)old->version);
+      ms_routes_destroy (routes);
+      return;
+    }
+  gw->routes = routes;
+  ms_place_configure (gw->place, routes);
+  ms_routes_destroy (old);
+  ms_event (gw->now, "configuration", "version=%llu routes=%u teams=%u",
+            (unsigned long long)routes->version, routes->routes_count,
+            routes->teams_count);
+}
+
+static void
+operator_changed (void *context, struct ms_str key, struct ms_str value,
+                  bool removed)
+{
+  struct ms_gateway *gw = context;
+  struct ms_str zone;
+
+  switch (plat_operator_key (key, &zone))
+    {
+    case PLAT_OPERATOR_CONFIG:
+      if (!removed)
+        take_config (gw, value);
+      break;
+    case PLAT_OPERATOR_EVACUATION:
+      ms_place_evacuate (gw->place, ms_id (zone), !removed, gw->now);
+      ms_event (gw->now, "zone", "zone=%.*s in_service=%d", (int)zone.length,
+                zone.data, removed);
+      break;
+    case PLAT_OPERATOR_OTHER:
+      break;
+    }
+}
+
+static void
+endpoint_changed (void *context, struct ms_str key, struct ms_str value,
+                  bool removed)
+{
+  struct ms_gateway *gw = context;
+  struct ms_endpoint_entry entry;
+  const struct ms_endpoint_state *known
+      = ms_place_find (gw->place, ms_id (key));
+
+  if (removed)
+    {
+      ms_event (gw->now, "endpoint_gone", "endpoint=%.*s", (int)key.length,
+                key.data);
+      ms_place_remove (gw->place, ms_id (key));
+      return;
+    }
+  if (plat_decode_endpoint (key, value, &entry) != MS_OK)
+    {
+      ms_event (gw->now, "endpoint_skipped", "error=\"%s\"",
+                ms_last_message ());
+      ms_place_remove (gw->place, ms_id (key));
+      return;
+    }
+  if (!known || known->entry.leaving != entry.leaving
+      || known->entry.born != entry.born)
+    ms_event (gw->now, "endpoint", "endpoint=%s leaving=%d cold_ms=%lld",
+              entry.id.data, entry.leaving,
+              (long long)(entry.cold_for / MS_MSEC));
+  ms_place_put (gw->place, &entry, gw->now);
+}
+
+static void
+nothing_more (void *context)
+{
+  (void)context;
+}
+
+void
+ms_gateway_follow_store (struct ms_gateway *gw)
+{
+  struct ms_topic_options operator_options = {
+    .name = PLAT_TOPIC_OPERATOR,
+    .wait_ms = OPERATOR_WAIT_MS,
+    .pause = OPERATOR_PAUSE,
+    .changed = operator_changed,
+    .current = nothing_more,
+    .context = gw,
+  };
+  struct ms_topic_options endpoint_options = {
+    .name = PLAT_TOPIC_ENDPOINTS,
+    .wait_ms = ENDPOINT_WAIT_MS,
+    .pause = ENDPOINT_PAUSE,
+    .missing_for = ENDPOINT_MISSING,
+    .changed = endpoint_changed,
+    .current = nothing_more,
+    .context = gw,
+  };
+
+  ms_address_parse (gw->settings->store_address, &operator_options.store);
+  endpoint_options.store = operator_options.store;
+  gw->operator_topic
+      = ms_topic_create (&gw->loop, &gw->clock, &operator_options);
+  gw->endpoint_topic
+      = ms_topic_create (&gw->loop, &gw->clock, &endpoint_options);
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,7 @@
   struct ms_clock clock;
   struct ms_random random;
   struct ms_gateway_settings *settings;
+  const char *settings_path;
   struct sockaddr_in caller_address;
   uint64_t id;
   uint64_t incarnation;
@@ -87,6 +88,26 @@
 /* The time, read anew.  */
 ms_time ms_gateway_time (struct ms_gateway *gw);
 
+/* Connections that wait to be accepted.  */
+#define MS_BACKLOG 1024
+
+/* Make the decisions by the settings.  */
+void ms_gateway_create_decisions (struct ms_gateway *gw);
+
+/* Read the settings again and go on with them; the old ones stay if they are
+   wrong or take a restart.  */
+void ms_gateway_reload (struct ms_gateway *gw);
+
+/* Follow the operators' configuration and the list of endpoints.  */
+void ms_gateway_follow_store (struct ms_gateway *gw);
+
+/* Open the callers' port; a failure is logged and tried again.  */
+void ms_gateway_listen (struct ms_gateway *gw);
+
+/* Close the callers' port while the loop is pressed too hard, so that callers
+   try another router at once; open it again after.  */
+void ms_gateway_mind_pressure (struct ms_gateway *gw);
+
 /* Whether callers should come here.  */
 bool ms_gateway_ready (struct ms_gateway *gw);
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -21,22 +21,6 @@
 /* Environment variable with the path of the settings.  */
 #define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
 
-#define BACKLOG 1024
-#define OPERATOR_WAIT_MS 600
-#define OPERATOR_PAUSE (50 * MS_MSEC)
-#define ENDPOINT_WAIT_MS 600
-#define ENDPOINT_PAUSE (400 * MS_MSEC)
-
-/* The store's list may lack live endpoints for so long after an outage.  */
-#define ENDPOINT_MISSING (1500 * MS_MSEC)
-
-/* What a revocation's bound is cut by, for a request to begin.  */
-#define REVOCATION_MARGIN (400 * MS_MSEC)
-
-/* A configuration read within this time is taken for the newest when it says
-   that a route or key does not exist.  */
-#define CONFIG_RECENT (1900 * MS_MSEC)
-
 /* A turn of the loop this late means that what is read may be old.  */
 #define LATE (100 * MS_MSEC)
 
@@ -101,147 +85,6 @@
   return gw->now;
 }
 
-bool
-ms_gateway_keys_fresh (struct ms_gateway *gw, ms_time now)
-{
-  ms_time bound = (ms_time)(gw->settings->revocation_ms * MS_MSEC);
-
-  if (!gw->settings->strict_revocation)
-    return true;
-  return now - ms_topic_read_at (gw->operator_topic)
-         < bound - REVOCATION_MARGIN;
-}
-
-bool
-ms_gateway_config_recent (struct ms_gateway *gw, ms_time now)
-{
-  return now - ms_topic_read_at (gw->operator_topic) < CONFIG_RECENT;
-}
-
-bool
-ms_gateway_ready (struct ms_gateway *gw)
-{
-  return gw->routes && !gw->terminated_at && ms_place_count (gw->place)
-         && ms_gateway_keys_fresh (gw, gw->now);
-}
-
-static void
-take_config (struct ms_gateway *gw, struct ms_str text)
-{
-  struct ms_routes *routes;
-  struct ms_routes *old = gw->routes;
-
-  if (plat_decode_routes (text, &routes) != MS_OK)
-    {
-      ms_event (gw->now, "configuration_refused", "error=\"%s\"",
-                ms_last_message ());
-      return;
-    }
-  if (old && routes->version < old->version)
-    {
-      ms_event (gw->now, "configuration_older", "version=%llu in_force=%llu",
-                (unsigned long long)routes->version,
-                (unsigned long long)old->version);
-      ms_routes_destroy (routes);
-      return;
-    }
-  gw->routes = routes;
-  ms_place_configure (gw->place, routes);
-  ms_routes_destroy (old);
-  ms_event (gw->now, "configuration", "version=%llu routes=%u teams=%u",
-            (unsigned long long)routes->version, routes->routes_count,
-            routes->teams_count);
-}
-
-static void
-operator_changed (void *context, struct ms_str key, struct ms_str value,
-                  bool removed)
-{
-  struct ms_gateway *gw = context;
-  struct ms_str zone;
-
-  switch (plat_operator_key (key, &zone))
-    {
-    case PLAT_OPERATOR_CONFIG:
-      if (!removed)
-        take_config (gw, value);
-      break;
-    case PLAT_OPERATOR_EVACUATION:
-      ms_place_evacuate (gw->place, ms_id (zone), !removed, gw->now);
-      ms_event (gw->now, "zone", "zone=%.*s in_service=%d", (int)zone.length,
-                zone.data, removed);
-      break;
-    case PLAT_OPERATOR_OTHER:
-      break;
-    }
-}
-
-static void
-endpoint_changed (void *context, struct ms_str key, struct ms_str value,
-                  bool removed)
-{
-  struct ms_gateway *gw = context;
-  struct ms_endpoint_entry entry;
-  const struct ms_endpoint_state *known
-      = ms_place_find (gw->place, ms_id (key));
-
-  if (removed)
-    {
-      ms_event (gw->now, "endpoint_gone", "endpoint=%.*s", (int)key.length,
-                key.data);
-      ms_place_remove (gw->place, ms_id (key));
-      return;
-    }
-  if (plat_decode_endpoint (key, value, &entry) != MS_OK)
-    {
-      ms_event (gw->now, "endpoint_skipped", "error=\"%s\"",
-                ms_last_message ());
-      ms_place_remove (gw->place, ms_id (key));
-      return;
-    }
-  if (!known || known->entry.leaving != entry.leaving
-      || known->entry.born != entry.born)
-    ms_event (gw->now, "endpoint", "endpoint=%s leaving=%d cold_ms=%lld",
-              entry.id.data, entry.leaving,
-              (long long)(entry.cold_for / MS_MSEC));
-  ms_place_put (gw->place, &entry, gw->now);
-}
-
-static void
-nothing_more (void *context)
-{
-  (void)context;
-}
-
-static void
-follow_store (struct ms_gateway *gw)
-{
-  struct ms_topic_options operator_options = {
-    .name = PLAT_TOPIC_OPERATOR,
-    .wait_ms = OPERATOR_WAIT_MS,
-    .pause = OPERATOR_PAUSE,
-    .changed = operator_changed,
-    .current = nothing_more,
-    .context = gw,
-  };
-  struct ms_topic_options endpoint_options = {
-    .name = PLAT_TOPIC_ENDPOINTS,
-    .wait_ms = ENDPOINT_WAIT_MS,
-    .pause = ENDPOINT_PAUSE,
-    .missing_for = ENDPOINT_MISSING,
-    .changed = endpoint_changed,
-    .current = nothing_more,
-    .context = gw,
-  };
-
-  ms_address_parse (gw->settings->store_address, &operator_options.store);
-  endpoint_options.store = operator_options.store;
-  gw->operator_topic
-      = ms_topic_create (&gw->loop, &gw->clock, &operator_options);
-  gw->endpoint_topic
-      = ms_topic_create (&gw->loop, &gw->clock, &endpoint_options);
-}
-
 /* Whether the process may end after SIGTERM.  */
 static bool
 may_end (struct ms_gateway *gw)
@@ -275,57 +118,6 @@
   gw->crowded = ms_fleet_crowded (gw->fleet, gw->now);
 }
 
-static void
-on_listener_closed (uv_handle_t *handle)
-{
-  struct ms_gateway *gw = handle->data;
-
-  gw->closing = false;
-}
-
-/* Open the callers' port; a failure is logged and tried again.  */
-static void
-listen_to_callers (struct ms_gateway *gw)
-{
-  gw->caller_listener.data = gw;
-  gw->listening
-      = ms_socket_listen (&gw->loop, &gw->caller_listener, &gw->caller_address,
-                          BACKLOG, ms_callers_accept)
-        == MS_OK;
-  if (gw->listening)
-    return;
-  ms_event (gw->now, "listen_failed", "error=\"%s\"", ms_last_message ());
-  gw->closing = true;
-  uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
-}
-
-/* Close the callers' port while the loop is pressed too hard, so that callers
-   try another router at once; open it again after.  */
-static void
-mind_pressure (struct ms_gateway *gw)
-{
-  bool high = ms_pressure_high (gw->pressure);
-  bool shut;
-
-  ms_pressure_turn (gw->pressure, gw->now, MS_TICK_MS * MS_MSEC,
-                    (ms_time)(uv_metrics_idle_time (&gw->loop) / 1000));
-  shut = ms_pressure_shut (gw->pressure);
-  if (ms_pressure_high (gw->pressure) != high)
-    ms_event (gw->now, "pressure", "high=%d busy=%.2f requests=%u sockets=%u",
-              !high, ms_pressure_busy (gw->pressure), gw->requests_count,
-              ms_socket_open_count ());
-  if (shut && gw->listening)
-    {
-      ms_event (gw->now, "shut", "requests=%u sockets=%u", gw->requests_count,
-                ms_socket_open_count ());
-      gw->listening = false;
-      gw->closing = true;
-      uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
-    }
-  else if (!shut && !gw->listening && !gw->closing)
-    listen_to_callers (gw);
-}
-
 /* Let shares follow the room at endpoints, and placing the shares.  */
 static void
 share_room (struct ms_gateway *gw, ms_time now)
@@ -352,7 +144,7 @@
     }
   gw->late = now - gw->last_tick > LATE;
   gw->last_tick = now;
-  mind_pressure (gw);
+  ms_gateway_mind_pressure (gw);
   direct = gw->relay_fails || ms_fleet_reads_store (gw->fleet, now);
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
@@ -395,7 +187,8 @@
   struct ms_gateway *gw = handle->data;
 
   (void)number;
-  ms_event (gw->now, "reload", "settings are read at the next start");
+  ms_gateway_time (gw);
+  ms_gateway_reload (gw);
 }
 
 static void
@@ -413,7 +206,7 @@
 
   listener->data = gw;
   if (ms_address_parse (address, &parsed) != MS_OK
-      || ms_socket_listen (&gw->loop, listener, &parsed, BACKLOG, accept)
+      || ms_socket_listen (&gw->loop, listener, &parsed, MS_BACKLOG, accept)
              != MS_OK)
     fail_start ("listen");
 }
@@ -436,33 +229,6 @@
   return (uint64_t)now.tv_sec * MS_SEC + (uint64_t)now.tv_nsec / 1000;
 }
 
-static void
-create_decisions (struct ms_gateway *gw)
-{
-  const struct ms_gateway_settings *s = gw->settings;
-  const struct ms_place_options place = {
-    .self = gw->id,
-    .zone = gw->zone,
-    .cold_burst_factor = s->cold_burst_factor,
-    .cold_slack = s->cold_slack,
-  };
-  const struct ms_budget_options budget = {
-    .ratio = s->retry_budget_ratio,
-    .slack = s->retry_budget_slack,
-    .window = (ms_time)(s->retry_window_s * MS_SEC),
-  };
-
-  gw->place = ms_place_create (
-      &place, ms_place_policy (s->placement ? s->placement : "prefix"));
-  gw->guard = ms_guard_create ();
-  gw->share = ms_share_create ();
-  gw->pressure = ms_pressure_create ();
-  gw->waiting = ms_requests_waiting ();
-  gw->budget = ms_budget_create (&budget);
-  gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
-                               gw->caller_address.sin_addr, gw->incarnation);
-}
-
 static void
 start (struct ms_gateway *gw)
 {
@@ -478,13 +244,13 @@
   if (uv_loop_init (&gw->loop)
       || uv_loop_configure (&gw->loop, UV_METRICS_IDLE_TIME))
     fail_start ("event loop");
-  create_decisions (gw);
-  follow_store (gw);
+  ms_gateway_create_decisions (gw);
+  ms_gateway_follow_store (gw);
   if (ms_peers_create (gw, &gw->peers) != MS_OK)
     fail_start ("peers");
   watch_signal (gw, &gw->terminate, SIGTERM, on_terminate);
   watch_signal (gw, &gw->hang_up, SIGHUP, on_hang_up);
-  listen_to_callers (gw);
+  ms_gateway_listen (gw);
   if (!gw->listening)
     fail_start ("listen");
   listen_at (gw, &gw->ready_listener, s->ready_address, ms_pages_accept);
@@ -520,6 +286,7 @@
     }
   gw = ms_new (sizeof *gw);
   gw->settings = settings;
+  gw->settings_path = arguments.settings;
   signal (SIGPIPE, SIG_IGN);
   start (gw);
   uv_run (&gw->loop, UV_RUN_DEFAULT);
--- /dev/null
+++ b/src/gateway/reload.c
@@ -0,0 +1,70 @@
+#include "base/event.h"
+#include "gateway/gateway.h"
+#include "gateway/request.h"
+
+static struct ms_place_options
+place_options (const struct ms_gateway *gw)
+{
+  return (struct ms_place_options){
+    .self = gw->id,
+    .zone = gw->zone,
+    .cold_burst_factor = gw->settings->cold_burst_factor,
+    .cold_slack = gw->settings->cold_slack,
+  };
+}
+
+static struct ms_budget_options
+budget_options (const struct ms_gateway *gw)
+{
+  return (struct ms_budget_options){
+    .ratio = gw->settings->retry_budget_ratio,
+    .slack = gw->settings->retry_budget_slack,
+    .window = (ms_time)(gw->settings->retry_window_s * MS_SEC),
+  };
+}
+
+void
+ms_gateway_create_decisions (struct ms_gateway *gw)
+{
+  const struct ms_place_options place = place_options (gw);
+  const struct ms_budget_options budget = budget_options (gw);
+  const char *placement = gw->settings->placement;
+
+  gw->place = ms_place_create (
+      &place, ms_place_policy (placement ? placement : "prefix"));
+  gw->guard = ms_guard_create ();
+  gw->share = ms_share_create ();
+  gw->pressure = ms_pressure_create ();
+  gw->waiting = ms_requests_waiting ();
+  gw->budget = ms_budget_create (&budget);
+  gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
+                               gw->caller_address.sin_addr, gw->incarnation);
+}
+
+void
+ms_gateway_reload (struct ms_gateway *gw)
+{
+  struct ms_gateway_settings *old = gw->settings;
+  struct ms_gateway_settings *settings;
+  struct ms_place_options place;
+  struct ms_budget_options budget;
+
+  if (ms_gateway_settings_load (gw->settings_path, &settings) != MS_OK)
+    {
+      ms_event (gw->now, "reload_refused", "error=\"%s\"", ms_last_message ());
+      return;
+    }
+  if (ms_gateway_settings_may_follow (settings, old) != MS_OK)
+    {
+      ms_event (gw->now, "reload_refused", "error=\"%s\"", ms_last_message ());
+      ms_gateway_settings_destroy (settings);
+      return;
+    }
+  gw->settings = settings;
+  ms_gateway_settings_destroy (old);
+  place = place_options (gw);
+  budget = budget_options (gw);
+  ms_place_set_options (gw->place, &place);
+  ms_budget_set_options (gw->budget, &budget);
+  ms_event (gw->now, "reload", "settings=%s", gw->settings_path);
+}
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -1,6 +1,7 @@
 #include "gateway/settings.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/address.h"
 #include "base/file.h"
@@ -44,7 +45,6 @@
             "seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
             struct ms_gateway_settings, seeds, &seed, 0, MAX_SEEDS),
         NUMBER_FIELD (cpu_cores),
-        NUMBER_FIELD (drain_timeout_ms),
         NUMBER_FIELD (grace_period_s),
         NUMBER_FIELD (config_apply_ms),
         CYAML_FIELD_BOOL ("strict_revocation", CYAML_FLAG_DEFAULT,
@@ -55,9 +55,6 @@
         NUMBER_FIELD (retry_budget_slack),
         NUMBER_FIELD (cold_burst_factor),
         NUMBER_FIELD (cold_slack),
-        NUMBER_FIELD (evacuation_ms),
-        NUMBER_FIELD (pass_ms),
-        NUMBER_FIELD (quota_window_s),
         NUMBER_FIELD (directory_ttl_s),
         CYAML_FIELD_END };
 
@@ -76,6 +73,52 @@
                   ms_yaml_key_line (text, field), field, value);
 }
 
+struct range
+{
+  const char *field;
+  double value;
+  double least;
+  double most;
+};
+
+static enum ms_status
+check_range (struct ms_str text, const char *path, const struct range *r)
+{
+  if (r->value >= r->least && r->value <= r->most)
+    return MS_OK;
+  return ms_fail (MS_INVALID, "%s: line %u: %s: %g is not within %g and %g",
+                  path, ms_yaml_key_line (text, r->field), r->field, r->value,
+                  r->least, r->most);
+}
+
+/* Bounds beyond which a figure is a mistake.  */
+static enum ms_status
+check_numbers (const struct ms_gateway_settings *s, struct ms_str text,
+               const char *path)
+{
+  const struct range ranges[] = {
+    { "peer_port", s->peer_port, 1, UINT16_MAX },
+    { "memory_mb", s->memory_mb, 16, 1e6 },
+    { "file_descriptors", s->file_descriptors, 100, 1e7 },
+    { "cpu_cores", s->cpu_cores, 0.001, 1024 },
+    { "grace_period_s", s->grace_period_s, 0, 3600 },
+    { "config_apply_ms", s->config_apply_ms, 100, 1e6 },
+    { "revocation_ms", s->revocation_ms, 500, 1e6 },
+    { "retry_budget_ratio", s->retry_budget_ratio, 0, 10 },
+    { "retry_window_s", s->retry_window_s, 0.1, 3600 },
+    { "retry_budget_slack", s->retry_budget_slack, 0, 1e6 },
+    { "cold_burst_factor", s->cold_burst_factor, 0, 100 },
+    { "cold_slack", s->cold_slack, 0, 1e6 },
+    { "directory_ttl_s", s->directory_ttl_s, 0, 3600 },
+  };
+  enum ms_status status = MS_OK;
+
+  for (size_t i = 0; status == MS_OK && i < sizeof ranges / sizeof *ranges;
+       i++)
+    status = check_range (text, path, &ranges[i]);
+  return status;
+}
+
 static enum ms_status
 check (const struct ms_gateway_settings *s, struct ms_str text,
        const char *path)
@@ -98,9 +141,8 @@
     status = check_address (text, path, "metrics_address", s->metrics_address);
   for (unsigned i = 0; status == MS_OK && i < s->seeds_count; i++)
     status = check_address (text, path, "seeds", s->seeds[i]);
-  if (status == MS_OK && s->peer_port > UINT16_MAX)
-    return ms_fail (MS_INVALID, "%s: line %u: peer_port: above %d", path,
-                    ms_yaml_key_line (text, "peer_port"), UINT16_MAX);
+  if (status == MS_OK)
+    status = check_numbers (s, text, path);
   if (status == MS_OK && s->placement && !ms_place_policy (s->placement))
     return ms_fail (MS_INVALID, "%s: line %u: placement: \"%s\" is no policy",
                     path, ms_yaml_key_line (text, "placement"), s->placement);
@@ -133,6 +175,35 @@
   return status;
 }
 
+enum ms_status
+ms_gateway_settings_may_follow (const struct ms_gateway_settings *s,
+                                const struct ms_gateway_settings *old)
+{
+  const struct
+  {
+    const char *field;
+    const char *value;
+    const char *before;
+  } fixed[] = {
+    { "name", s->name, old->name },
+    { "availability_zone", s->availability_zone, old->availability_zone },
+    { "ip_address", s->ip_address, old->ip_address },
+    { "caller_address", s->caller_address, old->caller_address },
+    { "ready_address", s->ready_address, old->ready_address },
+    { "directory_address", s->directory_address, old->directory_address },
+    { "control_address", s->control_address, old->control_address },
+    { "store_address", s->store_address, old->store_address },
+  };
+
+  for (size_t i = 0; i < sizeof fixed / sizeof *fixed; i++)
+    if (strcmp (fixed[i].value, fixed[i].before) != 0)
+      return ms_fail (MS_INVALID, "%s: a change takes a restart",
+                      fixed[i].field);
+  if (s->peer_port != old->peer_port)
+    return ms_fail (MS_INVALID, "peer_port: a change takes a restart");
+  return MS_OK;
+}
+
 void
 ms_gateway_settings_destroy (struct ms_gateway_settings *settings)
 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -30,7 +30,6 @@
   char *log_level;  /* NULL: "info".  */
 
   /* What the operators promise and ask of the fleet.  */
-  double drain_timeout_ms;
   double grace_period_s;
   double config_apply_ms;
   bool strict_revocation;
@@ -40,15 +39,18 @@
   double retry_budget_slack;
   double cold_burst_factor;
   double cold_slack;
-  double evacuation_ms;
-  double pass_ms;
-  double quota_window_s;
   double directory_ttl_s;
 };
 
 /* Read and check the file at PATH; a failure names file, line and field.  */
 enum ms_status ms_gateway_settings_load (const char *path,
                                          struct ms_gateway_settings **result);
+
+/* Whether a gateway that runs with OLD can go on with SETTINGS; a failure
+   names the field that keeps it from that.  */
+enum ms_status
+ms_gateway_settings_may_follow (const struct ms_gateway_settings *settings,
+                                const struct ms_gateway_settings *old);
 void ms_gateway_settings_destroy (struct ms_gateway_settings *settings);
 
 #endif
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -25,7 +25,6 @@
 
 /* The pace that a service's requests need.  */
 struct ms_need;
-struct ms_need *ms_need_of (struct ms_place *place, uint64_t service);
 
 /* Microseconds that a token may take for nearly all requests to end in time;
    0 if nothing is known.  */
--- a/src/place/need.c
+++ b/src/place/need.c
@@ -30,8 +30,8 @@
   UT_hash_handle hh;
 };
 
-struct ms_need *
-ms_need_of (struct ms_place *place, uint64_t service)
+static struct ms_need *
+need_of (struct ms_place *place, uint64_t service)
 {
   struct ms_need *need;
 
@@ -88,7 +88,7 @@
 
   if (!output || time <= 0)
     return;
-  need = ms_need_of (place, service);
+  need = need_of (place, service);
   if (!need)
     {
       need = ms_new (sizeof *need);
@@ -106,7 +106,7 @@
 double
 ms_need_pace (struct ms_place *place, uint64_t service)
 {
-  const struct ms_need *need = ms_need_of (place, service);
+  const struct ms_need *need = need_of (place, service);
 
   return need ? need->pace : 0;
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -25,6 +25,13 @@
   return place;
 }
 
+void
+ms_place_set_options (struct ms_place *place,
+                      const struct ms_place_options *options)
+{
+  place->options = *options;
+}
+
 void
 ms_place_destroy (struct ms_place *place)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -57,8 +57,7 @@
   uint32_t output_tokens;
   unsigned parts_count;
   const struct ms_prompt_part *parts;
-  ms_time aim_left;  /* Until the answer should begin.  */
-  ms_time time_left; /* Until it has to be complete.  */
+  ms_time aim_left; /* Until the answer should begin.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried;
 };
@@ -113,6 +112,10 @@
                                   const struct ms_place_policy *policy);
 void ms_place_destroy (struct ms_place *place);
 
+/* Go on with OPTIONS.  */
+void ms_place_set_options (struct ms_place *place,
+                           const struct ms_place_options *options);
+
 /* Take over the services of ROUTES, which is borrowed until the next call.  */
 void ms_place_configure (struct ms_place *place,
                          const struct ms_routes *routes);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -99,7 +99,6 @@
 memory_mb: 200
 file_descriptors: 1000
 cpu_cores: 0.25
-drain_timeout_ms: 2000
 grace_period_s: 8
 config_apply_ms: 2000
 strict_revocation: true
@@ -109,9 +108,6 @@
 retry_budget_slack: 58
 cold_burst_factor: 1.5
 cold_slack: 5
-evacuation_ms: 5000
-pass_ms: 120
-quota_window_s: 4
 directory_ttl_s: 5
 END
   start "gateway$1" "$BUILD/monsoonspur-gateway" \
@@ -178,6 +174,13 @@
 is $? 1 && grep -q 'wrong.yaml: line 5: caller_address: "nowhere"' \
   "$DIR/message"
 verdict "wrong settings are told by file, line and field" $?
+sed 's/^retry_window_s: .*/retry_window_s: 0/' "$here/settings.yaml" \
+  >"$DIR/wrong.yaml"
+"$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
+  2>"$DIR/message"
+is $? 1 && grep -q 'wrong.yaml: line [0-9]*: retry_window_s: 0 is not within' \
+  "$DIR/message"
+verdict "so are figures out of bounds" $?
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store)/log-newest?topic=keyed.op&part=0" || exit 1
 gateway 1
@@ -316,6 +319,28 @@
 await 10 directory_lacks 3
 verdict "and no gateway that was killed" $?
 
+# set_field NUMBER FIELD VALUE: change a gateway's settings and tell it.
+set_field ()
+{
+  sed "s/^$2: .*/$2: $3/" "$DIR/gateway$1.yaml" >"$DIR/changed.yaml"
+  cp "$DIR/changed.yaml" "$DIR/gateway$1.yaml"
+  kill -HUP "$(pid_of gateway$1)"
+}
+logs () { grep -q "$2" "$DIR/gateway$1.log"; }
+ttl_is () { get "$(directory_at 1)" | grep -q "\"ttl_s\":$1[,}]"; }
+set_field 1 directory_ttl_s 1
+await 5 ttl_is 1
+verdict "SIGHUP puts changed settings in force" $?
+set_field 1 directory_ttl_s -3
+await 5 logs 1 'event=reload_refused error=.*directory_ttl_s: -3' \
+  && ttl_is 1 && known 1
+verdict "wrong ones change nothing and are told by field" $?
+set_field 1 directory_ttl_s 5
+set_field 1 peer_port 9
+await 5 logs 1 'event=reload_refused error="peer_port: a change takes a restart'
+verdict "nor do those that take a restart" $?
+set_field 1 peer_port $((BASE + 5))
+
 config 2 '"k2"' ",$(route added idempotent 2000 app 2 true false)"
 added () { request 1 /added/x; is "$status" 200; }
 await 5 added
