--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -9,7 +9,7 @@
 #include "base/alloc.h"
 #include "base/event.h"
 #include "gateway/metrics.h"
-#include "gateway/peers.h"
+#include "gateway/relay.h"
 #include "gateway/socket.h"
 
 #define HEAD_BYTES 8192
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -7,7 +7,8 @@
 
 #include "base/alloc.h"
 #include "base/event.h"
-#include "gateway/exchange.h"
+#include "gateway/members.h"
+#include "gateway/relay.h"
 
 #define DIGEST_BYTES 65000
 #define DIGEST_PERIOD (100 * MS_MSEC)
@@ -16,20 +17,6 @@
 #define MAX_ROUTERS 1024
 #define MAX_TARGETS 64
 
-/* A topic whose last read is older is asked of a peer; the first time where
-   reads of the store fail.  */
-#define RELAY_AFTER_FAILURE (300 * MS_MSEC)
-#define RELAY_AFTER (1500 * MS_MSEC)
-#define RELAY_PERIOD (350 * MS_MSEC)
-#define RELAY_TIMEOUT (400 * MS_MSEC)
-
-/* The store's list of members is read again so often: by those that read the
-   store, and by the others.  */
-#define MEMBERS_PERIOD (10 * MS_SEC)
-#define MEMBERS_PERIOD_RELAYED (60 * MS_SEC)
-#define MEMBERS_RETRY (500 * MS_MSEC)
-#define STORE_TIMEOUT (1500 * MS_MSEC)
-
 /* A death is told in digests for so long.  */
 #define DEATH_TOLD_FOR (3 * MS_SEC)
 
@@ -43,15 +30,9 @@
 {
   struct ms_gateway *gw;
   uv_udp_t udp;
-  struct ms_exchange *relay;
-  struct ms_exchange *members;
-  struct sockaddr_in store;
-  char path[256];
-  char record[512];
-  bool written;
+  struct ms_relay *relay;
+  struct ms_members *members;
   ms_time digest_at;
-  ms_time relay_at;
-  ms_time members_at;
   struct death deaths[DIGEST_DEATHS];
   unsigned next_death;
 };
@@ -275,181 +256,6 @@
   p->next_death = (p->next_death + 1) % DIGEST_DEATHS;
 }
 
-static void
-relayed (void *context, enum ms_status status, unsigned code,
-         struct ms_str body, ms_time sent_at)
-{
-  struct ms_peers *p = context;
-  struct ms_gateway *gw = p->gw;
-  json_t *document;
-  bool newer;
-
-  gw->relay_fails = status != MS_OK || code != 200;
-  if (gw->relay_fails)
-    return;
-  document = json_loadb (body.data, body.length, 0, NULL);
-  newer = ms_topic_relayed (gw->operator_topic,
-                            json_object_get (document, "operator"), sent_at,
-                            gw->now);
-  newer |= ms_topic_relayed (gw->endpoint_topic,
-                             json_object_get (document, "endpoints"), sent_at,
-                             gw->now);
-  json_decref (document);
-  if (newer && ms_fleet_reads_store (gw->fleet, gw->now))
-    ms_event (gw->now, "relayed", "operator_age_ms=%lld endpoints_age_ms=%lld",
-              (long long)((gw->now - ms_topic_read_at (gw->operator_topic))
-                          / MS_MSEC),
-              (long long)((gw->now - ms_topic_read_at (gw->endpoint_topic))
-                          / MS_MSEC));
-}
-
-/* A router to ask for a relay, or a seed while none is known.  */
-static bool
-relay_source (struct ms_gateway *gw, struct sockaddr_in *address)
-{
-  const struct ms_fleet_router *router = ms_fleet_source (gw->fleet, gw->now);
-  struct sockaddr_in own;
-  unsigned seed;
-
-  if (ms_address_parse (gw->settings->control_address, &own) != MS_OK)
-    return false;
-  if (router)
-    {
-      *address = own;
-      address->sin_addr = router->ip;
-      return true;
-    }
-  if (!gw->settings->seeds_count)
-    return false;
-  seed = (unsigned)ms_random_below (&gw->random, gw->settings->seeds_count);
-  return ms_address_parse (gw->settings->seeds[seed], address) == MS_OK
-         && address->sin_addr.s_addr != own.sin_addr.s_addr;
-}
-
-static bool
-is_old (const struct ms_topic *topic, ms_time now)
-{
-  ms_time bound = ms_topic_failing (topic) ? RELAY_AFTER_FAILURE : RELAY_AFTER;
-
-  return now - ms_topic_read_at (topic) > bound;
-}
-
-static void
-ask_relay (struct ms_peers *p, ms_time now)
-{
-  struct ms_gateway *gw = p->gw;
-  struct sockaddr_in address;
-  char path[128];
-
-  if (ms_exchange_busy (p->relay)
-      || (ms_fleet_reads_store (gw->fleet, now)
-          && !is_old (gw->operator_topic, now)
-          && !is_old (gw->endpoint_topic, now)))
-    return;
-  p->relay_at = now + RELAY_PERIOD;
-  if (!relay_source (gw, &address))
-    return;
-  snprintf (path, sizeof path, MS_RELAY_PATH "?operator=%llu&endpoints=%llu",
-            (unsigned long long)ms_topic_next (gw->operator_topic),
-            (unsigned long long)ms_topic_next (gw->endpoint_topic));
-  ms_exchange_call (p->relay, &address, "GET", path, (struct ms_str){ "", 0 },
-                    RELAY_TIMEOUT, relayed, p);
-}
-
-static void
-take_member (void *context, const struct plat_record *record)
-{
-  struct ms_peers *p = context;
-  json_t *value
-      = json_loadb (record->value.data, record->value.length, 0, NULL);
-  const char *ip = json_string_value (json_object_get (value, "ip"));
-  const char *zone = json_string_value (json_object_get (value, "zone"));
-  const json_t *incarnation = json_object_get (value, "incarnation");
-  struct in_addr address;
-
-  if (ip && zone && json_is_integer (incarnation)
-      && inet_pton (AF_INET, ip, &address) == 1)
-    ms_fleet_learn (p->gw->fleet, ms_id (record->key),
-                    (uint64_t)json_integer_value (incarnation),
-                    ms_id (ms_str (zone)), address, p->gw->now);
-  json_decref (value);
-}
-
-static void
-members_read (void *context, enum ms_status status, unsigned code,
-              struct ms_str body, ms_time sent_at)
-{
-  struct ms_peers *p = context;
-  uint64_t end;
-  bool more;
-  char after[256];
-
-  (void)sent_at;
-  if (status == MS_OK && code == 200
-      && plat_decode_newest (body, take_member, p, &end, &more, after,
-                             sizeof after)
-             == MS_OK)
-    {
-      p->members_at = p->gw->now
-                      + (ms_fleet_reads_store (p->gw->fleet, p->gw->now)
-                             ? MEMBERS_PERIOD
-                             : MEMBERS_PERIOD_RELAYED);
-      return;
-    }
-  ms_event (p->gw->now, "members_unread", "code=%u", code);
-  p->members_at = p->gw->now + MEMBERS_RETRY;
-}
-
-static void
-member_written (void *context, enum ms_status status, unsigned code,
-                struct ms_str body, ms_time sent_at)
-{
-  struct ms_peers *p = context;
-
-  (void)body;
-  (void)sent_at;
-  /* Written twice it is the same record: an unknown outcome needs no more
-     than a repeat.  */
-  p->written = status == MS_OK && code == 200;
-  p->members_at = p->gw->now + (p->written ? 0 : MEMBERS_RETRY);
-  if (!p->written)
-    ms_event (p->gw->now, "member_unwritten", "code=%u", code);
-}
-
-static void
-write_member (struct ms_peers *p)
-{
-  const struct ms_gateway_settings *s = p->gw->settings;
-  char value[256];
-  size_t length;
-
-  snprintf (value, sizeof value,
-            "{\"ip\":\"%s\",\"zone\":\"%s\",\"incarnation\":%llu}",
-            s->ip_address, s->availability_zone,
-            (unsigned long long)p->gw->incarnation);
-  length = plat_encode_record (p->record, sizeof p->record, ms_str (s->name),
-                               ms_str (value));
-  plat_append_path (p->path, sizeof p->path, PLAT_TOPIC_MEMBERS);
-  ms_exchange_call (p->members, &p->store, "POST", p->path,
-                    (struct ms_str){ p->record, length }, STORE_TIMEOUT,
-                    member_written, p);
-}
-
-static void
-follow_members (struct ms_peers *p)
-{
-  if (ms_exchange_busy (p->members))
-    return;
-  if (!p->written)
-    {
-      write_member (p);
-      return;
-    }
-  plat_newest_path (p->path, sizeof p->path, PLAT_TOPIC_MEMBERS, "");
-  ms_exchange_call (p->members, &p->store, "GET", p->path,
-                    (struct ms_str){ "", 0 }, STORE_TIMEOUT, members_read, p);
-}
-
 void
 ms_peers_tick (struct ms_peers *p, ms_time now)
 {
@@ -459,10 +265,8 @@
       sum_others (p->gw);
       ms_peers_announce (p, now);
     }
-  if (now >= p->relay_at)
-    ask_relay (p, now);
-  if (now >= p->members_at)
-    follow_members (p);
+  ms_relay_tick (p->relay, now);
+  ms_members_tick (p->members, now);
 }
 
 enum ms_status
@@ -481,14 +285,14 @@
     error = uv_udp_bind (&p->udp, (const struct sockaddr *)&address, 0);
   if (!error)
     error = uv_udp_recv_start (&p->udp, give_buffer, on_datagram);
-  if (error || ms_address_parse (gw->settings->store_address, &p->store))
+  if (error)
     {
       free (p);
       return ms_fail (MS_UNAVAILABLE, "peer port %u: %s",
                       gw->settings->peer_port, uv_strerror (error));
     }
-  p->relay = ms_exchange_create (&gw->loop, &gw->clock);
-  p->members = ms_exchange_create (&gw->loop, &gw->clock);
+  p->relay = ms_relay_create (gw);
+  p->members = ms_members_create (gw);
   *result = p;
   return MS_OK;
 }
@@ -498,8 +302,8 @@
 {
   if (!p)
     return;
-  ms_exchange_destroy (p->relay);
-  ms_exchange_destroy (p->members);
+  ms_relay_destroy (p->relay);
+  ms_members_destroy (p->members);
   uv_close ((uv_handle_t *)&p->udp, NULL);
   free (p);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -3,14 +3,11 @@
 
 #include "gateway/gateway.h"
 
-/* Talk between gateways: digests over UDP, the store's topics relayed over
-   HTTP where the store cannot be read, and the store's record of members.  */
+/* Talk between gateways: digests over UDP, relays and the record of members.
+ */
 
 struct ms_peers;
 
-/* Path on the control address at which topics are relayed.  */
-#define MS_RELAY_PATH "/fleet/topics"
-
 enum ms_status ms_peers_create (struct ms_gateway *gw,
                                 struct ms_peers **peers);
 void ms_peers_destroy (struct ms_peers *peers);
--- /dev/null
+++ b/src/gateway/relay.c
@@ -0,0 +1,123 @@
+#include "gateway/relay.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/address.h"
+#include "base/alloc.h"
+#include "base/event.h"
+#include "gateway/exchange.h"
+
+/* A topic whose last read is older is asked of a peer; the first time where
+   reads of the store fail.  */
+#define RELAY_AFTER_FAILURE (300 * MS_MSEC)
+#define RELAY_AFTER (1500 * MS_MSEC)
+#define RELAY_PERIOD (350 * MS_MSEC)
+#define RELAY_TIMEOUT (400 * MS_MSEC)
+
+struct ms_relay
+{
+  struct ms_gateway *gw;
+  struct ms_exchange *exchange;
+  ms_time ask_at;
+};
+
+static void
+relayed (void *context, enum ms_status status, unsigned code,
+         struct ms_str body, ms_time sent_at)
+{
+  struct ms_relay *r = context;
+  struct ms_gateway *gw = r->gw;
+  json_t *document;
+  bool newer;
+
+  gw->relay_fails = status != MS_OK || code != 200;
+  if (gw->relay_fails)
+    return;
+  document = json_loadb (body.data, body.length, 0, NULL);
+  newer = ms_topic_relayed (gw->operator_topic,
+                            json_object_get (document, "operator"), sent_at,
+                            gw->now);
+  newer |= ms_topic_relayed (gw->endpoint_topic,
+                             json_object_get (document, "endpoints"), sent_at,
+                             gw->now);
+  json_decref (document);
+  if (newer && ms_fleet_reads_store (gw->fleet, gw->now))
+    ms_event (gw->now, "relayed", "operator_age_ms=%lld endpoints_age_ms=%lld",
+              (long long)((gw->now - ms_topic_read_at (gw->operator_topic))
+                          / MS_MSEC),
+              (long long)((gw->now - ms_topic_read_at (gw->endpoint_topic))
+                          / MS_MSEC));
+}
+
+/* A router to ask for a relay, or a seed while none is known.  */
+static bool
+relay_source (struct ms_gateway *gw, struct sockaddr_in *address)
+{
+  const struct ms_fleet_router *router = ms_fleet_source (gw->fleet, gw->now);
+  struct sockaddr_in own;
+  unsigned seed;
+
+  if (ms_address_parse (gw->settings->control_address, &own) != MS_OK)
+    return false;
+  if (router)
+    {
+      *address = own;
+      address->sin_addr = router->ip;
+      return true;
+    }
+  if (!gw->settings->seeds_count)
+    return false;
+  seed = (unsigned)ms_random_below (&gw->random, gw->settings->seeds_count);
+  return ms_address_parse (gw->settings->seeds[seed], address) == MS_OK
+         && address->sin_addr.s_addr != own.sin_addr.s_addr;
+}
+
+static bool
+is_old (const struct ms_topic *topic, ms_time now)
+{
+  ms_time bound = ms_topic_failing (topic) ? RELAY_AFTER_FAILURE : RELAY_AFTER;
+
+  return now - ms_topic_read_at (topic) > bound;
+}
+
+void
+ms_relay_tick (struct ms_relay *r, ms_time now)
+{
+  struct ms_gateway *gw = r->gw;
+  struct sockaddr_in address;
+  char path[128];
+
+  if (now < r->ask_at || ms_exchange_busy (r->exchange)
+      || (ms_fleet_reads_store (gw->fleet, now)
+          && !is_old (gw->operator_topic, now)
+          && !is_old (gw->endpoint_topic, now)))
+    return;
+  r->ask_at = now + RELAY_PERIOD;
+  if (!relay_source (gw, &address))
+    return;
+  snprintf (path, sizeof path, MS_RELAY_PATH "?operator=%llu&endpoints=%llu",
+            (unsigned long long)ms_topic_next (gw->operator_topic),
+            (unsigned long long)ms_topic_next (gw->endpoint_topic));
+  ms_exchange_call (r->exchange, &address, "GET", path,
+                    (struct ms_str){ "", 0 }, RELAY_TIMEOUT, relayed, r);
+}
+
+struct ms_relay *
+ms_relay_create (struct ms_gateway *gw)
+{
+  struct ms_relay *r = ms_new (sizeof *r);
+
+  r->gw = gw;
+  r->exchange = ms_exchange_create (&gw->loop, &gw->clock);
+  return r;
+}
+
+void
+ms_relay_destroy (struct ms_relay *r)
+{
+  if (!r)
+    return;
+  ms_exchange_destroy (r->exchange);
+  free (r);
+}
