A fault soak of gateways, endpoints, the store and their links

Real processes, a proxy that makes links bad, faults by a seed, checks of what callers were told against the runs that endpoints wrote. Seed 3 is part of make check.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,11 @@
 	$(BUILD)/tests/standins/common/serve.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+SOAK_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
+
+$(BUILD)/soak: $(SOAK_OBJECTS) $(CORE)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs cmocka)
 
@@ -91,6 +96,7 @@
 	$(MAKE) check-traces
 	$(MAKE) check-e2e
 	$(MAKE) check-gateway
+	$(MAKE) soak
 
 check-units: $(TESTS)
 	@for t in $(TESTS); do $$t || exit 1; done
@@ -107,6 +113,16 @@
 check-gateway: all
 	BUILD=$(BUILD) sh tests/gateway.sh
 
+SEEDS ?= 3
+
+soak: all $(BUILD)/soak
+	@for seed in $(SEEDS); do \
+	  folder=$$(mktemp -d) || exit 1; \
+	  $(BUILD)/soak --build=$(BUILD) --folder=$$folder --seed=$$seed \
+	    || { echo "logs are in $$folder"; exit 1; }; \
+	  rm -rf $$folder; \
+	done
+
 $(BUILD)/bench-%: $(BUILD)/tests/bench/%.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
@@ -151,7 +167,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-gateway check-asan \
+.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-gateway soak check-asan \
 	check-asan-traces lint format clean
 .SECONDARY:
 
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -12,10 +12,12 @@
 
    ?n=N and ?ms=MS set the figures.  GET /runs?id=ID tells how often the
    attempt ID was run, GET /cancelled?id=ID how often its connection was found
-   closed while it ran.  */
+   closed while it ran.  With --runs=FILE each run is written there as well,
+   with the time in milliseconds, before it begins.  */
 
 #include <argp.h>
 #include <civetweb.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -39,6 +41,7 @@
 static struct run runs[MAX_RUNS];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static const char *name = "e0";
+static FILE *runs_file;
 
 static struct run *
 run_of (const char *id)
@@ -108,6 +111,15 @@
 
   pthread_mutex_lock (&lock);
   times = ++run_of (id)->times;
+  if (runs_file)
+    {
+      struct timespec now;
+
+      clock_gettime (CLOCK_MONOTONIC, &now);
+      fprintf (runs_file, "%s %lld\n", id,
+               (long long)now.tv_sec * 1000 + now.tv_nsec / 1000000);
+      fflush (runs_file);
+    }
   pthread_mutex_unlock (&lock);
   return times;
 }
@@ -271,6 +283,11 @@
     case 'n':
       name = arg;
       return 0;
+    case 'r':
+      runs_file = fopen (arg, "a");
+      if (!runs_file)
+        argp_failure (state, EXIT_FAILURE, errno, "%s", arg);
+      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -296,6 +313,7 @@
   static const struct argp_option options[]
       = { { "address", 'a', "IP:PORT", 0, "Listen there", 0 },
           { "name", 'n', "ID", 0, "Name of the endpoint", 0 },
+          { "runs", 'r', "FILE", 0, "Append runs to FILE", 0 },
           { 0 } };
   static const struct argp argp
       = { options, parse_option, NULL, "Stand-in for an endpoint.",
