--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <err.h>
 #include <fcntl.h>
@@ -19,6 +20,7 @@
 #define ENGINE_PORT 20
 #define ENGINE_LINK_PORT 30
 #define STORE_LINK_PORT 40
+#define PORTS 60
 
 #define START_TRIES 200
 
@@ -327,6 +329,31 @@
     }
 }
 
+static bool
+is_free (unsigned port)
+{
+  const struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)port),
+          .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  bool free
+      = bind (fd, (const struct sockaddr *)&address, sizeof address) == 0;
+
+  close (fd);
+  return free;
+}
+
+/* The first base from BASE on whose ports are free.  */
+static unsigned
+find_base (unsigned base)
+{
+  for (unsigned i = 0; i < PORTS; i++)
+    if (!is_free (base + i))
+      return find_base (base + PORTS);
+  return base;
+}
+
 void
 fleet_start (const struct fleet_options *given)
 {
@@ -334,6 +361,7 @@
   char *arguments[] = { program, address, NULL };
 
   options = *given;
+  options.base = find_base (given->base);
   snprintf (program, sizeof program, "%s/standin-store", options.build);
   snprintf (address, sizeof address, "--address=127.0.0.1:%u",
             options.base + STORE_PORT);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -255,14 +255,15 @@
   static const struct argp_option options[]
       = { { "build", 'b', "FOLDER", 0, "Of the programs", 0 },
           { "folder", 'f', "FOLDER", 0, "For settings, logs and runs", 0 },
-          { "base", 'p', "PORT", 0, "First of 60 ports", 0 },
+          { "base", 'p', "PORT", 0,
+            "First of 60 ports, or the next that are free", 0 },
           { "seed", 's', "N", 0, "Of faults and callers", 0 },
           { "seconds", 't', "N", 0, "In which faults begin", 0 },
           { 0 } };
   static const struct argp argp
       = { options, parse_option, NULL, "Play faults on gateways.",
           NULL,    NULL,         NULL };
-  struct arguments a = { { "build", NULL, 33000 }, 1, 10 };
+  struct arguments a = { { "build", NULL, 24000 }, 1, 10 };
   const struct timespec step = { 0, STEP_MS * 1000000 };
   struct ms_random random;
   unsigned breaches = 0;
