--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -9,20 +9,6 @@
 here=$(dirname "$0")
 . "$here/fleet.sh"
 trap 'stop_all; rm -rf "$DIR"' EXIT
-passed=0
-failed=0
-
-verdict ()
-{
-  if [ "$2" -eq 0 ]; then
-    passed=$((passed + 1))
-    note "ok $1"
-  else
-    failed=$((failed + 1))
-    note "FAILED $1"
-  fi
-}
-
 call ()
 {
   "$BUILD/standin-caller" --zone=salto "$@" "$(plain_address 0)" \
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -10,6 +10,21 @@
   printf '%s\n' "$*"
 }
 
+passed=0
+failed=0
+
+# verdict WHAT STATUS: count and tell how a check ended.
+verdict ()
+{
+  if [ "$2" -eq 0 ]; then
+    passed=$((passed + 1))
+    note "ok $1"
+  else
+    failed=$((failed + 1))
+    note "FAILED $1"
+  fi
+}
+
 # start NAME COMMAND...: run in the background, output to DIR/NAME.log.
 start ()
 {
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -9,20 +9,6 @@
 here=$(dirname "$0")
 . "$here/fleet.sh"
 trap 'stop_all; [ -n "${KEEP:-}" ] || rm -rf "$DIR"' EXIT
-passed=0
-failed=0
-
-verdict ()
-{
-  if [ "$2" -eq 0 ]; then
-    passed=$((passed + 1))
-    note "ok $1"
-  else
-    failed=$((failed + 1))
-    note "FAILED $1"
-  fi
-}
-
 store () { echo "http://127.0.0.1:$BASE"; }
 
 put ()
