--- a/src/place/place.h
+++ b/src/place/place.h
@@ -203,11 +203,11 @@
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      enum ms_place_end end, ms_time now);
 
-/* Endpoint ID, or NULL.  */
 /* What this router has at ENDPOINT, to tell the others.  */
 struct ms_load ms_place_load (const struct ms_endpoint_state *endpoint,
                               ms_time now);
 
+/* Endpoint ID, or NULL.  */
 struct ms_endpoint_state *ms_place_find (struct ms_place *place, uint64_t id);
 
 void ms_place_hold (struct ms_endpoint_state *endpoint);
--- /dev/null
+++ b/tests/test_waiting.c
@@ -0,0 +1,121 @@
+#include "check.h"
+
+#include "admit/waiting.h"
+
+#define SERVICE 1
+#define TICK (20 * MS_MSEC)
+
+/* Requests that wait, and the room that they wait for.  */
+struct queue
+{
+  struct ms_waiting *waiting;
+  unsigned room;
+  unsigned tries;
+  unsigned given_up;
+};
+
+struct entry
+{
+  struct queue *queue;
+  struct ms_waiter waiter;
+  unsigned tries;
+  bool placed;
+};
+
+static bool
+try_entry (void *owner)
+{
+  struct entry *e = owner;
+
+  e->queue->tries++;
+  e->tries++;
+  e->placed = e->queue->room > 0;
+  if (e->placed)
+    e->queue->room--;
+  else
+    ms_waiting_add (e->queue->waiting, &e->waiter);
+  return e->placed;
+}
+
+static void
+give_up_entry (void *owner)
+{
+  ((struct entry *)owner)->queue->given_up++;
+}
+
+static const struct ms_waiting_calls queue_calls
+    = { .try = try_entry, .give_up = give_up_entry };
+
+static void
+add_entry (struct queue *queue, struct entry *e, uint64_t service,
+           unsigned priority, ms_time until)
+{
+  *e = (struct entry){ .queue = queue };
+  e->waiter = (struct ms_waiter){
+    .owner = e, .service = service, .priority = priority, .until = until
+  };
+  ms_waiting_add (queue->waiting, &e->waiter);
+}
+
+/* Five hundred that wait cost no more tries in a turn than ten do, all get
+   their turn, and each is given up in time.  */
+static void
+test_work_is_bounded_however_many_wait (void **state)
+{
+  struct queue queue = { ms_waiting_create (&queue_calls), 0, 0, 0 };
+  struct entry entries[500];
+  unsigned most = 0;
+
+  (void)state;
+  for (unsigned i = 0; i < 500; i++)
+    add_entry (&queue, &entries[i], SERVICE, 1, 150 * 500 * MS_MSEC);
+  for (ms_time now = TICK; now <= 150 * 500 * MS_MSEC; now += TICK)
+    {
+      queue.tries = 0;
+      ms_waiting_turn (queue.waiting, now);
+      if (queue.tries > most)
+        most = queue.tries;
+    }
+  assert_true (most > 0 && most <= 10);
+  for (unsigned i = 0; i < 500; i++)
+    assert_true (entries[i].tries > 0);
+  assert_int_equal (queue.given_up, 500);
+  ms_waiting_destroy (queue.waiting);
+}
+
+/* Room goes to the operator's highest priority, then to those that waited
+   longest; a service without room holds up no other.  */
+static void
+test_room_goes_by_priority_and_age (void **state)
+{
+  struct queue full = { ms_waiting_create (&queue_calls), 0, 0, 0 };
+  struct queue open = { full.waiting, 3, 0, 0 };
+  struct entry others[40];
+  struct entry entries[4];
+  static const unsigned priorities[] = { 2, 1, 1, 0 };
+
+  (void)state;
+  for (unsigned i = 0; i < 40; i++)
+    add_entry (&full, &others[i], SERVICE, 0, MS_SEC);
+  for (unsigned i = 0; i < 4; i++)
+    add_entry (&open, &entries[i], SERVICE + 1, priorities[i], MS_SEC);
+  ms_waiting_turn (full.waiting, TICK);
+  assert_true (entries[3].placed && entries[1].placed && entries[2].placed);
+  assert_false (entries[0].placed);
+  assert_int_equal (entries[0].tries, 1);
+  open.room = 1;
+  ms_waiting_turn (full.waiting, 2 * TICK);
+  assert_true (entries[0].placed);
+  ms_waiting_destroy (full.waiting);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_work_is_bounded_however_many_wait),
+    cmocka_unit_test (test_room_goes_by_priority_and_age),
+  };
+
+  return RUN (tests);
+}
