--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -53,13 +53,13 @@
 
 struct caller
 {
-  unsigned number;
   struct ms_random random;
   pthread_t thread;
   CURL *curl;
-  unsigned gateway;
   struct request *requests;
   unsigned count;
+  unsigned number;
+  unsigned gateway;
 };
 
 static struct caller callers[CALLERS];
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -54,11 +54,11 @@
 
 struct fault
 {
+  long long begins; /* Milliseconds after the start.  */
+  long long ends;
   enum fault_kind kind;
   unsigned target;
   enum link_state state;
-  long long begins; /* Milliseconds after the start.  */
-  long long ends;
   bool begun;
   bool ended;
 };
@@ -79,7 +79,7 @@
       f->target = (unsigned)ms_random_next (random);
       f->state = (enum link_state) (
           LINK_SLOW + ms_random_below (random, LINK_STATES - LINK_SLOW));
-      f->begins = 500 + (long long)ms_random_below (random, seconds * 1000);
+      f->begins = 500 + (long long)ms_random_below (random, seconds * 1000ULL);
       f->ends = f->begins + 200
                 + (long long)ms_random_below (random, LONGEST_FAULT_MS - 200);
     }
@@ -264,7 +264,7 @@
       = { options, parse_option, NULL, "Play faults on gateways.",
           NULL,    NULL,         NULL };
   struct arguments a = { { "build", NULL, 24000 }, 1, 10 };
-  const struct timespec step = { 0, STEP_MS * 1000000 };
+  const struct timespec step = { 0, STEP_MS * 1000000L };
   struct ms_random random;
   unsigned breaches = 0;
   long long start;
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -127,7 +127,8 @@
   struct ms_choice choice;
   struct run *run = &fleet->runs[fleet->count];
 
-  ms_place_arrived (fleet->places[router], MODEL, 1000, 1000 * NEEDED_US);
+  ms_place_arrived (fleet->places[router], MODEL, 1000,
+                    (ms_time)1000 * NEEDED_US);
   ms_place_choose (fleet->places[router], &offer, now, &choice);
   if (choice.result != MS_PLACED || fleet->count == MOST)
     {
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -4,6 +4,7 @@
 
 #define SERVICE 1
 #define TICK (20 * MS_MSEC)
+#define WAIT (75 * MS_SEC)
 
 /* Requests that wait, and the room that they wait for.  */
 struct queue
@@ -68,8 +69,8 @@
 
   (void)state;
   for (unsigned i = 0; i < 500; i++)
-    add_entry (&queue, &entries[i], SERVICE, 1, 150 * 500 * MS_MSEC);
-  for (ms_time now = TICK; now <= 150 * 500 * MS_MSEC; now += TICK)
+    add_entry (&queue, &entries[i], SERVICE, 1, WAIT);
+  for (ms_time now = TICK; now <= WAIT; now += TICK)
     {
       queue.tries = 0;
       ms_waiting_turn (queue.waiting, now);
