--- /dev/null
+++ b/src/ctl/explain.c
@@ -0,0 +1,306 @@
+#include "ctl/explain.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/file.h"
+
+/* Lines this close to the request's are looked at.  */
+#define AROUND_S 2.0
+
+#define FIELD_BYTES 128
+
+/* What each outcome means, for those who are on call.  */
+static const struct
+{
+  const char *outcome;
+  const char *meaning;
+} meanings[] = {
+  { "answered", "an endpoint answered it" },
+  { "over_share", "refused, not run: its team asks for more than its share "
+                  "while room is scarce" },
+  { "full", "refused, or ended after attempts: no endpoint could begin it in "
+            "time" },
+  { "no_endpoint", "refused, not run: no endpoint of its service was open" },
+  { "leaving", "refused, not run: the router was told to end and could not be "
+               "sure to finish it" },
+  { "quarantined", "refused, not run: requests like it ended endpoints" },
+  { "configuration_old", "refused, not run: the router had no recent word of "
+                         "revoked keys" },
+  { "broken", "the endpoint broke off, and it may not be run again" },
+  { "connect", "no connection to an endpoint was made" },
+  { "endpoint_refused", "endpoints refused it as not run" },
+  { "bad_bytes", "the endpoint's answer was no proper answer" },
+  { "timeout", "its deadline or its route's timeout was over" },
+  { "deadline", "its deadline or its route's timeout was over" },
+  { "caller_gone", "its caller left" },
+};
+
+/* Events that tell of the router's state or beliefs.  */
+static const char *const context_events[] = { "start",
+                                              "leaving",
+                                              "stop",
+                                              "stood_still",
+                                              "pressure",
+                                              "shut",
+                                              "topic_lost",
+                                              "topic_regained",
+                                              "configuration",
+                                              "endpoint_gone",
+                                              "zone",
+                                              "reload",
+                                              "callers_turned_away" };
+
+struct line
+{
+  const char *text;
+  int length;
+  int router_length; /* Of what stands before the time.  */
+  double time;
+};
+
+struct log
+{
+  char *data;
+  struct line *lines;
+  size_t count;
+};
+
+/* Copy the value of FIELD in LINE; empty if it has none.  */
+static void
+get_field (const struct line *line, const char *field, char *value)
+{
+  size_t name = strlen (field);
+  const char *end = line->text + line->length;
+  size_t n = 0;
+
+  value[0] = '\0';
+  for (const char *at = line->text + line->router_length; at + name < end;
+       at++)
+    {
+      if ((at != line->text && at[-1] != ' ') || at[name] != '='
+          || strncmp (at, field, name) != 0)
+        continue;
+      for (at += name + 1; at < end && *at != ' ' && n + 1 < FIELD_BYTES; at++)
+        value[n++] = *at;
+      value[n] = '\0';
+      return;
+    }
+}
+
+/* Take the line that begins at TEXT if it is one of a gateway.  */
+static void
+take_line (struct log *log, const char *text, size_t length)
+{
+  static const char mark[] = "time=";
+  struct line *line = &log->lines[log->count];
+
+  for (size_t i = 0; i + sizeof mark <= length; i++)
+    if (strncmp (text + i, mark, sizeof mark - 1) == 0)
+      {
+        line->text = text;
+        line->length = (int)length;
+        line->router_length = (int)i;
+        line->time = strtod (text + i + sizeof mark - 1, NULL);
+        log->count++;
+        return;
+      }
+}
+
+static enum ms_status
+read_log (const char *path, struct log *log)
+{
+  size_t length;
+  size_t lines = 1;
+  enum ms_status status = ms_file_read (path, &log->data, &length);
+
+  if (status != MS_OK)
+    return status;
+  for (size_t i = 0; i < length; i++)
+    lines += log->data[i] == '\n';
+  log->lines = calloc (lines, sizeof *log->lines);
+  if (!log->lines)
+    return ms_fail (MS_UNAVAILABLE, "%s: no memory", path);
+  for (size_t begin = 0; begin < length;)
+    {
+      const char *end = memchr (log->data + begin, '\n', length - begin);
+      size_t n = end ? (size_t)(end - log->data) - begin : length - begin;
+
+      take_line (log, log->data + begin, n);
+      begin += n + 1;
+    }
+  return MS_OK;
+}
+
+/* The last word before the time, which names the router; its length is put
+   into LENGTH.  */
+static const char *
+router_of (const struct line *line, int *length)
+{
+  int end = line->router_length;
+  int begin;
+
+  while (end > 0 && line->text[end - 1] == ' ')
+    end--;
+  for (begin = end; begin > 0 && line->text[begin - 1] != ' '; begin--)
+    ;
+  *length = end - begin;
+  return line->text + begin;
+}
+
+static bool
+same_router (const struct line *a, const struct line *b)
+{
+  int a_length;
+  int b_length;
+  const char *a_name = router_of (a, &a_length);
+  const char *b_name = router_of (b, &b_length);
+
+  return a_length == b_length
+         && strncmp (a_name, b_name, (size_t)a_length) == 0;
+}
+
+static void
+print_line (const struct line *line)
+{
+  printf ("  %.*s\n", line->length, line->text);
+}
+
+static const struct line *
+print_own_lines (const struct log *log, const char *id)
+{
+  const struct line *end = NULL;
+  char value[FIELD_BYTES];
+
+  for (size_t i = 0; i < log->count; i++)
+    {
+      get_field (&log->lines[i], "id", value);
+      if (strcmp (value, id) != 0)
+        continue;
+      print_line (&log->lines[i]);
+      get_field (&log->lines[i], "event", value);
+      if (strcmp (value, "request") == 0)
+        end = &log->lines[i];
+    }
+  return end;
+}
+
+static void
+print_meaning (const struct line *end)
+{
+  char outcome[FIELD_BYTES];
+  char uncached[FIELD_BYTES];
+  char first[FIELD_BYTES];
+  char expected[FIELD_BYTES];
+
+  get_field (end, "outcome", outcome);
+  get_field (end, "uncached", uncached);
+  get_field (end, "first_ms", first);
+  get_field (end, "expected_ms", expected);
+  for (size_t i = 0; i < sizeof meanings / sizeof *meanings; i++)
+    if (strcmp (meanings[i].outcome, outcome) == 0)
+      printf ("outcome %s: %s\n", outcome, meanings[i].meaning);
+  if (strtod (first, NULL) > 2 * strtod (expected, NULL)
+      && strtod (expected, NULL) > 0)
+    printf ("its answer began after %s ms, expected were %s with %s tokens to "
+            "read: the endpoint was slower than believed\n",
+            first, expected, uncached);
+}
+
+static bool
+is_context (const char *event)
+{
+  for (size_t i = 0; i < sizeof context_events / sizeof *context_events; i++)
+    if (strcmp (context_events[i], event) == 0)
+      return true;
+  return false;
+}
+
+/* The router's own events in the time before END.  */
+static void
+print_context (const struct log *log, const struct line *end)
+{
+  char event[FIELD_BYTES];
+  bool any = false;
+
+  for (size_t i = 0; i < log->count; i++)
+    {
+      const struct line *line = &log->lines[i];
+
+      if (line->time > end->time || line->time < end->time - AROUND_S
+          || !same_router (line, end))
+        continue;
+      get_field (line, "event", event);
+      if (!is_context (event))
+        continue;
+      if (!any)
+        printf ("on that router in the %.0f s before:\n", AROUND_S);
+      any = true;
+      print_line (line);
+    }
+}
+
+/* How the router's requests that share FIELD with END ended around it.  Each
+   router has a clock of its own, so that of the others cannot be told.  */
+static void
+print_kin (const struct log *log, const struct line *end, const char *field)
+{
+  char wanted[FIELD_BYTES];
+  char value[FIELD_BYTES];
+  unsigned all = 0;
+  unsigned answered = 0;
+
+  get_field (end, field, wanted);
+  if (!wanted[0] || strcmp (wanted, "-") == 0)
+    return;
+  for (size_t i = 0; i < log->count; i++)
+    {
+      const struct line *line = &log->lines[i];
+
+      if (line->time > end->time + AROUND_S
+          || line->time < end->time - AROUND_S || !same_router (line, end))
+        continue;
+      get_field (line, field, value);
+      if (strcmp (value, wanted) != 0)
+        continue;
+      get_field (line, "outcome", value);
+      all += value[0] != '\0';
+      answered += strcmp (value, "answered") == 0;
+    }
+  printf ("requests of %s %s within %.0f s there: %u, answered %u\n", field,
+          wanted, AROUND_S, all, answered);
+}
+
+int
+ctl_explain_log (const char *path, const char *id)
+{
+  struct log log = { 0 };
+  const struct line *end;
+  int code = 0;
+
+  if (read_log (path, &log) != MS_OK)
+    {
+      fprintf (stderr, "monsoonspur-ctl: %s\n", ms_last_message ());
+      free (log.data);
+      return 1;
+    }
+  end = print_own_lines (&log, id);
+  if (end)
+    {
+      print_meaning (end);
+      print_kin (&log, end, "team");
+      print_kin (&log, end, "endpoint");
+      print_context (&log, end);
+    }
+  else
+    {
+      fprintf (stderr, "monsoonspur-ctl: %s: no end of request %s\n", path,
+               id);
+      code = 1;
+    }
+  free (log.lines);
+  free (log.data);
+  return code;
+}
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/version.h"
+#include "ctl/explain.h"
 #include "http/client.h"
 
 #define TIMEOUT_MS 5000
@@ -30,12 +31,15 @@
 
 static const struct argp_option options[]
     = { { "router", 'r', "IP:PORT", 0, "The router's caller address", 0 },
+        { "log", 'l', "FILE", 0,
+          "Explain from a collected log of gateways instead", 0 },
         { "key", 'k', "KEY", 0, "The operator key, for drain", 0 },
         { 0 } };
 
 struct arguments
 {
   const char *router;
+  const char *log;
   const char *key;
   const char *command;
   const char *argument;
@@ -63,6 +67,9 @@
     case 'r':
       arguments->router = arg;
       return 0;
+    case 'l':
+      arguments->log = arg;
+      return 0;
     case 'k':
       arguments->key = arg;
       return 0;
@@ -128,6 +135,8 @@
                    arguments.command);
           return EXIT_USAGE;
         }
+      if (arguments.log && strcmp (arguments.command, "explain") == 0)
+        return ctl_explain_log (arguments.log, arguments.argument);
       return run (&commands[i], &arguments);
     }
   fprintf (stderr, "monsoonspur-ctl: command \"%s\" is not known\n",
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -59,6 +59,32 @@
 expect "no log" 4 'monsoonspur-config' \
   "$BUILD/monsoonspur-config" --log=http://127.0.0.1:1 print
 
+cat >"$DIR/gateways.log" <<'END'
+9.0 g1 time=101.000000 event=leaving requests=3
+9.1 g2 time=55.000000 event=pressure high=1 busy=0.97 requests=9 sockets=20
+9.2 g1 time=101.200000 event=request id=a1 route=r team=t1 outcome=leaving status=503 endpoint=- attempts=0 first_ms=-1.0 expected_ms=0.0 uncached=0
+9.2 g1 time=101.300000 event=request id=a2 route=r team=t1 outcome=answered status=200 endpoint=e1 attempts=1 first_ms=900.0 expected_ms=100.0 uncached=512
+a line of something else
+END
+explain ()
+{
+  "$BUILD/monsoonspur-ctl" --log="$DIR/gateways.log" explain "$1"
+}
+expect "a refusal in a log" 0 'told to end' explain a1
+expect "the router's events before it" 0 'g1 time=101.000000 event=leaving' \
+  explain a1
+expect "its team's requests" 0 'team t1 within 2 s there: 2, answered 1' \
+  explain a1
+expect "a late answer in a log" 0 'after 900.0 ms, expected were 100.0' \
+  explain a2
+expect "a request that a log lacks" 1 'no end of request a3' explain a3
+expect "a log that is not there" 1 'nowhere' \
+  "$BUILD/monsoonspur-ctl" --log=nowhere explain a1
+if explain a1 | grep -q 'g2 '; then
+  failed=$((failed + 1))
+  echo "FAILED events of another router are told"
+fi
+
 steady=$here/traces/steady.trace
 cp "$here/traces/litoral.inc" "$DIR/"
 # broken NAME PATTERN LINE: the steady trace with LINE added.
