--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -126,12 +126,6 @@
   ms_place_put (gw->place, &entry, gw->now);
 }
 
-static void
-nothing_more (void *context)
-{
-  (void)context;
-}
-
 void
 ms_gateway_follow_store (struct ms_gateway *gw)
 {
@@ -140,7 +134,6 @@
     .wait_ms = OPERATOR_WAIT_MS,
     .pause = OPERATOR_PAUSE,
     .changed = operator_changed,
-    .current = nothing_more,
     .context = gw,
   };
   struct ms_topic_options endpoint_options = {
@@ -149,7 +142,6 @@
     .pause = ENDPOINT_PAUSE,
     .missing_for = ENDPOINT_MISSING,
     .changed = endpoint_changed,
-    .current = nothing_more,
     .context = gw,
   };
 
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -241,7 +241,6 @@
   t->failures = 0;
   if (sent_at > t->read_at)
     t->read_at = sent_at;
-  t->options.current (t->options.context);
 }
 
 static void
@@ -429,6 +428,5 @@
       apply_whole (t, &table, offset, false, now);
     }
   t->read_at = read_at;
-  t->options.current (t->options.context);
   return true;
 }
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -26,9 +26,6 @@
   /* KEY has a new VALUE, or none any more.  */
   void (*changed) (void *context, struct ms_str key, struct ms_str value,
                    bool removed);
-
-  /* The topic was read to its end; all changes are told.  */
-  void (*current) (void *context);
   void *context;
 };
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -36,7 +36,6 @@
   enum state state;
   ms_time until;    /* Of connecting or of being idle.  */
   ms_time keep_for; /* How long the endpoint keeps it idle.  */
-  unsigned served;
   bool keep;
   bool whole; /* The answer was read to its end.  */
   bool skip;  /* The answer belongs to another request.  */
@@ -324,16 +323,9 @@
 ms_upstream_send (struct ms_upstream *u, const uv_buf_t *buffers,
                   unsigned count)
 {
-  u->served++;
   ms_socket_write (u->socket, buffers, count);
 }
 
-bool
-ms_upstream_reused (const struct ms_upstream *upstream)
-{
-  return upstream->served > 1;
-}
-
 void
 ms_upstream_pause (struct ms_upstream *upstream)
 {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -29,9 +29,6 @@
 void ms_upstream_send (struct ms_upstream *upstream, const uv_buf_t *buffers,
                        unsigned count);
 
-/* Whether the connection had carried a request before this one.  */
-bool ms_upstream_reused (const struct ms_upstream *upstream);
-
 /* Stop or go on reading the answer.  */
 void ms_upstream_pause (struct ms_upstream *upstream);
 void ms_upstream_resume (struct ms_upstream *upstream);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -138,17 +138,14 @@
   ms_place_destroy (place);
 }
 
-/* The fleet's bound on a cold endpoint holds if all routers use their part. */
-static void
-test_cold_endpoint_is_spared (void **state)
+/* Requests that a cold endpoint gets from COUNT routers together, each with
+   CALLS to place at once.  */
+static unsigned
+place_at_cold (const uint64_t *ids, unsigned count, unsigned calls)
 {
-  uint64_t ids[12];
   unsigned total = 0;
 
-  (void)state;
-  for (unsigned i = 0; i < 12; i++)
-    ids[i] = i + 1;
-  for (unsigned i = 0; i < 12; i++)
+  for (unsigned i = 0; i < count; i++)
     {
       const struct ms_place_options options = { .self = ids[i],
                                                 .zone = ZONE_A,
@@ -160,12 +157,26 @@
       struct ms_load load;
 
       ms_place_configure (place, &routes);
-      ms_place_routers (place, ids, 12);
+      ms_place_routers (place, ids, count);
       put (place, 1, MODEL, ZONE_A, 3 * MS_SEC, 0);
-      for (unsigned j = 0; j < 50; j++)
+      for (unsigned j = 0; j < calls; j++)
         total += place_one (place, &offer, &load, MS_SEC) != NULL;
       ms_place_destroy (place);
     }
+  return total;
+}
+
+/* The fleet's bound on a cold endpoint holds if all routers use their part. */
+static void
+test_cold_endpoint_is_spared (void **state)
+{
+  uint64_t ids[12];
+  unsigned total;
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    ids[i] = i + 1;
+  total = place_at_cold (ids, 12, 50);
   assert_true (total > 0);
   assert_true (total <= 16 * 1.5 + 5);
 }
@@ -174,30 +185,13 @@
 static void
 test_cold_bound_holds_for_many_routers (void **state)
 {
-  static uint64_t ids[89];
-  unsigned total = 0;
+  uint64_t ids[89];
+  unsigned total;
 
   (void)state;
   for (unsigned i = 0; i < 89; i++)
     ids[i] = ms_id_pair (i, 1);
-  for (unsigned i = 0; i < 89; i++)
-    {
-      const struct ms_place_options options = { .self = ids[i],
-                                                .zone = ZONE_A,
-                                                .cold_burst_factor = 1.5,
-                                                .cold_slack = 5 };
-      struct ms_place *place
-          = ms_place_create (&options, ms_place_policy ("prefix"));
-      struct ms_offer offer = long_prompt ();
-      struct ms_load load;
-
-      ms_place_configure (place, &routes);
-      ms_place_routers (place, ids, 89);
-      put (place, 1, MODEL, ZONE_A, 3 * MS_SEC, 0);
-      for (unsigned j = 0; j < 5; j++)
-        total += place_one (place, &offer, &load, MS_SEC) != NULL;
-      ms_place_destroy (place);
-    }
+  total = place_at_cold (ids, 89, 5);
   assert_true (total > 0);
   assert_true (total <= 16 * 1.5 + 5);
 }
