--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -156,6 +156,7 @@
   buffers[1] = uv_buf_init ((char *)body.data, (unsigned)body.length);
   r->sent = true;
   r->sent_at = now;
+  r->list_age = now - ms_topic_read_at (r->gw->endpoint_topic);
   if (!r->first_sent_at)
     r->first_sent_at = now;
   r->attempts++;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -61,6 +61,7 @@
   struct ms_load load;          /* Load that it adds to the endpoint.  */
   struct ms_name last_endpoint; /* Last one that it was sent to.  */
   ms_time sent_at;              /* When this attempt was sent.  */
+  ms_time list_age;             /* Age of the endpoint list at that time.  */
   ms_time last_event_at;        /* When events were last passed on.  */
   bool sent;                    /* This attempt was sent.  */
   bool response_started;        /* Part of this attempt's response was passed
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -42,6 +42,7 @@
   struct ms_relay *relay;
   struct ms_members *members;
   ms_time next_digest_at;
+  unsigned alive; /* Live routers at the last digest, this one included.  */
   struct death_report deaths[DIGEST_DEATHS]; /* Ring of the latest.  */
   unsigned death_slot;                       /* Next to be written.  */
 };
@@ -85,8 +86,9 @@
    demand of their teams.  In a large fleet other zones are counted by their
    zone sums.  */
 static void
-update_others (struct ms_gateway *gw)
+update_others (struct ms_peers *p)
 {
+  struct ms_gateway *gw = p->gw;
   unsigned count;
   const struct ms_fleet_router *routers = ms_fleet_routers (gw->fleet, &count);
   unsigned zones_count;
@@ -113,6 +115,9 @@
     if (gw->now - zones[i].heard <= MS_ROUTER_SILENT_TIME)
       add_reported (gw, zones[i].loads, zones[i].loads_count, zones[i].teams,
                     zones[i].teams_count);
+  if (alive != p->alive)
+    ms_event (gw->now, "routers", "alive=%u known=%u", alive, count + 1);
+  p->alive = alive;
   ms_place_set_routers (gw->place, ids, alive);
   ms_budget_set_routers (gw->budget, alive);
 }
@@ -288,7 +293,7 @@
   if (now >= p->next_digest_at)
     {
       ms_fleet_tick (p->gw->fleet, now);
-      update_others (p->gw);
+      update_others (p);
       ms_peers_announce (p, now);
     }
   ms_relay_tick (p->relay, now);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -176,7 +176,11 @@
   if (!deferred)
     delete_record (t, r);
   else if (!r->missing_since)
-    r->missing_since = now;
+    {
+      r->missing_since = now;
+      ms_event (now, "record_missing", "topic=%s key=%.*s", t->options.name,
+                (int)r->key_length, r->key);
+    }
 }
 
 static void
@@ -240,7 +244,12 @@
   HASH_ITER (hh, t->records, r, next)
   {
     if (r->missing_since && now - r->missing_since > t->options.keep_missing)
-      delete_record (t, r);
+      {
+        ms_event (now, "record_dropped", "topic=%s key=%.*s missing_ms=%lld",
+                  t->options.name, (int)r->key_length, r->key,
+                  (long long)((now - r->missing_since) / MS_MSEC));
+        delete_record (t, r);
+      }
   }
 }
 
