--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -262,6 +262,20 @@
   return count;
 }
 
+unsigned
+ms_fleet_sharers (const struct ms_fleet *fleet, ms_time now, uint64_t *ids,
+                  unsigned space)
+{
+  unsigned count = 0;
+
+  if (space)
+    ids[count++] = fleet->self.id;
+  for (unsigned i = 0; i < fleet->count && count < space; i++)
+    if (ms_fleet_alive (&fleet->routers[i], now))
+      ids[count++] = fleet->routers[i].id;
+  return count;
+}
+
 const struct ms_fleet_router *
 ms_fleet_routers (const struct ms_fleet *fleet, unsigned *count)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -166,6 +166,11 @@
 /* Return the number of live routers, this one included.  */
 unsigned ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now);
 
+/* Fill IDS with up to SPACE identifiers of the routers, this one included,
+   among which limits of the whole fleet are divided.  Returns the number.  */
+unsigned ms_fleet_sharers (const struct ms_fleet *fleet, ms_time now,
+                           uint64_t *ids, unsigned space);
+
 /* Return the other known routers, alive or not, in the order of their
    identifiers, and their number in COUNT; owned by FLEET and valid until its
    next change.  */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -95,19 +95,17 @@
   const struct ms_fleet_zone *zones = ms_fleet_zones (gw->fleet, &zones_count);
   bool large = ms_fleet_large (gw->fleet);
   static uint64_t ids[MAX_ROUTERS];
-  unsigned alive = 0;
+  unsigned alive = ms_fleet_alive_count (gw->fleet, gw->now);
+  unsigned sharers = ms_fleet_sharers (gw->fleet, gw->now, ids, MAX_ROUTERS);
 
   ms_place_clear_others (gw->place);
   ms_share_clear_others (gw->share);
-  ids[alive++] = gw->id;
   for (unsigned i = 0; i < count; i++)
     {
       const struct ms_fleet_router *r = &routers[i];
 
       if (!ms_fleet_alive (r, gw->now))
         continue;
-      if (alive < MAX_ROUTERS)
-        ids[alive++] = r->id;
       if (!large || r->zone == gw->zone)
         add_reported (gw, r->loads, r->loads_count, r->teams, r->teams_count);
     }
@@ -118,8 +116,8 @@
   if (alive != p->alive)
     ms_event (gw->now, "routers", "alive=%u known=%u", alive, count + 1);
   p->alive = alive;
-  ms_place_set_routers (gw->place, ids, alive);
-  ms_budget_set_routers (gw->budget, alive);
+  ms_place_set_routers (gw->place, ids, sharers);
+  ms_budget_set_routers (gw->budget, sharers);
 }
 
 static void
