Split the replica of a topic off from reading the store

What the records of a topic are, which removals are put off and what is relayed are decisions, now without sockets and clock in src/fleet/replica.c.

--- /dev/null
+++ b/src/fleet/replica.c
@@ -0,0 +1,323 @@
+#include "fleet/replica.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "base/alloc.h"
+#include "base/event.h"
+
+/* Longer keys are not relayed.  */
+#define MAX_KEY_LENGTH 255
+
+struct record
+{
+  char *key;
+  size_t key_length;
+  char *value;
+  size_t value_length;
+  ms_time missing_since; /* When a read showed it gone; 0 while present.  */
+  UT_hash_handle hh;
+};
+
+struct ms_replica
+{
+  struct ms_replica_options options;
+  struct record *records;
+  struct record *snapshot; /* Records of the pages read so far.  */
+  bool loaded;             /* A snapshot was applied.  */
+  uint64_t next;
+  ms_time read_at; /* When the read that confirmed the records began, here or
+                      at the peer that relayed it.  */
+  ms_time uncertain_until;
+};
+
+struct ms_replica *
+ms_replica_create (const struct ms_replica_options *options)
+{
+  struct ms_replica *replica = ms_new (sizeof *replica);
+
+  replica->options = *options;
+  return replica;
+}
+
+static void
+free_record (struct record *r)
+{
+  free (r->key);
+  free (r->value);
+  free (r);
+}
+
+static void
+free_table (struct record **table)
+{
+  struct record *r, *next;
+
+  HASH_ITER (hh, *table, r, next)
+  {
+    HASH_DEL (*table, r);
+    free_record (r);
+  }
+}
+
+void
+ms_replica_destroy (struct ms_replica *replica)
+{
+  if (!replica)
+    return;
+  free_table (&replica->records);
+  free_table (&replica->snapshot);
+  free (replica);
+}
+
+bool
+ms_replica_loaded (const struct ms_replica *replica)
+{
+  return replica->loaded;
+}
+
+ms_time
+ms_replica_read_at (const struct ms_replica *replica)
+{
+  return replica->loaded ? replica->read_at : 0;
+}
+
+uint64_t
+ms_replica_next (const struct ms_replica *replica)
+{
+  return replica->loaded ? replica->next : 0;
+}
+
+void
+ms_replica_set_uncertain (struct ms_replica *replica, ms_time until)
+{
+  replica->uncertain_until = until;
+}
+
+static struct record *
+find_record (struct record *table, struct ms_str key)
+{
+  struct record *r;
+
+  HASH_FIND (hh, table, key.data, key.length, r);
+  return r;
+}
+
+/* Set KEY to VALUE in *TABLE.  Return whether the value changed.  */
+static bool
+set_record (struct record **table, struct ms_str key, struct ms_str value)
+{
+  struct record *r = find_record (*table, key);
+
+  if (r)
+    {
+      r->missing_since = 0;
+      if (ms_str_equal ((struct ms_str){ r->value, r->value_length }, value))
+        return false;
+      free (r->value);
+    }
+  else
+    {
+      r = ms_new (sizeof *r);
+      r->key = ms_copy (key.data, key.length);
+      r->key_length = key.length;
+      HASH_ADD_KEYPTR (hh, *table, r->key, r->key_length, r);
+    }
+  r->value = ms_copy (value.data, value.length);
+  r->value_length = value.length;
+  return true;
+}
+
+static void
+update_record (struct ms_replica *replica, struct ms_str key,
+               struct ms_str value)
+{
+  if (set_record (&replica->records, key, value))
+    replica->options.changed (replica->options.context, key, value, false);
+}
+
+static void
+delete_record (struct ms_replica *replica, struct record *r)
+{
+  HASH_DEL (replica->records, r);
+  replica->options.changed (replica->options.context,
+                            (struct ms_str){ r->key, r->key_length },
+                            (struct ms_str){ "", 0 }, true);
+  free_record (r);
+}
+
+/* The store no longer has the record R: delete it now or, if DEFERRED, once it
+   has been missing for the topic's keep_missing time.  */
+static void
+handle_missing (struct ms_replica *replica, struct record *r, bool deferred,
+                ms_time now)
+{
+  if (!deferred)
+    delete_record (replica, r);
+  else if (!r->missing_since)
+    {
+      r->missing_since = now;
+      ms_event (now, "record_missing", "topic=%s key=%.*s",
+                replica->options.name, (int)r->key_length, r->key);
+    }
+}
+
+/* Whether a record may be missing only because its writer could not reach the
+   store.  */
+static bool
+removal_uncertain (const struct ms_replica *replica, ms_time now)
+{
+  return replica->options.keep_missing && now < replica->uncertain_until;
+}
+
+void
+ms_replica_change (struct ms_replica *replica, struct ms_str key,
+                   struct ms_str value, bool removed, ms_time now)
+{
+  struct record *r;
+
+  if (!removed)
+    {
+      update_record (replica, key, value);
+      return;
+    }
+  r = find_record (replica->records, key);
+  if (r)
+    handle_missing (replica, r, removal_uncertain (replica, now), now);
+}
+
+void
+ms_replica_add (struct ms_replica *replica, struct ms_str key,
+                struct ms_str value)
+{
+  set_record (&replica->snapshot, key, value);
+}
+
+void
+ms_replica_abandon (struct ms_replica *replica)
+{
+  free_table (&replica->snapshot);
+}
+
+/* Replace the records by those in *TABLE, a snapshot up to offset END, and
+   empty *TABLE.  Records that it lacks are deleted, with a delay if DEFERRED.
+ */
+static void
+apply_snapshot (struct ms_replica *replica, struct record **table,
+                uint64_t end, bool deferred, ms_time now)
+{
+  struct record *r, *next;
+
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    if (!find_record (*table, (struct ms_str){ r->key, r->key_length }))
+      handle_missing (replica, r, deferred, now);
+  }
+  HASH_ITER (hh, *table, r, next)
+  {
+    update_record (replica, (struct ms_str){ r->key, r->key_length },
+                   (struct ms_str){ r->value, r->value_length });
+  }
+  free_table (table);
+  replica->next = end;
+  replica->loaded = true;
+}
+
+void
+ms_replica_complete (struct ms_replica *replica, uint64_t end, ms_time sent_at,
+                     ms_time now)
+{
+  if (replica->loaded && end < replica->next)
+    free_table (&replica->snapshot); /* A relay brought a newer state.  */
+  else
+    apply_snapshot (replica, &replica->snapshot, end,
+                    removal_uncertain (replica, now), now);
+  if (sent_at > replica->read_at)
+    replica->read_at = sent_at;
+}
+
+void
+ms_replica_advance (struct ms_replica *replica, uint64_t next, ms_time sent_at)
+{
+  replica->next = next;
+  if (sent_at > replica->read_at)
+    replica->read_at = sent_at;
+}
+
+void
+ms_replica_tick (struct ms_replica *replica, ms_time now)
+{
+  struct record *r, *next;
+
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    if (r->missing_since
+        && now - r->missing_since > replica->options.keep_missing)
+      {
+        ms_event (now, "record_dropped", "topic=%s key=%.*s missing_ms=%lld",
+                  replica->options.name, (int)r->key_length, r->key,
+                  (long long)((now - r->missing_since) / MS_MSEC));
+        delete_record (replica, r);
+      }
+  }
+}
+
+json_t *
+ms_replica_encode (const struct ms_replica *replica, uint64_t known,
+                   ms_time now)
+{
+  json_t *relay;
+  json_t *records;
+  struct record *r, *next;
+
+  if (!replica->loaded)
+    return NULL;
+  relay = json_pack ("{s:I, s:I}", "next", (json_int_t)replica->next, "age_us",
+                     (json_int_t)(now - replica->read_at));
+  if (known >= replica->next)
+    return relay;
+  records = json_object ();
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    /* A value that is not UTF-8, which no router could decode anyway, is left
+       out.  */
+    if (r->key_length <= MAX_KEY_LENGTH)
+      json_object_set_new (records, r->key,
+                           json_stringn (r->value, r->value_length));
+  }
+  json_object_set_new (relay, "records", records);
+  return relay;
+}
+
+bool
+ms_replica_apply (struct ms_replica *replica, const json_t *relay,
+                  ms_time sent_at, ms_time now)
+{
+  const json_t *next = json_object_get (relay, "next");
+  const json_t *age = json_object_get (relay, "age_us");
+  json_t *records = json_object_get (relay, "records");
+  ms_time read_at = sent_at - json_integer_value (age);
+  uint64_t offset = (uint64_t)json_integer_value (next);
+  struct record *table = NULL;
+  const char *key;
+  json_t *value;
+
+  if (!json_is_integer (next) || !json_is_integer (age)
+      || offset < replica->next
+      || (replica->loaded && read_at <= replica->read_at))
+    return false;
+  if (offset > replica->next || !replica->loaded)
+    {
+      if (!json_is_object (records))
+        return false;
+      json_object_foreach (records, key, value)
+      {
+        set_record (&table, ms_str (key),
+                    (struct ms_str){ json_string_value (value),
+                                     json_string_length (value) });
+      }
+      apply_snapshot (replica, &table, offset, false, now);
+    }
+  replica->read_at = read_at;
+  return true;
+}
--- /dev/null
+++ b/src/fleet/replica.h
@@ -0,0 +1,90 @@
+#ifndef FLEET_REPLICA_H
+#define FLEET_REPLICA_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "base/str.h"
+
+/* A replica of one topic of the store: the newest record of each key.  It
+   starts from a snapshot of the topic and then follows its changes, by reads
+   of the store or by replicas that peers relay.  The module opens no socket
+   and reads no clock; times are in microseconds (ms_time).  */
+
+struct ms_replica;
+
+struct ms_replica_options
+{
+  const char *name;
+  ms_time keep_missing; /* How long a record whose removal is uncertain is
+                           kept; 0 to delete it at once.  */
+
+  /* Called when the value of KEY changes, or with REMOVED set when KEY is
+     deleted; VALUE is then empty.  */
+  void (*changed) (void *context, struct ms_str key, struct ms_str value,
+                   bool removed);
+  void *context;
+};
+
+/* Create an empty replica; OPTIONS is copied.  */
+struct ms_replica *
+ms_replica_create (const struct ms_replica_options *options);
+
+/* Free REPLICA, which may be NULL.  CHANGED is not called.  */
+void ms_replica_destroy (struct ms_replica *replica);
+
+/* Whether the records of the topic were read at least once.  */
+bool ms_replica_loaded (const struct ms_replica *replica);
+
+/* Send time of the read that last confirmed the records, by this router or by
+   the peer that relayed them; 0 if none has succeeded yet.  */
+ms_time ms_replica_read_at (const struct ms_replica *replica);
+
+/* The offset that the next read of changes starts at; 0 if nothing was read
+   yet.  */
+uint64_t ms_replica_next (const struct ms_replica *replica);
+
+/* Records that are removed before UNTIL are treated as uncertain.  */
+void ms_replica_set_uncertain (struct ms_replica *replica, ms_time until);
+
+/* Add a record to the snapshot that is being read.  */
+void ms_replica_add (struct ms_replica *replica, struct ms_str key,
+                     struct ms_str value);
+
+/* Forget the snapshot that is being read.  */
+void ms_replica_abandon (struct ms_replica *replica);
+
+/* The snapshot that was being read is complete: it has the records up to the
+   offset END, and its first page was requested at SENT_AT.  It replaces the
+   records unless they are newer.  */
+void ms_replica_complete (struct ms_replica *replica, uint64_t end,
+                          ms_time sent_at, ms_time now);
+
+/* Apply a change that a read brought: KEY has VALUE now, or was removed.  */
+void ms_replica_change (struct ms_replica *replica, struct ms_str key,
+                        struct ms_str value, bool removed, ms_time now);
+
+/* A read of changes that was sent at SENT_AT brought all changes up to the
+   offset NEXT.  */
+void ms_replica_advance (struct ms_replica *replica, uint64_t next,
+                         ms_time sent_at);
+
+/* Delete the records that have been missing for long enough.  */
+void ms_replica_tick (struct ms_replica *replica, ms_time now);
+
+/* Return a JSON object for a peer's ms_replica_apply: the next offset and the
+   age of the records, and all the records if the peer lacks some of them: it
+   has them up to the offset KNOWN.  NULL if nothing was read yet.  The caller
+   owns the result.  */
+json_t *ms_replica_encode (const struct ms_replica *replica, uint64_t known,
+                           ms_time now);
+
+/* Apply RELAY, which a peer returned for a call sent at SENT_AT.  Return true
+   if it brought newer records or confirmed them by a later read; otherwise it
+   is ignored.  */
+bool ms_replica_apply (struct ms_replica *replica, const json_t *relay,
+                       ms_time sent_at, ms_time now);
+
+#endif
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -138,19 +138,23 @@
 ms_gateway_follow_store (struct ms_gateway *gw)
 {
   struct ms_topic_options operator_options = {
-    .name = PLAT_TOPIC_OPERATOR,
+    .replica = {
+      .name = PLAT_TOPIC_OPERATOR,
+      .changed = on_operator_change,
+      .context = gw,
+    },
     .wait_ms = OPERATOR_READ_WAIT_MS,
     .pause = OPERATOR_READ_PAUSE,
-    .changed = on_operator_change,
-    .context = gw,
   };
   struct ms_topic_options endpoint_options = {
-    .name = PLAT_TOPIC_ENDPOINTS,
+    .replica = {
+      .name = PLAT_TOPIC_ENDPOINTS,
+      .keep_missing = ENDPOINT_KEEP_MISSING,
+      .changed = on_endpoint_change,
+      .context = gw,
+    },
     .wait_ms = ENDPOINT_READ_WAIT_MS,
     .pause = ENDPOINT_READ_PAUSE,
-    .keep_missing = ENDPOINT_KEEP_MISSING,
-    .changed = on_endpoint_change,
-    .context = gw,
   };
 
   ms_address_parse (gw->settings->store_address, &operator_options.store);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -138,12 +138,13 @@
   /* The parameters have no NUL of their own: strtoull stops at the "&" or at
      the text that the parser keeps behind the target, as a rule the name of
      the first header.  */
-  relay = ms_topic_encode_relay (
-      gw->operator_topic, strtoull (operator_next.data, NULL, 10), gw->now);
+  relay = ms_replica_encode (ms_topic_replica (gw->operator_topic),
+                             strtoull (operator_next.data, NULL, 10), gw->now);
   if (relay)
     json_object_set_new (document, "operator", relay);
-  relay = ms_topic_encode_relay (
-      gw->endpoint_topic, strtoull (endpoints_next.data, NULL, 10), gw->now);
+  relay
+      = ms_replica_encode (ms_topic_replica (gw->endpoint_topic),
+                           strtoull (endpoints_next.data, NULL, 10), gw->now);
   if (relay)
     json_object_set_new (document, "endpoints", relay);
   text = json_dumps (document, JSON_COMPACT);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -38,12 +38,12 @@
   if (gw->relay_failed)
     return;
   document = json_loadb (body.data, body.length, 0, NULL);
-  newer = ms_topic_apply_relay (gw->operator_topic,
-                                json_object_get (document, "operator"),
-                                sent_at, gw->now);
-  newer |= ms_topic_apply_relay (gw->endpoint_topic,
-                                 json_object_get (document, "endpoints"),
-                                 sent_at, gw->now);
+  newer = ms_replica_apply (ms_topic_replica (gw->operator_topic),
+                            json_object_get (document, "operator"), sent_at,
+                            gw->now);
+  newer |= ms_replica_apply (ms_topic_replica (gw->endpoint_topic),
+                             json_object_get (document, "endpoints"), sent_at,
+                             gw->now);
   json_decref (document);
   if (newer && ms_fleet_reads_store (gw->fleet, gw->now))
     ms_event (gw->now, "relayed", "operator_age_ms=%lld endpoints_age_ms=%lld",
@@ -103,8 +103,10 @@
   if (!choose_source (gw, &address))
     return;
   snprintf (path, sizeof path, MS_RELAY_PATH "?operator=%llu&endpoints=%llu",
-            (unsigned long long)ms_topic_next (gw->operator_topic),
-            (unsigned long long)ms_topic_next (gw->endpoint_topic));
+            (unsigned long long)ms_replica_next (
+                ms_topic_replica (gw->operator_topic)),
+            (unsigned long long)ms_replica_next (
+                ms_topic_replica (gw->endpoint_topic)));
   ms_exchange_call (r->exchange, &address, "GET", path,
                     (struct ms_str){ "", 0 }, CALL_TIMEOUT, on_relay, r);
 }
