Divide limits of the fleet among all routers that may be sending

Cause: each router divided the limit by the routers that it had heard within a second. Six of nine were killed; the three left took their shares, and the six, started again 1.6 s later, knew nobody and took all of the limit each, though their previous processes and the survivors were sending. The same sum was uncertain for lost peers, for added routers, and for the retry budget.

Change: a silent router keeps its share for ten minutes; entries stay in the table, so that an old record in the store does not renew it. A router uses no share until it has been up for 2 s, has sent ten digests and knows the members; these are read in all pages and also while its own registration fails.

--- a/src/admit/budget.c
+++ b/src/admit/budget.c
@@ -69,7 +69,7 @@
 void
 ms_budget_set_routers (struct ms_budget *budget, unsigned routers)
 {
-  budget->routers = routers ? routers : 1;
+  budget->routers = routers;
 }
 
 /* Find or create the counts of SERVICE, and clear the buckets that left the
@@ -115,16 +115,13 @@
   struct count *c = current_counts (budget, service, now);
   double requests = 0;
   double retries = 0;
-  double bound;
+  double slack = budget->routers ? budget->options.slack / budget->routers : 0;
 
   for (int i = 0; i < BUCKETS; i++)
     requests += c->requests[i];
   for (int i = 0; i < BUCKETS + 1; i++)
     retries += c->retries[i];
-  bound = USED_FRACTION
-          * (budget->options.ratio * requests
-             + budget->options.slack / budget->routers);
-  if (retries + 1 > bound)
+  if (retries + 1 > USED_FRACTION * (budget->options.ratio * requests + slack))
     return false;
   c->retries[c->bucket % (BUCKETS + 1)]++;
   return true;
--- a/src/admit/budget.h
+++ b/src/admit/budget.h
@@ -39,8 +39,8 @@
 void ms_budget_set_options (struct ms_budget *budget,
                             const struct ms_budget_options *options);
 
-/* Set the number of ROUTERS that share the fixed number of retries; 0 counts
-   as 1.  */
+/* Set the number of ROUTERS that share the fixed number of retries; 0 if it is
+   unknown: then this router takes none of them.  */
 void ms_budget_set_routers (struct ms_budget *budget, unsigned routers);
 
 /* Count a caller's request for SERVICE that arrived at NOW.  */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -20,6 +20,20 @@
    of a random half.  */
 #define FULL_LIST_MAX 6
 
+/* A router takes no share in limits of the whole fleet until it has been up
+   for JOIN_TIME and has sent JOIN_DIGESTS digests: its previous process may
+   have used its share just before, and others must count it first.  While it
+   cannot read the members from the store it waits for longer, until it has
+   heard of them by digests.  */
+#define JOIN_TIME (2 * MS_SEC)
+#define JOIN_TIME_UNREAD (5 * MS_SEC)
+#define JOIN_DIGESTS 10
+
+/* A silent router is sent a digest one time in this many, and one whose share
+   has ended one time in that many.  */
+#define SILENT_TARGET_ODDS 8
+#define GONE_TARGET_ODDS 512
+
 /* Resolution of the random numbers for that choice.  */
 #define RANDOM_STEPS 1000000
 
@@ -31,12 +45,13 @@
 
 struct ms_fleet *
 ms_fleet_create (uint64_t id, uint64_t incarnation, uint64_t zone,
-                 struct in_addr ip, uint64_t random_seed)
+                 struct in_addr ip, uint64_t random_seed, ms_time now)
 {
   struct ms_fleet *fleet = ms_new (sizeof *fleet);
 
   fleet->self = (digest_member){ id, incarnation, zone, ntohl (ip.s_addr) };
   fleet->random.state = random_seed;
+  fleet->started = now;
   return fleet;
 }
 
@@ -72,6 +87,42 @@
   return i;
 }
 
+/* Return whether ROUTER may be sending, as far as this router can know.  */
+static bool
+has_share (const struct ms_fleet_router *router, ms_time now)
+{
+  ms_time last
+      = router->heard > router->learned ? router->heard : router->learned;
+
+  return now - last <= MS_ROUTER_SHARE_TIME;
+}
+
+bool
+ms_fleet_large (const struct ms_fleet *fleet, ms_time now)
+{
+  unsigned count = 1;
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    count += has_share (&fleet->routers[i], now);
+  return count > MS_SMALL_FLEET_MAX;
+}
+
+/* Remove a router whose share has ended.  Return false if there is none.  */
+static bool
+remove_gone_router (struct ms_fleet *fleet, ms_time now)
+{
+  for (unsigned i = 0; i < fleet->count; i++)
+    if (!has_share (&fleet->routers[i], now))
+      {
+        free_arrays (&fleet->routers[i]);
+        fleet->count--;
+        memmove (&fleet->routers[i], &fleet->routers[i + 1],
+                 (fleet->count - i) * sizeof *fleet->routers);
+        return true;
+      }
+  return false;
+}
+
 /* Return router ID, which is added if it is unknown; NULL if the table is
    full.  */
 static struct ms_fleet_router *
@@ -82,7 +133,11 @@
   if (index < fleet->count && fleet->routers[index].id == id)
     return &fleet->routers[index];
   if (fleet->count == MAX_ROUTERS)
-    return NULL;
+    {
+      if (!remove_gone_router (fleet, now))
+        return NULL;
+      index = find_index (fleet, id);
+    }
   if (fleet->count == fleet->space)
     {
       fleet->space = fleet->space ? fleet->space * 2 : 16;
@@ -117,6 +172,12 @@
   router->learned = now;
 }
 
+void
+ms_fleet_note_members (struct ms_fleet *fleet)
+{
+  fleet->members_known = true;
+}
+
 static struct in_addr
 member_address (const digest_member *member)
 {
@@ -206,7 +267,7 @@
 ms_fleet_targets (struct ms_fleet *fleet, ms_time now, struct in_addr *targets,
                   unsigned space)
 {
-  bool large = ms_fleet_large (fleet);
+  bool large = ms_fleet_large (fleet, now);
   unsigned count = 0;
   unsigned most = space < FAN_OUT ? space : FAN_OUT;
   unsigned i;
@@ -218,8 +279,10 @@
 
       if (large && r->zone != fleet->self.zone)
         continue;
-      /* Silent routers are probably gone; try one time in eight.  */
-      if (!ms_fleet_alive (r, now) && ms_random_below (&fleet->random, 8))
+      if (!ms_fleet_alive (r, now)
+          && ms_random_below (&fleet->random, has_share (r, now)
+                                                  ? SILENT_TARGET_ODDS
+                                                  : GONE_TARGET_ODDS))
         continue;
       targets[count++] = r->ip;
     }
@@ -231,19 +294,18 @@
 void
 ms_fleet_tick (struct ms_fleet *fleet, ms_time now)
 {
-  unsigned remaining = 0;
-
   for (unsigned i = 0; i < fleet->count; i++)
     {
       struct ms_fleet_router *r = &fleet->routers[i];
-      ms_time last = r->heard > r->learned ? r->heard : r->learned;
 
-      if (now - last > MS_ROUTER_FORGET_TIME)
-        free_arrays (r);
-      else
-        fleet->routers[remaining++] = *r;
+      if (has_share (r, now))
+        continue;
+      free_arrays (r);
+      r->loads = NULL;
+      r->loads_count = 0;
+      r->teams = NULL;
+      r->teams_count = 0;
     }
-  fleet->count = remaining;
 }
 
 bool
@@ -262,16 +324,30 @@
   return count;
 }
 
+/* Return whether this router knows the others and is counted by them.  */
+static bool
+has_joined (const struct ms_fleet *fleet, ms_time now)
+{
+  ms_time up = now - fleet->started;
+
+  if (up < JOIN_TIME || fleet->sequence < JOIN_DIGESTS)
+    return false;
+  return fleet->members_known
+         || (up >= JOIN_TIME_UNREAD && ms_fleet_alive_count (fleet, now) > 1);
+}
+
 unsigned
 ms_fleet_sharers (const struct ms_fleet *fleet, ms_time now, uint64_t *ids,
                   unsigned space)
 {
   unsigned count = 0;
 
+  if (!has_joined (fleet, now))
+    return 0;
   if (space)
     ids[count++] = fleet->self.id;
   for (unsigned i = 0; i < fleet->count && count < space; i++)
-    if (ms_fleet_alive (&fleet->routers[i], now))
+    if (has_share (&fleet->routers[i], now))
       ids[count++] = fleet->routers[i].id;
   return count;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -48,25 +48,31 @@
   unsigned teams_count;
 };
 
-/* A router that was not heard for MS_ROUTER_SILENT_TIME counts as gone; after
-   MS_ROUTER_FORGET_TIME it is removed.  */
+/* A router that was not heard for MS_ROUTER_SILENT_TIME gets no callers and no
+   calls.  It may be cut off from this router only, so limits of the whole
+   fleet leave its share to it for MS_ROUTER_SHARE_TIME, which is longer than
+   regions lose each other.  */
 #define MS_ROUTER_SILENT_TIME (1000 * MS_MSEC)
-#define MS_ROUTER_FORGET_TIME (60 * MS_SEC)
+#define MS_ROUTER_SHARE_TIME (600 * MS_SEC)
 
-/* Create the fleet as seen by router ID at address IP in ZONE, which knows no
-   other router yet.  INCARNATION must be higher at each start of the
-   router.  */
+/* Create the fleet as seen by router ID at address IP in ZONE, which starts at
+   NOW and knows no other router yet.  INCARNATION must be higher at each start
+   of the router.  */
 struct ms_fleet *ms_fleet_create (uint64_t id, uint64_t incarnation,
                                   uint64_t zone, struct in_addr ip,
-                                  uint64_t random_seed);
+                                  uint64_t random_seed, ms_time now);
 void ms_fleet_destroy (struct ms_fleet *fleet);
 
 /* A record of the store or another router mentions router ID.  Adds it, or
    updates it if INCARNATION is higher than the known one.  This alone does not
-   make it count as alive.  A new router is ignored while 1024 are known.  */
+   make it count as alive.  If 1024 routers are known, a new one replaces one
+   whose share has ended, or else is ignored.  */
 void ms_fleet_learn (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
                      uint64_t zone, struct in_addr ip, ms_time now);
 
+/* All routers that have a record in the store were learned.  */
+void ms_fleet_note_members (struct ms_fleet *fleet);
+
 /* A digest arrived.  Returns false, without using the sender's state in it, if
    it is not newer than the sender's last one or the sender cannot be added;
    the members and zone sums in it are used nevertheless.  Returns false and
@@ -90,9 +96,9 @@
   unsigned ready_count;
 };
 
-/* Return whether the fleet is so large (more than 16 routers) that routers of
-   other zones are known only by their zone sums.  */
-bool ms_fleet_large (const struct ms_fleet *fleet);
+/* Return whether the fleet is so large (more than 16 routers, heard or not)
+   that routers of other zones are known only by their zone sums.  */
+bool ms_fleet_large (const struct ms_fleet *fleet, ms_time now);
 
 /* Return the other zones whose zone sums have arrived, however long ago, and
    their number in COUNT; owned by FLEET and valid until its next change.  */
@@ -137,12 +143,12 @@
 
 /* Fill TARGETS with up to SPACE addresses of routers to send a digest to now:
    all routers, or in a large fleet those of this zone; silent ones only one
-   time in eight.  If there are more than 64, they take turns.  Returns the
-   number.  */
+   time in eight, and one time in 512 once their share has ended.  If there are
+   more than 64, they take turns.  Returns the number.  */
 unsigned ms_fleet_targets (struct ms_fleet *fleet, ms_time now,
                            struct in_addr *targets, unsigned space);
 
-/* Remove routers that have been silent for MS_ROUTER_FORGET_TIME.  */
+/* Free the reports of routers whose share has ended.  */
 void ms_fleet_tick (struct ms_fleet *fleet, ms_time now);
 
 /* Return whether this router is a reader of its zone, that is, reads the store
@@ -167,7 +173,9 @@
 unsigned ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now);
 
 /* Fill IDS with up to SPACE identifiers of the routers, this one included,
-   among which limits of the whole fleet are divided.  Returns the number.  */
+   among which limits of the whole fleet are divided: all that may be sending,
+   heard or not.  Returns the number, or 0 while this router cannot know them
+   or the others may not count it yet: it must not use those limits then.  */
 unsigned ms_fleet_sharers (const struct ms_fleet *fleet, ms_time now,
                            uint64_t *ids, unsigned space);
 
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -15,9 +15,11 @@
 struct ms_fleet
 {
   digest_member self;
-  unsigned sequence; /* Of the last digest sent.  */
-  unsigned capacity; /* Thousandths of a CPU core.  */
-  unsigned rate;     /* Requests in the last ten seconds.  */
+  ms_time started;
+  bool members_known; /* The members were read from the store.  */
+  unsigned sequence;  /* Of the last digest sent.  */
+  unsigned capacity;  /* Thousandths of a CPU core.  */
+  unsigned rate;      /* Requests in the last ten seconds.  */
   struct ms_random random;
   struct ms_fleet_router *routers; /* Without this one, by id.  */
   unsigned count;
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -9,12 +9,6 @@
    this many of its routers on average, chosen at random.  */
 #define RANDOM_TARGETS_PER_ZONE 2
 
-bool
-ms_fleet_large (const struct ms_fleet *fleet)
-{
-  return fleet->count + 1 > MS_SMALL_FLEET_MAX;
-}
-
 /* Return the rank of ID in the order in which routers become readers: the
    lowest come first.  MS_READERS_PER_ZONE only salts the hash; the salt must
    be the same at all routers.  */
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -23,10 +23,12 @@
   struct ms_gateway *gw;
   struct ms_exchange *exchange;
   struct sockaddr_in store;
-  char path[256];
+  char path[512];
   char record[512];
-  bool registered; /* The store has this router's record.  */
-  ms_time next_call_at;
+  bool registered;     /* The store has this router's record.  */
+  ms_time register_at; /* No registration starts before this time.  */
+  ms_time read_at;     /* No read starts before this time.  */
+  char after[256];     /* The next read starts after this key.  */
 };
 
 static void
@@ -53,25 +55,28 @@
                  struct ms_str body, ms_time sent_at)
 {
   struct ms_members *m = context;
+  struct ms_gateway *gw = m->gw;
   uint64_t end;
   bool more;
-  char after[256];
 
   (void)sent_at;
-  /* Only the first page is read: MORE and AFTER are ignored.  */
-  if (status == MS_OK && code == 200
-      && plat_decode_newest (body, learn_member, m, &end, &more, after,
-                             sizeof after)
-             == MS_OK)
+  if (status != MS_OK || code != 200
+      || plat_decode_newest (body, learn_member, m, &end, &more, m->after,
+                             sizeof m->after)
+             != MS_OK)
     {
-      m->next_call_at = m->gw->now
-                        + (ms_fleet_reads_store (m->gw->fleet, m->gw->now)
-                               ? READ_PERIOD
-                               : READ_PERIOD_RELAYED);
+      ms_event (gw->now, "members_unread", "code=%u", code);
+      m->read_at = gw->now + RETRY_DELAY;
       return;
     }
-  ms_event (m->gw->now, "members_unread", "code=%u", code);
-  m->next_call_at = m->gw->now + RETRY_DELAY;
+  if (more)
+    return;
+  m->after[0] = '\0';
+  m->read_at
+      = gw->now
+        + (ms_fleet_reads_store (gw->fleet, gw->now) ? READ_PERIOD
+                                                     : READ_PERIOD_RELAYED);
+  ms_fleet_note_members (gw->fleet);
 }
 
 static void
@@ -85,7 +90,7 @@
   /* Writing the record twice has the same effect as once, so an unknown
      outcome is simply retried.  */
   m->registered = status == MS_OK && code == 200;
-  m->next_call_at = m->gw->now + (m->registered ? 0 : RETRY_DELAY);
+  m->register_at = m->gw->now + RETRY_DELAY;
   if (!m->registered)
     ms_event (m->gw->now, "member_unwritten", "code=%u", code);
 }
@@ -112,14 +117,18 @@
 void
 ms_members_tick (struct ms_members *m, ms_time now)
 {
-  if (now < m->next_call_at || ms_exchange_busy (m->exchange))
+  if (ms_exchange_busy (m->exchange))
     return;
-  if (!m->registered)
+  if (!m->registered && now >= m->register_at)
     {
       register_self (m);
       return;
     }
-  plat_newest_path (m->path, sizeof m->path, PLAT_TOPIC_MEMBERS, "");
+  /* The read does not wait for the registration: limits of the whole fleet
+     cannot be used before it.  */
+  if (now < m->read_at)
+    return;
+  plat_newest_path (m->path, sizeof m->path, PLAT_TOPIC_MEMBERS, m->after);
   ms_exchange_call (m->exchange, &m->store, "GET", m->path,
                     (struct ms_str){ "", 0 }, CALL_TIMEOUT, on_members_read,
                     m);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -42,7 +42,8 @@
   struct ms_relay *relay;
   struct ms_members *members;
   ms_time next_digest_at;
-  unsigned alive; /* Live routers at the last digest, this one included.  */
+  unsigned alive;   /* Live routers at the last digest, this one included.  */
+  unsigned sharers; /* As of ms_fleet_sharers at the last digest.  */
   struct death_report deaths[DIGEST_DEATHS]; /* Ring of the latest.  */
   unsigned death_slot;                       /* Next to be written.  */
 };
@@ -93,7 +94,7 @@
   const struct ms_fleet_router *routers = ms_fleet_routers (gw->fleet, &count);
   unsigned zones_count;
   const struct ms_fleet_zone *zones = ms_fleet_zones (gw->fleet, &zones_count);
-  bool large = ms_fleet_large (gw->fleet);
+  bool large = ms_fleet_large (gw->fleet, gw->now);
   static uint64_t ids[MAX_ROUTERS];
   unsigned alive = ms_fleet_alive_count (gw->fleet, gw->now);
   unsigned sharers = ms_fleet_sharers (gw->fleet, gw->now, ids, MAX_ROUTERS);
@@ -113,9 +114,10 @@
     if (gw->now - zones[i].heard <= MS_ROUTER_SILENT_TIME)
       add_reported (gw, zones[i].loads, zones[i].loads_count, zones[i].teams,
                     zones[i].teams_count);
-  if (alive != p->alive)
-    ms_event (gw->now, "routers", "alive=%u known=%u", alive, count + 1);
+  if (alive != p->alive || sharers != p->sharers)
+    ms_event (gw->now, "routers", "alive=%u sharers=%u", alive, sharers);
   p->alive = alive;
+  p->sharers = sharers;
   ms_place_set_routers (gw->place, ids, sharers);
   ms_budget_set_routers (gw->budget, sharers);
 }
@@ -243,8 +245,8 @@
   digest_team teams[DIGEST_TEAMS];
   digest_zone zones[DIGEST_ZONES];
   struct fleet_digest digest = { 0 };
-  bool zone_reader
-      = ms_fleet_large (gw->fleet) && ms_fleet_reads_store (gw->fleet, now);
+  bool zone_reader = ms_fleet_large (gw->fleet, now)
+                     && ms_fleet_reads_store (gw->fleet, now);
   unsigned count
       = ms_fleet_targets (gw->fleet, now, recipients, MAX_RECIPIENTS);
 
@@ -271,9 +273,10 @@
 ms_peers_announce (struct ms_peers *p, ms_time now)
 {
   send_digest (p, now);
-  p->next_digest_at = now
-                      + (ms_fleet_large (p->gw->fleet) ? DIGEST_PERIOD_LARGE
-                                                       : DIGEST_PERIOD);
+  p->next_digest_at
+      = now
+        + (ms_fleet_large (p->gw->fleet, now) ? DIGEST_PERIOD_LARGE
+                                              : DIGEST_PERIOD);
 }
 
 void
--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -29,10 +29,12 @@
   double bound
       = (rate * place->options.cold_burst_factor + place->options.cold_slack)
         * USED_FRACTION;
-  unsigned routers = place->routers_count ? place->routers_count : 1;
+  unsigned routers = place->routers_count;
   uint64_t own = ms_id_pair (endpoint->id, place->options.self);
   unsigned preceding = 0;
 
+  if (!routers)
+    return 0;
   if (bound >= routers)
     return (unsigned)(bound / routers);
   for (unsigned i = 0; i < place->routers_count; i++)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -180,8 +180,10 @@
 void ms_place_evacuate (struct ms_place *place, uint64_t zone, bool out,
                         ms_time now);
 
-/* Set the identifiers of the COUNT live routers, this one included; they share
-   the rate limits of cold endpoints.  IDS is copied, up to 1024 of them.  */
+/* Set the identifiers of the COUNT routers, this one included, that share the
+   rate limits of cold endpoints.  IDS is copied, up to 1024 of them.  While
+   COUNT is 0, as at first, they are unknown and this router sends nothing to
+   cold endpoints.  */
 void ms_place_set_routers (struct ms_place *place, const uint64_t *ids,
                            unsigned count);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -23,7 +23,7 @@
 static struct ms_fleet *
 create_fleet (void)
 {
-  return ms_fleet_create (100, 1, ZONE_A, parse_ip ("10.0.0.100"), 1);
+  return ms_fleet_create (100, 1, ZONE_A, parse_ip ("10.0.0.100"), 1, 0);
 }
 
 /* Encode, decode and receive a digest of router ID with one load, as it comes
@@ -116,7 +116,7 @@
 {
   struct ms_fleet *first = create_fleet ();
   struct ms_fleet *second
-      = ms_fleet_create (200, 1, ZONE_B, parse_ip ("10.0.0.200"), 1);
+      = ms_fleet_create (200, 1, ZONE_B, parse_ip ("10.0.0.200"), 1, 0);
   struct fleet_digest digest = { 0 };
   digest_member members[DIGEST_MEMBERS];
   struct in_addr targets[8];
@@ -195,7 +195,8 @@
   struct fleet_digest digest = { 0 };
   struct in_addr targets[64];
   unsigned count = ms_fleet_targets (fleet, now, targets, 64);
-  bool reader = ms_fleet_large (fleet) && ms_fleet_reads_store (fleet, now);
+  bool reader
+      = ms_fleet_large (fleet, now) && ms_fleet_reads_store (fleet, now);
 
   ms_fleet_fill_digest (fleet, &digest, members);
   digest.ready = true;
@@ -251,7 +252,7 @@
   for (unsigned i = 0; i < ROUTER_COUNT; i++)
     net.fleets[i]
         = ms_fleet_create (router_id (i), 1, 1 + i % ZONE_COUNT,
-                           (struct in_addr){ htonl (FIRST_IP + i) }, i);
+                           (struct in_addr){ htonl (FIRST_IP + i) }, i, now);
   for (unsigned i = 0; i < ROUTER_COUNT; i++)
     for (unsigned j = 0; j < ROUTER_COUNT; j++)
       ms_fleet_learn (net.fleets[i], router_id (j), 1, 1 + j % ZONE_COUNT,
--- a/tests/test_sharers.c
+++ b/tests/test_sharers.c
@@ -94,7 +94,7 @@
   r->incarnation++;
   place.self = r->id;
   r->fleet = ms_fleet_create (r->id, r->incarnation, ZONE, router_ip (r->id),
-                              r->id * 7 + r->incarnation);
+                              r->id * 7 + r->incarnation, w->now);
   r->place = ms_place_create (&place, ms_place_policy ("prefix"));
   ms_place_configure (r->place, &routes);
   r->budget = ms_budget_create (&budget);
@@ -121,6 +121,7 @@
     if (w->routers[i].incarnation)
       ms_fleet_learn (r->fleet, w->routers[i].id, w->routers[i].incarnation,
                       ZONE, router_ip (w->routers[i].id), w->now);
+  ms_fleet_note_members (r->fleet);
   r->members_at = MS_NEVER;
 }
 
