--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -50,6 +50,7 @@
   unsigned sockets;   /* Open.  */
   unsigned endpoints; /* Listed.  */
   unsigned routers;   /* Alive, this one included.  */
+  unsigned sharers;   /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
   double config_age_s;    /* Since the read that confirmed it.  */
   double endpoints_age_s; /* Likewise, of the list of endpoints.  */
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -9,6 +9,7 @@
 #include "base/alloc.h"
 #include "base/event.h"
 #include "gateway/metrics.h"
+#include "gateway/peers.h"
 #include "gateway/relay.h"
 #include "gateway/socket.h"
 
@@ -166,6 +167,7 @@
     .sockets = ms_socket_open_count (),
     .endpoints = ms_place_count (gw->place),
     .routers = ms_fleet_alive_count (gw->fleet, gw->now),
+    .sharers = ms_peers_sharers (gw->peers),
     .config_version = gw->routes ? gw->routes->version : 0,
     .config_age_s
     = (double)(gw->now - ms_topic_read_at (gw->operator_topic)) / MS_SEC,
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -288,6 +288,12 @@
   p->death_slot = (p->death_slot + 1) % DIGEST_DEATHS;
 }
 
+unsigned
+ms_peers_sharers (const struct ms_peers *p)
+{
+  return p->sharers;
+}
+
 void
 ms_peers_tick (struct ms_peers *p, ms_time now)
 {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -20,6 +20,10 @@
    tick.  */
 void ms_peers_tick (struct ms_peers *peers, ms_time now);
 
+/* Number of routers among which limits of the whole fleet are divided, as of
+   the last digest; 0 if this router uses no such limit yet.  */
+unsigned ms_peers_sharers (const struct ms_peers *peers);
+
 /* Send a digest now instead of at its next time, as when the router starts to
    leave.  */
 void ms_peers_announce (struct ms_peers *peers, ms_time now);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -235,6 +235,12 @@
   && grep -q '^monsoonspur_total_seconds_bucket' "$DIR/metrics"
 verdict "the control address serves counters and histograms" $?
 
+# Retries within the first seconds of a gateway are limited to a fraction of its
+# requests.
+all_share () { metrics && grep -q '^monsoonspur_routers_sharing 3' "$DIR/metrics"; }
+await 10 all_share
+verdict "the gateways divide limits of the fleet among all three" $?
+
 request 1 /none/x
 is "$status" 404
 verdict "a path without a route gets 404" $?
