Do not relay endpoints that are kept after an outage

Cause: a router whose own reads of the store had failed put off removals for 1.5 s, since entries may expire while the store is down. The store was not down: only the readers were cut off from it. What a reader kept, it relayed with the age of its latest read as if the store still had it, so that routers that had never been cut off learned of the removal late, or listed the endpoint again after they had dropped it.

Change: an outage is when no read reached the router, its own or a peer's, for two heartbeats of endpoints and drain_timeout_ms; then entries may have expired. They are kept until 1.5 s after the read that ended the outage, and a relay leaves out what is only kept: each router judges by what it has missed itself. A router that reads or gets relays all the while drops at once.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -9,13 +9,17 @@
 /* Longer keys are not relayed.  */
 #define MAX_KEY_LENGTH 255
 
+/* The store may notice only this long after an outage that a record has
+   expired in it.  */
+#define OUTAGE_AFTERMATH (600 * MS_MSEC)
+
 struct record
 {
   char *key;
   size_t key_length;
   char *value;
   size_t value_length;
-  ms_time missing_since; /* When a read showed it gone; 0 while present.  */
+  bool missing; /* The store no longer has it.  */
   UT_hash_handle hh;
 };
 
@@ -28,7 +32,8 @@
   uint64_t next;
   ms_time read_at; /* When the read that confirmed the records began, here or
                       at the peer that relayed it.  */
-  ms_time uncertain_until;
+  ms_time outage_end; /* Send time of the read that ended the last outage; 0
+                         if there was none.  */
 };
 
 struct ms_replica *
@@ -88,12 +93,6 @@
   return replica->loaded ? replica->next : 0;
 }
 
-void
-ms_replica_set_uncertain (struct ms_replica *replica, ms_time until)
-{
-  replica->uncertain_until = until;
-}
-
 static struct record *
 find_record (struct record *table, struct ms_str key)
 {
@@ -111,7 +110,7 @@
 
   if (r)
     {
-      r->missing_since = 0;
+      r->missing = false;
       if (ms_str_equal ((struct ms_str){ r->value, r->value_length }, value))
         return false;
       free (r->value);
@@ -146,36 +145,41 @@
   free_record (r);
 }
 
-/* The store no longer has the record R: delete it now or, if DEFERRED, once it
-   has been missing for the topic's keep_missing time.  */
+/* A read that was sent at SENT_AT has succeeded, maybe after an outage.  */
+static void
+note_read (struct ms_replica *replica, ms_time sent_at)
+{
+  if (replica->options.outage && replica->loaded
+      && sent_at - replica->read_at >= replica->options.outage)
+    replica->outage_end = sent_at;
+}
+
+/* A read that was sent at SENT_AT shows that the store no longer has the
+   record R: delete it, or keep it for a while if it may have expired in an
+   outage.  */
 static void
-handle_missing (struct ms_replica *replica, struct record *r, bool deferred,
+handle_missing (struct ms_replica *replica, struct record *r, ms_time sent_at,
                 ms_time now)
 {
-  if (!deferred)
+  if (!replica->outage_end
+      || sent_at >= replica->outage_end + OUTAGE_AFTERMATH)
     delete_record (replica, r);
-  else if (!r->missing_since)
+  else if (!r->missing)
     {
-      r->missing_since = now;
+      r->missing = true;
       ms_event (now, "record_missing", "topic=%s key=%.*s",
                 replica->options.name, (int)r->key_length, r->key);
     }
 }
 
-/* Whether a record may be missing only because its writer could not reach the
-   store.  */
-static bool
-removal_uncertain (const struct ms_replica *replica, ms_time now)
-{
-  return replica->options.keep_missing && now < replica->uncertain_until;
-}
-
 void
 ms_replica_change (struct ms_replica *replica, struct ms_str key,
-                   struct ms_str value, bool removed, ms_time now)
+                   struct ms_str value, bool removed, ms_time sent_at,
+                   ms_time now)
 {
   struct record *r;
 
+  note_read (replica, sent_at);
   if (!removed)
     {
       update_record (replica, key, value);
@@ -183,7 +187,7 @@
     }
   r = find_record (replica->records, key);
   if (r)
-    handle_missing (replica, r, removal_uncertain (replica, now), now);
+    handle_missing (replica, r, sent_at, now);
 }
 
 void
@@ -199,19 +203,19 @@
   free_table (&replica->snapshot);
 }
 
-/* Replace the records by those in *TABLE, a snapshot up to offset END, and
-   empty *TABLE.  Records that it lacks are deleted, with a delay if DEFERRED.
- */
+/* Replace the records by those in *TABLE, a snapshot up to offset END that was
+   requested at SENT_AT, and empty *TABLE.  */
 static void
 apply_snapshot (struct ms_replica *replica, struct record **table,
-                uint64_t end, bool deferred, ms_time now)
+                uint64_t end, ms_time sent_at, ms_time now)
 {
   struct record *r, *next;
 
+  note_read (replica, sent_at);
   HASH_ITER (hh, replica->records, r, next)
   {
     if (!find_record (*table, (struct ms_str){ r->key, r->key_length }))
-      handle_missing (replica, r, deferred, now);
+      handle_missing (replica, r, sent_at, now);
   }
   HASH_ITER (hh, *table, r, next)
   {
@@ -230,8 +234,7 @@
   if (replica->loaded && end < replica->next)
     free_table (&replica->snapshot); /* A relay brought a newer state.  */
   else
-    apply_snapshot (replica, &replica->snapshot, end,
-                    removal_uncertain (replica, now), now);
+    apply_snapshot (replica, &replica->snapshot, end, sent_at, now);
   if (sent_at > replica->read_at)
     replica->read_at = sent_at;
 }
@@ -239,6 +242,7 @@
 void
 ms_replica_advance (struct ms_replica *replica, uint64_t next, ms_time sent_at)
 {
+  note_read (replica, sent_at);
   replica->next = next;
   if (sent_at > replica->read_at)
     replica->read_at = sent_at;
@@ -249,16 +253,17 @@
 {
   struct record *r, *next;
 
+  if (!replica->outage_end
+      || now < replica->outage_end + replica->options.keep)
+    return;
+  replica->outage_end = 0;
   HASH_ITER (hh, replica->records, r, next)
   {
-    if (r->missing_since
-        && now - r->missing_since > replica->options.keep_missing)
-      {
-        ms_event (now, "record_dropped", "topic=%s key=%.*s missing_ms=%lld",
-                  replica->options.name, (int)r->key_length, r->key,
-                  (long long)((now - r->missing_since) / MS_MSEC));
-        delete_record (replica, r);
-      }
+    if (!r->missing)
+      continue;
+    ms_event (now, "record_dropped", "topic=%s key=%.*s",
+              replica->options.name, (int)r->key_length, r->key);
+    delete_record (replica, r);
   }
 }
 
@@ -281,7 +286,7 @@
   {
     /* A value that is not UTF-8, which no router could decode anyway, is left
        out.  */
-    if (r->key_length <= MAX_KEY_LENGTH)
+    if (!r->missing && r->key_length <= MAX_KEY_LENGTH)
       json_object_set_new (records, r->key,
                            json_stringn (r->value, r->value_length));
   }
@@ -316,8 +321,9 @@
                     (struct ms_str){ json_string_value (value),
                                      json_string_length (value) });
       }
-      apply_snapshot (replica, &table, offset, false, now);
+      apply_snapshot (replica, &table, offset, read_at, now);
     }
+  note_read (replica, read_at);
   replica->read_at = read_at;
   return true;
 }
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -18,8 +18,14 @@
 struct ms_replica_options
 {
   const char *name;
-  ms_time keep_missing; /* How long a record whose removal is uncertain is
-                           kept; 0 to delete it at once.  */
+
+  /* If no read confirmed the records for at least OUTAGE, the store may have
+     been down and records may have expired although their writers live.  Those
+     that are gone by then or shortly after are kept until KEEP after the read
+     that ended the outage, by when they have been written again.  0: all
+     removals take effect at once.  */
+  ms_time outage;
+  ms_time keep;
 
   /* Called when the value of KEY changes, or with REMOVED set when KEY is
      deleted; VALUE is then empty.  */
@@ -46,9 +52,6 @@
    yet.  */
 uint64_t ms_replica_next (const struct ms_replica *replica);
 
-/* Records that are removed before UNTIL are treated as uncertain.  */
-void ms_replica_set_uncertain (struct ms_replica *replica, ms_time until);
-
 /* Add a record to the snapshot that is being read.  */
 void ms_replica_add (struct ms_replica *replica, struct ms_str key,
                      struct ms_str value);
@@ -62,22 +65,25 @@
 void ms_replica_complete (struct ms_replica *replica, uint64_t end,
                           ms_time sent_at, ms_time now);
 
-/* Apply a change that a read brought: KEY has VALUE now, or was removed.  */
+/* Apply a change that a read brought, which was sent at SENT_AT: KEY has VALUE
+   now, or was removed.  */
 void ms_replica_change (struct ms_replica *replica, struct ms_str key,
-                        struct ms_str value, bool removed, ms_time now);
+                        struct ms_str value, bool removed, ms_time sent_at,
+                        ms_time now);
 
 /* A read of changes that was sent at SENT_AT brought all changes up to the
    offset NEXT.  */
 void ms_replica_advance (struct ms_replica *replica, uint64_t next,
                          ms_time sent_at);
 
-/* Delete the records that have been missing for long enough.  */
+/* Delete the records that were kept until now.  */
 void ms_replica_tick (struct ms_replica *replica, ms_time now);
 
 /* Return a JSON object for a peer's ms_replica_apply: the next offset and the
    age of the records, and all the records if the peer lacks some of them: it
-   has them up to the offset KNOWN.  NULL if nothing was read yet.  The caller
-   owns the result.  */
+   has them up to the offset KNOWN.  Records that are only kept are left out,
+   as whether to keep them depends on what the peer itself has missed.  NULL if
+   nothing was read yet.  The caller owns the result.  */
 json_t *ms_replica_encode (const struct ms_replica *replica, uint64_t known,
                            ms_time now);
 
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -12,9 +12,14 @@
 #define ENDPOINT_READ_WAIT_MS 600
 #define ENDPOINT_READ_PAUSE (400 * MS_MSEC)
 
-/* How long an endpoint that disappears from the store's list during or after
-   an outage is kept, since the list may lack live endpoints at that time.  */
-#define ENDPOINT_KEEP_MISSING (1500 * MS_MSEC)
+/* The store removes an entry that its endpoint has not written for three of
+   its periods, so that an outage must last for two of them at least to cost
+   one.  A list as old as drain_timeout_ms cannot keep that bound anyway.  */
+#define ENDPOINT_OUTAGE_PERIODS 2
+
+/* How long after an outage an endpoint is kept that the list lacks: by then
+   those that live have written their entry again.  */
+#define ENDPOINT_KEEP (1500 * MS_MSEC)
 
 /* Part of the revocation bound that is set aside for a request to reach its
    endpoint after its key was checked.  */
@@ -134,6 +139,18 @@
   ms_place_put (gw->place, &entry, gw->now);
 }
 
+/* Return the shortest outage of the store in which endpoints' entries may
+   expire.  */
+static ms_time
+endpoint_outage (const struct ms_gateway_settings *s)
+{
+  double ms = ENDPOINT_OUTAGE_PERIODS * s->endpoint_heartbeat_ms;
+
+  if (ms < s->drain_timeout_ms)
+    ms = s->drain_timeout_ms;
+  return (ms_time)(ms * MS_MSEC);
+}
+
 void
 ms_gateway_follow_store (struct ms_gateway *gw)
 {
@@ -149,7 +166,8 @@
   struct ms_topic_options endpoint_options = {
     .replica = {
       .name = PLAT_TOPIC_ENDPOINTS,
-      .keep_missing = ENDPOINT_KEEP_MISSING,
+      .outage = endpoint_outage (gw->settings),
+      .keep = ENDPOINT_KEEP,
       .changed = on_endpoint_change,
       .context = gw,
     },
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -12,6 +12,10 @@
 #define MAX_TEXT_LENGTH 200
 #define MAX_SEEDS 16
 
+/* For settings without these fields.  */
+#define DEFAULT_DRAIN_TIMEOUT_MS 2000
+#define DEFAULT_ENDPOINT_HEARTBEAT_MS 1200
+
 #define TEXT_FIELD(field, flags)                                              \
   CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER | (flags),               \
                           struct ms_gateway_settings, field, 1,               \
@@ -19,6 +23,9 @@
 #define NUMBER_FIELD(field)                                                   \
   CYAML_FIELD_FLOAT (#field, CYAML_FLAG_DEFAULT, struct ms_gateway_settings,  \
                      field)
+#define OPTIONAL_NUMBER_FIELD(field)                                          \
+  CYAML_FIELD_FLOAT (#field, CYAML_FLAG_OPTIONAL, struct ms_gateway_settings, \
+                     field)
 #define COUNT_FIELD(field)                                                    \
   CYAML_FIELD_UINT (#field, CYAML_FLAG_DEFAULT, struct ms_gateway_settings,   \
                     field)
@@ -48,6 +55,8 @@
         NUMBER_FIELD (cpu_cores),
         NUMBER_FIELD (grace_period_s),
         NUMBER_FIELD (config_apply_ms),
+        OPTIONAL_NUMBER_FIELD (drain_timeout_ms),
+        OPTIONAL_NUMBER_FIELD (endpoint_heartbeat_ms),
         CYAML_FIELD_BOOL ("strict_revocation", CYAML_FLAG_DEFAULT,
                           struct ms_gateway_settings, strict_revocation),
         NUMBER_FIELD (revocation_ms),
@@ -104,6 +113,8 @@
     { "cpu_cores", s->cpu_cores, 0.001, 1024 },
     { "grace_period_s", s->grace_period_s, 0, 3600 },
     { "config_apply_ms", s->config_apply_ms, 100, 1e6 },
+    { "drain_timeout_ms", s->drain_timeout_ms, 100, 1e6 },
+    { "endpoint_heartbeat_ms", s->endpoint_heartbeat_ms, 10, 1e6 },
     { "revocation_ms", s->revocation_ms, 500, 1e6 },
     { "retry_budget_ratio", s->retry_budget_ratio, 0, 10 },
     { "retry_window_s", s->retry_window_s, 0.1, 3600 },
@@ -151,6 +162,15 @@
   return status;
 }
 
+static void
+set_defaults (struct ms_gateway_settings *s)
+{
+  if (s->drain_timeout_ms == 0)
+    s->drain_timeout_ms = DEFAULT_DRAIN_TIMEOUT_MS;
+  if (s->endpoint_heartbeat_ms == 0)
+    s->endpoint_heartbeat_ms = DEFAULT_ENDPOINT_HEARTBEAT_MS;
+}
+
 enum ms_status
 ms_gateway_settings_load (const char *path,
                           struct ms_gateway_settings **result)
@@ -167,6 +187,7 @@
       = ms_yaml_load ((struct ms_str){ data, length }, path, &schema, &loaded);
   if (status == MS_OK)
     {
+      set_defaults (loaded);
       status = check_settings (loaded, (struct ms_str){ data, length }, path);
       if (status == MS_OK)
         *result = loaded;
@@ -187,8 +208,9 @@
     const char *value;
     const char *old_value;
   } fixed[] = {
-    /* These take effect at the start only.  So do metrics_address and
-       placement, whose changes are accepted all the same.  */
+    /* These take effect at the start only.  So do metrics_address, placement,
+       drain_timeout_ms and endpoint_heartbeat_ms, whose changes are accepted
+       all the same.  */
     { "name", s->name, old->name },
     { "availability_zone", s->availability_zone, old->availability_zone },
     { "ip_address", s->ip_address, old->ip_address },
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -33,11 +33,16 @@
   char *log_level;  /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
-  double grace_period_s;  /* From SIGTERM to SIGKILL.  */
-  double config_apply_ms; /* Until a new configuration takes effect.  */
-  bool strict_revocation; /* Refuse requests with keys while a revocation
-                             may have been missed.  */
-  double revocation_ms;   /* Until a revoked key is refused.  */
+  double grace_period_s;   /* From SIGTERM to SIGKILL.  */
+  double config_apply_ms;  /* Until a new configuration takes effect.  */
+  double drain_timeout_ms; /* From an endpoint's leaving, as the store has it,
+                              until it gets no more requests; 2000 if it is
+                              not set.  */
+  double endpoint_heartbeat_ms; /* Period at which endpoints write their entry
+                                   in the store; 1200 if it is not set.  */
+  bool strict_revocation;       /* Refuse requests with keys while a revocation
+                                   may have been missed.  */
+  double revocation_ms;         /* Until a revoked key is refused.  */
 
   /* In any window of retry_window_s, each service may have retry_budget_ratio
      retries per request, plus retry_budget_slack retries in the whole fleet.
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -20,10 +20,6 @@
 #define MIN_RETRY_DELAY (200 * MS_MSEC)
 #define MAX_RETRY_DELAY (1600 * MS_MSEC)
 
-/* After reads of the store work again, records may still be missing for this
-   time because their writers could not reach the store either.  */
-#define OUTAGE_AFTERMATH (600 * MS_MSEC)
-
 struct ms_topic
 {
   struct ms_topic_options options;
@@ -41,7 +37,7 @@
   bool history_gone;        /* The store has dropped the record there.  */
   ms_time next_call_at;     /* No read starts before this time.  */
   unsigned failures;        /* Failed reads in a row.  */
-  ms_time response_at;      /* When the last read of changes ended.  */
+  ms_time call_sent_at;     /* When the last read of changes was sent.  */
 };
 
 struct ms_topic *
@@ -79,7 +75,7 @@
   struct ms_topic *t = context;
 
   ms_replica_change (t->replica, record->key, record->value, record->removed,
-                     t->response_at);
+                     t->call_sent_at, ms_now (t->clock));
 }
 
 static void
@@ -97,7 +93,6 @@
 {
   if (!t->failures)
     return;
-  ms_replica_set_uncertain (t->replica, ms_now (t->clock) + OUTAGE_AFTERMATH);
   ms_event (sent_at, "topic_regained", "topic=%s failures=%u",
             t->options.replica.name, t->failures);
   t->failures = 0;
@@ -118,7 +113,6 @@
               (long long)((now - ms_replica_read_at (t->replica)) / MS_MSEC));
   t->failures++;
   t->snapshot_open = false;
-  ms_replica_set_uncertain (t->replica, MS_NEVER);
   ms_replica_abandon (t->replica);
   t->next_call_at = now + pause;
 }
@@ -163,7 +157,7 @@
   ms_time now = ms_now (t->clock);
   uint64_t next;
 
-  t->response_at = now;
+  t->call_sent_at = sent_at;
   if (status == MS_OK && code == 410)
     {
       /* The store no longer has the record at this offset: read a
