Retry budget: a restart does not renew the share of the window

Cause: a router's count of retries ends with its process, so that after a restart of all routers one window had the fixed number twice.

Change: in the first window after its start a router takes only the margin that is set aside for routers that start, a quarter of its share, beside the fraction of its own requests.

--- a/src/admit/budget.c
+++ b/src/admit/budget.c
@@ -11,7 +11,9 @@
 
 /* Fraction of the bound that is used.  The rest is a margin for routers that
    start or stop: a window may hold retries of such a router, but not the
-   requests that allowed them.  */
+   requests that allowed them.  In the first window after its start a router
+   takes only the rest of its share of the fixed number: its previous process
+   may have used its fraction just before.  */
 #define USED_FRACTION 0.75
 
 /* Requests and retries of one service in each bucket of the window.  */
@@ -31,16 +33,18 @@
 {
   struct ms_budget_options options;
   unsigned routers;
+  ms_time started;
   struct count *counts;
 };
 
 struct ms_budget *
-ms_budget_create (const struct ms_budget_options *options)
+ms_budget_create (const struct ms_budget_options *options, ms_time started)
 {
   struct ms_budget *budget = ms_new (sizeof *budget);
 
   budget->options = *options;
   budget->routers = 1;
+  budget->started = started;
   return budget;
 }
 
@@ -116,12 +120,16 @@
   double requests = 0;
   double retries = 0;
   double slack = budget->routers ? budget->options.slack / budget->routers : 0;
+  double slack_fraction = now - budget->started < budget->options.window
+                              ? 1 - USED_FRACTION
+                              : USED_FRACTION;
 
   for (int i = 0; i < BUCKETS; i++)
     requests += c->requests[i];
   for (int i = 0; i < BUCKETS + 1; i++)
     retries += c->retries[i];
-  if (retries + 1 > USED_FRACTION * (budget->options.ratio * requests + slack))
+  if (retries + 1 > USED_FRACTION * budget->options.ratio * requests
+                        + slack_fraction * slack)
     return false;
   c->retries[c->bucket % (BUCKETS + 1)]++;
   return true;
--- a/src/admit/budget.h
+++ b/src/admit/budget.h
@@ -23,8 +23,10 @@
   ms_time window; /* Length of the sliding window.  */
 };
 
-/* Create a budget with OPTIONS for a fleet of one router.  */
-struct ms_budget *ms_budget_create (const struct ms_budget_options *options);
+/* Create a budget with OPTIONS for a fleet of one router, which was started at
+   STARTED.  */
+struct ms_budget *ms_budget_create (const struct ms_budget_options *options,
+                                    ms_time started);
 
 /* Free BUDGET, which may be NULL.  */
 void ms_budget_destroy (struct ms_budget *budget);
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -36,7 +36,7 @@
   gw->share = ms_share_create ();
   gw->pressure = ms_pressure_create ();
   gw->waiting = ms_requests_create_queue ();
-  gw->budget = ms_budget_create (&budget);
+  gw->budget = ms_budget_create (&budget, gw->now);
   /* The incarnation is the random seed as well.  */
   gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
                                gw->caller_address.sin_addr, gw->incarnation,
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -3,6 +3,7 @@
 #include "admit/budget.h"
 
 #define SERVICE 1
+#define LONG_AGO (-60 * MS_SEC) /* A start before all windows.  */
 
 static const struct ms_budget_options options
     = { .ratio = 0.2, .slack = 58, .window = 10 * MS_SEC };
@@ -28,7 +29,7 @@
   (void)state;
   for (int i = 0; i < 9; i++)
     {
-      struct ms_budget *budget = ms_budget_create (&options);
+      struct ms_budget *budget = ms_budget_create (&options, LONG_AGO);
 
       ms_budget_set_routers (budget, 9);
       for (int j = 0; j < 100; j++)
@@ -45,7 +46,7 @@
 static void
 test_budget_refills_after_window (void **state)
 {
-  struct ms_budget *budget = ms_budget_create (&options);
+  struct ms_budget *budget = ms_budget_create (&options, LONG_AGO);
   unsigned first = take_all (budget, MS_SEC);
 
   (void)state;
--- a/tests/test_sharers.c
+++ b/tests/test_sharers.c
@@ -97,7 +97,7 @@
                               r->id * 7 + r->incarnation, w->now);
   r->place = ms_place_create (&place, ms_place_policy ("prefix"));
   ms_place_configure (r->place, &routes);
-  r->budget = ms_budget_create (&budget);
+  r->budget = ms_budget_create (&budget, w->now);
   r->members_at = w->now + members_after;
   r->running = true;
   list_endpoint (w, r);
