Read the store in time for drain_timeout_ms when relays fail

Cause: a router that gets the endpoint list by relays read the store itself once the list was 1.8 s old, also where an endpoint must get no request later than 2 s after it left: 0.2 s remained for the read, a repeat of it and the request's way.

Change: the age follows from the bound of the topic, 0.6 of drain_timeout_ms or of config_apply_ms, also for the age at which a reader asks a peer.

--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -12,6 +12,11 @@
 #define ENDPOINT_READ_WAIT_MS 600
 #define ENDPOINT_READ_PAUSE (400 * MS_MSEC)
 
+/* Age of a topic at which a router that gets it by relays reads the store
+   itself, as a fraction of the time in which a change must be obeyed.  The
+   rest is for the read and a repeat of it, and for requests on the way.  */
+#define MAX_AGE_FRACTION 0.6
+
 /* The store removes an entry that its endpoint has not written for three of
    its periods, so that an outage must last for two of them at least to cost
    one.  A list as old as drain_timeout_ms cannot keep that bound anyway.  */
@@ -139,6 +144,13 @@
   ms_place_put (gw->place, &entry, gw->now);
 }
 
+/* Return the max_age of a topic whose changes must be obeyed in BOUND_MS.  */
+static ms_time
+max_age (double bound_ms)
+{
+  return (ms_time)(MAX_AGE_FRACTION * bound_ms * MS_MSEC);
+}
+
 /* Return the shortest outage of the store in which endpoints' entries may
    expire.  */
 static ms_time
@@ -162,6 +174,7 @@
     },
     .wait_ms = OPERATOR_READ_WAIT_MS,
     .pause = OPERATOR_READ_PAUSE,
+    .max_age = max_age (gw->settings->config_apply_ms),
   };
   struct ms_topic_options endpoint_options = {
     .replica = {
@@ -173,6 +186,7 @@
     },
     .wait_ms = ENDPOINT_READ_WAIT_MS,
     .pause = ENDPOINT_READ_PAUSE,
+    .max_age = max_age (gw->settings->drain_timeout_ms),
   };
 
   ms_address_parse (gw->settings->store_address, &operator_options.store);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,11 +8,10 @@
 #include "base/event.h"
 #include "gateway/exchange.h"
 
-/* A router that reads the store itself calls a peer once a topic is older
-   than MAX_AGE, or than MAX_AGE_FAILING while its reads of the store fail.
-   Other routers call one every CALL_PERIOD.  */
+/* A router that reads the store itself calls a peer once a topic is stale, or
+   older than MAX_AGE_FAILING while its reads of the store fail.  Other routers
+   call one every CALL_PERIOD.  */
 #define MAX_AGE_FAILING (300 * MS_MSEC)
-#define MAX_AGE (1500 * MS_MSEC)
 
 /* Shortest time from one call to the next, and time limit of a call.  */
 #define CALL_PERIOD (350 * MS_MSEC)
@@ -80,11 +79,11 @@
 }
 
 static bool
-is_stale (const struct ms_topic *topic, ms_time now)
+needs_relay (const struct ms_topic *topic, ms_time now)
 {
-  ms_time bound = ms_topic_failing (topic) ? MAX_AGE_FAILING : MAX_AGE;
-
-  return now - ms_topic_read_at (topic) > bound;
+  return ms_topic_stale (topic, now)
+         || (ms_topic_failing (topic)
+             && now - ms_topic_read_at (topic) > MAX_AGE_FAILING);
 }
 
 void
@@ -96,8 +95,8 @@
 
   if (now < r->next_call_at || ms_exchange_busy (r->exchange)
       || (ms_fleet_reads_store (gw->fleet, now)
-          && !is_stale (gw->operator_topic, now)
-          && !is_stale (gw->endpoint_topic, now)))
+          && !needs_relay (gw->operator_topic, now)
+          && !needs_relay (gw->endpoint_topic, now)))
     return;
   r->next_call_at = now + CALL_PERIOD;
   if (!choose_source (gw, &address))
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -11,10 +11,6 @@
    open.  */
 #define RESPONSE_GRACE (1000 * MS_MSEC)
 
-/* Age of the records at which a router that depends on relays reads the store
-   itself.  */
-#define RELAY_MAX_AGE (1800 * MS_MSEC)
-
 /* Delay after a failed read; doubles with each failure in a row, up to the
    maximum.  */
 #define MIN_RETRY_DELAY (200 * MS_MSEC)
@@ -203,7 +199,7 @@
 
   ms_replica_tick (t->replica, now);
   if (ms_exchange_busy (t->exchange) || now < t->next_call_at
-      || (!direct && now - ms_replica_read_at (t->replica) < RELAY_MAX_AGE))
+      || (!direct && !ms_topic_stale (t, now)))
     return;
   if (needs_snapshot (t))
     {
@@ -228,6 +224,12 @@
   return ms_replica_read_at (t->replica);
 }
 
+bool
+ms_topic_stale (const struct ms_topic *t, ms_time now)
+{
+  return now - ms_replica_read_at (t->replica) >= t->options.max_age;
+}
+
 bool
 ms_topic_failing (const struct ms_topic *t)
 {
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -21,6 +21,8 @@
   unsigned wait_ms; /* How long the store may hold a read open while there is
                        nothing new (long poll).  */
   ms_time pause;    /* From the end of a read to the next read.  */
+  ms_time max_age;  /* Age of the records at which a router that depends on
+                       relays reads the store itself.  */
 };
 
 /* Create an empty replica of the topic that OPTIONS describe; they are
@@ -42,6 +44,9 @@
 /* As ms_replica_read_at of the replica.  */
 ms_time ms_topic_read_at (const struct ms_topic *topic);
 
+/* Whether the records are older than the max_age of the topic.  */
+bool ms_topic_stale (const struct ms_topic *topic, ms_time now);
+
 /* Whether the last read of the store failed.  */
 bool ms_topic_failing (const struct ms_topic *topic);
 
