An empty answer to a long poll confirms the records as of its end

Cause: the age of the records counted from the time at which a read was sent, also where the store had held it open for 0.6 s and answered that nothing had changed. A reader's list seemed up to 1.6 s old while it was not, so that routers read the store or asked peers more often than needed, and the limits on the age of keys and of the list were met by less.

Change: such an answer was made after the wait, so the records are confirmed for the read's send time plus the wait.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -30,8 +30,7 @@
   struct record *snapshot; /* Records of the pages read so far.  */
   bool loaded;             /* A snapshot was applied.  */
   uint64_t next;
-  ms_time read_at; /* When the read that confirmed the records began, here or
-                      at the peer that relayed it.  */
+  ms_time read_at;    /* As of ms_replica_read_at.  */
   ms_time outage_end; /* Send time of the read that ended the last outage; 0
                          if there was none.  */
 };
@@ -240,12 +239,13 @@
 }
 
 void
-ms_replica_advance (struct ms_replica *replica, uint64_t next, ms_time sent_at)
+ms_replica_advance (struct ms_replica *replica, uint64_t next,
+                    ms_time confirmed_at)
 {
-  note_read (replica, sent_at);
+  note_read (replica, confirmed_at);
   replica->next = next;
-  if (sent_at > replica->read_at)
-    replica->read_at = sent_at;
+  if (confirmed_at > replica->read_at)
+    replica->read_at = confirmed_at;
 }
 
 void
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -44,8 +44,9 @@
 /* Whether the records of the topic were read at least once.  */
 bool ms_replica_loaded (const struct ms_replica *replica);
 
-/* Send time of the read that last confirmed the records, by this router or by
-   the peer that relayed them; 0 if none has succeeded yet.  */
+/* Time at which the store had no newer records for sure, by a read of this
+   router or of the peer that relayed them: as a rule the read's send time.  0
+   if none has succeeded yet.  */
 ms_time ms_replica_read_at (const struct ms_replica *replica);
 
 /* The offset that the next read of changes starts at; 0 if nothing was read
@@ -71,10 +72,10 @@
                         struct ms_str value, bool removed, ms_time sent_at,
                         ms_time now);
 
-/* A read of changes that was sent at SENT_AT brought all changes up to the
-   offset NEXT.  */
+/* A read of changes brought all changes up to the offset NEXT, and the store
+   had no others at CONFIRMED_AT.  */
 void ms_replica_advance (struct ms_replica *replica, uint64_t next,
-                         ms_time sent_at);
+                         ms_time confirmed_at);
 
 /* Delete the records that were kept until now.  */
 void ms_replica_tick (struct ms_replica *replica, ms_time now);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -151,6 +151,8 @@
 {
   struct ms_topic *t = context;
   ms_time now = ms_now (t->clock);
+  ms_time wait = t->options.wait_ms * MS_MSEC;
+  ms_time confirmed_at = sent_at;
   uint64_t next;
 
   t->call_sent_at = sent_at;
@@ -178,7 +180,10 @@
       read_failed (t, code, now);
       return;
     }
-  ms_replica_advance (t->replica, next, sent_at);
+  /* Without records the store has waited before it answered.  */
+  if (next == t->call_offset && now - sent_at >= wait)
+    confirmed_at = sent_at + wait;
+  ms_replica_advance (t->replica, next, confirmed_at);
   t->next_call_at = now + t->options.pause;
   read_succeeded (t, sent_at);
 }
