A read of changes that stops short does not confirm the records

Callers would have seen requests at endpoints that had left; not seen, found by looking for lists that count as newer than they are.

Cause: a read returns 1 MB at most. After an outage, or at the size to design for (1100 endpoints, about 0.27 MB a second of heartbeats), the rest was left for the next read, 0.4 s later, and the records counted as confirmed.

Change: the answer's own end of the topic is compared with what it brought; while it is cut off, the next read starts at once and the age stays.

Evidence: test_read_that_stops_short_does_not_confirm_the_list fails without the comparison.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -239,11 +239,13 @@
 }
 
 void
-ms_replica_advance (struct ms_replica *replica, uint64_t next,
+ms_replica_advance (struct ms_replica *replica, uint64_t next, uint64_t end,
                     ms_time confirmed_at)
 {
-  note_read (replica, confirmed_at);
   replica->next = next;
+  if (next < end)
+    return;
+  note_read (replica, confirmed_at);
   if (confirmed_at > replica->read_at)
     replica->read_at = confirmed_at;
 }
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -72,10 +72,11 @@
                         struct ms_str value, bool removed, ms_time sent_at,
                         ms_time now);
 
-/* A read of changes brought all changes up to the offset NEXT, and the store
-   had no others at CONFIRMED_AT.  */
+/* A read of changes brought those up to the offset NEXT, and the topic ended
+   at END at CONFIRMED_AT.  Unless the read stopped short of END, this confirms
+   the records.  */
 void ms_replica_advance (struct ms_replica *replica, uint64_t next,
-                         ms_time confirmed_at);
+                         uint64_t end, ms_time confirmed_at);
 
 /* Delete the records that were kept until now.  */
 void ms_replica_tick (struct ms_replica *replica, ms_time now);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -154,6 +154,7 @@
   ms_time wait = t->options.wait_ms * MS_MSEC;
   ms_time confirmed_at = sent_at;
   uint64_t next;
+  uint64_t end;
 
   t->call_sent_at = sent_at;
   if (status == MS_OK && code == 410)
@@ -174,7 +175,7 @@
       return;
     }
   if (status != MS_OK || code != 200
-      || plat_decode_read (body, t->call_offset, apply_change, t, &next)
+      || plat_decode_read (body, t->call_offset, apply_change, t, &next, &end)
              != MS_OK)
     {
       read_failed (t, code, now);
@@ -183,8 +184,8 @@
   /* Without records the store has waited before it answered.  */
   if (next == t->call_offset && now - sent_at >= wait)
     confirmed_at = sent_at + wait;
-  ms_replica_advance (t->replica, next, confirmed_at);
-  t->next_call_at = now + t->options.pause;
+  ms_replica_advance (t->replica, next, end, confirmed_at);
+  t->next_call_at = next < end ? now : now + t->options.pause;
   read_succeeded (t, sent_at);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -130,22 +130,25 @@
   char body[64] = { 0 };
   struct received received = { 0 };
   uint64_t next;
+  uint64_t end;
   size_t length = 16; /* Of the header that starts the response.  */
 
   (void)state;
+  body[7] = 9; /* The end of the topic.  */
   length += plat_encode_record (body + length, sizeof body - length,
                                 ms_str ("a"), ms_str ("1"));
   length += plat_encode_record (body + length, sizeof body - length,
                                 ms_str ("b"), ms_str (""));
   assert_int_equal (plat_decode_read ((struct ms_str){ body, length }, 5, take,
-                                      &received, &next),
+                                      &received, &next, &end),
                     MS_OK);
   assert_int_equal (next, 7);
+  assert_int_equal (end, 9);
   assert_int_equal (received.count, 2);
   assert_string_equal (received.values[0], "1");
   assert_true (received.removed[1]);
   assert_int_equal (plat_decode_read ((struct ms_str){ body, length - 1 }, 5,
-                                      take, &received, &next),
+                                      take, &received, &next, &end),
                     MS_INVALID);
 }
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -199,6 +199,25 @@
   ms_replica_destroy (other.replica);
 }
 
+/* Guards against a list that counts as recent although a read of many changes
+   stopped short of a removal.  */
+static void
+test_read_that_stops_short_does_not_confirm_the_list (void **state)
+{
+  struct router r;
+
+  (void)state;
+  create_router (&r);
+  read_snapshot (&r, &full_store, 1 * MS_SEC);
+  ms_replica_advance (r.replica, 11, 12, 2 * MS_SEC);
+  assert_int_equal (ms_replica_read_at (r.replica), 1 * MS_SEC);
+  assert_int_equal (ms_replica_next (r.replica), 11);
+  ms_replica_advance (r.replica, 12, 12, 2 * MS_SEC + 100 * MS_MSEC);
+  assert_int_equal (ms_replica_read_at (r.replica),
+                    2 * MS_SEC + 100 * MS_MSEC);
+  ms_replica_destroy (r.replica);
+}
+
 int
 main (void)
 {
@@ -207,6 +226,7 @@
     cmocka_unit_test (test_relayed_removal_is_not_put_off_by_the_reader),
     cmocka_unit_test (test_router_on_relays_does_not_put_off_a_removal),
     cmocka_unit_test (test_entries_that_expire_in_an_outage_are_kept),
+    cmocka_unit_test (test_read_that_stops_short_does_not_confirm_the_list),
   };
 
   return RUN (tests);
