Check an endpoint again when the connection to it is made

Cause: leaving, evacuation and the cold limit were checked when the endpoint was chosen, up to 0.4 s before the request was written, while the connection was being made; the cold limit counted the request from the choice on, so that what was placed over more than a second could go out in one.

Change: the choice is checked again before the request is written, and the send counts from then on. If it does not hold, the request is placed anew, which takes nothing from the retry budget, as nothing was sent. All sends pass there: first tries, repeats, requests from the queue and resumed streams.

Evidence: without the check the three new tests of test_place fail: test_endpoint_that_left_while_connecting_gets_no_request, test_cold_limit_counts_from_the_send_on and test_endpoint_that_became_cold_while_connecting_is_limited.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -132,8 +132,9 @@
   return true;
 }
 
-/* Write R to its connected upstream.  The checks are repeated, since time may
-   have passed while connecting.  */
+/* Write R to its connected upstream.  The checks are repeated, and the choice
+   is checked against what is known now, since time may have passed while
+   connecting.  */
 static void
 send_request (struct ms_request *r)
 {
@@ -145,6 +146,12 @@
 
   if (!check_may_send (r, now))
     return;
+  if (!ms_place_confirm_send (r->gw->place, r->endpoint, r->placed_at, now))
+    {
+      ms_request_end_attempt (r, MS_END_CANCELLED);
+      ms_request_retry (r, false, "endpoint_left");
+      return;
+    }
   length = compose_head (r, head, sizeof head);
   if (!length)
     {
@@ -184,6 +191,7 @@
   r->unsent_length = 0;
   /* The endpoint's load includes the request from now on, also while the
      connection to it is being made.  */
+  r->placed_at = gw->now;
   ms_place_sent (gw->place, offer, &r->choice, &r->load, gw->now);
   if (r->tried_count < MS_MAX_TRIED)
     {
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -60,6 +60,7 @@
                                    found no endpoint.  */
   struct ms_load load;          /* Load that it adds to the endpoint.  */
   struct ms_name last_endpoint; /* Last one that it was sent to.  */
+  ms_time placed_at;            /* When this attempt's endpoint was chosen.  */
   ms_time sent_at;              /* When this attempt was sent.  */
   ms_time list_age;             /* Age of the endpoint list at that time.  */
   ms_time last_event_at;        /* When events were last passed on.  */
@@ -110,10 +111,11 @@
    wait.  */
 void ms_request_give_up_unplaced (struct ms_request *request);
 
-/* Start another attempt after one that failed because of REASON, or give up
-   the request if it has tried MS_MAX_TRIED endpoints.  If WAS_SENT, the failed
-   attempt had sent the request: the next one then takes from the retry budget,
-   and the request is given up if that or the route's attempts are used up.  */
+/* Start another attempt after one that failed because of REASON, or that was
+   not sent, or give up the request if it has tried MS_MAX_TRIED endpoints.  If
+   WAS_SENT, the failed attempt had sent the request: the next one then takes
+   from the retry budget, and the request is given up if that or the route's
+   attempts are used up.  */
 void ms_request_retry (struct ms_request *request, bool was_sent,
                        const char *reason);
 
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -26,16 +26,22 @@
 #define SMALL_DUPLICATE_TOKENS 256
 #define DUPLICATE_LOAD_FRACTION 0.6
 
+/* Return whether the operators and the endpoint itself let E have requests. */
+static bool
+is_in_service (const struct ms_place *place, const struct ms_endpoint_state *e)
+{
+  return e->listed && !e->entry.leaving
+         && !ms_place_zone_evacuated (place, e->entry.zone);
+}
+
 /* Return whether E may get requests, not counting its cold limit.  While it is
    being probed after a failure, it gets no second request.  */
 static bool
 is_available (const struct ms_place *place, const struct ms_endpoint_state *e,
               ms_time now)
 {
-  if (!e->listed || e->entry.leaving || now < e->down_until
-      || ms_place_zone_evacuated (place, e->entry.zone))
-    return false;
-  return !e->failures || !e->probing;
+  return is_in_service (place, e) && now >= e->down_until
+         && (!e->failures || !e->probing);
 }
 
 bool
@@ -45,6 +51,17 @@
   return is_available (place, e, now) && ms_cold_allows (place, e, now);
 }
 
+bool
+ms_place_confirm_send (struct ms_place *place, struct ms_endpoint_state *e,
+                       ms_time placed_at, ms_time now)
+{
+  ms_cold_forget (e, placed_at);
+  if (!is_in_service (place, e) || !ms_cold_allows (place, e, now))
+    return false;
+  ms_cold_record (e, now);
+  return true;
+}
+
 static bool
 was_tried (const struct ms_offer *offer, const struct ms_endpoint_state *e)
 {
--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -70,3 +70,14 @@
   endpoint->cold_sends[endpoint->cold_next] = now;
   endpoint->cold_next = (endpoint->cold_next + 1) % COLD_SENDS_SIZE;
 }
+
+void
+ms_cold_forget (struct ms_endpoint_state *endpoint, ms_time at)
+{
+  for (unsigned i = 0; i < COLD_SENDS_SIZE; i++)
+    if (endpoint->cold_sends[i] == at)
+      {
+        endpoint->cold_sends[i] = 0;
+        return;
+      }
+}
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -74,4 +74,7 @@
 /* Record a send to ENDPOINT, warm or cold, for that limit.  */
 void ms_cold_record (struct ms_endpoint_state *endpoint, ms_time now);
 
+/* Remove one of the sends to ENDPOINT that were recorded at AT, if any.  */
+void ms_cold_forget (struct ms_endpoint_state *endpoint, ms_time at);
+
 #endif
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -235,18 +235,25 @@
 void ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                       ms_time now, struct ms_choice *choice);
 
-/* Return whether ENDPOINT may get a request now; the last check before a
-   send.  */
+/* Return whether ENDPOINT may get a request now.  */
 bool ms_place_may_send (struct ms_place *place,
                         const struct ms_endpoint_state *endpoint, ms_time now);
 
-/* The request OFFER was sent to the endpoint of CHOICE.  Fills LOAD with what
-   it adds to the endpoint's load; LOAD is to be passed to ms_place_began and
-   ms_place_ended.  */
+/* The request OFFER is going to be sent to the endpoint of CHOICE.  Fills LOAD
+   with what it adds to the endpoint's load; LOAD is to be passed to
+   ms_place_began and ms_place_ended.  */
 void ms_place_sent (struct ms_place *place, const struct ms_offer *offer,
                     struct ms_choice *choice, struct ms_load *load,
                     ms_time now);
 
+/* The connection for a request for which ms_place_sent was called at PLACED_AT
+   is there, and it can be written at NOW.  Return whether ENDPOINT may still
+   get it: it may have left, be evacuated or have become cold since.  For the
+   rate limit of cold endpoints the request counts from NOW on.  */
+bool ms_place_confirm_send (struct ms_place *place,
+                            struct ms_endpoint_state *endpoint,
+                            ms_time placed_at, ms_time now);
+
 /* The first part of an answer from ENDPOINT arrived TOOK after the send, where
    EXPECTED was predicted (0: no prediction).  Takes the prefill of LOAD, which
    ms_place_sent filled, off the endpoint's load and sets LOAD->prefill to
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -223,6 +223,86 @@
   ms_place_destroy (place);
 }
 
+/* Guards against a request at an endpoint that left, or whose zone was
+   evacuated, while the connection to it was being made.  */
+static void
+test_endpoint_that_left_while_connecting_gets_no_request (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e = put_endpoint (place, 1, MODEL, ZONE_B, 0, 0);
+  struct ms_offer offer = long_prompt ();
+  struct ms_load load;
+  ms_time later = MS_SEC + 300 * MS_MSEC;
+
+  (void)state;
+  assert_ptr_equal (choose_and_send (place, &offer, &load, MS_SEC), e);
+  assert_true (ms_place_confirm_send (place, e, MS_SEC, later));
+  e->entry.leaving = true;
+  assert_false (ms_place_confirm_send (place, e, MS_SEC, later));
+  e->entry.leaving = false;
+  ms_place_evacuate (place, ZONE_B, true, later);
+  assert_false (ms_place_confirm_send (place, e, MS_SEC, later));
+  ms_place_evacuate (place, ZONE_B, false, later);
+  ms_place_hold (e);
+  ms_place_remove (place, e->id);
+  assert_false (ms_place_confirm_send (place, e, MS_SEC, later));
+  ms_place_destroy (place);
+}
+
+/* Guards against a flood of a cold endpoint by requests that were placed over
+   more than a second and are sent at once, when their connections are made. */
+static void
+test_cold_limit_counts_from_the_send_on (void **state)
+{
+  static const uint64_t ids[9] = { 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  struct ms_place *place = create_place ();
+  struct ms_offer offer = long_prompt ();
+  struct ms_endpoint_state *e;
+  struct ms_load loads[3];
+  ms_time sent_at = MS_SEC + 400 * MS_MSEC;
+
+  (void)state;
+  ms_place_set_routers (place, ids, 9);
+  e = put_endpoint (place, 1, MODEL, ZONE_A, 3 * MS_SEC, 0);
+  /* The share of a router is two requests.  */
+  for (unsigned i = 0; i < 2; i++)
+    assert_ptr_equal (choose_and_send (place, &offer, &loads[i], MS_SEC), e);
+  for (unsigned i = 0; i < 2; i++)
+    assert_true (ms_place_confirm_send (place, e, MS_SEC, sent_at));
+  assert_null (
+      choose_and_send (place, &offer, &loads[2], sent_at + 800 * MS_MSEC));
+  assert_non_null (
+      choose_and_send (place, &offer, &loads[2], sent_at + 1200 * MS_MSEC));
+  ms_place_destroy (place);
+}
+
+/* Guards against a flood of an endpoint that became cold after requests for it
+   were placed.  */
+static void
+test_endpoint_that_became_cold_while_connecting_is_limited (void **state)
+{
+  static const uint64_t ids[9] = { 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  struct ms_place *place = create_place ();
+  struct ms_offer offer = long_prompt ();
+  struct ms_endpoint_state *e;
+  struct ms_load loads[6];
+  unsigned sent = 0;
+
+  (void)state;
+  ms_place_set_routers (place, ids, 9);
+  e = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+  for (unsigned i = 0; i < 6; i++)
+    assert_ptr_equal (choose_and_send (place, &offer, &loads[i],
+                                       MS_SEC + (ms_time)i * MS_MSEC),
+                      e);
+  put_endpoint (place, 1, MODEL, ZONE_A, 3 * MS_SEC, MS_SEC);
+  for (unsigned i = 0; i < 6; i++)
+    sent += ms_place_confirm_send (place, e, MS_SEC + (ms_time)i * MS_MSEC,
+                                   MS_SEC + 1200 * MS_MSEC);
+  assert_int_equal (sent, 2);
+  ms_place_destroy (place);
+}
+
 /* An endpoint that could not be reached gets no request during the back-off,
    and then one at a time until one succeeds.  */
 static void
@@ -305,6 +385,11 @@
     cmocka_unit_test (test_cold_bound_holds_for_twelve_routers),
     cmocka_unit_test (test_cold_bound_holds_for_more_routers_than_requests),
     cmocka_unit_test (test_leaving_and_evacuated_endpoints_get_no_request),
+    cmocka_unit_test (
+        test_endpoint_that_left_while_connecting_gets_no_request),
+    cmocka_unit_test (test_cold_limit_counts_from_the_send_on),
+    cmocka_unit_test (
+        test_endpoint_that_became_cold_while_connecting_is_limited),
     cmocka_unit_test (test_unreachable_endpoint_gets_one_probe_at_a_time),
     cmocka_unit_test (test_load_of_other_routers_counts),
     cmocka_unit_test (test_limit_shrinks_when_tokens_are_slow),
