Note a stall before the first request that is read after it

Suspected, not shown: a process that did not run for a while treats all endpoints as cold for a second, but noted that at its next tick. What waited in its sockets may be read before, in the poll that the suspension interrupted.

Change: each reading of the clock notes the stall. The check stays: 20 requests wait for a suspended gateway, 8 may reach a cold endpoint in a second.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,6 +80,8 @@
   size_t body_bytes;         /* Total size of request bodies in memory.  */
   ms_time now;               /* Last reading of CLOCK.  */
   ms_time last_tick;         /* Start of the last tick.  */
+  ms_time stalled_at;        /* When the process ran again after the last time
+                                that it did not; 0 if there was none.  */
   ms_time swept_at;          /* Start of the last sweep: a check of all
                                 connections' timeouts.  */
   ms_time terminated_at;     /* When SIGTERM was received; 0 if it was not.  */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -82,10 +82,28 @@
     }
 }
 
+/* Note at the first event after it that the whole process did not run for a
+   while: data that waited in the sockets is read before the next tick.  */
+static void
+check_stall (struct ms_gateway *gw)
+{
+  ms_time last
+      = gw->last_tick > gw->stalled_at ? gw->last_tick : gw->stalled_at;
+
+  if (!last || gw->now - last <= STALLED_TICK)
+    return;
+  gw->stalled_at = gw->now;
+  gw->loop_late = true;
+  ms_event (gw->now, "stood_still", "ms=%lld",
+            (long long)((gw->now - last) / MS_MSEC));
+  ms_place_note_stall (gw->place, gw->now);
+}
+
 ms_time
 ms_gateway_update_time (struct ms_gateway *gw)
 {
   gw->now = ms_now (&gw->clock);
+  check_stall (gw);
   return gw->now;
 }
 
@@ -149,12 +167,6 @@
   ms_time now = ms_gateway_update_time (gw);
   bool direct;
 
-  if (gw->last_tick && now - gw->last_tick > STALLED_TICK)
-    {
-      ms_event (now, "stood_still", "ms=%lld",
-                (long long)((now - gw->last_tick) / MS_MSEC));
-      ms_place_note_stall (gw->place, now);
-    }
   gw->loop_late = now - gw->last_tick > LATE_TICK;
   gw->last_tick = now;
   ms_gateway_check_pressure (gw);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -65,7 +65,7 @@
 $(route open idempotent 2000 app 2 true false),\
 $(route brief idempotent 300 app 2 false false),\
 $(route events streaming 8000 app 2 false true)${3:-}],\
-\"services\":[{\"name\":\"app\"},{\"name\":\"other\"}],\
+\"services\":[{\"name\":\"app\"},{\"name\":\"other\",\"cold_per_s\":2}],\
 \"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\
 \"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},\
 \"tenants\":[{\"name\":\"t1\",\"api_keys\":[$2]}]}"
@@ -415,12 +415,34 @@
 verdict "changes arrive after the store has dropped its history" $?
 list_engine 0 ready
 
+# While a gateway is suspended it may miss that an endpoint has become cold.  A
+# cold endpoint of this service may get 2 * 1.5 + 5 requests in a second.
+publish_config 4 '"k1"' ",$(route other idempotent 2000 other 1 true false)"
+list_engine 1 ready a other
+other () { request 1 /other/x; is "$status" 200; }
+await 5 other
+sleep 1.2
+kill -STOP "$(pid_of gateway1)"
+curls=
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+  curl --silent --noproxy '*' --max-time 5 -H 'Host: h' -o /dev/null \
+    -w '%{http_code}\n' "$(caller_url 1)/other/x" >"$DIR/suspended$i" &
+  curls="$curls $!"
+done
+sleep 1
+kill -CONT "$(pid_of gateway1)"
+wait $curls
+is "$(cat "$DIR"/suspended* | grep -c .)" 20 \
+  && [ "$(cat "$DIR"/suspended* | grep -c 200)" -le 8 ]
+verdict "a gateway that was suspended treats endpoints as cold at once" $?
+list_engine 1 ready a
+
 # Gateway 3 starts again with a store address where nothing listens, so it
 # depends on what the other gateways relay.
 start_gateway 3 $((BASE + 9))
 await 10 ready 3
 verdict "a gateway without access to the store is ready through its peers" $?
-publish_config 4 '"k1", "k4"'
+publish_config 5 '"k1", "k4"'
 relayed () { request 3 /any/x; is "$status" 200; }
 KEY=k4
 await 5 relayed
