Send digests to the seeds while no other router is known

Callers would have seen a cold endpoint flooded and more retries than allowed; not seen, found by looking at where a router does not know the others.

Cause: routers learn of a new one from its record in the store or from its digests, and it sends these to routers that it knows. One that starts without the store gets configuration and endpoints from the seeds, but neither it nor the others know each other: it took all of each limit, and the others left it nothing.

Change: while it hears nobody and has nobody to send to, it sends its digests to the seeds.

Evidence: "a new gateway without access to the store is counted by the others" in gateway.sh failed before; 58 checks pass.

--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
 #include "base/event.h"
 #include "gateway/members.h"
@@ -234,6 +235,25 @@
   send_to_recipients (p, digest, recipients, count);
 }
 
+/* Fill RECIPIENTS with the IP addresses of the other seeds and return their
+   number.  */
+static unsigned
+seed_recipients (const struct ms_gateway *gw, struct in_addr *recipients)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < gw->settings->seeds_count && i < MAX_RECIPIENTS;
+       i++)
+    {
+      struct sockaddr_in seed;
+
+      if (ms_address_parse (gw->settings->seeds[i], &seed) == MS_OK
+          && seed.sin_addr.s_addr != gw->caller_address.sin_addr.s_addr)
+        recipients[count++] = seed.sin_addr;
+    }
+  return count;
+}
+
 static void
 send_digest (struct ms_peers *p, ms_time now)
 {
@@ -250,6 +270,10 @@
   unsigned count
       = ms_fleet_targets (gw->fleet, now, recipients, MAX_RECIPIENTS);
 
+  /* Without access to the store the others are first known by their answers.
+   */
+  if (ms_fleet_alive_count (gw->fleet, now) == 1 && !count)
+    count = seed_recipients (gw, recipients);
   ms_fleet_fill_digest (gw->fleet, &digest, members);
   digest.ready = ms_gateway_ready (gw) && !ms_pressure_high (gw->pressure);
   digest.leaving = gw->terminated_at != 0;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -449,6 +449,13 @@
 verdict "a gateway without access to the store gets changes from its peers" $?
 KEY=k1
 
+# The others know gateway 3 from before, but not gateway 4.
+start_gateway 4 $((BASE + 9))
+four_alive () { metrics && grep -q '^monsoonspur_routers_alive 4' "$DIR/metrics"; }
+await 10 ready 4 && await 10 four_alive
+verdict "a new gateway without access to the store is counted by the others" $?
+stop gateway4 KILL
+
 store_mode down
 keys_refused ()
 {
