Soak: release endpoints one after the other, check DRAIN and FAILBACK

The soak killed endpoints and listed new ones at once, all warm, so that none ever left or was cold; it checked neither rule, and it never killed all gateways together.

Three further endpoints are released in turn, some told as draining and some by the removal of their entry, serve on for 3.5 s and are replaced by a cold one; all gateways or all but one are killed together twice in ten seconds; entries are written again by heartbeats. DRAIN and FAILBACK are checked from the times of the runs that the endpoints wrote down.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -18,6 +18,7 @@
 #define MAX_PAUSE_MS 20   /* Between two requests of a caller.  */
 #define MAX_ATTEMPTS 2    /* The routes' max_attempts.  */
 #define BODY_BYTES 8192
+#define MAX_RUNS 16384 /* Of one start of an endpoint.  */
 
 /* Time that an endpoint spends on a request that is no stream.  */
 #define RUN_MS 200
@@ -37,6 +38,7 @@
 {
   char id[40];
   enum route route;
+  unsigned gateway; /* To which it was sent.  */
   bool second_key;
   bool after_revocation; /* Sent when its key had to be refused.  */
   long status;           /* HTTP status, 0 without an answer.  */
@@ -179,6 +181,7 @@
 
       snprintf (r->id, sizeof r->id, "r%u-%u", c->index, c->requests_count);
       r->route = (enum route)ms_random_below (&c->random, ROUTES);
+      r->gateway = c->gateway;
       r->second_key = ms_random_below (&c->random, 4) == 0;
       r->after_revocation = r->second_key && revoked
                             && fleet_now_ms () > revoked + REVOCATION_MS;
@@ -240,39 +243,75 @@
   return table;
 }
 
-/* Add the runs that the endpoints logged to the requests in TABLE.  Prints the
-   runs that belong to no request (UNASKED) and returns their number.  Ignores
-   the runs of callers_probe, whose ids begin with "try".  */
-static unsigned
-count_runs (struct request *table, const char *folder)
+/* Whether more than COLD_BOUND of the COUNT runs at TIMES, in ascending order,
+   came within one second before COLD_UNTIL.  */
+static bool
+is_flooded (const long long *times, unsigned count, long long cold_until)
 {
-  unsigned unknown_runs = 0;
+  unsigned first = 0;
 
-  for (unsigned i = 0; i < ENGINES; i++)
+  for (unsigned i = 0; i < count && times[i] < cold_until; i++)
     {
-      char path[512];
-      char id[64];
-      FILE *file;
+      while (times[i] - times[first] >= 1000)
+        first++;
+      if (i - first + 1 > COLD_BOUND)
+        return true;
+    }
+  return false;
+}
 
-      snprintf (path, sizeof path, "%s/runs%u", folder, i);
-      file = fopen (path, "r");
-      while (file && fscanf (file, "%63s %*d", id) == 1)
+/* Add the runs of one start of an endpoint to the requests in TABLE.  Prints
+   the following breaches and returns their number.  The runs of callers_probe,
+   whose ids begin with "try", are looked at for FAILBACK only.
+
+   UNASKED   a run that belongs to no request
+   DRAIN     a run later than DRAIN_TIMEOUT_MS after the endpoint left, from a
+             gateway in touch with a store that was up when it left
+   FAILBACK  too many runs at a cold endpoint within one second  */
+static unsigned
+count_instance_runs (struct request *table,
+                     const struct fleet_instance *instance,
+                     bool (*in_touch) (unsigned gateway, long long at_ms))
+{
+  static long long times[MAX_RUNS];
+  unsigned count = 0;
+  unsigned breaches = 0;
+  FILE *file = fopen (instance->runs, "r");
+  char id[64];
+  long long at;
+
+  while (file && fscanf (file, "%63s %lld", id, &at) == 2)
+    {
+      struct request *r;
+
+      if (count < MAX_RUNS)
+        times[count++] = at;
+      HASH_FIND_STR (table, id, r);
+      if (r)
+        r->runs++;
+      else if (strncmp (id, "try", 3) != 0)
+        {
+          printf ("UNASKED %s\n", id);
+          breaches++;
+        }
+      if (r && instance->left_ms && at > instance->left_ms + DRAIN_TIMEOUT_MS
+          && in_touch (GATEWAYS, instance->left_ms)
+          && in_touch (r->gateway, at))
         {
-          struct request *r;
-
-          HASH_FIND_STR (table, id, r);
-          if (r)
-            r->runs++;
-          else if (strncmp (id, "try", 3) != 0)
-            {
-              printf ("UNASKED %s\n", id);
-              unknown_runs++;
-            }
+          printf ("DRAIN: %s by gateway %u reached %s %lld ms after it left\n",
+                  id, r->gateway, instance->runs, at - instance->left_ms);
+          breaches++;
         }
-      if (file)
-        fclose (file);
     }
-  return unknown_runs;
+  if (file)
+    fclose (file);
+  if (is_flooded (times, count, instance->cold_until_ms))
+    {
+      printf ("FAILBACK: more than %.0f requests in a second at %s\n",
+              COLD_BOUND, instance->runs);
+      breaches++;
+    }
+  return breaches;
 }
 
 /* The name of the rule that R breaks, or NULL:
@@ -307,12 +346,16 @@
 }
 
 unsigned
-callers_check (const char *folder)
+callers_check (bool (*in_touch) (unsigned gateway, long long at_ms))
 {
   struct request *table = index_requests ();
-  unsigned breaches = count_runs (table, folder);
+  unsigned breaches = 0;
+  unsigned count;
+  const struct fleet_instance *instances = fleet_instances (&count);
   struct request *r, *next;
 
+  for (unsigned i = 0; i < count; i++)
+    breaches += count_instance_runs (table, &instances[i], in_touch);
   HASH_ITER (hh, table, r, next)
   {
     const char *rule = broken_rule (r);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_CALLERS_H
 #define SOAK_CALLERS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Callers that load the gateways.  Each runs in a thread of its own, stays
@@ -22,10 +23,11 @@
    that is sent more than REVOCATION_MS after AT_MS must not run.  */
 void callers_set_revoked (long long at_ms);
 
-/* Compare the recorded answers with the runs that the endpoints logged in
-   FOLDER.  Prints each breach of a rule and returns their number.  Call it
-   after callers_stop.  */
-unsigned callers_check (const char *folder);
+/* Compare the recorded answers with the runs that the endpoints logged.
+   IN_TOUCH tells whether a gateway, or for GATEWAYS the store, was undisturbed
+   at a time and for long enough before it.  Prints each
+   breach of a rule and returns their number.  Call it after callers_stop.  */
+unsigned callers_check (bool (*in_touch) (unsigned gateway, long long at_ms));
 
 /* Print the number of requests by status.  */
 void callers_print_counts (void);
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -25,6 +25,8 @@
 
 #define MAX_START_POLLS 200 /* START_POLL_MS apart.  */
 #define START_POLL_MS 50
+#define MAX_INSTANCES 512
+#define ALL_ENGINES (ENGINES + RELEASED)
 
 struct process
 {
@@ -35,10 +37,27 @@
 static struct fleet_options options;
 static struct process store;
 static struct process gateways[GATEWAYS];
-static struct process engines[ENGINES];
-/* Number of starts of each engine, a part of its name.  */
-static unsigned engine_starts[ENGINES];
-static struct proxy *engine_links[ENGINES];
+/* What the store's list says of an engine, or nothing.  */
+enum engine_state
+{
+  ENGINE_UNLISTED,
+  ENGINE_READY,
+  ENGINE_DRAINING
+};
+
+struct engine
+{
+  struct process process;
+  unsigned starts; /* A part of its name.  */
+  enum engine_state state;
+  struct fleet_instance *instance; /* Of the latest start.  */
+};
+
+static struct engine engines[ALL_ENGINES];
+static struct fleet_instance instances[MAX_INSTANCES];
+static unsigned instances_count;
+static unsigned heartbeats;
+static struct proxy *engine_links[ALL_ENGINES];
 static struct proxy *store_links[GATEWAYS];
 static unsigned config_version;
 
@@ -151,37 +170,70 @@
   http_call ("PUT", url, body);
 }
 
-/* Write engine I to the store's list of endpoints with STATE; an empty STATE
-   removes it.  */
+/* Write engine I to the store's list of endpoints as its state says.  */
 static void
-publish_engine (unsigned i, const char *state)
+publish_engine (unsigned i)
 {
-  char body[256];
+  const struct engine *e = &engines[i];
+  long long cold_ms = e->instance->cold_until_ms - fleet_now_ms ();
+  char body[256] = "";
+
+  if (e->state != ENGINE_UNLISTED)
+    snprintf (body, sizeof body,
+              "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\","
+              "\"zone\":\"a\",\"slots\":32,\"state\":\"%s\","
+              "\"cold_remaining_ms\":%lld,\"sequence\":%u}",
+              options.base + ENGINE_LINK_PORT + i,
+              e->state == ENGINE_READY ? "ready" : "draining",
+              cold_ms > 0 ? cold_ms : 0, heartbeats);
+  put_store (body, "put?topic=keyed.servers&key=e%u-%u", i, e->starts);
+}
 
-  snprintf (body, sizeof body,
-            "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\","
-            "\"zone\":\"a\",\"slots\":32,\"state\":\"%s\","
-            "\"cold_remaining_ms\":0,\"sequence\":1}",
-            options.base + ENGINE_LINK_PORT + i, state);
-  put_store (*state ? body : "", "put?topic=keyed.servers&key=e%u-%u", i,
-             engine_starts[i]);
+static void
+set_engine_state (unsigned i, enum engine_state state)
+{
+  engines[i].state = state;
+  publish_engine (i);
 }
 
-/* Start engine I under a new name.  */
+/* Start engine I under a new name, cold for COLD_MS.  */
 static void
-start_engine (unsigned i)
+start_engine (unsigned i, long long cold_ms)
 {
-  char program[512], address[64], name[64], runs[512], log[32];
+  struct engine *e = &engines[i];
+  char program[512], address[64], name[64], runs[600], log[32];
   char *arguments[] = { program, address, name, runs, NULL };
 
-  engine_starts[i]++;
+  if (instances_count == MAX_INSTANCES)
+    errx (EXIT_FAILURE, "too many starts of engines");
+  e->starts++;
+  e->instance = &instances[instances_count++];
+  e->instance->cold_until_ms = cold_ms ? fleet_now_ms () + cold_ms : 0;
+  snprintf (e->instance->runs, sizeof e->instance->runs, "%s/runs%u-%u",
+            options.folder, i, e->starts);
   snprintf (program, sizeof program, "%s/standin-engine", options.build);
   snprintf (address, sizeof address, "--address=127.0.0.1:%u",
             options.base + ENGINE_PORT + i);
-  snprintf (name, sizeof name, "--name=e%u-%u", i, engine_starts[i]);
-  snprintf (runs, sizeof runs, "--runs=%s/runs%u", options.folder, i);
+  snprintf (name, sizeof name, "--name=e%u-%u", i, e->starts);
+  snprintf (runs, sizeof runs, "--runs=%s", e->instance->runs);
   snprintf (log, sizeof log, "engine%u", i);
-  start_process (&engines[i], log, arguments);
+  start_process (&e->process, log, arguments);
+}
+
+/* Wait until engine I answers.  */
+static void
+await_engine (unsigned i)
+{
+  char url[128];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/runs?id=none",
+            options.base + ENGINE_PORT + i);
+  for (unsigned polls = 0; http_call ("GET", url, NULL) != 200; polls++)
+    {
+      if (polls == MAX_START_POLLS)
+        errx (EXIT_FAILURE, "engine %u does not start", i);
+      pause_ms (1);
+    }
 }
 
 /* Write the settings of gateway I, which has the address 127.0.0.1I, such as
@@ -255,17 +307,56 @@
 void
 fleet_signal_engine (unsigned i, int number)
 {
-  send_signal (&engines[i], number);
+  send_signal (&engines[i].process, number);
+}
+
+/* Kill engine I and start it again, listed under a new name.  */
+static void
+replace_engine (unsigned i, long long cold_ms)
+{
+  send_signal (&engines[i].process, SIGKILL);
+  reap (&engines[i].process);
+  set_engine_state (i, ENGINE_UNLISTED);
+  start_engine (i, cold_ms);
 }
 
 void
 fleet_restart_engine (unsigned i)
 {
-  send_signal (&engines[i], SIGKILL);
-  reap (&engines[i]);
-  publish_engine (i, "");
-  start_engine (i);
-  publish_engine (i, "ready");
+  replace_engine (i, 0);
+  set_engine_state (i, ENGINE_READY);
+}
+
+void
+fleet_release_engine (unsigned i, bool untold)
+{
+  set_engine_state (i, untold ? ENGINE_UNLISTED : ENGINE_DRAINING);
+  engines[i].instance->left_ms = fleet_now_ms ();
+}
+
+void
+fleet_replace_engine (unsigned i)
+{
+  replace_engine (i, COLD_MS);
+  /* Otherwise the gateways would back off and not flood it.  */
+  await_engine (i);
+  set_engine_state (i, ENGINE_READY);
+}
+
+void
+fleet_heartbeat (void)
+{
+  unsigned i = heartbeats++ % ALL_ENGINES;
+
+  if (engines[i].state != ENGINE_UNLISTED)
+    publish_engine (i);
+}
+
+const struct fleet_instance *
+fleet_instances (unsigned *count)
+{
+  *count = instances_count;
+  return instances;
 }
 
 struct proxy *
@@ -311,11 +402,11 @@
       "\"route_kind\":\"streaming\",\"timeout_ms\":6000,"
       "\"target_latency_ms\":500,\"service\":\"app\",\"max_attempts\":2,"
       "\"resumable\":true}],"
-      "\"services\":[{\"name\":\"app\"}],"
+      "\"services\":[{\"name\":\"app\",\"cold_per_s\":%d}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
       "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"%s]}]}",
-      ++config_version, second_key ? ",\"k2\"" : "");
+      ++config_version, COLD_PER_S, second_key ? ",\"k2\"" : "");
   put_store (body, "put?topic=keyed.op&key=config");
 }
 
@@ -391,12 +482,12 @@
       pause_ms (START_POLL_MS);
     }
   fleet_publish_config (true);
-  for (unsigned i = 0; i < ENGINES; i++)
+  for (unsigned i = 0; i < ALL_ENGINES; i++)
     {
       engine_links[i] = proxy_create (options.base + ENGINE_LINK_PORT + i,
                                       options.base + ENGINE_PORT + i);
-      start_engine (i);
-      publish_engine (i, "ready");
+      start_engine (i, 0);
+      set_engine_state (i, ENGINE_READY);
     }
   for (unsigned i = 0; i < GATEWAYS; i++)
     {
@@ -422,8 +513,8 @@
 {
   for (unsigned i = 0; i < GATEWAYS; i++)
     kill_process (&gateways[i]);
-  for (unsigned i = 0; i < ENGINES; i++)
-    kill_process (&engines[i]);
+  for (unsigned i = 0; i < ALL_ENGINES; i++)
+    kill_process (&engines[i].process);
   kill_process (&store);
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -14,7 +14,21 @@
    several threads.  */
 
 #define GATEWAYS 3
-#define ENGINES 4
+#define ENGINES 4 /* That faults act on.  */
+#define RELEASED                                                              \
+  3 /* Further engines, which are released one after the other;               \
+       they have the numbers from ENGINES on.  */
+
+/* Time from the store's acknowledgement that an engine leaves until it must
+   get no more requests, the default of the gateways' setting drain_timeout_ms.
+ */
+#define DRAIN_TIMEOUT_MS 2000
+
+/* How long a released engine is cold after its start, and the most requests
+   that it may get from all gateways in one second of that time.  */
+#define COLD_MS 3000
+#define COLD_PER_S 4
+#define COLD_BOUND (COLD_PER_S * 1.5 + 5)
 
 /* Time from the revocation of a key until gateways must refuse it, their
    setting revocation_ms.  */
@@ -53,6 +67,30 @@
    store's list of endpoints follows.  */
 void fleet_restart_engine (unsigned engine);
 
+/* Let ENGINE leave: it is on the store's list as draining or, if UNTOLD, not
+   at all any more, but goes on serving.  */
+void fleet_release_engine (unsigned engine, bool untold);
+
+/* End a released ENGINE and start it again, cold, under a new name.  */
+void fleet_replace_engine (unsigned engine);
+
+/* Let the next engine write its entry in the store again; call it every
+   HEARTBEAT_STEP_MS.  */
+#define HEARTBEAT_STEP_MS 150
+void fleet_heartbeat (void);
+
+/* One start of an engine.  Times are those of fleet_now_ms.  */
+struct fleet_instance
+{
+  char runs[512];          /* File to which the engine writes its runs.  */
+  long long cold_until_ms; /* 0 if it starts warm.  */
+  long long left_ms;       /* When the store knew that it leaves; 0 if it did
+                              not leave.  */
+};
+
+/* Return all starts of engines so far, and their number in COUNT.  */
+const struct fleet_instance *fleet_instances (unsigned *count);
+
 /* The proxy between the gateways and ENGINE.  */
 struct proxy *fleet_engine_link (unsigned engine);
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,11 +18,23 @@
 
 #define STEP_MS 50 /* Interval at which due faults start and end.  */
 #define MIN_FAULT_MS 200
-#define MAX_FAULTS 64
+#define MAX_FAULTS 128
 #define MAX_FAULT_MS 2500
 #define FAULTS_PER_S 3
 #define FIRST_FAULT_MS 500 /* After the start of the callers.  */
 
+/* Engines are released one after the other, each RELEASE_PERIOD_MS and up to
+   RELEASE_JITTER_MS; a released one ends LINGER_MS after it has left.  All
+   gateways, or all but one, are killed twice in HERD_PERIOD_S.  */
+#define RELEASE_PERIOD_MS 2000
+#define RELEASE_JITTER_MS 400
+#define LINGER_MS 3500
+#define HERD_PERIOD_S 10
+#define HERD_MAX_MS 1000
+
+/* A gateway is in touch once it has been undisturbed for this time.  */
+#define STABLE_WINDOW_MS 3000
+
 /* Time after the last fault within which all gateways must serve again, each
    with PROBES_IN_A_ROW answers.  */
 #define RECOVERY_MS 12000
@@ -49,13 +61,17 @@
   STORE_FORGET, /* The store drops its history.  */
   CONFIGURE,    /* Publication of an unchanged configuration.  */
   REVOKE,       /* The second key is revoked, or becomes valid again.  */
+  DRAWN_KINDS,  /* Those before are drawn at random.  */
+  RELEASE = DRAWN_KINDS, /* An engine leaves, and is replaced by a cold one. */
+  HERD_KILL, /* SIGKILL to all gateways, or all but one; a restart of each.  */
   FAULT_KINDS
 };
 
 static const char *const fault_names[FAULT_KINDS]
     = { "gateway_stop", "gateway_kill", "gateway_term", "gateway_hup",
         "engine_stop",  "engine_kill",  "engine_link",  "store_link",
-        "store_down",   "store_forget", "configure",    "revoke" };
+        "store_down",   "store_forget", "configure",    "revoke",
+        "release",      "herd_kill" };
 
 struct fault
 {
@@ -63,9 +79,12 @@
   long long end_ms;
   enum fault_kind kind;
   unsigned target;       /* Modulo GATEWAYS or ENGINES, the number of the
-                            gateway or engine.  Kinds from STORE_DOWN on only
-                            print it.  */
+                            gateway or engine; of RELEASE and HERD_KILL see
+                            below.  The others only print it.  */
   enum link_state state; /* Of ENGINE_LINK and STORE_LINK.  */
+  bool untold;           /* Of RELEASE: its entry is removed at once.  */
+  long long started_at;  /* On the clock of fleet_now_ms.  */
+  long long ended_at;
   bool started;
   bool ended;
 };
@@ -74,6 +93,52 @@
 static unsigned faults_count;
 static bool second_key = true; /* Whether the second key is valid.  */
 
+/* The engine that RELEASE fault F acts on.  */
+static unsigned
+released_engine (const struct fault *f)
+{
+  return ENGINES + f->target % RELEASED;
+}
+
+/* Whether gateway I is spared by HERD_KILL fault F.  */
+static bool
+is_spared (const struct fault *f, unsigned i)
+{
+  return f->target % (GATEWAYS + 1) == i;
+}
+
+/* Add the releases and mass restarts, which are not drawn from RANDOM of the
+   other faults so that those stay what a seed has always made them.  */
+static void
+add_releases (struct ms_random *random, unsigned seconds)
+{
+  unsigned releases = seconds * 1000 / RELEASE_PERIOD_MS;
+  unsigned herds = 2 * seconds / HERD_PERIOD_S;
+
+  for (unsigned i = 0; i < releases + herds && faults_count < MAX_FAULTS; i++)
+    {
+      struct fault *f = &faults[faults_count++];
+
+      f->kind = i < releases ? RELEASE : HERD_KILL;
+      if (f->kind == RELEASE)
+        {
+          f->target = i;
+          f->untold = ms_random_below (random, 2) == 0;
+          f->start_ms
+              = FIRST_FAULT_MS + (long long)i * RELEASE_PERIOD_MS
+                + (long long)ms_random_below (random, RELEASE_JITTER_MS);
+          f->end_ms = f->start_ms + LINGER_MS;
+          continue;
+        }
+      f->target = (unsigned)ms_random_next (random);
+      f->start_ms = FIRST_FAULT_MS
+                    + (long long)ms_random_below (random, seconds * 1000ULL);
+      f->end_ms
+          = f->start_ms + MIN_FAULT_MS
+            + (long long)ms_random_below (random, HERD_MAX_MS - MIN_FAULT_MS);
+    }
+}
+
 static void
 choose_faults (struct ms_random *random, unsigned seconds)
 {
@@ -83,7 +148,7 @@
     {
       struct fault *f = &faults[i];
 
-      f->kind = (enum fault_kind)ms_random_below (random, FAULT_KINDS);
+      f->kind = (enum fault_kind)ms_random_below (random, DRAWN_KINDS);
       f->target = (unsigned)ms_random_next (random);
       f->state = (enum link_state) (
           LINK_SLOW + ms_random_below (random, LINK_STATES - LINK_SLOW));
@@ -156,6 +221,14 @@
       if (!second_key)
         callers_set_revoked (fleet_now_ms ());
       break;
+    case RELEASE:
+      fleet_release_engine (released_engine (f), f->untold);
+      break;
+    case HERD_KILL:
+      for (unsigned i = 0; i < GATEWAYS; i++)
+        if (!is_spared (f, i))
+          fleet_signal_gateway (i, SIGKILL);
+      break;
     case FAULT_KINDS:
       break;
     }
@@ -168,6 +241,7 @@
 {
   unsigned gateway = f->target % GATEWAYS;
   unsigned engine = f->target % ENGINES;
+  bool ended = true;
 
   switch (f->kind)
     {
@@ -189,10 +263,18 @@
     case STORE_DOWN:
       fleet_set_store_up (true);
       break;
+    case RELEASE:
+      fleet_replace_engine (released_engine (f));
+      break;
+    case HERD_KILL:
+      for (unsigned i = 0; i < GATEWAYS; i++)
+        if (!is_spared (f, i))
+          ended = fleet_restart_gateway (i) && ended;
+      break;
     default:
       break;
     }
-  return true;
+  return ended;
 }
 
 /* Start and end the faults that are due at NOW, in ms after the callers'
@@ -209,15 +291,50 @@
       if (!f->started && now >= f->start_ms)
         {
           f->started = true;
+          f->started_at = fleet_now_ms ();
           start_fault (f);
         }
       if (f->started && !f->ended && now >= f->end_ms)
-        f->ended = end_fault (f);
+        {
+          f->ended = end_fault (f);
+          f->ended_at = fleet_now_ms ();
+        }
       unfinished = unfinished || !f->ended;
     }
   return unfinished;
 }
 
+/* Whether F disturbs GATEWAY, or for GATEWAYS the store.  */
+static bool
+disturbs (const struct fault *f, unsigned gateway)
+{
+  switch (f->kind)
+    {
+    case GATEWAY_STOP:
+    case GATEWAY_KILL:
+    case GATEWAY_TERM:
+    case STORE_LINK:
+      return f->target % GATEWAYS == gateway;
+    case HERD_KILL:
+      return gateway < GATEWAYS && !is_spared (f, gateway);
+    case STORE_DOWN:
+      return true;
+    default:
+      return false;
+    }
+}
+
+/* For callers_check.  */
+static bool
+in_touch (unsigned gateway, long long at_ms)
+{
+  for (unsigned i = 0; i < faults_count; i++)
+    if (disturbs (&faults[i], gateway) && faults[i].started_at <= at_ms
+        && at_ms < faults[i].ended_at + STABLE_WINDOW_MS)
+      return false;
+  return true;
+}
+
 /* Whether all gateways serve again within RECOVERY_MS; prints the first that
    does not.  */
 static bool
@@ -285,6 +402,7 @@
   const struct timespec step = { 0, STEP_MS * 1000000L };
   struct ms_random random;
   unsigned breaches = 0;
+  unsigned steps = 0;
   long long start;
 
   argp_parse (&argp, argc, argv, 0, NULL, &a);
@@ -293,17 +411,20 @@
   curl_global_init (CURL_GLOBAL_ALL);
   random.state = a.seed;
   choose_faults (&random, a.seconds);
+  add_releases (&random, a.seconds);
   fleet_start (&a.fleet);
   callers_start (a.seed);
   start = fleet_now_ms ();
   while (advance_faults (fleet_now_ms () - start))
     {
       breaches += fleet_gateway_died ();
+      if (++steps % (HEARTBEAT_STEP_MS / STEP_MS) == 0)
+        fleet_heartbeat ();
       nanosleep (&step, NULL);
     }
   breaches += !all_gateways_recover ();
   callers_stop ();
-  breaches += callers_check (a.fleet.folder);
+  breaches += callers_check (in_touch);
   callers_print_counts ();
   fleet_stop ();
   printf ("seed %llu: %u breaches\n", (unsigned long long)a.seed, breaches);
