--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -518,16 +518,32 @@
   kill_process (&store);
 }
 
-bool
-fleet_gateway_died (void)
+/* Return whether P, named NAME and I, ended although no signal was sent to it,
+   and print how.  */
+static bool
+has_died (struct process *p, const char *name, unsigned i)
 {
+  int status;
+
+  if (!p->pid || p->exit_expected
+      || waitpid (p->pid, &status, WNOHANG) != p->pid)
+    return false;
+  p->pid = 0;
+  if (WIFSIGNALED (status))
+    printf ("%s %u ended by signal %d\n", name, i, WTERMSIG (status));
+  else
+    printf ("%s %u ended with status %d\n", name, i, WEXITSTATUS (status));
+  return true;
+}
+
+unsigned
+fleet_count_died (void)
+{
+  unsigned died = has_died (&store, "store", 0);
+
   for (unsigned i = 0; i < GATEWAYS; i++)
-    if (gateways[i].pid && !gateways[i].exit_expected
-        && waitpid (gateways[i].pid, NULL, WNOHANG) == gateways[i].pid)
-      {
-        gateways[i].pid = 0;
-        warnx ("gateway %u ended by itself", i);
-        return true;
-      }
-  return false;
+    died += has_died (&gateways[i], "gateway", i);
+  for (unsigned i = 0; i < ALL_ENGINES; i++)
+    died += has_died (&engines[i].process, "engine", i);
+  return died;
 }
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -108,9 +108,9 @@
    ("k2") is valid or, unless SECOND_KEY, revoked.  */
 void fleet_publish_config (bool second_key);
 
-/* Return whether a gateway ended without SIGTERM or SIGKILL, and print which.
-   Reports each such end once.  */
-bool fleet_gateway_died (void);
+/* Return how many processes ended without SIGTERM or SIGKILL since the last
+   call, and print which.  */
+unsigned fleet_count_died (void);
 
 /* Milliseconds of the monotonic clock.  */
 long long fleet_now_ms (void);
