--- a/Makefile
+++ b/Makefile
@@ -118,7 +118,7 @@
 	BUILD=$(BUILD) sh tests/gateway.sh
 
 # Seeds of the soak test, separated by spaces; it runs once with each.
-SEEDS ?= 3
+SEEDS ?= 3 6
 
 soak: all $(BUILD)/soak
 	@for seed in $(SEEDS); do \
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -24,14 +24,22 @@
 #define FIRST_FAULT_MS 500 /* After the start of the callers.  */
 
 /* Engines are released one after the other, each RELEASE_PERIOD_MS and up to
-   RELEASE_JITTER_MS; a released one ends LINGER_MS after it has left.  All
-   gateways, or all but one, are killed twice in HERD_PERIOD_S.  */
+   RELEASE_JITTER_MS, for RELEASE_PHASES times as long as other faults start,
+   so that some releases meet gateways in touch; a released one ends LINGER_MS
+   after it has left.  All gateways, or all but one, are killed twice in
+   HERD_PERIOD_S.  */
+#define RELEASE_PHASES 2
 #define RELEASE_PERIOD_MS 2000
 #define RELEASE_JITTER_MS 400
 #define LINGER_MS 3500
 #define HERD_PERIOD_S 10
 #define HERD_MAX_MS 1000
 
+/* Before an engine leaves untold, other gateways than one cannot reach the
+   store for about STORE_CUT_MS.  */
+#define STORE_CUT_MS 3000
+#define STORE_CUT_JITTER_MS 1000
+
 /* A gateway is in touch once it has been undisturbed for this time.  */
 #define STABLE_WINDOW_MS 3000
 
@@ -64,6 +72,7 @@
   DRAWN_KINDS,  /* Those before are drawn at random.  */
   RELEASE = DRAWN_KINDS, /* An engine leaves, and is replaced by a cold one. */
   HERD_KILL, /* SIGKILL to all gateways, or all but one; a restart of each.  */
+  STORE_CUT, /* No connection to the store for all gateways but one.  */
   FAULT_KINDS
 };
 
@@ -71,7 +80,7 @@
     = { "gateway_stop", "gateway_kill", "gateway_term", "gateway_hup",
         "engine_stop",  "engine_kill",  "engine_link",  "store_link",
         "store_down",   "store_forget", "configure",    "revoke",
-        "release",      "herd_kill" };
+        "release",      "herd_kill",    "store_cut" };
 
 struct fault
 {
@@ -79,7 +88,7 @@
   long long end_ms;
   enum fault_kind kind;
   unsigned target;       /* Modulo GATEWAYS or ENGINES, the number of the
-                            gateway or engine; of RELEASE and HERD_KILL see
+                            gateway or engine; of kinds from RELEASE on see
                             below.  The others only print it.  */
   enum link_state state; /* Of ENGINE_LINK and STORE_LINK.  */
   bool untold;           /* Of RELEASE: its entry is removed at once.  */
@@ -100,11 +109,29 @@
   return ENGINES + f->target % RELEASED;
 }
 
-/* Whether gateway I is spared by HERD_KILL fault F.  */
+/* Whether gateway I is spared by F, a HERD_KILL or STORE_CUT fault.  */
 static bool
 is_spared (const struct fault *f, unsigned i)
 {
-  return f->target % (GATEWAYS + 1) == i;
+  return f->target % (f->kind == HERD_KILL ? GATEWAYS + 1 : GATEWAYS) == i;
+}
+
+/* Cut all gateways but one off from the store before RELEASE fault F, and
+   until shortly before or after it.  */
+static void
+add_store_cut (struct ms_random *random, const struct fault *f)
+{
+  struct fault *cut = &faults[faults_count];
+
+  if (f->start_ms < FIRST_FAULT_MS + STORE_CUT_MS
+      || faults_count == MAX_FAULTS)
+    return;
+  faults_count++;
+  cut->kind = STORE_CUT;
+  cut->target = (unsigned)ms_random_next (random);
+  cut->start_ms = f->start_ms - STORE_CUT_MS;
+  cut->end_ms = f->start_ms - STORE_CUT_JITTER_MS / 2
+                + (long long)ms_random_below (random, STORE_CUT_JITTER_MS);
 }
 
 /* Add the releases and mass restarts, which are not drawn from RANDOM of the
@@ -112,7 +139,7 @@
 static void
 add_releases (struct ms_random *random, unsigned seconds)
 {
-  unsigned releases = seconds * 1000 / RELEASE_PERIOD_MS;
+  unsigned releases = RELEASE_PHASES * seconds * 1000 / RELEASE_PERIOD_MS;
   unsigned herds = 2 * seconds / HERD_PERIOD_S;
 
   for (unsigned i = 0; i < releases + herds && faults_count < MAX_FAULTS; i++)
@@ -128,6 +155,8 @@
               = FIRST_FAULT_MS + (long long)i * RELEASE_PERIOD_MS
                 + (long long)ms_random_below (random, RELEASE_JITTER_MS);
           f->end_ms = f->start_ms + LINGER_MS;
+          if (f->untold)
+            add_store_cut (random, f);
           continue;
         }
       f->target = (unsigned)ms_random_next (random);
@@ -229,6 +258,11 @@
         if (!is_spared (f, i))
           fleet_signal_gateway (i, SIGKILL);
       break;
+    case STORE_CUT:
+      for (unsigned i = 0; i < GATEWAYS; i++)
+        if (!is_spared (f, i))
+          proxy_set_state (fleet_store_link (i), LINK_RESET);
+      break;
     case FAULT_KINDS:
       break;
     }
@@ -271,6 +305,10 @@
         if (!is_spared (f, i))
           ended = fleet_restart_gateway (i) && ended;
       break;
+    case STORE_CUT:
+      for (unsigned i = 0; i < GATEWAYS; i++)
+        proxy_set_state (fleet_store_link (i), LINK_GOOD);
+      break;
     default:
       break;
     }
@@ -316,6 +354,7 @@
     case STORE_LINK:
       return f->target % GATEWAYS == gateway;
     case HERD_KILL:
+    case STORE_CUT:
       return gateway < GATEWAYS && !is_spared (f, gateway);
     case STORE_DOWN:
       return true;
