Digests name routers with a share only; test of gone routers

Digests went on naming routers that were silent for longer than they keep their share, so that a router that started later counted them for ten minutes more. Entries are kept in the table since the shares are.

test_gone_routers_keep_neither_share_nor_room; the reason of a repeat that the second check of an endpoint causes is endpoint_unavailable, as it may be cold or evacuated too.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -23,8 +23,8 @@
 /* A router takes no share in limits of the whole fleet until it has been up
    for JOIN_TIME and has sent JOIN_DIGESTS digests: its previous process may
    have used its share just before, and others must count it first.  While it
-   cannot read the members from the store it waits for longer, until it has
-   heard of them by digests.  */
+   cannot read the members from the store it waits for JOIN_TIME_UNREAD, in
+   which the digests of a single router name 370 others.  */
 #define JOIN_TIME (2 * MS_SEC)
 #define JOIN_TIME_UNREAD (5 * MS_SEC)
 #define JOIN_DIGESTS 10
@@ -241,7 +241,7 @@
 
 void
 ms_fleet_fill_digest (struct ms_fleet *fleet, struct fleet_digest *d,
-                      digest_member *members)
+                      digest_member *members, ms_time now)
 {
   unsigned count = 0;
 
@@ -254,7 +254,7 @@
       const struct ms_fleet_router *r
           = &fleet->routers[(fleet->next_member + i) % fleet->count];
 
-      if (r->heard)
+      if (r->heard && has_share (r, now))
         members[count++] = (digest_member){ r->id, r->incarnation, r->zone,
                                             ntohl (r->ip.s_addr) };
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -136,10 +136,11 @@
                                  struct in_addr *targets, unsigned space);
 
 /* Fill in the sender, the next sequence number, capacity and rate of DIGEST,
-   and as members up to eight of the routers that were heard, by turns.
-   MEMBERS has DIGEST_MEMBERS elements; DIGEST points to it afterwards.  */
+   and as members up to eight of the routers that were heard within
+   MS_ROUTER_SHARE_TIME, by turns.  MEMBERS has DIGEST_MEMBERS elements; DIGEST
+   points to it afterwards.  */
 void ms_fleet_fill_digest (struct ms_fleet *fleet, struct fleet_digest *digest,
-                           digest_member *members);
+                           digest_member *members, ms_time now);
 
 /* Fill TARGETS with up to SPACE addresses of routers to send a digest to now:
    all routers, or in a large fleet those of this zone; silent ones only one
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -149,7 +149,7 @@
   if (!ms_place_confirm_send (r->gw->place, r->endpoint, r->placed_at, now))
     {
       ms_request_end_attempt (r, MS_END_CANCELLED);
-      ms_request_retry (r, false, "endpoint_left");
+      ms_request_retry (r, false, "endpoint_unavailable");
       return;
     }
   length = compose_head (r, head, sizeof head);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -274,7 +274,7 @@
    */
   if (ms_fleet_alive_count (gw->fleet, now) == 1 && !count)
     count = seed_recipients (gw, recipients);
-  ms_fleet_fill_digest (gw->fleet, &digest, members);
+  ms_fleet_fill_digest (gw->fleet, &digest, members, now);
   digest.ready = ms_gateway_ready (gw) && !ms_pressure_high (gw->pressure);
   digest.leaving = gw->terminated_at != 0;
   list.now = now;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -123,7 +123,7 @@
 
   (void)state;
   receive_digest (first, 1, 5, 1, ZONE_A, true, MS_SEC);
-  ms_fleet_fill_digest (first, &digest, members);
+  ms_fleet_fill_digest (first, &digest, members, 0);
   assert_int_equal (digest.members.members_len, 1);
   ms_fleet_receive (second, &digest, MS_SEC);
   assert_int_equal (ms_fleet_addresses (second, 0, true, MS_SEC, targets, 8),
@@ -198,7 +198,7 @@
   bool reader
       = ms_fleet_large (fleet, now) && ms_fleet_reads_store (fleet, now);
 
-  ms_fleet_fill_digest (fleet, &digest, members);
+  ms_fleet_fill_digest (fleet, &digest, members, now);
   digest.ready = true;
   digest.loads.loads_val = &load;
   digest.loads.loads_len = 1;
@@ -286,6 +286,37 @@
   assert_false (ms_digest_decode ("\x01\x02\x03", 3, &digest));
 }
 
+/* Guards against limits that are divided among routers that are gone for good,
+   whose records stay in the store, and against new ones that find no room.  */
+static void
+test_gone_routers_keep_neither_share_nor_room (void **state)
+{
+  static uint64_t ids[2048];
+  struct ms_fleet *fleet = create_fleet ();
+  struct fleet_digest digest = { 0 };
+  digest_member members[DIGEST_MEMBERS];
+  ms_time later = MS_ROUTER_SHARE_TIME + 10 * MS_SEC;
+  unsigned count;
+
+  (void)state;
+  ms_fleet_note_members (fleet);
+  for (unsigned i = 0; i < 20; i++)
+    ms_fleet_fill_digest (fleet, &digest, members, 0);
+  for (uint64_t id = 1001; id <= 2024; id++)
+    ms_fleet_learn (fleet, id, 1, ZONE_A, parse_ip ("10.0.0.1"), 5 * MS_SEC);
+  assert_int_equal (ms_fleet_sharers (fleet, 9 * MS_SEC, ids, 2048), 1025);
+  ms_fleet_learn (fleet, 1, 1, ZONE_A, parse_ip ("10.0.0.2"), 9 * MS_SEC);
+  ms_fleet_routers (fleet, &count);
+  assert_int_equal (count, 1024);
+  /* The store still lists the others; one of them has started again.  */
+  for (uint64_t id = 1001; id <= 2024; id++)
+    ms_fleet_learn (fleet, id, id == 1500 ? 2 : 1, ZONE_A,
+                    parse_ip ("10.0.0.1"), later);
+  ms_fleet_learn (fleet, 1, 1, ZONE_A, parse_ip ("10.0.0.2"), later);
+  assert_int_equal (ms_fleet_sharers (fleet, later, ids, 2048), 3);
+  ms_fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -296,6 +327,7 @@
     cmocka_unit_test (test_digest_members_are_learned_and_contacted),
     cmocka_unit_test (test_large_fleet_sums_reach_all_zones),
     cmocka_unit_test (test_malformed_digest_is_rejected),
+    cmocka_unit_test (test_gone_routers_keep_neither_share_nor_room),
   };
 
   return RUN (tests);
--- a/tests/test_sharers.c
+++ b/tests/test_sharers.c
@@ -135,7 +135,7 @@
   char data[4096];
   unsigned length;
 
-  ms_fleet_fill_digest (r->fleet, &digest, members);
+  ms_fleet_fill_digest (r->fleet, &digest, members, w->now);
   digest.ready = true;
   length = ms_digest_encode (&digest, data, sizeof data);
   for (unsigned i = 0; i < count; i++)
