--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -86,14 +86,14 @@
 {
   long long start_ms; /* After the start of the callers.  */
   long long end_ms;
+  long long started_at; /* On the clock of fleet_now_ms.  */
+  long long ended_at;
   enum fault_kind kind;
   unsigned target;       /* Modulo GATEWAYS or ENGINES, the number of the
                             gateway or engine; of kinds from RELEASE on see
                             below.  The others only print it.  */
   enum link_state state; /* Of ENGINE_LINK and STORE_LINK.  */
   bool untold;           /* Of RELEASE: its entry is removed at once.  */
-  long long started_at;  /* On the clock of fleet_now_ms.  */
-  long long ended_at;
   bool started;
   bool ended;
 };
