--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -164,6 +164,9 @@
       ms_event (now, "topic_history_gone", "topic=%s from=%llu",
                 t->options.replica.name, (unsigned long long)t->call_offset);
       t->history_gone = true;
+      /* Pages of an earlier snapshot that a relay made needless are old.  */
+      t->snapshot_open = false;
+      ms_replica_abandon (t->replica);
       t->next_call_at = now;
       return;
     }
