Treat an endpoint that is reached again as cold until the list is read

Suspected, not seen: an endpoint that starts again under its name refuses connections and then answers, and the list tells that it is cold only later. Routers that had found it out of reach sent one request at a time, and after the first answer all they had.

Change: it counts as cold for a second after that answer, as after a stall of this process; by then the list has been read.

test_endpoint_that_is_reached_again_is_limited: six requests at once before, one within the router's share now.

--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -9,6 +9,11 @@
 #define BACKOFF_MIN (200 * MS_MSEC)
 #define BACKOFF_MAX (2 * MS_SEC)
 
+/* An endpoint that could not be reached may have started again.  It is treated
+   as cold for this time after its first answer, by when the endpoint list that
+   tells has been read.  */
+#define REACHED_AGAIN_COLD_TIME (1 * MS_SEC)
+
 /* How long a measured pace is used, and the weight of the newest sample in its
    exponential mean.  */
 #define PACE_LIFETIME (500 * MS_MSEC)
@@ -197,6 +202,17 @@
   e->pace_measured_at = now;
 }
 
+/* E has answered: clear its failures to be reached, if any.  */
+static void
+note_reached (struct ms_endpoint_state *e, ms_time now)
+{
+  if (!e->failures)
+    return;
+  e->failures = 0;
+  if (e->cold_until < now + REACHED_AGAIN_COLD_TIME)
+    e->cold_until = now + REACHED_AGAIN_COLD_TIME;
+}
+
 /* Count a failure to reach E and send it nothing for a while.  */
 static void
 back_off (struct ms_endpoint_state *e, ms_time now)
@@ -222,11 +238,11 @@
   switch (end)
     {
     case MS_END_GOOD:
-      e->failures = 0;
+      note_reached (e, now);
       e->error_rate *= 1 - ERROR_WEIGHT;
       break;
     case MS_END_ERROR:
-      e->failures = 0;
+      note_reached (e, now);
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
       break;
     case MS_END_REFUSED:
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -325,6 +325,35 @@
   ms_place_destroy (place);
 }
 
+/* Guards against a flood of an endpoint that has started again under its name
+   before the endpoint list tells that it is cold.  */
+static void
+test_endpoint_that_is_reached_again_is_limited (void **state)
+{
+  static const uint64_t ids[9] = { 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+  struct ms_offer offer = long_prompt ();
+  struct ms_load loads[12];
+  ms_time back = 3 * MS_SEC;
+  unsigned sent = 0;
+
+  (void)state;
+  ms_place_set_routers (place, ids, 9);
+  choose_and_send (place, &offer, &loads[0], MS_SEC);
+  ms_place_ended (place, e, &loads[0], MS_END_UNREACHABLE, MS_SEC);
+  assert_non_null (choose_and_send (place, &offer, &loads[0], back));
+  ms_place_ended (place, e, &loads[0], MS_END_GOOD, back);
+  for (unsigned i = 0; i < 6; i++)
+    sent += choose_and_send (place, &offer, &loads[i], back + MS_MSEC) != NULL;
+  /* The share of a router is two requests; one was the probe.  */
+  assert_int_equal (sent, 1);
+  for (unsigned i = 6; i < 12; i++)
+    sent += choose_and_send (place, &offer, &loads[i], back + MS_SEC) != NULL;
+  assert_int_equal (sent, 7);
+  ms_place_destroy (place);
+}
+
 /* The load of other routers counts: a prompt that would wait too long behind
    their prompts is not placed, and the result says by how much the response
    would be late.  */
@@ -391,6 +420,7 @@
     cmocka_unit_test (
         test_endpoint_that_became_cold_while_connecting_is_limited),
     cmocka_unit_test (test_unreachable_endpoint_gets_one_probe_at_a_time),
+    cmocka_unit_test (test_endpoint_that_is_reached_again_is_limited),
     cmocka_unit_test (test_load_of_other_routers_counts),
     cmocka_unit_test (test_limit_shrinks_when_tokens_are_slow),
   };
