--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -55,6 +55,7 @@
   unsigned seconds; /* In which faults start.  */
 };
 
+/* Kinds before RELEASE are drawn at random.  */
 enum fault_kind
 {
   GATEWAY_STOP, /* SIGSTOP, and SIGCONT at the end.  */
@@ -69,8 +70,7 @@
   STORE_FORGET, /* The store drops its history.  */
   CONFIGURE,    /* Publication of an unchanged configuration.  */
   REVOKE,       /* The second key is revoked, or becomes valid again.  */
-  DRAWN_KINDS,  /* Those before are drawn at random.  */
-  RELEASE = DRAWN_KINDS, /* An engine leaves, and is replaced by a cold one. */
+  RELEASE,      /* An engine leaves, and is replaced by a cold one.  */
   HERD_KILL, /* SIGKILL to all gateways, or all but one; a restart of each.  */
   STORE_CUT, /* No connection to the store for all gateways but one.  */
   FAULT_KINDS
@@ -177,7 +177,7 @@
     {
       struct fault *f = &faults[i];
 
-      f->kind = (enum fault_kind)ms_random_below (random, DRAWN_KINDS);
+      f->kind = (enum fault_kind)ms_random_below (random, RELEASE);
       f->target = (unsigned)ms_random_next (random);
       f->state = (enum link_state) (
           LINK_SLOW + ms_random_below (random, LINK_STATES - LINK_SLOW));
