Trailer fields do not move the strings of a head

Cause: trailer fields of a chunked message were appended to the text that the head's strings point to; when that grew, the gateway read freed memory.

Change: once the head is complete, names and values of trailer fields are counted against the same limits but not kept.

Result: test_trailers_leave_head_unchanged ends with heap-use-after-free under the address sanitizer before the change and passes after it.

--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -24,8 +24,7 @@
 unsigned ms_callers_close_idle (struct ms_gateway *gw);
 
 /* Headers and body of CALLER's current request, valid until its response is
-   complete; but trailer fields in the request may have moved the strings of
-   its head (see struct ms_head).  */
+   complete.  */
 const struct ms_head *ms_caller_head (const struct ms_caller *caller);
 struct ms_str ms_caller_body (const struct ms_caller *caller);
 
--- a/src/wire/message.c
+++ b/src/wire/message.c
@@ -25,6 +25,8 @@
   char *text; /* Target, header names and values, one after the other.  */
   size_t text_length; /* Used.  */
   size_t text_size;   /* Allocated.  */
+  size_t trailers_length; /* Names and values of trailer fields so far.  */
+  unsigned trailers_count;
   struct text_span target;
   struct text_span names[MS_MAX_HEADERS];
   struct text_span values[MS_MAX_HEADERS];
@@ -81,6 +83,20 @@
   return 0;
 }
 
+/* Count a piece of a trailer field, which is not kept: the strings of the head
+   point into the text, so that must not move any more.  Return 1 if head and
+   trailer fields exceed their limits, which stops the parser.  */
+static int
+count_trailer (struct ms_parser *p, bool new_field, size_t length)
+{
+  p->trailers_length += length;
+  p->trailers_count += new_field;
+  p->too_large
+      = p->text_length + p->trailers_length > p->head_limit
+        || p->headers_count + p->trailers_count > MS_MAX_HEADERS;
+  return p->too_large;
+}
+
 static int
 on_begin (http_parser *parser)
 {
@@ -103,6 +119,13 @@
 {
   struct ms_parser *p = parser->data;
 
+  if (p->head_complete)
+    {
+      bool new_field = p->in_value;
+
+      p->in_value = false;
+      return count_trailer (p, new_field, length);
+    }
   if (p->in_value || !p->headers_count)
     {
       if (p->headers_count == MS_MAX_HEADERS)
@@ -122,6 +145,8 @@
   struct ms_parser *p = parser->data;
 
   p->in_value = true;
+  if (p->head_complete)
+    return count_trailer (p, false, length);
   return append_text (p, &p->values[p->headers_count - 1], data, length);
 }
 
@@ -152,6 +177,7 @@
   head->chunked = (parser->flags & F_CHUNKED) != 0;
   head->keep_alive = http_should_keep_alive (parser) != 0;
   p->head_complete = true;
+  p->in_value = true;
   if (p->sink->head)
     p->sink->head (p->context, head);
   /* The gateway does not switch protocols: read a message that asks for it
@@ -221,6 +247,8 @@
   http_parser_init (&p->parser, p->parser.type);
   p->parser.data = p;
   p->text_length = 0;
+  p->trailers_length = 0;
+  p->trailers_count = 0;
   p->target = (struct text_span){ 0, 0 };
   memset (p->names, 0, p->headers_count * sizeof *p->names);
   memset (p->values, 0, p->headers_count * sizeof *p->values);
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -21,9 +21,9 @@
   struct ms_str value;
 };
 
-/* Start line and headers of a message.  The strings stay valid until the
-   parser is reset or destroyed, but not once trailer fields of a chunked body
-   have been parsed: these may move the text that the strings point to.  */
+/* Start line and headers of a message, without the trailer fields of a chunked
+   body, which are dropped.  The strings stay valid until the parser is reset
+   or destroyed.  */
 struct ms_head
 {
   struct ms_str method; /* Of a request.  */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "wire/events.h"
@@ -171,6 +172,66 @@
   assert_memory_equal (id.data, "8", 1);
 }
 
+/* Trailer fields arrive after the head was used, and must not move its
+   strings.  */
+static void
+test_trailers_leave_head_unchanged (void **state)
+{
+  static const char head[] = "POST /target/of/the/request HTTP/1.1\r\n"
+                             "Host: host.example\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+  struct received received = { 0 };
+  struct ms_parser *parser = ms_parser_create (true, 16384, &sink, &received);
+  char trailer[64];
+  size_t used;
+
+  (void)state;
+  assert_int_equal (feed (parser, head, &used), MS_PARSE_MORE);
+  for (int i = 0; i < 40; i++)
+    {
+      snprintf (trailer, sizeof trailer, "X-Trailer-%d: %040d\r\n", i, i);
+      assert_int_equal (feed (parser, trailer, &used), MS_PARSE_MORE);
+    }
+  assert_int_equal (feed (parser, "\r\n", &used), MS_PARSE_COMPLETE);
+  assert_true (ms_str_equal (ms_parser_head (parser)->target,
+                             ms_str ("/target/of/the/request")));
+  assert_true (ms_str_equal (ms_head_find (ms_parser_head (parser), "Host"),
+                             ms_str ("host.example")));
+  assert_int_equal (ms_parser_head (parser)->headers_count, 2);
+  ms_parser_destroy (parser);
+}
+
+/* Trailer fields without end stop at the limits of the head, by their size and
+   by their number.  */
+static void
+test_limits_trailers (void **state)
+{
+  static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+
+  (void)state;
+  for (int sized = 0; sized < 2; sized++)
+    {
+      struct received received = { 0 };
+      struct ms_parser *parser
+          = ms_parser_create (true, 1000, &sink, &received);
+      enum ms_parse result;
+      size_t used;
+      unsigned fields = 0;
+
+      result = feed (parser, head, &used);
+      while (result == MS_PARSE_MORE && fields++ < 1000)
+        result = feed (parser,
+                       sized ? "X: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+                               "aaaaaaaaaaaaaaaaaaaa\r\n"
+                             : "a:\r\n",
+                       &used);
+      assert_int_equal (result, MS_PARSE_TOO_LARGE);
+      assert_true (fields <= MS_MAX_HEADERS);
+      ms_parser_destroy (parser);
+    }
+}
+
 int
 main (void)
 {
@@ -181,6 +242,8 @@
     cmocka_unit_test (test_limits_head_size),
     cmocka_unit_test (test_close_ends_only_response_without_length),
     cmocka_unit_test (test_finds_complete_events),
+    cmocka_unit_test (test_trailers_leave_head_unchanged),
+    cmocka_unit_test (test_limits_trailers),
   };
 
   return RUN (tests);
