Retry budget: count old retries over one new window after a reload

Cause: the buckets were numbered by the window in force, so after a reload to a longer one old retries stayed until the numbers caught up, and after a shorter one they could be dropped at once.

Change: when the window changes, the counts of a service move to the buckets of the new window, retries as late and requests as early as they may be.

Result: test_changed_window_forgets_old_retries fails before and passes after the change.

--- a/src/admit/budget.c
+++ b/src/admit/budget.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 #include <uthash.h>
 
 #include "base/alloc.h"
@@ -20,6 +21,7 @@
 struct count
 {
   uint64_t service;
+  ms_time window; /* That the buckets below divide.  */
   int64_t bucket; /* Number of the newest bucket; 0 begins at time 0.  */
   unsigned requests[BUCKETS];
   /* The newest bucket is incomplete: BUCKETS buckets cover at most a window,
@@ -76,6 +78,29 @@
   budget->routers = routers;
 }
 
+/* The window has changed to WINDOW since C was counted.  So that the bound
+   holds, count all retries at the end of C's newest bucket and all requests as
+   the oldest ones in the window before that time.  */
+static void
+change_window (struct count *c, ms_time window)
+{
+  ms_time newest = (c->bucket + 1) * (c->window / BUCKETS) - 1;
+  int64_t bucket = newest / (window / BUCKETS);
+  unsigned requests = 0;
+  unsigned retries = 0;
+
+  for (int i = 0; i < BUCKETS; i++)
+    requests += c->requests[i];
+  for (int i = 0; i < BUCKETS + 1; i++)
+    retries += c->retries[i];
+  memset (c->requests, 0, sizeof c->requests);
+  memset (c->retries, 0, sizeof c->retries);
+  c->window = window;
+  c->bucket = bucket;
+  c->requests[(bucket + 1) % BUCKETS] = requests;
+  c->retries[bucket % (BUCKETS + 1)] = retries;
+}
+
 /* Find or create the counts of SERVICE, and clear the buckets that left the
    window by NOW.  */
 static struct count *
@@ -89,9 +114,12 @@
     {
       c = ms_new (sizeof *c);
       c->service = service;
+      c->window = budget->options.window;
       c->bucket = bucket;
       HASH_ADD (hh, budget->counts, service, sizeof c->service, c);
     }
+  if (c->window != budget->options.window)
+    change_window (c, budget->options.window);
   /* After a long pause, clear each bucket once only.  */
   if (bucket - c->bucket > BUCKETS)
     c->bucket = bucket - BUCKETS - 1;
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -56,12 +56,36 @@
   ms_budget_destroy (budget);
 }
 
+/* A reload may change the window: old retries then count for one new window
+   at most, and the budget allows as many as before after that.  */
+static void
+test_changed_window_forgets_old_retries (void **state)
+{
+  struct ms_budget_options changed = options;
+  struct ms_budget *budget = ms_budget_create (&options, LONG_AGO);
+  ms_time now = 1000 * MS_SEC;
+  unsigned first = take_all (budget, now);
+
+  (void)state;
+  assert_true (first > 0);
+  changed.window = 20 * MS_SEC;
+  ms_budget_set_options (budget, &changed);
+  assert_int_equal (take_all (budget, now + 19 * MS_SEC), 0);
+  assert_int_equal (take_all (budget, now + 22 * MS_SEC), first);
+  changed.window = 5 * MS_SEC;
+  ms_budget_set_options (budget, &changed);
+  assert_int_equal (take_all (budget, now + 23 * MS_SEC), 0);
+  assert_int_equal (take_all (budget, now + 29 * MS_SEC), first);
+  ms_budget_destroy (budget);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_fleet_stays_within_retry_bound),
     cmocka_unit_test (test_budget_refills_after_window),
+    cmocka_unit_test (test_changed_window_forgets_old_retries),
   };
 
   return RUN (tests);
