Shares: remove teams that no router has requests of

Cause: a team was removed after its rate was not updated for 30 s, but each computation of the level reads, and so updates, all rates: teams stayed for ever.

Change: a team keeps the time of its last request here or its last report by another router.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -38,10 +38,8 @@
    which it is admitted.  */
 #define BURST_S 0.3
 
-/* A team with hardly any demand is removed if its demand was not updated for
-   this long.  Reading a rate updates it too, and each computation of the level
-   reads the rates of all teams: so teams are removed only after a pause of
-   this length between computations.  */
+/* A team is removed once neither this router nor another one has had a request
+   of it for this long.  */
 #define IDLE_TEAM_TIMEOUT (30 * MS_SEC)
 
 /* An exponentially decaying sum of amounts.  */
@@ -55,6 +53,7 @@
 struct team
 {
   uint64_t id;
+  ms_time active_at; /* Last request here, or report of demand elsewhere.  */
   struct rate demand;
   struct rate unplaced; /* Within the share, but found no free capacity.  */
   struct rate answered;
@@ -147,6 +146,7 @@
   double rate;
   double max_credit;
 
+  t->active_at = now;
   rate_add (&t->demand, cost, now);
   own = rate_value (&t->demand, now);
   all = own + t->others_demand;
@@ -178,6 +178,7 @@
 {
   struct team *t = find_or_add_team (share, team);
 
+  t->active_at = now;
   rate_add (&t->unplaced, cost, now);
   /* The request did not run, so its cost is returned.  If no level was in
      force when it was admitted, nothing had been taken; ms_share_admit resets
@@ -189,7 +190,10 @@
 ms_share_answered (struct ms_share *share, uint64_t team, double cost,
                    ms_time now)
 {
-  rate_add (&find_or_add_team (share, team)->answered, cost, now);
+  struct team *t = find_or_add_team (share, team);
+
+  t->active_at = now;
+  rate_add (&t->answered, cost, now);
 }
 
 void
@@ -301,7 +305,7 @@
   return completed * fmax (MIN_RATE_FACTOR, 1 + USE_GAIN * (TARGET_USE - use));
 }
 
-/* Remove the teams with hardly any demand whose IDLE_TEAM_TIMEOUT is over.  */
+/* Remove the teams whose IDLE_TEAM_TIMEOUT is over.  */
 static void
 remove_idle_teams (struct ms_share *share, ms_time now)
 {
@@ -309,8 +313,9 @@
 
   HASH_ITER (hh, share->teams, t, next)
   {
-    if (now - t->demand.updated_at <= IDLE_TEAM_TIMEOUT || t->others_demand > 0
-        || rate_value (&t->demand, now) >= 1)
+    if (t->others_demand > 0)
+      t->active_at = now;
+    if (now - t->active_at <= IDLE_TEAM_TIMEOUT)
       continue;
     HASH_DEL (share->teams, t);
     free (t);
@@ -367,6 +372,12 @@
   return count;
 }
 
+unsigned
+ms_share_team_count (const struct ms_share *share)
+{
+  return HASH_COUNT (share->teams);
+}
+
 double
 ms_share_level (const struct ms_share *share)
 {
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -86,6 +86,9 @@
    there is no demand.  */
 double ms_share_fraction (struct ms_share *share, ms_time now);
 
+/* Return the number of teams whose rates are kept.  */
+unsigned ms_share_team_count (const struct ms_share *share);
+
 /* Return the highest rate at which a team is admitted, in cost units per
    second, or 0 while capacity is not scarce.  */
 double ms_share_level (const struct ms_share *share);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -354,6 +354,29 @@
   destroy_fleet (&fleet);
 }
 
+/* Teams that ask no more, here or at other routers, are removed while the level
+   goes on being computed; a team that asks elsewhere is kept.  */
+static void
+test_idle_teams_are_removed (void **state)
+{
+  struct ms_share *share = ms_share_create ();
+  const struct ms_share_usage usage = { 0.5, 1000 };
+  const struct ms_team_rates elsewhere = { 1, 300, 0, 300 };
+
+  (void)state;
+  for (uint64_t team = 1; team <= 100; team++)
+    ms_share_admit (share, team, 100, MS_SEC);
+  assert_int_equal (ms_share_team_count (share), 100);
+  for (ms_time now = MS_SEC; now < 60 * MS_SEC; now += TICK)
+    {
+      ms_share_clear_others (share);
+      ms_share_add_others (share, &elsewhere);
+      ms_share_tick (share, &usage, now);
+    }
+  assert_int_equal (ms_share_team_count (share), 1);
+  ms_share_destroy (share);
+}
+
 int
 main (void)
 {
@@ -364,6 +387,7 @@
     cmocka_unit_test (test_share_counts_demand_at_other_routers),
     cmocka_unit_test (test_router_fraction_follows_demand),
     cmocka_unit_test (test_two_hot_teams_get_similar_shares),
+    cmocka_unit_test (test_idle_teams_are_removed),
   };
 
   return RUN (tests);
