Place: learn the response time of plain services; serve their requests late

Cause: the time of a plain service stood in the code as one data sheet's 60 ms.

Change: the response time is learned by service, an endpoint that is not used loses its slowness and error rate, and a plain endpoint with a free slot takes a request also if it will be late. The speeds of engines are settings with documented defaults.

--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -5,11 +5,18 @@
 static struct ms_place_options
 place_options (const struct ms_gateway *gw)
 {
+  const struct ms_gateway_settings *s = gw->settings;
+
   return (struct ms_place_options){
     .self = gw->id,
     .zone = gw->zone,
-    .cold_burst_factor = gw->settings->cold_burst_factor,
-    .cold_slack = gw->settings->cold_slack,
+    .cold_burst_factor = s->cold_burst_factor,
+    .cold_slack = s->cold_slack,
+    .speed = { .prefill_tokens_per_ms = s->prefill_tokens_per_ms,
+               .first_token_ms = s->first_token_ms,
+               .token_ms = s->token_ms,
+               .token_ms_per_running = s->token_ms_per_running,
+               .response_ms = s->response_ms },
   };
 }
 
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -100,7 +100,7 @@
   if (!r->first_byte_at)
     r->first_byte_at = r->gw->now;
   ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
-                  r->gw->now - r->sent_at);
+                  r->gw->now - r->sent_at, r->gw->now);
 }
 
 /* Pass on the complete events in the buffer and keep the incomplete rest: a
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -65,6 +65,11 @@
         NUMBER_FIELD (retry_budget_slack),
         NUMBER_FIELD (cold_burst_factor),
         NUMBER_FIELD (cold_slack),
+        OPTIONAL_NUMBER_FIELD (prefill_tokens_per_ms),
+        OPTIONAL_NUMBER_FIELD (first_token_ms),
+        OPTIONAL_NUMBER_FIELD (token_ms),
+        OPTIONAL_NUMBER_FIELD (token_ms_per_running),
+        OPTIONAL_NUMBER_FIELD (response_ms),
         NUMBER_FIELD (directory_ttl_s),
         CYAML_FIELD_END };
 
@@ -121,6 +126,11 @@
     { "retry_budget_slack", s->retry_budget_slack, 0, 1e6 },
     { "cold_burst_factor", s->cold_burst_factor, 0, 100 },
     { "cold_slack", s->cold_slack, 0, 1e6 },
+    { "prefill_tokens_per_ms", s->prefill_tokens_per_ms, 0, 1e6 },
+    { "first_token_ms", s->first_token_ms, 0, 1e5 },
+    { "token_ms", s->token_ms, 0, 1e4 },
+    { "token_ms_per_running", s->token_ms_per_running, 0, 1e3 },
+    { "response_ms", s->response_ms, 0, 1e6 },
     { "directory_ttl_s", s->directory_ttl_s, 0, 3600 },
   };
   enum ms_status status = MS_OK;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -57,6 +57,14 @@
   double cold_burst_factor;
   double cold_slack;
 
+  /* Speed of endpoints before it is learned, see struct ms_place_speed; 0, or
+     not set, for its defaults.  */
+  double prefill_tokens_per_ms;
+  double first_token_ms;
+  double token_ms;
+  double token_ms_per_running;
+  double response_ms;
+
   double directory_ttl_s; /* Longest time that callers may cache a response
                              of the directory.  */
 };
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -2,13 +2,6 @@
 
 #include <string.h>
 
-/* Speed of endpoints, from the engine data sheet that the users supplied: of a
-   model endpoint the prefill rate and the base time to the first token; of a
-   plain endpoint, which is one that runs no model, the time of a request.  */
-#define PREFILL_TOKENS_PER_MS 112.0
-#define FIRST_TOKEN_BASE_MS 31.0
-#define PLAIN_REQUEST_MS 60.0
-
 /* Fraction of a model endpoint's token memory that is filled at most.  */
 #define MEMORY_FILL_FRACTION 0.9
 
@@ -151,19 +144,21 @@
    endpoint prefills in turn what all routers have sent it; a plain one is
    slower once its slots are full.  */
 static ms_time
-expected_time (const struct ms_endpoint_state *e,
+expected_time (const struct ms_place *place, const struct ms_endpoint_state *e,
                const struct ms_service_entry *service, uint32_t uncached)
 {
+  const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
   unsigned slots = e->entry.slots ? e->entry.slots : 1;
   double ms;
 
   if (service->model)
-    ms = FIRST_TOKEN_BASE_MS + MS_TOKEN_MS + MS_TOKEN_MS_PER_RUNNING * running
+    ms = speed->first_token_ms + speed->token_ms
+         + speed->token_ms_per_running * running
          + (e->own.prefill + e->others.prefill + uncached)
-               / PREFILL_TOKENS_PER_MS;
+               / speed->prefill_tokens_per_ms;
   else
-    ms = PLAIN_REQUEST_MS
+    ms = ms_speed_response_ms (place, service->id)
          * (running < slots ? 1.0 : 1.0 + (running - slots + 1.0) / slots);
   return (ms_time)(ms * e->slowness * MS_MSEC);
 }
@@ -207,7 +202,7 @@
   f->home = e == homes->first ? 1 : e == homes->second ? 2 : 0;
   f->duplicate = f->home ? 0 : missing_shared_tokens (place, e, offer, now);
   f->uncached = unshared_tokens (offer) + f->duplicate;
-  f->expected = expected_time (e, service, f->uncached);
+  f->expected = expected_time (place, e, service, f->uncached);
 }
 
 /* Return whether E is so lightly loaded that it may prefill shared parts that
@@ -226,6 +221,17 @@
   return !service->model || running < DUPLICATE_LOAD_FRACTION * limit;
 }
 
+/* Return whether a request is not sent because F predicts its first byte after
+   the target.  At a model endpoint it would delay those that are in time; a
+   plain one has a slot or a place in its queue for it, and a late response is
+   worth more than none.  */
+static bool
+is_too_late (const struct ms_service_entry *service,
+             const struct ms_offer *offer, const struct ms_fit *f)
+{
+  return service->model && f->expected > offer->target_left;
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -253,7 +259,7 @@
       if (f.expected < earliest)
         earliest = f.expected;
       if (!has_free_capacity (place, e, service, offer)
-          || f.expected > offer->target_left
+          || is_too_late (service, offer, &f)
           || (f.duplicate > SMALL_DUPLICATE_TOKENS
               && !is_lightly_loaded (e, service)))
         continue;
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -5,12 +5,6 @@
 
 /* Declarations shared by the files of this folder only.  */
 
-/* Milliseconds that an engine takes to generate a token of a stream, and how
-   much longer for each running request; from the engine data sheet that the
-   users supplied.  */
-#define MS_TOKEN_MS 3.41
-#define MS_TOKEN_MS_PER_RUNNING 0.097
-
 /* Fraction of a model endpoint's slots that routers fill at most.  */
 #define MS_SLOT_FILL_FRACTION 0.85
 
@@ -43,9 +37,23 @@
 /* Free the recent requests of all services.  */
 void ms_need_destroy (struct ms_place *place);
 
+/* Response times of the plain services.  */
+struct ms_speed;
+
+/* Return the time, in milliseconds, in which an endpoint of the plain SERVICE
+   with a free slot is expected to answer.  */
+double ms_speed_response_ms (const struct ms_place *place, uint64_t service);
+
+/* An endpoint of the plain SERVICE answered in RATIO of the expected time.  */
+void ms_speed_note (struct ms_place *place, uint64_t service, double ratio);
+
+/* Free the response times of all services.  */
+void ms_speed_destroy (struct ms_place *place);
+
 struct ms_place
 {
   struct ms_need *needs;
+  struct ms_speed *speeds;
   ms_time limits_adjusted_at; /* Last adjustment of the endpoints' limits.  */
   struct ms_place_options options;
   const struct ms_place_policy *policy;
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -49,6 +49,11 @@
 #define SLOWNESS_WEIGHT 0.1
 #define MAX_SLOWNESS 20.0
 
+/* In each period without answers, the slowness and the error rate of an
+   endpoint lose these fractions, so that it is tried again.  */
+#define SLOWNESS_DECAY 0.04
+#define ERROR_DECAY 0.02
+
 struct ms_load
 ms_place_load (const struct ms_endpoint_state *e, ms_time now)
 {
@@ -64,8 +69,10 @@
    routers measured, weighted by their running requests, or the prediction if
    none has measured it recently.  */
 static double
-current_pace (const struct ms_endpoint_state *e, ms_time now)
+current_pace (const struct ms_place *place, const struct ms_endpoint_state *e,
+              ms_time now)
 {
+  const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
   double sum = e->others_pace_sum;
   double weight = e->others_pace_weight;
@@ -79,7 +86,7 @@
     }
   if (weight > 0)
     return sum / weight;
-  return (MS_TOKEN_MS + MS_TOKEN_MS_PER_RUNNING * running) * MS_MSEC;
+  return (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
 }
 
 /* Move the limit of E towards the mean of the other routers' limits.  If each
@@ -102,13 +109,13 @@
 /* Adjust the limit of E so that its tokens take the target fraction of
    MAX_PACE, in microseconds per token.  */
 static void
-adjust_limit (struct ms_endpoint_state *e,
+adjust_limit (const struct ms_place *place, struct ms_endpoint_state *e,
               const struct ms_service_entry *service, double max_pace,
               ms_time now)
 {
   double running = e->own.running + e->others.running;
   double slots = service->slots ? service->slots : e->entry.slots;
-  double scaled_pace = current_pace (e, now) / TARGET_PACE_FRACTION;
+  double scaled_pace = current_pace (place, e, now) / TARGET_PACE_FRACTION;
 
   if (e->limit <= 0)
     e->limit = INITIAL_LIMIT_FRACTION * slots;
@@ -124,6 +131,16 @@
     e->limit = MS_SLOT_FILL_FRACTION * slots;
 }
 
+/* Let what was measured at E decay, if it has not answered lately.  */
+static void
+forget_measurements (struct ms_endpoint_state *e, ms_time now)
+{
+  if (now - e->answered_at < LIMIT_PERIOD)
+    return;
+  e->slowness -= SLOWNESS_DECAY * (e->slowness - 1);
+  e->error_rate -= ERROR_DECAY * e->error_rate;
+}
+
 void
 ms_place_tick (struct ms_place *place, ms_time now)
 {
@@ -137,11 +154,12 @@
           = ms_routes_service (place->routes, e->entry.service);
       double max_pace = ms_need_max_pace (place, e->entry.service);
 
+      forget_measurements (e, now);
       if (!service || !service->model)
         continue;
       converge_limit (e);
       if (max_pace > 0)
-        adjust_limit (e, service, max_pace, now);
+        adjust_limit (place, e, service, max_pace, now);
     }
 }
 
@@ -165,15 +183,22 @@
 
 void
 ms_place_began (struct ms_place *place, struct ms_endpoint_state *e,
-                struct ms_load *load, ms_time expected, ms_time took)
+                struct ms_load *load, ms_time expected, ms_time took,
+                ms_time now)
 {
+  const struct ms_service_entry *service
+      = place->routes ? ms_routes_service (place->routes, e->entry.service)
+                      : NULL;
   double ratio;
 
-  (void)place;
   e->own.prefill -= load->prefill;
   load->prefill = 0;
   if (expected <= 0)
     return;
+  e->answered_at = now;
+  if (service && !service->model)
+    ms_speed_note (place, service->id,
+                   e->slowness * (double)took / (double)expected);
   /* EXPECTED includes the slowness already.  */
   ratio = e->slowness * (double)took / (double)expected;
   if (ratio > MAX_SLOWNESS)
@@ -242,6 +267,7 @@
       e->error_rate *= 1 - ERROR_WEIGHT;
       break;
     case MS_END_ERROR:
+      e->answered_at = now;
       note_reached (e, now);
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
       break;
@@ -249,6 +275,7 @@
     case MS_END_CANCELLED:
       break;
     case MS_END_BROKEN:
+      e->answered_at = now;
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
       break;
     case MS_END_MISDIRECTED:
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -17,13 +17,27 @@
    than this fraction.  */
 #define SHARE_TOLERANCE 0.05
 
+/* Values of members of struct ms_place_speed that are 0.  */
+#define DEFAULT_PREFILL_TOKENS_PER_MS 100.0
+#define DEFAULT_FIRST_TOKEN_MS 30.0
+#define DEFAULT_TOKEN_MS 4.0
+#define DEFAULT_TOKEN_MS_PER_RUNNING 0.1
+#define DEFAULT_RESPONSE_MS 50.0
+
+static void
+set_default (double *value, double default_value)
+{
+  if (*value == 0)
+    *value = default_value;
+}
+
 struct ms_place *
 ms_place_create (const struct ms_place_options *options,
                  const struct ms_place_policy *policy)
 {
   struct ms_place *place = ms_new (sizeof *place);
 
-  place->options = *options;
+  ms_place_set_options (place, options);
   place->policy = policy;
   place->prefix = ms_prefix_create ();
   return place;
@@ -33,7 +47,14 @@
 ms_place_set_options (struct ms_place *place,
                       const struct ms_place_options *options)
 {
+  struct ms_place_speed *speed = &place->options.speed;
+
   place->options = *options;
+  set_default (&speed->prefill_tokens_per_ms, DEFAULT_PREFILL_TOKENS_PER_MS);
+  set_default (&speed->first_token_ms, DEFAULT_FIRST_TOKEN_MS);
+  set_default (&speed->token_ms, DEFAULT_TOKEN_MS);
+  set_default (&speed->token_ms_per_running, DEFAULT_TOKEN_MS_PER_RUNNING);
+  set_default (&speed->response_ms, DEFAULT_RESPONSE_MS);
 }
 
 void
@@ -46,6 +67,7 @@
   free (place->endpoints);
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
+  ms_speed_destroy (place);
   free (place);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -51,7 +51,8 @@
   bool probing;    /* One request is testing whether it is reachable again.  */
   double slowness; /* Exponential mean, at least 1, of the ratio of measured to
                       predicted time to the first token or response, where the
-                      prediction is without this factor.  */
+                      prediction is without this factor.  Without answers it
+                      falls.  */
   double pace;     /* Microseconds for each generated token, as an exponential
                       mean over this router's streams.  */
   double others_pace_sum;     /* Sum of other routers' paces, each multiplied
@@ -63,7 +64,9 @@
   double others_limit_weight; /* Running requests in others_limit_sum.  */
   double limit;      /* Concurrent requests that it may run; 0 until known.  */
   double error_rate; /* Fraction of failed answers, as an exponential mean.  */
-  void *attachment;  /* Owned by the gateway: its connection pool.  */
+  ms_time answered_at; /* When an answer of it last began or an attempt
+                          failed.  */
+  void *attachment;    /* Owned by the gateway: its connection pool.  */
 };
 
 /* A request to be placed.  The arrays are borrowed for the call.  */
@@ -117,6 +120,22 @@
   ms_time late_by;
 };
 
+/* Speed of an endpoint with nothing else to do.  Of a member that is 0, the
+   default stands for it.  What an endpoint is slower than this is learned from
+   its answers, and so is response_ms for each plain service.  */
+struct ms_place_speed
+{
+  double prefill_tokens_per_ms; /* Prompt tokens that an engine reads; default
+                                   100.  */
+  double first_token_ms; /* Until the first token, without the time to read the
+                            prompt; default 30.  */
+  double token_ms;       /* Between two tokens of a stream; default 4.  */
+  double token_ms_per_running; /* Added to it by each running request; default
+                                  0.1.  */
+  double response_ms; /* Of an endpoint that runs no model, before answers of
+                         its service were seen; default 50.  */
+};
+
 /* In any second a cold endpoint gets at most cold_rate * cold_burst_factor +
    cold_slack requests from all routers together, where cold_rate is that of
    its service.  */
@@ -126,6 +145,7 @@
   uint64_t zone; /* Availability zone of this router.  */
   double cold_burst_factor;
   double cold_slack; /* Requests.  */
+  struct ms_place_speed speed;
 };
 
 /* A rule to choose among the endpoints that can take the request now: the one
@@ -254,13 +274,14 @@
                             struct ms_endpoint_state *endpoint,
                             ms_time placed_at, ms_time now);
 
-/* The first part of an answer from ENDPOINT arrived TOOK after the send, where
+/* The first part of an answer from ENDPOINT arrived at NOW, TOOK after the
+   send, where
    EXPECTED was predicted (0: no prediction).  Takes the prefill of LOAD, which
    ms_place_sent filled, off the endpoint's load and sets LOAD->prefill to
    0.  */
 void ms_place_began (struct ms_place *place,
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
-                     ms_time expected, ms_time took);
+                     ms_time expected, ms_time took, ms_time now);
 
 /* COUNT further events of a stream from ENDPOINT arrived, TOOK after the
    events before them.  */
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -132,7 +132,7 @@
       used[index]++;
       pairs += !seen[i % 40][index];
       seen[i % 40][index] = true;
-      ms_place_began (place, e, &load, 0, 0);
+      ms_place_began (place, e, &load, 0, 0, MS_SEC);
       ms_place_ended (place, e, &load, MS_END_GOOD, now);
     }
   assert_true (pairs <= 80);
@@ -405,6 +405,85 @@
   ms_place_destroy (place);
 }
 
+/* Send a request of PLAIN to an endpoint of PLACE, which answers after TOOK.
+   Returns the prediction for it, or -1 if no endpoint was chosen.  */
+static ms_time
+run_plain_request (struct ms_place *place, ms_time took, ms_time now)
+{
+  const struct ms_offer offer
+      = { .service = PLAIN, .target_left = 90 * MS_MSEC };
+  struct ms_choice choice;
+  struct ms_load load;
+
+  ms_place_choose (place, &offer, now, &choice);
+  if (choice.result != MS_PLACED)
+    return -1;
+  ms_place_sent (place, &offer, &choice, &load, now);
+  ms_place_began (place, choice.endpoint, &load, choice.fit.expected, took,
+                  now + took);
+  ms_place_ended (place, choice.endpoint, &load, MS_END_GOOD, now + took);
+  return choice.fit.expected;
+}
+
+/* Endpoints of a plain service that have answered slowly, all of them, still
+   get requests: their slots are free, and a late response is better than
+   none.  */
+static void
+test_slow_plain_endpoints_still_get_requests (void **state)
+{
+  struct ms_place *place = create_place ();
+
+  (void)state;
+  for (unsigned i = 0; i < 3; i++)
+    put_endpoint (place, i, PLAIN, ZONE_A, 0, 0);
+  for (unsigned i = 0; i < 30; i++)
+    assert_true (run_plain_request (place, 1500 * MS_MSEC, i * 2 * MS_SEC)
+                 > 0);
+  ms_place_destroy (place);
+}
+
+/* The response time of a plain service is learned, whether it is below or
+   above the one of the options.  */
+static void
+test_response_time_of_plain_service_is_learned (void **state)
+{
+  static const ms_time times[] = { 15 * MS_MSEC, 150 * MS_MSEC };
+
+  (void)state;
+  for (unsigned j = 0; j < 2; j++)
+    {
+      struct ms_place *place = create_place ();
+      ms_time expected = 0;
+
+      for (unsigned i = 0; i < 3; i++)
+        put_endpoint (place, i, PLAIN, ZONE_A, 0, 0);
+      for (unsigned i = 0; i < 600; i++)
+        expected = run_plain_request (place, times[j], i * 200 * MS_MSEC);
+      assert_in_range (expected, times[j] * 3 / 4, times[j] * 3 / 2);
+      ms_place_destroy (place);
+    }
+}
+
+/* An endpoint that was slow and is avoided since is tried again.  */
+static void
+test_slow_endpoint_is_tried_again (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *slow
+      = put_endpoint (place, 1, PLAIN, ZONE_A, 0, 0);
+  struct ms_load load = { .running = 0 };
+  ms_time now;
+
+  (void)state;
+  ms_place_began (place, slow, &load, 50 * MS_MSEC, 2 * MS_SEC, MS_SEC);
+  put_endpoint (place, 2, PLAIN, ZONE_A, 0, 0);
+  assert_true (slow->slowness > 2);
+  for (now = MS_SEC; now < 30 * MS_SEC; now += 100 * MS_MSEC)
+    ms_place_tick (place, now);
+  assert_true (slow->slowness < 1.1);
+  ms_place_destroy (place);
+}
+
 int
 main (void)
 {
@@ -423,6 +502,9 @@
     cmocka_unit_test (test_endpoint_that_is_reached_again_is_limited),
     cmocka_unit_test (test_load_of_other_routers_counts),
     cmocka_unit_test (test_limit_shrinks_when_tokens_are_slow),
+    cmocka_unit_test (test_slow_plain_endpoints_still_get_requests),
+    cmocka_unit_test (test_response_time_of_plain_service_is_learned),
+    cmocka_unit_test (test_slow_endpoint_is_tried_again),
   };
 
   return RUN (tests);
