Digests: name others when there is news; one path between zones for sums

Cause: each digest named eight other routers (224 of 300 to 430 bytes at rest), both readers of a zone sent its sums to both of each other zone, and both passed all of them on.

Change: digests name one other, eight within 6 s of the start of any router; the first reader of a zone exchanges sums with the first of each other zone, the second with the second ones one time in four; in a small fleet other zones get every second digest.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -37,8 +37,15 @@
 /* Resolution of the random numbers for that choice.  */
 #define RANDOM_STEPS 1000000
 
-/* Most other routers that one digest mentions.  */
+/* Most other routers that one digest mentions, while routers may have to learn
+   of others because one has started within MEMBERS_NEWS_TIME, and else.  */
 #define MEMBERS_PER_DIGEST 8
+#define MEMBERS_PER_QUIET_DIGEST 1
+#define MEMBERS_NEWS_TIME (6 * MS_SEC)
+
+/* In a small fleet, a router of another zone gets one digest in this many: it
+   crosses the zones' border once for each pair of routers.  */
+#define OTHER_ZONE_DIGEST_INTERVAL 2
 
 /* Most routers that a digest is sent to at once; more take turns.  */
 #define FAN_OUT 64
@@ -52,6 +59,7 @@
   fleet->self = (digest_member){ id, incarnation, zone, ntohl (ip.s_addr) };
   fleet->random.state = random_seed;
   fleet->started = now;
+  fleet->news_at = now;
   return fleet;
 }
 
@@ -170,6 +178,7 @@
   router->leaving = false;
   router->heard = 0;
   router->learned = now;
+  fleet->news_at = now;
 }
 
 void
@@ -244,12 +253,15 @@
                       digest_member *members, ms_time now)
 {
   unsigned count = 0;
+  unsigned most = now - fleet->news_at < MEMBERS_NEWS_TIME
+                      ? MEMBERS_PER_DIGEST
+                      : MEMBERS_PER_QUIET_DIGEST;
 
   d->self = fleet->self;
   d->sequence = ++fleet->sequence;
   d->capacity = fleet->capacity;
   d->rate = fleet->rate;
-  for (unsigned i = 0; i < fleet->count && count < MEMBERS_PER_DIGEST; i++)
+  for (unsigned i = 0; i < fleet->count && count < most; i++)
     {
       const struct ms_fleet_router *r
           = &fleet->routers[(fleet->next_member + i) % fleet->count];
@@ -277,7 +289,8 @@
       const struct ms_fleet_router *r
           = &fleet->routers[(fleet->next_target + i) % fleet->count];
 
-      if (large && r->zone != fleet->self.zone)
+      if (r->zone != fleet->self.zone
+          && (large || fleet->sequence % OTHER_ZONE_DIGEST_INTERVAL))
         continue;
       if (!ms_fleet_alive (r, now)
           && ms_random_below (&fleet->random, has_share (r, now)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -106,9 +106,9 @@
                                             unsigned *count);
 
 /* Put the zone sums of other zones that arrived within MS_ROUTER_SILENT_TIME
-   into DIGEST, to pass them on to the routers of this zone.  ZONES has
-   DIGEST_ZONES elements; DIGEST points to it and to data of FLEET
-   afterwards.  */
+   into DIGEST, to pass them on to the routers of this zone; none if this is
+   the second reader and not its turn.  ZONES has DIGEST_ZONES elements; DIGEST
+   points to it and to data of FLEET afterwards.  */
 void ms_fleet_put_zone_sums (const struct ms_fleet *fleet,
                              struct fleet_digest *digest, digest_zone *zones,
                              ms_time now);
@@ -130,22 +130,24 @@
                         ms_time now);
 
 /* Fill TARGETS with up to SPACE addresses of readers of other zones, to which
-   the zone sums of this zone are sent; of a zone without live routers, those
-   of a few routers chosen at random.  Returns the number.  */
+   the zone sums of this zone are sent now: the first reader sends them to the
+   first ones, the second sometimes to the second ones; of a zone without live
+   routers, those of a few routers chosen at random.  Returns the number.  */
 unsigned ms_fleet_other_readers (struct ms_fleet *fleet, ms_time now,
                                  struct in_addr *targets, unsigned space);
 
 /* Fill in the sender, the next sequence number, capacity and rate of DIGEST,
    and as members up to eight of the routers that were heard within
-   MS_ROUTER_SHARE_TIME, by turns.  MEMBERS has DIGEST_MEMBERS elements; DIGEST
-   points to it afterwards.  */
+   MS_ROUTER_SHARE_TIME, by turns; only one if no router has started lately.
+   MEMBERS has DIGEST_MEMBERS elements; DIGEST points to it afterwards.  */
 void ms_fleet_fill_digest (struct ms_fleet *fleet, struct fleet_digest *digest,
                            digest_member *members, ms_time now);
 
 /* Fill TARGETS with up to SPACE addresses of routers to send a digest to now:
-   all routers, or in a large fleet those of this zone; silent ones only one
-   time in eight, and one time in 512 once their share has ended.  If there are
-   more than 64, they take turns.  Returns the number.  */
+   all routers, those of other zones every second time, or in a large fleet
+   those of this zone; silent ones only one time in eight, and one time in 512
+   once their share has ended.  If there are more than 64, they take turns.
+   Returns the number.  */
 unsigned ms_fleet_targets (struct ms_fleet *fleet, ms_time now,
                            struct in_addr *targets, unsigned space);
 
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -16,6 +16,7 @@
 {
   digest_member self;
   ms_time started;
+  ms_time news_at;    /* When a router or a start of one was last learned.  */
   bool members_known; /* The members were read from the store.  */
   unsigned sequence;  /* Of the last digest sent.  */
   unsigned capacity;  /* Thousandths of a CPU core.  */
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -9,6 +9,11 @@
    this many of its routers on average, chosen at random.  */
 #define RANDOM_TARGETS_PER_ZONE 2
 
+/* The first readers of two zones exchange their sums with each digest.  The
+   second ones do so, and pass sums on in their zone, with one digest in this
+   many, in case a first one has just ended.  */
+#define SECOND_READER_INTERVAL 4
+
 /* Return the rank of ID in the order in which routers become readers: the
    lowest come first.  MS_READERS_PER_ZONE only salts the hash; the salt must
    be the same at all routers.  */
@@ -44,6 +49,14 @@
          < MS_READERS_PER_ZONE;
 }
 
+/* Return whether this router, a reader, exchanges zone sums now.  */
+static bool
+is_sums_turn (const struct ms_fleet *fleet, ms_time now)
+{
+  return ms_readers_before (fleet, fleet->self.id, fleet->self.zone, now) == 0
+         || fleet->sequence % SECOND_READER_INTERVAL == 0;
+}
+
 const struct ms_fleet_router *
 ms_fleet_relay_source (struct ms_fleet *fleet, ms_time now)
 {
@@ -166,8 +179,9 @@
                         ms_time now)
 {
   unsigned count = 0;
+  unsigned zones_count = is_sums_turn (fleet, now) ? fleet->zones_count : 0;
 
-  for (unsigned i = 0; i < fleet->zones_count; i++)
+  for (unsigned i = 0; i < zones_count; i++)
     {
       const struct ms_fleet_zone *z = &fleet->zones[i];
 
@@ -278,7 +292,8 @@
 }
 
 /* Return whether R, a router of another zone, is to be sent the zone sums of
-   this zone: if it is a reader of its zone or, while no router of that zone is
+   this zone: if it has the same place among the readers of its zone as this
+   router in its own or, while no router of that zone is
    known to be alive, by chance, since it may be a reader.  */
 static bool
 is_sums_target (struct ms_fleet *fleet, const struct ms_fleet_router *r,
@@ -288,7 +303,7 @@
 
   if (ms_fleet_alive (r, now))
     return ms_readers_before (fleet, r->id, r->zone, now)
-           < MS_READERS_PER_ZONE;
+           == ms_readers_before (fleet, fleet->self.id, fleet->self.zone, now);
   for (unsigned i = 0; i < fleet->count; i++)
     {
       if (fleet->routers[i].zone != r->zone)
@@ -306,6 +321,8 @@
 {
   unsigned count = 0;
 
+  if (!is_sums_turn (fleet, now))
+    return 0;
   for (unsigned i = 0; i < fleet->count && count < space; i++)
     {
       const struct ms_fleet_router *r = &fleet->routers[i];
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -236,6 +236,20 @@
   return running;
 }
 
+/* Start the routers of NET, which know each other.  */
+static void
+start_network (struct network *net, ms_time now)
+{
+  for (unsigned i = 0; i < ROUTER_COUNT; i++)
+    net->fleets[i]
+        = ms_fleet_create (router_id (i), 1, 1 + i % ZONE_COUNT,
+                           (struct in_addr){ htonl (FIRST_IP + i) }, i, now);
+  for (unsigned i = 0; i < ROUTER_COUNT; i++)
+    for (unsigned j = 0; j < ROUTER_COUNT; j++)
+      ms_fleet_learn (net->fleets[i], router_id (j), 1, 1 + j % ZONE_COUNT,
+                      (struct in_addr){ htonl (FIRST_IP + j) }, now);
+}
+
 /* In a large fleet each router knows the load of all others although only
    readers send zone sums to other zones.  The number of messages in a round,
    in which each router sends its digest once, is at most that of all routers
@@ -249,14 +263,7 @@
   unsigned readers = 0;
 
   (void)state;
-  for (unsigned i = 0; i < ROUTER_COUNT; i++)
-    net.fleets[i]
-        = ms_fleet_create (router_id (i), 1, 1 + i % ZONE_COUNT,
-                           (struct in_addr){ htonl (FIRST_IP + i) }, i, now);
-  for (unsigned i = 0; i < ROUTER_COUNT; i++)
-    for (unsigned j = 0; j < ROUTER_COUNT; j++)
-      ms_fleet_learn (net.fleets[i], router_id (j), 1, 1 + j % ZONE_COUNT,
-                      (struct in_addr){ htonl (FIRST_IP + j) }, now);
+  start_network (&net, now);
   for (unsigned round = 0; round < 40; round++)
     {
       now += DIGEST_PERIOD;
@@ -277,6 +284,82 @@
     ms_fleet_destroy (net.fleets[i]);
 }
 
+/* Zone sums cross from each zone to each other one by one path at a time, and
+   little more; when the reader at one end of it ends, the others know the load
+   of its zone again, and it that of theirs, within the time after which a
+   silent router counts as gone.  */
+static void
+test_zone_sums_take_one_path (void **state)
+{
+  static struct network net;
+  ms_time now = 0;
+  ms_time killed_at;
+  unsigned killed = 0;
+  unsigned crossings = 0;
+  struct in_addr targets[64];
+
+  (void)state;
+  start_network (&net, now);
+  for (unsigned round = 0; round < 60; round++)
+    {
+      now += DIGEST_PERIOD;
+      for (unsigned i = 0; i < ROUTER_COUNT; i++)
+        {
+          send_digest (&net, i, now);
+          if (round >= 40 && ms_fleet_reads_store (net.fleets[i], now))
+            crossings
+                += ms_fleet_other_readers (net.fleets[i], now, targets, 64);
+        }
+    }
+  assert_in_range (crossings, 20 * ZONE_COUNT * (ZONE_COUNT - 1),
+                   30 * ZONE_COUNT * (ZONE_COUNT - 1));
+  while (!ms_fleet_reads_store (net.fleets[killed], now))
+    killed++;
+  killed_at = now;
+  while (now < killed_at + MS_ROUTER_SILENT_TIME + 2 * DIGEST_PERIOD)
+    {
+      now += DIGEST_PERIOD;
+      for (unsigned i = 0; i < ROUTER_COUNT; i++)
+        if (i != killed)
+          send_digest (&net, i, now);
+    }
+  for (unsigned i = 0; i < ROUTER_COUNT; i++)
+    if (i != killed)
+      assert_int_equal (known_running (net.fleets[i], 1 + i % ZONE_COUNT, now),
+                        ROUTER_COUNT - 2);
+  for (unsigned i = 0; i < ROUTER_COUNT; i++)
+    ms_fleet_destroy (net.fleets[i]);
+}
+
+/* Digests name many others only while a router may have to learn of them.  */
+static void
+test_quiet_digests_name_one_other (void **state)
+{
+  struct ms_fleet *fleet = create_fleet ();
+  struct fleet_digest digest = { 0 };
+  digest_member members[DIGEST_MEMBERS];
+  ms_time now = MS_SEC;
+  uint64_t named = 0;
+
+  (void)state;
+  for (uint64_t id = 1; id <= 20; id++)
+    receive_digest (fleet, id, 5, 1, ZONE_A, true, now);
+  ms_fleet_fill_digest (fleet, &digest, members, now);
+  assert_int_equal (digest.members.members_len, 8);
+  now = 10 * MS_SEC;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      ms_fleet_fill_digest (fleet, &digest, members, now);
+      assert_int_equal (digest.members.members_len, 1);
+      named |= 1ull << members[0].id;
+    }
+  assert_int_equal (named, 0x1ffffe);
+  receive_digest (fleet, 1, 6, 1, ZONE_A, true, now);
+  ms_fleet_fill_digest (fleet, &digest, members, now);
+  assert_int_equal (digest.members.members_len, 8);
+  ms_fleet_destroy (fleet);
+}
+
 static void
 test_malformed_digest_is_rejected (void **state)
 {
@@ -326,6 +409,8 @@
     cmocka_unit_test (test_addresses_are_of_ready_routers_only),
     cmocka_unit_test (test_digest_members_are_learned_and_contacted),
     cmocka_unit_test (test_large_fleet_sums_reach_all_zones),
+    cmocka_unit_test (test_zone_sums_take_one_path),
+    cmocka_unit_test (test_quiet_digests_name_one_other),
     cmocka_unit_test (test_malformed_digest_is_rejected),
     cmocka_unit_test (test_gone_routers_keep_neither_share_nor_room),
   };
