--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -18,6 +18,11 @@
    something.  */
 #define MIN_PLACEMENT_TARGET (50 * MS_MSEC)
 
+/* Estimates of the bytes that a request takes besides its body: of both heads,
+   and of each token of a response.  */
+#define HEADS_BYTES 800
+#define TOKEN_BYTES 16
+
 bool
 ms_request_may_repeat (const struct ms_request *r)
 {
@@ -45,6 +50,8 @@
   offer->service = r->service;
   offer->prompt_tokens = r->prompt.tokens;
   offer->output_tokens = r->prompt.output;
+  offer->bytes = HEADS_BYTES + TOKEN_BYTES * r->prompt.output
+                 + (uint32_t)ms_caller_body (r->caller).length;
   offer->parts_count = r->prompt.parts_count;
   offer->parts = r->prompt.parts;
   offer->target_left
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -17,6 +17,7 @@
                .token_ms = s->token_ms,
                .token_ms_per_running = s->token_ms_per_running,
                .response_ms = s->response_ms },
+    .zone_byte_tokens = s->zone_byte_tokens,
   };
 }
 
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -15,6 +15,7 @@
 /* For settings without these fields.  */
 #define DEFAULT_DRAIN_TIMEOUT_MS 2000
 #define DEFAULT_ENDPOINT_HEARTBEAT_MS 1200
+#define DEFAULT_ZONE_BYTE_TOKENS 0.03
 
 #define TEXT_FIELD(field, flags)                                              \
   CYAML_FIELD_STRING_PTR (#field, CYAML_FLAG_POINTER | (flags),               \
@@ -70,6 +71,7 @@
         OPTIONAL_NUMBER_FIELD (token_ms),
         OPTIONAL_NUMBER_FIELD (token_ms_per_running),
         OPTIONAL_NUMBER_FIELD (response_ms),
+        OPTIONAL_NUMBER_FIELD (zone_byte_tokens),
         NUMBER_FIELD (directory_ttl_s),
         CYAML_FIELD_END };
 
@@ -131,6 +133,7 @@
     { "token_ms", s->token_ms, 0, 1e4 },
     { "token_ms_per_running", s->token_ms_per_running, 0, 1e3 },
     { "response_ms", s->response_ms, 0, 1e6 },
+    { "zone_byte_tokens", s->zone_byte_tokens, 0, 1e3 },
     { "directory_ttl_s", s->directory_ttl_s, 0, 3600 },
   };
   enum ms_status status = MS_OK;
@@ -179,6 +182,8 @@
     s->drain_timeout_ms = DEFAULT_DRAIN_TIMEOUT_MS;
   if (s->endpoint_heartbeat_ms == 0)
     s->endpoint_heartbeat_ms = DEFAULT_ENDPOINT_HEARTBEAT_MS;
+  if (s->zone_byte_tokens == 0)
+    s->zone_byte_tokens = DEFAULT_ZONE_BYTE_TOKENS;
 }
 
 enum ms_status
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -65,8 +65,11 @@
   double token_ms_per_running;
   double response_ms;
 
-  double directory_ttl_s; /* Longest time that callers may cache a response
-                             of the directory.  */
+  double zone_byte_tokens; /* Prompt tokens that endpoints may read again to
+                              keep a byte within its availability zone; 0.03 if
+                              it is not set.  */
+  double directory_ttl_s;  /* Longest time that callers may cache a response
+                              of the directory.  */
 };
 
 /* Read and check the file at PATH into *RESULT, which the caller destroys.  On
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -13,6 +13,11 @@
    it has more than its share of the work.  */
 #define OVER_SHARE_LIMIT_FRACTION 0.9
 
+/* A prompt has its homes in the router's zone if the bytes between zones are
+   worth more than this fraction of its shared parts, about the part of the
+   requests that find them in the cache of a home for the whole fleet only.  */
+#define ZONE_MISS_FRACTION 0.4
+
 /* An endpoint that is no home of the prompt may prefill more than
    SMALL_DUPLICATE_TOKENS tokens of shared parts only while fewer requests run
    there than DUPLICATE_LOAD_FRACTION of its limit.  */
@@ -70,20 +75,42 @@
    in the caches of few endpoints.  */
 struct homes
 {
+  bool in_zone; /* Chosen among the endpoints of the router's zone only.  */
   const struct ms_endpoint_state *first;
   const struct ms_endpoint_state *second;
 };
 
+/* Return what the bytes of the request cost between availability zones, in
+   prompt tokens.  */
+static uint32_t
+crossing_tokens (const struct ms_place *place, const struct ms_offer *offer)
+{
+  return (uint32_t)(offer->bytes * place->options.zone_byte_tokens);
+}
+
+/* Return the number of tokens in shared parts of the prompt.  */
+static uint32_t
+shared_tokens (const struct ms_offer *offer)
+{
+  uint32_t shared = 0;
+
+  for (unsigned i = 0; i + 1 < offer->parts_count; i++)
+    shared += offer->parts[i].tokens;
+  return shared;
+}
+
 static struct homes
 find_homes (const struct ms_place *place, const struct ms_offer *offer,
             ms_time now)
 {
-  struct homes homes = { NULL, NULL };
+  struct homes homes = { false, NULL, NULL };
   uint64_t first_rank = 0;
   uint64_t second_rank = 0;
 
   if (offer->parts_count < 2)
     return homes;
+  homes.in_zone = crossing_tokens (place, offer)
+                  > ZONE_MISS_FRACTION * shared_tokens (offer);
   for (unsigned i = 0; i < place->count; i++)
     {
       const struct ms_endpoint_state *e = place->endpoints[i];
@@ -91,6 +118,7 @@
           = ms_id_pair (e->id, offer->parts[offer->parts_count - 2].id);
 
       if (e->entry.service != offer->service || rank <= second_rank
+          || (homes.in_zone && e->entry.zone != place->options.zone)
           || !is_available (place, e, now))
         continue;
       if (rank > first_rank)
@@ -132,10 +160,8 @@
 static uint32_t
 unshared_tokens (const struct ms_offer *offer)
 {
-  uint32_t shared = 0;
+  uint32_t shared = shared_tokens (offer);
 
-  for (unsigned i = 0; i + 1 < offer->parts_count; i++)
-    shared += offer->parts[i].tokens;
   return shared < offer->prompt_tokens ? offer->prompt_tokens - shared : 1;
 }
 
@@ -202,6 +228,9 @@
   f->home = e == homes->first ? 1 : e == homes->second ? 2 : 0;
   f->duplicate = f->home ? 0 : missing_shared_tokens (place, e, offer, now);
   f->uncached = unshared_tokens (offer) + f->duplicate;
+  f->crossing = e->entry.zone == place->options.zone
+                    ? 0
+                    : crossing_tokens (place, offer);
   f->expected = expected_time (place, e, service, f->uncached);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -75,6 +75,7 @@
   uint64_t service;
   uint32_t prompt_tokens;
   uint32_t output_tokens; /* Expected number.  */
+  uint32_t bytes;         /* Expected length of request and response.  */
   unsigned parts_count;
   const struct ms_prompt_part *parts;
   ms_time target_left; /* Time left to the first-byte target.  */
@@ -94,16 +95,20 @@
 /* Predicted prefill work and response time of a request at one endpoint.  The
    homes of a prompt with shared parts are the two endpoints that all routers
    prefer for it; routers assume that its homes have these parts in cache.
-   Prompts with the same last shared part have the same homes.  */
+   Prompts with the same last shared part have the same homes, and all routers
+   know them; but a prompt whose shared parts are worth less than the bytes
+   between zones has its homes in the zone of the router.  */
 struct ms_fit
 {
   uint32_t uncached;  /* Prompt tokens that it must prefill.  */
   uint32_t duplicate; /* Those of them in shared parts; the homes of the prompt
                          probably have these in cache.  */
-  unsigned home;      /* 1 if it is the first home of the prompt, 2 if the
-                         second, 0 if neither.  */
-  ms_time expected;   /* Time from the send to the first token, or to the
-                         response of an endpoint that runs no model.  */
+  uint32_t crossing; /* What the bytes between availability zones are worth, in
+                        prompt tokens; 0 in the router's own zone.  */
+  unsigned home;     /* 1 if it is the first home of the prompt, 2 if the
+                        second, 0 if neither.  */
+  ms_time expected;  /* Time from the send to the first token, or to the
+                        response of an endpoint that runs no model.  */
 };
 
 struct ms_choice
@@ -146,6 +151,8 @@
   double cold_burst_factor;
   double cold_slack; /* Requests.  */
   struct ms_place_speed speed;
+  double zone_byte_tokens; /* Prompt tokens that may be prefilled to keep a
+                              byte within its availability zone.  */
 };
 
 /* A rule to choose among the endpoints that can take the request now: the one
--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -5,11 +5,11 @@
 /* Penalties of an endpoint, in milliseconds of time to the first token: for an
    error rate of 1, for another availability zone than the router's, for each
    running request, and for each token of shared parts that another endpoint
-   holds in cache.  */
+   holds in cache, or that the bytes between zones are worth.  */
 #define ERROR_PENALTY_MS 2000.0
 #define OTHER_ZONE_PENALTY_MS 3.0
 #define RUNNING_PENALTY_MS 0.5
-#define DUPLICATE_PENALTY_MS 0.2
+#define TOKEN_PENALTY_MS 0.2
 
 /* Penalty of the second home.  It is preferred to the first only if its score
    without this penalty is lower by more than this.  */
@@ -22,7 +22,7 @@
               const struct ms_fit *fit)
 {
   return (double)fit->expected / MS_MSEC
-         + DUPLICATE_PENALTY_MS * fit->duplicate
+         + TOKEN_PENALTY_MS * (fit->duplicate + fit->crossing)
          + (fit->home == 2 ? SECOND_HOME_PENALTY_MS : 0)
          + ERROR_PENALTY_MS * e->error_rate
          + RUNNING_PENALTY_MS * (e->own.running + e->others.running)
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -405,6 +405,91 @@
   ms_place_destroy (place);
 }
 
+/* Fill PLACE, of a router in ZONE, with six endpoints in each zone.  */
+static struct ms_place *
+create_place_in_zone (uint64_t zone)
+{
+  const struct ms_place_options options = { .self = zone,
+                                            .zone = zone,
+                                            .cold_burst_factor = 1.5,
+                                            .cold_slack = 5,
+                                            .zone_byte_tokens = 0.03 };
+  struct ms_place *place
+      = ms_place_create (&options, ms_place_policy ("prefix"));
+
+  ms_place_configure (place, &routes);
+  for (unsigned i = 0; i < 12; i++)
+    put_endpoint (place, i, MODEL, i % 2 ? ZONE_A : ZONE_B, 0, 0);
+  return place;
+}
+
+/* A prompt with small shared parts and a long response stays in its zone,
+   where the prompt has one home; one with large shared parts has the same home
+   for the routers of both zones.  */
+static void
+test_homes_weigh_bytes_against_tokens (void **state)
+{
+  static const struct ms_prompt_part small[]
+      = { { 101, 100 }, { 102, 70 }, { 103, 400 } };
+  struct ms_place *a = create_place_in_zone (ZONE_A);
+  struct ms_place *b = create_place_in_zone (ZONE_B);
+  struct ms_offer offer = { .service = MODEL,
+                            .prompt_tokens = 570,
+                            .output_tokens = 280,
+                            .bytes = 6000,
+                            .parts_count = 3,
+                            .parts = small,
+                            .target_left = 400 * MS_MSEC };
+  struct ms_offer large = long_prompt ();
+  struct ms_choice in_a;
+  struct ms_choice in_b;
+
+  (void)state;
+  ms_place_choose (a, &offer, MS_SEC, &in_a);
+  ms_place_choose (b, &offer, MS_SEC, &in_b);
+  assert_int_equal (in_a.endpoint->entry.zone, ZONE_A);
+  assert_int_equal (in_b.endpoint->entry.zone, ZONE_B);
+  assert_int_equal (in_a.fit.home, 1);
+  assert_int_equal (in_b.fit.home, 1);
+  large.bytes = 10000;
+  ms_place_choose (a, &large, MS_SEC, &in_a);
+  ms_place_choose (b, &large, MS_SEC, &in_b);
+  assert_int_equal (in_a.endpoint->id, in_b.endpoint->id);
+  ms_place_destroy (a);
+  ms_place_destroy (b);
+}
+
+/* What a busy zone cannot take in time goes to another zone.  */
+static void
+test_busy_zone_sends_to_others (void **state)
+{
+  static const struct ms_prompt_part small[]
+      = { { 101, 100 }, { 102, 70 }, { 103, 400 } };
+  const struct ms_load busy = { .running = 80, .prefill = 30000 };
+  struct ms_place *place = create_place_in_zone (ZONE_A);
+  struct ms_offer offer = { .service = MODEL,
+                            .prompt_tokens = 570,
+                            .output_tokens = 280,
+                            .bytes = 6000,
+                            .parts_count = 3,
+                            .parts = small,
+                            .target_left = 400 * MS_MSEC };
+  struct ms_choice choice;
+
+  (void)state;
+  for (unsigned i = 1; i < 12; i += 2)
+    {
+      char name[8];
+
+      snprintf (name, sizeof name, "e%u", i);
+      ms_place_add_others (place, ms_id (ms_str (name)), &busy);
+    }
+  ms_place_choose (place, &offer, MS_SEC, &choice);
+  assert_int_equal (choice.result, MS_PLACED);
+  assert_int_equal (choice.endpoint->entry.zone, ZONE_B);
+  ms_place_destroy (place);
+}
+
 /* Send a request of PLAIN to an endpoint of PLACE, which answers after TOOK.
    Returns the prediction for it, or -1 if no endpoint was chosen.  */
 static ms_time
@@ -502,6 +587,8 @@
     cmocka_unit_test (test_endpoint_that_is_reached_again_is_limited),
     cmocka_unit_test (test_load_of_other_routers_counts),
     cmocka_unit_test (test_limit_shrinks_when_tokens_are_slow),
+    cmocka_unit_test (test_homes_weigh_bytes_against_tokens),
+    cmocka_unit_test (test_busy_zone_sends_to_others),
     cmocka_unit_test (test_slow_plain_endpoints_still_get_requests),
     cmocka_unit_test (test_response_time_of_plain_service_is_learned),
     cmocka_unit_test (test_slow_endpoint_is_tried_again),
