Directory: refer callers to other zones when their own has no room

Cause: callers were referred to the routers of their own zone only, whatever room these had (other zones only if fewer than two were left).

Change: routers report the processor time they use; zone sums carry it and each ready router's capacity, at the end of the digest, where routers of earlier versions do not look. The directory draws from all zones, weighted by capacity, by the zone's room, and for other zones by how much of the caller's zone is used.

--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -1,7 +1,14 @@
 #include "fleet/fleet.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
+
+/* Length of the end of a digest that routers of earlier versions do not send:
+   USED and an empty list of rooms.  */
+#define ADDED_BYTES 8
+
 unsigned
 ms_digest_encode (const struct fleet_digest *digest, char *data, size_t size)
 {
@@ -20,11 +27,16 @@
 {
   XDR xdr;
   bool decoded;
+  /* Zeros stand for what a router of an earlier version did not send; at the
+     end of a whole digest they are left over.  */
+  char *padded = ms_new (length + ADDED_BYTES);
 
   memset (digest, 0, sizeof *digest);
-  xdrmem_create (&xdr, (char *)data, (u_int)length, XDR_DECODE);
+  memcpy (padded, data, length);
+  xdrmem_create (&xdr, padded, (u_int)(length + ADDED_BYTES), XDR_DECODE);
   decoded = xdr_fleet_digest (&xdr, digest);
   xdr_destroy (&xdr);
+  free (padded);
   if (!decoded)
     ms_digest_free (digest);
   return decoded;
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -70,6 +70,17 @@
 };
 typedef struct digest_zone digest_zone;
 
+struct digest_room {
+	u_quad_t zone;
+	u_int capacity;
+	u_int used;
+	struct {
+		u_int capacities_len;
+		u_int *capacities_val;
+	} capacities;
+};
+typedef struct digest_room digest_room;
+
 struct fleet_digest {
 	digest_member self;
 	u_int sequence;
@@ -97,6 +108,11 @@
 		u_int zones_len;
 		digest_zone *zones_val;
 	} zones;
+	u_int used;
+	struct {
+		u_int rooms_len;
+		digest_room *rooms_val;
+	} rooms;
 };
 typedef struct fleet_digest fleet_digest;
 
@@ -108,6 +124,7 @@
 extern  bool_t xdr_digest_death (XDR *, digest_death*);
 extern  bool_t xdr_digest_team (XDR *, digest_team*);
 extern  bool_t xdr_digest_zone (XDR *, digest_zone*);
+extern  bool_t xdr_digest_room (XDR *, digest_room*);
 extern  bool_t xdr_fleet_digest (XDR *, fleet_digest*);
 
 #else /* K&R C */
@@ -116,6 +133,7 @@
 extern bool_t xdr_digest_death ();
 extern bool_t xdr_digest_team ();
 extern bool_t xdr_digest_zone ();
+extern bool_t xdr_digest_room ();
 extern bool_t xdr_fleet_digest ();
 
 #endif /* K&R C */
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -60,6 +60,17 @@
   digest_member ready<DIGEST_MEMBERS>; /* Routers that accept callers.  */
 };
 
+/* Processor time of the live routers of a zone that accept callers, in
+   thousandths of a core, for the entry of the same index in the digest's zones.
+   CAPACITIES has that of each router in its READY.  */
+struct digest_room
+{
+  unsigned hyper zone;
+  unsigned int capacity;
+  unsigned int used;
+  unsigned int capacities<DIGEST_MEMBERS>;
+};
+
 struct fleet_digest
 {
   digest_member self;
@@ -73,4 +84,7 @@
   digest_death deaths<DIGEST_DEATHS>;
   digest_team teams<DIGEST_TEAMS>;
   digest_zone zones<DIGEST_ZONES>;
+  /* Routers of earlier versions do not send what follows.  */
+  unsigned int used; /* Of CAPACITY.  */
+  digest_room rooms<DIGEST_ZONES>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -141,6 +141,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_digest_room (XDR *xdrs, digest_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->used))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->capacities.capacities_val, (u_int *) &objp->capacities.capacities_len, DIGEST_MEMBERS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_digest (XDR *xdrs, fleet_digest *objp)
 {
@@ -185,6 +202,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, DIGEST_ZONES,
 			sizeof (digest_zone), (xdrproc_t) xdr_digest_zone))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->used))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
+			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -224,6 +246,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, DIGEST_ZONES,
 			sizeof (digest_zone), (xdrproc_t) xdr_digest_zone))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->used))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
+			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -254,5 +281,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, DIGEST_ZONES,
 		sizeof (digest_zone), (xdrproc_t) xdr_digest_zone))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->used))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
+		sizeof (digest_room), (xdrproc_t) xdr_digest_room))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,25 +1,17 @@
 #include "fleet/internal.h"
 
 #include <arpa/inet.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
 
-/* Most routers that are known besides this one.  */
-#define MAX_ROUTERS 1024
-
 /* A router is crowded if it gets at least CROWDED_MIN_RATE requests in ten
    seconds and, for its capacity, more than CROWDED_FACTOR times as many as the
    routers of its zone on average.  */
 #define CROWDED_FACTOR 2.0
 #define CROWDED_MIN_RATE 100
 
-/* Up to this many routers a caller gets the addresses of all; of more, those
-   of a random half.  */
-#define FULL_LIST_MAX 6
-
 /* A router takes no share in limits of the whole fleet until it has been up
    for JOIN_TIME and has sent JOIN_DIGESTS digests: its previous process may
    have used its share just before, and others must count it first.  While it
@@ -34,9 +26,6 @@
 #define SILENT_TARGET_ODDS 8
 #define GONE_TARGET_ODDS 512
 
-/* Resolution of the random numbers for that choice.  */
-#define RANDOM_STEPS 1000000
-
 /* Most other routers that one digest mentions, while routers may have to learn
    of others because one has started within MEMBERS_NEWS_TIME, and else.  */
 #define MEMBERS_PER_DIGEST 8
@@ -140,7 +129,7 @@
 
   if (index < fleet->count && fleet->routers[index].id == id)
     return &fleet->routers[index];
-  if (fleet->count == MAX_ROUTERS)
+  if (fleet->count == MS_MAX_FLEET_ROUTERS)
     {
       if (!remove_gone_router (fleet, now))
         return NULL;
@@ -187,8 +176,8 @@
   fleet->members_known = true;
 }
 
-static struct in_addr
-member_address (const digest_member *member)
+struct in_addr
+ms_member_address (const digest_member *member)
 {
   return (struct in_addr){ htonl (member->ip) };
 }
@@ -207,7 +196,7 @@
       && !ms_fleet_alive (router, now))
     router->incarnation = 0;
   ms_fleet_learn (fleet, member->id, member->incarnation, member->zone,
-                  member_address (member), now);
+                  ms_member_address (member), now);
 }
 
 bool
@@ -223,7 +212,7 @@
       const digest_member *m = &d->members.members_val[i];
 
       ms_fleet_learn (fleet, m->id, m->incarnation, m->zone,
-                      member_address (m), now);
+                      ms_member_address (m), now);
     }
   ms_zones_receive (fleet, d, now);
   router = find_or_add (fleet, d->self.id, now);
@@ -235,6 +224,7 @@
   router->ready = d->ready;
   router->leaving = d->leaving;
   router->capacity = d->capacity;
+  router->used = d->used;
   router->rate = d->rate;
   free_arrays (router);
   router->loads = d->loads.loads_val;
@@ -260,6 +250,7 @@
   d->self = fleet->self;
   d->sequence = ++fleet->sequence;
   d->capacity = fleet->capacity;
+  d->used = fleet->used;
   d->rate = fleet->rate;
   for (unsigned i = 0; i < fleet->count && count < most; i++)
     {
@@ -374,7 +365,7 @@
 
 void
 ms_fleet_mark_alive (struct ms_fleet *fleet, const digest_member *member,
-                     ms_time now)
+                     unsigned capacity, ms_time now)
 {
   struct ms_fleet_router *router;
 
@@ -387,18 +378,22 @@
   router->heard = now;
   router->ready = true;
   router->leaving = false;
+  if (capacity)
+    router->capacity = capacity;
 }
 
-static bool
-takes_callers (const struct ms_fleet_router *router, ms_time now)
+bool
+ms_takes_callers (const struct ms_fleet_router *router, ms_time now)
 {
   return ms_fleet_alive (router, now) && router->ready && !router->leaving;
 }
 
 void
-ms_fleet_set_load (struct ms_fleet *fleet, unsigned capacity, unsigned rate)
+ms_fleet_set_load (struct ms_fleet *fleet, unsigned capacity, unsigned used,
+                   unsigned rate)
 {
   fleet->capacity = capacity;
+  fleet->used = used;
   fleet->rate = rate;
 }
 
@@ -414,83 +409,10 @@
     {
       const struct ms_fleet_router *r = &fleet->routers[i];
 
-      if (r->zone != fleet->self.zone || !takes_callers (r, now))
+      if (r->zone != fleet->self.zone || !ms_takes_callers (r, now))
         continue;
       capacity += r->capacity;
       rate += r->rate;
     }
   return fleet->rate * capacity > CROWDED_FACTOR * fleet->capacity * rate;
 }
-
-/* A router that a caller may be referred to; those with the lowest keys are
-   chosen.  */
-struct candidate
-{
-  struct in_addr ip;
-  double key;
-};
-
-static int
-compare_key (const void *left, const void *right)
-{
-  double a = ((const struct candidate *)left)->key;
-  double b = ((const struct candidate *)right)->key;
-
-  return (a > b) - (a < b);
-}
-
-/* Return a random key with exponential distribution of rate CAPACITY. Choosing
-   the lowest keys draws routers without replacement, weighted by capacity.  */
-static double
-sampling_key (struct ms_fleet *fleet, unsigned capacity)
-{
-  double chance = ((double)ms_random_below (&fleet->random, RANDOM_STEPS) + 1)
-                  / RANDOM_STEPS;
-
-  return -log (chance) / (capacity ? capacity : 1);
-}
-
-/* Fill CANDIDATES with the ready routers of ZONE, or of all zones if it is 0,
-   with random keys.  READY says whether this router is one of them.  Returns
-   the number.  */
-static unsigned
-collect_candidates (struct ms_fleet *fleet, uint64_t zone, bool ready,
-                    ms_time now, struct candidate *candidates)
-{
-  unsigned count = 0;
-
-  if (ready && (!zone || fleet->self.zone == zone))
-    candidates[count++]
-        = (struct candidate){ member_address (&fleet->self),
-                              sampling_key (fleet, fleet->capacity) };
-  for (unsigned i = 0; i < fleet->count; i++)
-    {
-      const struct ms_fleet_router *r = &fleet->routers[i];
-
-      if (takes_callers (r, now) && (!zone || r->zone == zone))
-        candidates[count++]
-            = (struct candidate){ r->ip, sampling_key (fleet, r->capacity) };
-    }
-  return count;
-}
-
-unsigned
-ms_fleet_addresses (struct ms_fleet *fleet, uint64_t zone, bool ready,
-                    ms_time now, struct in_addr *addresses, unsigned space)
-{
-  static struct candidate candidates[MAX_ROUTERS + 1];
-  unsigned count = collect_candidates (fleet, zone, ready, now, candidates);
-  unsigned sampled;
-
-  if (count < 2)
-    count = collect_candidates (fleet, 0, ready, now, candidates);
-  if (!count)
-    candidates[count++].ip = member_address (&fleet->self);
-  qsort (candidates, count, sizeof *candidates, compare_key);
-  sampled = count > FULL_LIST_MAX ? (count + 1) / 2 : count;
-  if (sampled > space)
-    sampled = space;
-  for (unsigned i = 0; i < sampled; i++)
-    addresses[i] = candidates[i].ip;
-  return sampled;
-}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,7 @@
   bool ready;         /* It accepts callers.  */
   bool leaving;       /* It is about to end.  */
   unsigned capacity;  /* Thousandths of a CPU core.  */
+  unsigned used;      /* Of them.  */
   unsigned rate;      /* Requests in the last ten seconds.  */
   unsigned sequence;  /* Of the last digest.  */
   ms_time heard;      /* Time of its last digest, or of the last zone sums that
@@ -94,6 +95,12 @@
   unsigned teams_count;
   digest_member *ready; /* Routers that accept callers.  */
   unsigned ready_count;
+  /* Of the routers that accept callers, in thousandths of a CPU core; 0 if it
+     is not known, and of each in READY, if CAPACITIES_COUNT is not 0.  */
+  unsigned capacity;
+  unsigned used;
+  unsigned *capacities;
+  unsigned capacities_count;
 };
 
 /* Return whether the fleet is so large (more than 16 routers, heard or not)
@@ -107,27 +114,34 @@
 
 /* Put the zone sums of other zones that arrived within MS_ROUTER_SILENT_TIME
    into DIGEST, to pass them on to the routers of this zone; none if this is
-   the second reader and not its turn.  ZONES has DIGEST_ZONES elements; DIGEST
-   points to it and to data of FLEET afterwards.  */
+   the second reader and not its turn.  DIGEST points to LIST and to data of
+   FLEET afterwards.  */
+struct ms_zone_list
+{
+  digest_zone zones[DIGEST_ZONES];
+  digest_room rooms[DIGEST_ZONES];
+};
 void ms_fleet_put_zone_sums (const struct ms_fleet *fleet,
-                             struct fleet_digest *digest, digest_zone *zones,
-                             ms_time now);
+                             struct fleet_digest *digest,
+                             struct ms_zone_list *list, ms_time now);
 
-/* Memory for the zone sums of this zone.  */
+/* The zone sums of this zone.  ZONE and ROOM point to the arrays.  */
 struct ms_zone_sums
 {
+  digest_zone zone;
+  digest_room room;
   digest_load loads[DIGEST_LOADS];
   digest_team teams[DIGEST_TEAMS];
   digest_member ready[DIGEST_MEMBERS];
+  u_int capacities[DIGEST_MEMBERS];
 };
 
-/* Fill ZONE with the zone sums of this zone, over its live routers.  OWN is
-   the digest of this router itself.  ZONE points into MEMORY afterwards;
-   entries beyond the sizes of its arrays are left out.  */
+/* Fill SUMS with the zone sums of this zone, over its live routers.  OWN is
+   the digest of this router itself.  Entries beyond the sizes of the arrays
+   are left out.  */
 void ms_fleet_sum_zone (const struct ms_fleet *fleet,
                         const struct fleet_digest *own,
-                        struct ms_zone_sums *memory, digest_zone *zone,
-                        ms_time now);
+                        struct ms_zone_sums *sums, ms_time now);
 
 /* Fill TARGETS with up to SPACE addresses of readers of other zones, to which
    the zone sums of this zone are sent now: the first reader sends them to the
@@ -188,21 +202,31 @@
 const struct ms_fleet_router *ms_fleet_routers (const struct ms_fleet *fleet,
                                                 unsigned *count);
 
-/* Set what this router reports of itself: CAPACITY in thousandths of a CPU
-   core, RATE as the requests in the last ten seconds.  */
+/* Set what this router reports of itself: CAPACITY and the part USED of it in
+   thousandths of a CPU core, RATE as the requests in the last ten seconds.  */
 void ms_fleet_set_load (struct ms_fleet *fleet, unsigned capacity,
-                        unsigned rate);
+                        unsigned used, unsigned rate);
 
 /* Return whether this router gets more than twice as many requests for its
    capacity as the routers of its zone do on average, so that callers should
    connect again, to another router.  */
 bool ms_fleet_crowded (const struct ms_fleet *fleet, ms_time now);
 
+/* Return the fraction of its processor time, 0 to 1, that is used by the
+   routers of ZONE that accept callers; below 0 if it is not known.  */
+double ms_fleet_zone_use (const struct ms_fleet *fleet, uint64_t zone,
+                          ms_time now);
+
+/* Return the weight of a router in the directory, to be multiplied by its
+   capacity: of one in the caller's own zone if OWN, whose use, as of
+   ms_fleet_zone_use, is OWN_USE, or else of one in a zone with use USE.  */
+double ms_directory_weight (double own_use, double use, bool own);
+
 /* Fill ADDRESSES with up to SPACE addresses of routers that a caller in ZONE
-   (0 for any) should use: the ready routers of the zone if there are at least
-   two, else all ready ones, else this router alone.  READY says whether this
-   router is ready.  Of more than six, half are drawn at random, weighted by
-   capacity.  Returns the number.  */
+   (0 for any) should use, drawn at random from the ready ones by
+   ms_directory_weight: as many as the zone has, of more than six half of them;
+   of all zones if it has less than two; this router alone if none is ready.
+   READY says whether this router is ready.  Returns the number.  */
 unsigned ms_fleet_addresses (struct ms_fleet *fleet, uint64_t zone, bool ready,
                              ms_time now, struct in_addr *addresses,
                              unsigned space);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -12,6 +12,9 @@
 /* Routers of each zone that read the store; two, so that one may fail.  */
 #define MS_READERS_PER_ZONE 2
 
+/* Most routers that are known besides this one.  */
+#define MS_MAX_FLEET_ROUTERS 1024
+
 struct ms_fleet
 {
   digest_member self;
@@ -20,6 +23,7 @@
   bool members_known; /* The members were read from the store.  */
   unsigned sequence;  /* Of the last digest sent.  */
   unsigned capacity;  /* Thousandths of a CPU core.  */
+  unsigned used;      /* Of them.  */
   unsigned rate;      /* Requests in the last ten seconds.  */
   struct ms_random random;
   struct ms_fleet_router *routers; /* Without this one, by id.  */
@@ -42,9 +46,15 @@
 void ms_zones_receive (struct ms_fleet *fleet, struct fleet_digest *digest,
                        ms_time now);
 
-/* The zone sums of another zone name MEMBER as alive and ready.  */
+/* The zone sums of another zone name MEMBER as alive and ready.  CAPACITY is 0
+   if they do not tell it.  */
 void ms_fleet_mark_alive (struct ms_fleet *fleet, const digest_member *member,
-                          ms_time now);
+                          unsigned capacity, ms_time now);
+
+/* Return whether callers may be referred to ROUTER.  */
+bool ms_takes_callers (const struct ms_fleet_router *router, ms_time now);
+
+struct in_addr ms_member_address (const digest_member *member);
 
 void ms_zones_free (struct ms_fleet *fleet);
 
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -96,6 +96,7 @@
   free (zone->loads);
   free (zone->teams);
   free (zone->ready);
+  free (zone->capacities);
   memset (zone, 0, sizeof *zone);
 }
 
@@ -124,9 +125,11 @@
    is this router's zone or SUMS is not newer.  SUMS of another author than the
    known ones always count as newer; a lower sequence number of the same author
    does if the known sums are as old as MS_ROUTER_SILENT_TIME, as after a
-   restart of the author.  */
+   restart of the author.  ROOM is that of the zone, NULL if the author did not
+   send it.  */
 static void
-update_zone (struct ms_fleet *fleet, digest_zone *sums, ms_time now)
+update_zone (struct ms_fleet *fleet, digest_zone *sums, digest_room *room,
+             ms_time now)
 {
   struct ms_fleet_zone *zone;
 
@@ -154,8 +157,29 @@
   sums->teams.teams_len = 0;
   sums->ready.ready_val = NULL;
   sums->ready.ready_len = 0;
+  if (room)
+    {
+      zone->capacity = room->capacity;
+      zone->used = room->used;
+      zone->capacities = room->capacities.capacities_val;
+      zone->capacities_count = room->capacities.capacities_len;
+      room->capacities.capacities_val = NULL;
+      room->capacities.capacities_len = 0;
+    }
   for (unsigned i = 0; i < zone->ready_count; i++)
-    ms_fleet_mark_alive (fleet, &zone->ready[i], now);
+    ms_fleet_mark_alive (fleet, &zone->ready[i],
+                         i < zone->capacities_count ? zone->capacities[i] : 0,
+                         now);
+}
+
+/* Return the room in DIGEST of its entry I of zones, NULL if it has none.  */
+static digest_room *
+zone_room (struct fleet_digest *digest, unsigned i)
+{
+  digest_room *room
+      = i < digest->rooms.rooms_len ? &digest->rooms.rooms_val[i] : NULL;
+
+  return room && room->zone == digest->zones.zones_val[i].zone ? room : NULL;
 }
 
 void
@@ -163,7 +187,8 @@
                   ms_time now)
 {
   for (unsigned i = 0; i < digest->zones.zones_len; i++)
-    update_zone (fleet, &digest->zones.zones_val[i], now);
+    update_zone (fleet, &digest->zones.zones_val[i], zone_room (digest, i),
+                 now);
 }
 
 const struct ms_fleet_zone *
@@ -175,7 +200,7 @@
 
 void
 ms_fleet_put_zone_sums (const struct ms_fleet *fleet,
-                        struct fleet_digest *digest, digest_zone *zones,
+                        struct fleet_digest *digest, struct ms_zone_list *list,
                         ms_time now)
 {
   unsigned count = 0;
@@ -187,7 +212,13 @@
 
       if (now - z->heard > MS_ROUTER_SILENT_TIME)
         continue;
-      zones[count++] = (digest_zone){
+      list->rooms[count] = (digest_room){
+        .zone = z->id,
+        .capacity = z->capacity,
+        .used = z->used,
+        .capacities = { z->capacities_count, z->capacities },
+      };
+      list->zones[count++] = (digest_zone){
         .zone = z->id,
         .author = z->author,
         .sequence = z->sequence,
@@ -196,8 +227,10 @@
         .ready = { z->ready_count, z->ready },
       };
     }
-  digest->zones.zones_val = zones;
+  digest->zones.zones_val = list->zones;
   digest->zones.zones_len = count;
+  digest->rooms.rooms_val = list->rooms;
+  digest->rooms.rooms_len = count;
 }
 
 /* Return the mean of A and B, weighted by running requests; A if none run.  0
@@ -256,24 +289,45 @@
   sums[i].ended += team->ended;
 }
 
+/* Add a router that accepts callers to SUMS.  */
+static void
+add_ready (struct ms_zone_sums *sums, digest_member member, unsigned capacity,
+           unsigned used)
+{
+  unsigned count = sums->zone.ready.ready_len;
+
+  sums->room.capacity += capacity;
+  sums->room.used += used;
+  if (count == DIGEST_MEMBERS)
+    return;
+  sums->ready[count] = member;
+  sums->capacities[count] = capacity;
+  sums->zone.ready.ready_len = count + 1;
+  sums->room.capacities.capacities_len = count + 1;
+}
+
 void
 ms_fleet_sum_zone (const struct ms_fleet *fleet,
-                   const struct fleet_digest *own, struct ms_zone_sums *memory,
-                   digest_zone *zone, ms_time now)
+                   const struct fleet_digest *own, struct ms_zone_sums *sums,
+                   ms_time now)
 {
-  memset (zone, 0, sizeof *zone);
+  digest_zone *zone = &sums->zone;
+
+  memset (sums, 0, sizeof *sums);
   zone->zone = fleet->self.zone;
   zone->author = fleet->self.id;
   zone->sequence = fleet->sequence;
-  zone->loads.loads_val = memory->loads;
-  zone->teams.teams_val = memory->teams;
-  zone->ready.ready_val = memory->ready;
+  zone->loads.loads_val = sums->loads;
+  zone->teams.teams_val = sums->teams;
+  zone->ready.ready_val = sums->ready;
+  sums->room.zone = fleet->self.zone;
+  sums->room.capacities.capacities_val = sums->capacities;
   for (unsigned i = 0; i < own->loads.loads_len; i++)
     add_load (zone, &own->loads.loads_val[i]);
   for (unsigned i = 0; i < own->teams.teams_len; i++)
     add_team (zone, &own->teams.teams_val[i]);
   if (own->ready)
-    zone->ready.ready_val[zone->ready.ready_len++] = fleet->self;
+    add_ready (sums, fleet->self, fleet->capacity, fleet->used);
   for (unsigned i = 0; i < fleet->count; i++)
     {
       const struct ms_fleet_router *r = &fleet->routers[i];
@@ -284,10 +338,11 @@
         add_load (zone, &r->loads[j]);
       for (unsigned j = 0; j < r->teams_count; j++)
         add_team (zone, &r->teams[j]);
-      if (r->ready && !r->leaving && zone->ready.ready_len < DIGEST_MEMBERS)
-        zone->ready.ready_val[zone->ready.ready_len++]
-            = (digest_member){ r->id, r->incarnation, r->zone,
-                               ntohl (r->ip.s_addr) };
+      if (ms_takes_callers (r, now))
+        add_ready (sums,
+                   (digest_member){ r->id, r->incarnation, r->zone,
+                                    ntohl (r->ip.s_addr) },
+                   r->capacity, r->used);
     }
 }
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -131,6 +131,7 @@
 {
   struct ms_request_rate *request_rate = &gw->request_rate;
   ms_time elapsed = gw->now - request_rate->since;
+  double capacity;
 
   if (elapsed < RATE_PERIOD)
     return;
@@ -141,7 +142,9 @@
   request_rate->count = 0;
   request_rate->since = gw->now;
   /* In thousandths of a core, and in requests in ten seconds.  */
-  ms_fleet_set_load (gw->fleet, (unsigned)(gw->settings->cpu_cores * 1000),
+  capacity = gw->settings->cpu_cores * 1000;
+  ms_fleet_set_load (gw->fleet, (unsigned)capacity,
+                     (unsigned)(capacity * ms_pressure_busy (gw->pressure)),
                      (unsigned)(request_rate->rate * 10));
   gw->crowded = ms_fleet_crowded (gw->fleet, gw->now);
 }
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -222,16 +222,17 @@
 send_zone_sums (struct ms_peers *p, struct fleet_digest *digest, ms_time now)
 {
   static struct ms_zone_sums sums;
-  static digest_zone zone;
   struct in_addr recipients[MAX_RECIPIENTS];
   unsigned count
       = ms_fleet_other_readers (p->gw->fleet, now, recipients, MAX_RECIPIENTS);
 
-  ms_fleet_sum_zone (p->gw->fleet, digest, &sums, &zone, now);
+  ms_fleet_sum_zone (p->gw->fleet, digest, &sums, now);
   digest->loads.loads_len = 0;
   digest->teams.teams_len = 0;
-  digest->zones.zones_val = &zone;
+  digest->zones.zones_val = &sums.zone;
   digest->zones.zones_len = 1;
+  digest->rooms.rooms_val = &sums.room;
+  digest->rooms.rooms_len = 1;
   send_to_recipients (p, digest, recipients, count);
 }
 
@@ -263,7 +264,7 @@
   digest_member members[DIGEST_MEMBERS];
   digest_death deaths[DIGEST_DEATHS];
   digest_team teams[DIGEST_TEAMS];
-  digest_zone zones[DIGEST_ZONES];
+  struct ms_zone_list zones;
   struct fleet_digest digest = { 0 };
   bool zone_reader = ms_fleet_large (gw->fleet, now)
                      && ms_fleet_reads_store (gw->fleet, now);
@@ -287,7 +288,7 @@
   digest.deaths.deaths_val = deaths;
   digest.deaths.deaths_len = collect_deaths (p, deaths, now);
   if (zone_reader)
-    ms_fleet_put_zone_sums (gw->fleet, &digest, zones, now);
+    ms_fleet_put_zone_sums (gw->fleet, &digest, &zones, now);
   send_to_recipients (p, &digest, recipients, count);
   if (zone_reader)
     send_zone_sums (p, &digest, now);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -189,9 +189,8 @@
                        .memory = 20,
                        .limit = 40 + i % 3 };
   digest_member members[DIGEST_MEMBERS];
-  digest_zone zones[DIGEST_ZONES];
-  struct ms_zone_sums sums;
-  digest_zone own;
+  struct ms_zone_list zones;
+  static struct ms_zone_sums sums;
   struct fleet_digest digest = { 0 };
   struct in_addr targets[64];
   unsigned count = ms_fleet_targets (fleet, now, targets, 64);
@@ -203,14 +202,16 @@
   digest.loads.loads_val = &load;
   digest.loads.loads_len = 1;
   if (reader)
-    ms_fleet_put_zone_sums (fleet, &digest, zones, now);
+    ms_fleet_put_zone_sums (fleet, &digest, &zones, now);
   deliver_digest (net, &digest, targets, count, now);
   if (!reader)
     return;
-  ms_fleet_sum_zone (fleet, &digest, &sums, &own, now);
+  ms_fleet_sum_zone (fleet, &digest, &sums, now);
   digest.loads.loads_len = 0;
-  digest.zones.zones_val = &own;
+  digest.zones.zones_val = &sums.zone;
   digest.zones.zones_len = 1;
+  digest.rooms.rooms_val = &sums.room;
+  digest.rooms.rooms_len = 1;
   count = ms_fleet_other_readers (fleet, now, targets, 64);
   deliver_digest (net, &digest, targets, count, now);
 }
