Read the store by one router a zone, with waits by the bounds

Change: only the first reader of a zone reads the store; the second keeps exchanging zone sums, and routers whose relays fail read for themselves as before. A read is held for 0.3 of the time in which a change must be obeyed.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -168,11 +168,15 @@
 /* Free the reports of routers whose share has ended.  */
 void ms_fleet_tick (struct ms_fleet *fleet, ms_time now);
 
-/* Return whether this router is a reader of its zone, that is, reads the store
-   itself and relays it to the others.  The readers are the first two routers
-   of the zone, in an order by hashes of their identifiers, that are alive and
-   not leaving.  Of itself a router does not check whether it is leaving, so it
-   may stay a reader until it ends.  */
+/* Return whether this router is a reader of its zone, that is, exchanges zone
+   sums with other zones.  The readers are the first two routers of the zone,
+   in an order by hashes of their identifiers, that are alive and not leaving.
+   Of itself a router does not check whether it is leaving, so it may stay a
+   reader until it ends.  */
+bool ms_fleet_sums_zone (const struct ms_fleet *fleet, ms_time now);
+
+/* Return whether this router is the first reader of its zone, which reads the
+   store itself and relays it to the others.  */
 bool ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now);
 
 /* Return a router to ask for the store's contents, chosen at random among
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -9,7 +9,9 @@
    fleet the readers of a zone send zone sums to the other zones.  */
 #define MS_SMALL_FLEET_MAX 16
 
-/* Routers of each zone that read the store; two, so that one may fail.  */
+/* Readers of each zone; two, so that zone sums go on when one fails.  The
+   first one reads the store: when it fails, the others, whose relays fail
+   then, read for themselves until the next one takes its place.  */
 #define MS_READERS_PER_ZONE 2
 
 /* Most routers that are known besides this one.  */
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -43,12 +43,18 @@
 }
 
 bool
-ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now)
+ms_fleet_sums_zone (const struct ms_fleet *fleet, ms_time now)
 {
   return ms_readers_before (fleet, fleet->self.id, fleet->self.zone, now)
          < MS_READERS_PER_ZONE;
 }
 
+bool
+ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now)
+{
+  return ms_readers_before (fleet, fleet->self.id, fleet->self.zone, now) == 0;
+}
+
 /* Return whether this router, a reader, exchanges zone sums now.  */
 static bool
 is_sums_turn (const struct ms_fleet *fleet, ms_time now)
@@ -73,8 +79,7 @@
         continue;
       /* Reservoir sampling: each candidate has the same chance.  */
       if (r->zone == fleet->self.zone
-          && ms_readers_before (fleet, r->id, r->zone, now)
-                 < MS_READERS_PER_ZONE)
+          && ms_readers_before (fleet, r->id, r->zone, now) == 0)
         {
           if (ms_random_below (&fleet->random, ++readers_seen) == 0)
             reader = r;
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -6,11 +6,11 @@
    the configuration is recent.  */
 
 /* Long polls of the two topics: how long the store may hold a read open, and
-   the pause between two reads.  */
-#define OPERATOR_READ_WAIT_MS 600
+   the pause between two reads, as fractions of the time in which a change must
+   be obeyed.  */
+#define READ_WAIT_FRACTION 0.3
 #define OPERATOR_READ_PAUSE (50 * MS_MSEC)
-#define ENDPOINT_READ_WAIT_MS 600
-#define ENDPOINT_READ_PAUSE (400 * MS_MSEC)
+#define ENDPOINT_READ_PAUSE_FRACTION 0.2
 
 /* Age of a topic at which a router that gets it by relays reads the store
    itself, as a fraction of the time in which a change must be obeyed.  The
@@ -172,7 +172,8 @@
       .changed = on_operator_change,
       .context = gw,
     },
-    .wait_ms = OPERATOR_READ_WAIT_MS,
+    .wait_ms
+    = (unsigned)(READ_WAIT_FRACTION * gw->settings->config_apply_ms),
     .pause = OPERATOR_READ_PAUSE,
     .max_age = max_age (gw->settings->config_apply_ms),
   };
@@ -184,8 +185,10 @@
       .changed = on_endpoint_change,
       .context = gw,
     },
-    .wait_ms = ENDPOINT_READ_WAIT_MS,
-    .pause = ENDPOINT_READ_PAUSE,
+    .wait_ms
+    = (unsigned)(READ_WAIT_FRACTION * gw->settings->drain_timeout_ms),
+    .pause = (ms_time)(ENDPOINT_READ_PAUSE_FRACTION
+                       * gw->settings->drain_timeout_ms * MS_MSEC),
     .max_age = max_age (gw->settings->drain_timeout_ms),
   };
 
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -266,8 +266,8 @@
   digest_team teams[DIGEST_TEAMS];
   struct ms_zone_list zones;
   struct fleet_digest digest = { 0 };
-  bool zone_reader = ms_fleet_large (gw->fleet, now)
-                     && ms_fleet_reads_store (gw->fleet, now);
+  bool zone_reader
+      = ms_fleet_large (gw->fleet, now) && ms_fleet_sums_zone (gw->fleet, now);
   unsigned count
       = ms_fleet_targets (gw->fleet, now, recipients, MAX_RECIPIENTS);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -194,8 +194,7 @@
   struct fleet_digest digest = { 0 };
   struct in_addr targets[64];
   unsigned count = ms_fleet_targets (fleet, now, targets, 64);
-  bool reader
-      = ms_fleet_large (fleet, now) && ms_fleet_reads_store (fleet, now);
+  bool reader = ms_fleet_large (fleet, now) && ms_fleet_sums_zone (fleet, now);
 
   ms_fleet_fill_digest (fleet, &digest, members, now);
   digest.ready = true;
@@ -276,7 +275,7 @@
     {
       assert_int_equal (known_running (net.fleets[i], 1 + i % ZONE_COUNT, now),
                         ROUTER_COUNT - 1);
-      readers += ms_fleet_reads_store (net.fleets[i], now);
+      readers += ms_fleet_sums_zone (net.fleets[i], now);
     }
   assert_int_equal (readers, 2 * ZONE_COUNT);
   /* Each router to those of its zone, and few messages between zones.  */
@@ -307,14 +306,14 @@
       for (unsigned i = 0; i < ROUTER_COUNT; i++)
         {
           send_digest (&net, i, now);
-          if (round >= 40 && ms_fleet_reads_store (net.fleets[i], now))
+          if (round >= 40 && ms_fleet_sums_zone (net.fleets[i], now))
             crossings
                 += ms_fleet_other_readers (net.fleets[i], now, targets, 64);
         }
     }
   assert_in_range (crossings, 20 * ZONE_COUNT * (ZONE_COUNT - 1),
                    30 * ZONE_COUNT * (ZONE_COUNT - 1));
-  while (!ms_fleet_reads_store (net.fleets[killed], now))
+  while (!ms_fleet_sums_zone (net.fleets[killed], now))
     killed++;
   killed_at = now;
   while (now < killed_at + MS_ROUTER_SILENT_TIME + 2 * DIGEST_PERIOD)
