Zone sums of all endpoints and all routers of a zone

Cause: zone sums had space for 128 endpoints and 64 ready routers. With 165 endpoints the work at 37 of them was unknown to other zones; of a zone with more routers the rest counted as silent there, and after ten minutes had no share in limits.

Change: the work at further endpoints stands at the end of the digest; more ready routers than fit take turns.

--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -14,6 +14,7 @@
 #endif
 
 #define DIGEST_LOADS 128
+#define DIGEST_MORE_LOADS 1152
 #define DIGEST_MEMBERS 64
 #define DIGEST_DEATHS 16
 #define DIGEST_TEAMS 64
@@ -78,6 +79,10 @@
 		u_int capacities_len;
 		u_int *capacities_val;
 	} capacities;
+	struct {
+		u_int more_loads_len;
+		digest_load *more_loads_val;
+	} more_loads;
 };
 typedef struct digest_room digest_room;
 
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -2,6 +2,7 @@
    hashes of names.  */
 
 const DIGEST_LOADS = 128;
+const DIGEST_MORE_LOADS = 1152;
 const DIGEST_MEMBERS = 64;
 const DIGEST_DEATHS = 16;
 const DIGEST_TEAMS = 64;
@@ -60,15 +61,17 @@
   digest_member ready<DIGEST_MEMBERS>; /* Routers that accept callers.  */
 };
 
-/* Processor time of the live routers of a zone that accept callers, in
-   thousandths of a core, for the entry of the same index in the digest's zones.
-   CAPACITIES has that of each router in its READY.  */
+/* More of a zone, for the entry of the same index in the digest's zones: the
+   processor time of its live routers that accept callers, in thousandths of a
+   core, and that of each router in READY; and the work at the endpoints for
+   which LOADS has no space.  */
 struct digest_room
 {
   unsigned hyper zone;
   unsigned int capacity;
   unsigned int used;
   unsigned int capacities<DIGEST_MEMBERS>;
+  digest_load more_loads<DIGEST_MORE_LOADS>;
 };
 
 struct fleet_digest
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -155,6 +155,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->capacities.capacities_val, (u_int *) &objp->capacities.capacities_len, DIGEST_MEMBERS,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->more_loads.more_loads_val, (u_int *) &objp->more_loads.more_loads_len, DIGEST_MORE_LOADS,
+		sizeof (digest_load), (xdrproc_t) xdr_digest_load))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -91,6 +91,8 @@
   ms_time heard;     /* When the sums arrived.  */
   digest_load *loads;
   unsigned loads_count;
+  digest_load *more_loads; /* At other endpoints.  */
+  unsigned more_loads_count;
   digest_team *teams;
   unsigned teams_count;
   digest_member *ready; /* Routers that accept callers.  */
@@ -131,6 +133,7 @@
   digest_zone zone;
   digest_room room;
   digest_load loads[DIGEST_LOADS];
+  digest_load more_loads[DIGEST_MORE_LOADS];
   digest_team teams[DIGEST_TEAMS];
   digest_member ready[DIGEST_MEMBERS];
   u_int capacities[DIGEST_MEMBERS];
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -14,6 +14,9 @@
    many, in case a first one has just ended.  */
 #define SECOND_READER_INTERVAL 4
 
+/* Zone sums begin this many routers after the last ones.  */
+#define READY_STEP 61
+
 /* Return the rank of ID in the order in which routers become readers: the
    lowest come first.  MS_READERS_PER_ZONE only salts the hash; the salt must
    be the same at all routers.  */
@@ -99,6 +102,7 @@
 clear_zone (struct ms_fleet_zone *zone)
 {
   free (zone->loads);
+  free (zone->more_loads);
   free (zone->teams);
   free (zone->ready);
   free (zone->capacities);
@@ -168,8 +172,12 @@
       zone->used = room->used;
       zone->capacities = room->capacities.capacities_val;
       zone->capacities_count = room->capacities.capacities_len;
+      zone->more_loads = room->more_loads.more_loads_val;
+      zone->more_loads_count = room->more_loads.more_loads_len;
       room->capacities.capacities_val = NULL;
       room->capacities.capacities_len = 0;
+      room->more_loads.more_loads_val = NULL;
+      room->more_loads.more_loads_len = 0;
     }
   for (unsigned i = 0; i < zone->ready_count; i++)
     ms_fleet_mark_alive (fleet, &zone->ready[i],
@@ -222,6 +230,7 @@
         .capacity = z->capacity,
         .used = z->used,
         .capacities = { z->capacities_count, z->capacities },
+        .more_loads = { z->more_loads_count, z->more_loads },
       };
       list->zones[count++] = (digest_zone){
         .zone = z->id,
@@ -249,29 +258,47 @@
                     / (a_running + b_running));
 }
 
-/* Add LOAD to the zone sums ZONE, at the entry of its endpoint; dropped if
-   there is no space for another endpoint.  */
+/* Return the entry of ENDPOINT in SUMS, which is added if there is none; NULL
+   if there is no space.  */
+static digest_load *
+find_or_add_load (struct ms_zone_sums *sums, uint64_t endpoint)
+{
+  u_int *count = &sums->zone.loads.loads_len;
+  u_int *more_count = &sums->room.more_loads.more_loads_len;
+  digest_load *added;
+
+  for (unsigned i = 0; i < *count; i++)
+    if (sums->loads[i].endpoint == endpoint)
+      return &sums->loads[i];
+  for (unsigned i = 0; i < *more_count; i++)
+    if (sums->more_loads[i].endpoint == endpoint)
+      return &sums->more_loads[i];
+  if (*count < DIGEST_LOADS)
+    added = &sums->loads[(*count)++];
+  else if (*more_count < DIGEST_MORE_LOADS)
+    added = &sums->more_loads[(*more_count)++];
+  else
+    return NULL;
+  *added = (digest_load){ .endpoint = endpoint };
+  return added;
+}
+
+/* Add LOAD to SUMS, at the entry of its endpoint; dropped if there is no space
+   for another endpoint.  */
 static void
-add_load (digest_zone *zone, const digest_load *load)
+add_load (struct ms_zone_sums *sums, const digest_load *load)
 {
-  digest_load *sums = zone->loads.loads_val;
-  unsigned i;
+  digest_load *sum = find_or_add_load (sums, load->endpoint);
 
-  for (i = 0; i < zone->loads.loads_len; i++)
-    if (sums[i].endpoint == load->endpoint)
-      break;
-  if (i == DIGEST_LOADS)
+  if (!sum)
     return;
-  if (i == zone->loads.loads_len)
-    sums[zone->loads.loads_len++]
-        = (digest_load){ .endpoint = load->endpoint };
-  sums[i].pace = weighted_mean (sums[i].pace, sums[i].running, load->pace,
-                                load->running);
-  sums[i].limit = weighted_mean (sums[i].limit, sums[i].running, load->limit,
-                                 load->running);
-  sums[i].running += load->running;
-  sums[i].prefill += load->prefill;
-  sums[i].memory += load->memory;
+  sum->pace
+      = weighted_mean (sum->pace, sum->running, load->pace, load->running);
+  sum->limit
+      = weighted_mean (sum->limit, sum->running, load->limit, load->running);
+  sum->running += load->running;
+  sum->prefill += load->prefill;
+  sum->memory += load->memory;
 }
 
 /* Add TEAM to the zone sums ZONE, at the entry of that team; dropped if there
@@ -327,20 +354,23 @@
   zone->ready.ready_val = sums->ready;
   sums->room.zone = fleet->self.zone;
   sums->room.capacities.capacities_val = sums->capacities;
+  sums->room.more_loads.more_loads_val = sums->more_loads;
   for (unsigned i = 0; i < own->loads.loads_len; i++)
-    add_load (zone, &own->loads.loads_val[i]);
+    add_load (sums, &own->loads.loads_val[i]);
   for (unsigned i = 0; i < own->teams.teams_len; i++)
     add_team (zone, &own->teams.teams_val[i]);
   if (own->ready)
     add_ready (sums, fleet->self, fleet->capacity, fleet->used);
   for (unsigned i = 0; i < fleet->count; i++)
     {
-      const struct ms_fleet_router *r = &fleet->routers[i];
+      /* If there are more routers than fit in READY, they take turns.  */
+      const struct ms_fleet_router *r
+          = &fleet->routers[(i + fleet->sequence * READY_STEP) % fleet->count];
 
       if (r->zone != fleet->self.zone || !ms_fleet_alive (r, now))
         continue;
       for (unsigned j = 0; j < r->loads_count; j++)
-        add_load (zone, &r->loads[j]);
+        add_load (sums, &r->loads[j]);
       for (unsigned j = 0; j < r->teams_count; j++)
         add_team (zone, &r->teams[j]);
       if (ms_takes_callers (r, now))
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -113,8 +113,12 @@
     }
   for (unsigned i = 0; large && i < zones_count; i++)
     if (gw->now - zones[i].heard <= MS_ROUTER_SILENT_TIME)
-      add_reported (gw, zones[i].loads, zones[i].loads_count, zones[i].teams,
-                    zones[i].teams_count);
+      {
+        add_reported (gw, zones[i].loads, zones[i].loads_count, zones[i].teams,
+                      zones[i].teams_count);
+        add_reported (gw, zones[i].more_loads, zones[i].more_loads_count, NULL,
+                      0);
+      }
   if (alive != p->alive || sharers != p->sharers)
     ms_event (gw->now, "routers", "alive=%u sharers=%u", alive, sharers);
   p->alive = alive;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "fleet/fleet.h"
 
 #define ZONE_A 1
@@ -331,6 +332,99 @@
     ms_fleet_destroy (net.fleets[i]);
 }
 
+/* Send the zone sums of FROM, whose own work is LOADS, to TO.  */
+static void
+send_sums (struct ms_fleet *from, struct ms_fleet *to, digest_load *loads,
+           unsigned loads_count, ms_time now)
+{
+  static struct ms_zone_sums sums;
+  static char data[65000];
+  struct fleet_digest digest = { 0 };
+  struct fleet_digest received;
+  digest_member members[DIGEST_MEMBERS];
+  unsigned length;
+
+  ms_fleet_fill_digest (from, &digest, members, now);
+  digest.ready = true;
+  digest.loads.loads_val = loads;
+  digest.loads.loads_len = loads_count;
+  ms_fleet_sum_zone (from, &digest, &sums, now);
+  digest.loads.loads_len = 0;
+  digest.zones.zones_val = &sums.zone;
+  digest.zones.zones_len = 1;
+  digest.rooms.rooms_val = &sums.room;
+  digest.rooms.rooms_len = 1;
+  length = ms_digest_encode (&digest, data, sizeof data);
+  assert_true (length > 0);
+  assert_true (ms_digest_decode (data, length, &received));
+  ms_fleet_receive (to, &received, now);
+  ms_digest_free (&received);
+}
+
+/* Zone sums tell of the work at all endpoints, also at more than one router's
+   digest has space for.  */
+static void
+test_zone_sums_hold_all_endpoints (void **state)
+{
+  struct ms_fleet *from = create_fleet ();
+  struct ms_fleet *to
+      = ms_fleet_create (200, 1, ZONE_B, parse_ip ("10.0.0.200"), 1, 0);
+  struct fleet_digest other = { 0 };
+  digest_load loads[2][DIGEST_LOADS];
+  const struct ms_fleet_zone *zone;
+  unsigned count;
+  unsigned running = 0;
+
+  (void)state;
+  for (unsigned i = 0; i < DIGEST_LOADS; i++)
+    {
+      loads[0][i] = (digest_load){ .endpoint = i, .running = 1 };
+      loads[1][i] = (digest_load){ .endpoint = 100 + i, .running = 1 };
+    }
+  other.self = (digest_member){ 1, 5, ZONE_A, FIRST_IP + 1 };
+  other.sequence = 1;
+  other.loads.loads_len = DIGEST_LOADS;
+  other.loads.loads_val = ms_new_array (DIGEST_LOADS, sizeof **loads);
+  memcpy (other.loads.loads_val, loads[1], sizeof loads[1]);
+  ms_fleet_receive (from, &other, MS_SEC);
+  send_sums (from, to, loads[0], DIGEST_LOADS, MS_SEC);
+  zone = ms_fleet_zones (to, &count);
+  assert_int_equal (count, 1);
+  assert_int_equal (zone->loads_count + zone->more_loads_count,
+                    100 + DIGEST_LOADS);
+  for (unsigned i = 0; i < zone->loads_count; i++)
+    running += zone->loads[i].running;
+  for (unsigned i = 0; i < zone->more_loads_count; i++)
+    running += zone->more_loads[i].running;
+  assert_int_equal (running, 2 * DIGEST_LOADS);
+  ms_fleet_destroy (from);
+  ms_fleet_destroy (to);
+}
+
+/* In a zone of more routers than fit in zone sums all count as alive in other
+   zones.  */
+static void
+test_zone_sums_name_all_routers (void **state)
+{
+  struct ms_fleet *from = create_fleet ();
+  struct ms_fleet *to
+      = ms_fleet_create (200, 1, ZONE_B, parse_ip ("10.0.0.200"), 1, 0);
+
+  (void)state;
+  for (unsigned round = 1; round <= 20; round++)
+    {
+      for (uint64_t id = 1; id <= 80; id++)
+        receive_digest (from, id, 5, round, ZONE_A, true,
+                        round * DIGEST_PERIOD);
+      send_sums (from, to, NULL, 0, round * DIGEST_PERIOD);
+      if (round > 10)
+        assert_int_equal (ms_fleet_alive_count (to, round * DIGEST_PERIOD),
+                          82);
+    }
+  ms_fleet_destroy (from);
+  ms_fleet_destroy (to);
+}
+
 /* Digests name many others only while a router may have to learn of them.  */
 static void
 test_quiet_digests_name_one_other (void **state)
@@ -410,6 +504,8 @@
     cmocka_unit_test (test_digest_members_are_learned_and_contacted),
     cmocka_unit_test (test_large_fleet_sums_reach_all_zones),
     cmocka_unit_test (test_zone_sums_take_one_path),
+    cmocka_unit_test (test_zone_sums_hold_all_endpoints),
+    cmocka_unit_test (test_zone_sums_name_all_routers),
     cmocka_unit_test (test_quiet_digests_name_one_other),
     cmocka_unit_test (test_malformed_digest_is_rejected),
     cmocka_unit_test (test_gone_routers_keep_neither_share_nor_room),
