Place: first limits of endpoints by the pace that requests need

Cause: limits of warm endpoints began at 0.35 of their slots, 8 of 24 on large, whatever pace was needed, and rose by steps while requests were refused.

Change: the first limit is the number of requests with which the predicted pace meets the target, between 0.35 and 0.7 of the slots; the measured pace moves it from there as before.

--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -19,9 +19,10 @@
 #define PACE_LIFETIME (500 * MS_MSEC)
 #define PACE_WEIGHT 0.06
 
-/* First and least limit of concurrent requests at an endpoint, as fractions of
-   its slots.  */
+/* Bounds of the first limit of concurrent requests at an endpoint, and least
+   limit, as fractions of its slots.  */
 #define INITIAL_LIMIT_FRACTION 0.35
+#define MAX_INITIAL_LIMIT_FRACTION 0.7
 #define MIN_LIMIT_FRACTION 0.22
 
 /* Endpoints are held at this fraction of the microseconds per token that their
@@ -106,6 +107,22 @@
   e->limit += CONVERGENCE_WEIGHT * (others_mean - e->limit);
 }
 
+/* Return the first limit of an endpoint with SLOTS: the requests with which it
+   is expected to keep the target fraction of MAX_PACE.  */
+static double
+initial_limit (const struct ms_place *place, double slots, double max_pace)
+{
+  const struct ms_place_speed *speed = &place->options.speed;
+  double pace_ms = TARGET_PACE_FRACTION * max_pace / MS_MSEC;
+  double limit = (pace_ms - speed->token_ms) / speed->token_ms_per_running;
+
+  if (limit < INITIAL_LIMIT_FRACTION * slots)
+    limit = INITIAL_LIMIT_FRACTION * slots;
+  if (limit > MAX_INITIAL_LIMIT_FRACTION * slots)
+    limit = MAX_INITIAL_LIMIT_FRACTION * slots;
+  return limit;
+}
+
 /* Adjust the limit of E so that its tokens take the target fraction of
    MAX_PACE, in microseconds per token.  */
 static void
@@ -118,7 +135,7 @@
   double scaled_pace = current_pace (place, e, now) / TARGET_PACE_FRACTION;
 
   if (e->limit <= 0)
-    e->limit = INITIAL_LIMIT_FRACTION * slots;
+    e->limit = initial_limit (place, slots, max_pace);
   if (scaled_pace > max_pace * (1 + PACE_TOLERANCE))
     e->limit
         = (running < e->limit ? running : e->limit) * LIMIT_DECREASE_FACTOR;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -405,6 +405,31 @@
   ms_place_destroy (place);
 }
 
+/* An endpoint whose tokens are predicted to come much faster than needed
+   starts with most of its slots, one that is predicted to be slow with few. */
+static void
+test_first_limit_follows_needed_pace (void **state)
+{
+  static const ms_time times[] = { 20 * MS_SEC, 3 * MS_SEC };
+  double limits[2];
+
+  (void)state;
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct ms_place *place = create_place ();
+      struct ms_endpoint_state *e
+          = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+
+      for (unsigned j = 0; j < 64; j++)
+        ms_place_arrived (place, MODEL, 500, times[i]);
+      ms_place_tick (place, MS_SEC);
+      limits[i] = e->limit;
+      ms_place_destroy (place);
+    }
+  assert_true (limits[0] >= 60);
+  assert_true (limits[1] < 40);
+}
+
 /* Fill PLACE, of a router in ZONE, with six endpoints in each zone.  */
 static struct ms_place *
 create_place_in_zone (uint64_t zone)
@@ -587,6 +612,7 @@
     cmocka_unit_test (test_endpoint_that_is_reached_again_is_limited),
     cmocka_unit_test (test_load_of_other_routers_counts),
     cmocka_unit_test (test_limit_shrinks_when_tokens_are_slow),
+    cmocka_unit_test (test_first_limit_follows_needed_pace),
     cmocka_unit_test (test_homes_weigh_bytes_against_tokens),
     cmocka_unit_test (test_busy_zone_sends_to_others),
     cmocka_unit_test (test_slow_plain_endpoints_still_get_requests),
