Answer requests that wait in the backlog before the port is closed

Cause: under pressure, and at the exit after SIGTERM, the callers' port was closed with connections waiting in its backlog; these were reset with the requests that they had sent.

Change: the port is closed only after all waiting connections were accepted; under pressure their requests get 503 with Retry-After at once, and after SIGTERM the process ends when those are answered too. The clock of the gateway has its own file, so that tests link its parts without the main program.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	$(patsubst %,src/base/%.c,address alloc clock event file log random status \
 	str switches)
 GATEWAY_OBJECTS = $(GATEWAY_SOURCES:%.c=$(BUILD)/%.o)
+# The gateway without its main program, for the tests of its parts.
+GATEWAY_PARTS = $(patsubst %.c,$(BUILD)/%.o,$(filter-out src/gateway/main.c,\
+	$(wildcard src/gateway/*.c)))
 GATEWAY_LIBS = -lhttp_parser $(shell pkg-config --libs $(GATEWAY_MODULES)) \
 	-lm -pthread
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
@@ -81,6 +84,10 @@
 $(BUILD)/soak: $(SOAK_OBJECTS) $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/test_listen: $(BUILD)/tests/test_listen.o $(GATEWAY_PARTS) $(CORE)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(GATEWAY_LIBS) \
+	  $(shell pkg-config --libs cmocka)
+
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs cmocka)
 
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -329,38 +329,73 @@
   .drained = on_drained,
 };
 
+static struct ms_caller *
+create_caller (struct ms_gateway *gw)
+{
+  struct ms_caller *c = ms_new (sizeof *c);
+
+  c->gw = gw;
+  c->timed_from = gw->now;
+  return c;
+}
+
+/* Start to serve C, whose connection was accepted, or reset that if too many
+   sockets are open.  */
+static void
+start_caller (struct ms_caller *c)
+{
+  struct ms_gateway *gw = c->gw;
+  unsigned limit = gw->settings->file_descriptors / 100 * MAX_SOCKETS_PERCENT;
+
+  if (ms_socket_open_count () > limit)
+    {
+      gw->rejected_connections++;
+      ms_socket_reset (c->socket);
+      free (c);
+      return;
+    }
+  c->parser
+      = ms_parser_create (true, caller_limits (gw)->max_head_bytes, &sink, c);
+  DL_APPEND (gw->callers, c);
+}
+
 void
 ms_callers_accept (uv_stream_t *listener, int status)
 {
   struct ms_gateway *gw = listener->data;
   struct ms_caller *c;
-  unsigned limit = gw->settings->file_descriptors / 100 * MAX_SOCKETS_PERCENT;
 
   if (status)
     {
       ms_event (gw->now, "accept_failed", "error=%s", uv_strerror (status));
       return;
     }
-  c = ms_new (sizeof *c);
-  c->gw = gw;
-  c->timed_from = gw->now;
+  c = create_caller (gw);
   c->socket = ms_socket_accept (listener, &events, c);
-  if (!c->socket)
+  if (c->socket)
     {
-      ms_event (gw->now, "accept_failed", "error=socket");
-      free (c);
+      start_caller (c);
       return;
     }
-  if (ms_socket_open_count () > limit)
+  ms_event (gw->now, "accept_failed", "error=socket");
+  free (c);
+}
+
+void
+ms_callers_accept_waiting (struct ms_gateway *gw)
+{
+  for (;;)
     {
-      gw->rejected_connections++;
-      ms_socket_reset (c->socket);
-      free (c);
-      return;
+      struct ms_caller *c = create_caller (gw);
+
+      c->socket = ms_socket_accept_waiting (&gw->caller_listener, &events, c);
+      if (!c->socket)
+        {
+          free (c);
+          return;
+        }
+      start_caller (c);
     }
-  c->parser
-      = ms_parser_create (true, caller_limits (gw)->max_head_bytes, &sink, c);
-  DL_APPEND (gw->callers, c);
 }
 
 /* If too many sockets are open, close idle connections in the order in which
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -13,6 +13,11 @@
    STATUS is below 0 if the listener failed.  */
 void ms_callers_accept (uv_stream_t *listener, int status);
 
+/* Accept all connections that wait at the callers' port, which is about to be
+   closed: closing it would reset them, with the requests that they have sent.
+ */
+void ms_callers_accept_waiting (struct ms_gateway *gw);
+
 /* Close connections that were idle for too long, refuse requests that arrive
    too slowly, and close more idle connections while too many sockets are open.
    Called by each sweep of all connections, several times a second, with the
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,7 @@
   uv_tcp_t caller_listener;
   bool listening;        /* caller_listener is open.  */
   bool listener_closing; /* caller_listener is being closed.  */
+  bool ending; /* The callers' port stays closed until the process exits.  */
   uv_tcp_t ready_listener;
   uv_tcp_t directory_listener;
   uv_tcp_t control_listener;
@@ -125,10 +126,13 @@
    tried again by ms_gateway_check_pressure.  */
 void ms_gateway_listen (struct ms_gateway *gw);
 
+/* Close the callers' port.  Connections that wait there are accepted first. */
+void ms_gateway_stop_listening (struct ms_gateway *gw);
+
 /* Measure the loop's load, once per tick.  Close the callers' port while
    ms_pressure_shut asks for it, that is, when the load is high and ticks come
    late, so that new callers are refused at once and try another router; open
-   it again afterwards.  */
+   it again afterwards.  Requests that are read meanwhile get 503.  */
 void ms_gateway_check_pressure (struct ms_gateway *gw);
 
 /* Whether callers should connect here: the gateway has a configuration and at
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -129,6 +129,10 @@
    one, or give up the request.  */
 void ms_request_attempt_not_run (struct ms_request *request, unsigned status);
 
+/* When a refused caller should retry, counted from now; LATE_BY is the time by
+   which the fastest endpoint would have missed the first-byte target.  */
+ms_time ms_gateway_retry_after (struct ms_gateway *gw, ms_time late_by);
+
 /* Ends (outcome.c).  All but ms_request_end_attempt and ms_request_log_end
    free the request.  */
 
--- a/src/gateway/listen.c
+++ b/src/gateway/listen.c
@@ -27,6 +27,17 @@
   uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
 }
 
+void
+ms_gateway_stop_listening (struct ms_gateway *gw)
+{
+  if (!gw->listening)
+    return;
+  ms_callers_accept_waiting (gw);
+  gw->listening = false;
+  gw->listener_closing = true;
+  uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
+}
+
 void
 ms_gateway_check_pressure (struct ms_gateway *gw)
 {
@@ -44,10 +55,8 @@
     {
       ms_event (gw->now, "shut", "requests=%u sockets=%u", gw->requests_count,
                 ms_socket_open_count ());
-      gw->listening = false;
-      gw->listener_closing = true;
-      uv_close ((uv_handle_t *)&gw->caller_listener, on_listener_closed);
+      ms_gateway_stop_listening (gw);
     }
-  else if (!refuse && !gw->listening && !gw->listener_closing)
+  else if (!refuse && !gw->listening && !gw->listener_closing && !gw->ending)
     ms_gateway_listen (gw);
 }
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -25,10 +25,6 @@
    the sockets and callers may have left.  */
 #define LATE_TICK (100 * MS_MSEC)
 
-/* A tick interval longer than this means that the whole process did not run
-   for a while.  */
-#define STALLED_TICK (700 * MS_MSEC)
-
 /* Time between two sweeps, which check all connections for those that have
    timed out; longer than a tick because there are thousands of connections. */
 #define SWEEP_PERIOD (100 * MS_MSEC)
@@ -82,34 +78,10 @@
     }
 }
 
-/* Note at the first event after it that the whole process did not run for a
-   while: data that waited in the sockets is read before the next tick.  */
-static void
-check_stall (struct ms_gateway *gw)
-{
-  ms_time last
-      = gw->last_tick > gw->stalled_at ? gw->last_tick : gw->stalled_at;
-
-  if (!last || gw->now - last <= STALLED_TICK)
-    return;
-  gw->stalled_at = gw->now;
-  gw->loop_late = true;
-  ms_event (gw->now, "stood_still", "ms=%lld",
-            (long long)((gw->now - last) / MS_MSEC));
-  ms_place_note_stall (gw->place, gw->now);
-}
-
-ms_time
-ms_gateway_update_time (struct ms_gateway *gw)
-{
-  gw->now = ms_now (&gw->clock);
-  check_stall (gw);
-  return gw->now;
-}
-
 /* Whether SIGTERM was received and the process may exit now.  After
    MIN_LEAVE_TIME, while no request is in progress, also close the idle
-   connections of callers.  */
+   connections of callers, then their port; requests that waited there are
+   answered before the process exits.  */
 static bool
 may_exit (struct ms_gateway *gw)
 {
@@ -120,8 +92,13 @@
     return false;
   if (since > grace - GRACE_MARGIN)
     return true;
-  return since > MIN_LEAVE_TIME && !gw->requests
-         && !ms_callers_close_idle (gw);
+  if (since <= MIN_LEAVE_TIME || gw->requests || ms_callers_close_idle (gw))
+    return false;
+  if (gw->ending)
+    return true;
+  gw->ending = true;
+  ms_gateway_stop_listening (gw);
+  return false;
 }
 
 /* Update the mean request rate at the end of a sample and report it to the
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -106,20 +106,20 @@
   free (r);
 }
 
-/* When R's caller should retry, counted from now.  */
-static ms_time
-retry_after (struct ms_request *r)
+ms_time
+ms_gateway_retry_after (struct ms_gateway *gw, ms_time late_by)
 {
-  return MIN_RETRY_AFTER + r->choice.late_by
-         + (ms_time)ms_random_below (&r->gw->random, RETRY_AFTER_JITTER);
+  return MIN_RETRY_AFTER + late_by
+         + (ms_time)ms_random_below (&gw->random, RETRY_AFTER_JITTER);
 }
 
 void
 ms_request_refuse (struct ms_request *r, unsigned status, const char *reason)
 {
   struct ms_caller *caller = r->caller;
-  ms_time delay
-      = status == HTTP_STATUS_SERVICE_UNAVAILABLE ? retry_after (r) : 0;
+  ms_time delay = status == HTTP_STATUS_SERVICE_UNAVAILABLE
+                      ? ms_gateway_retry_after (r->gw, r->choice.late_by)
+                      : 0;
 
   ms_request_log_end (r, status, reason);
   ms_request_free (r);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -206,6 +206,12 @@
       ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE, "left", 0);
       return NULL;
     }
+  if (ms_pressure_shut (gw->pressure))
+    {
+      ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE, "pressure",
+                        ms_gateway_retry_after (gw, 0));
+      return NULL;
+    }
   if (!gw->routes)
     {
       ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/alloc.h"
 #include "base/log.h"
@@ -154,6 +155,31 @@
   return s;
 }
 
+struct ms_socket *
+ms_socket_accept_waiting (uv_tcp_t *listener,
+                          const struct ms_socket_events *events, void *owner)
+{
+  uv_os_fd_t waiting_at;
+  int fd;
+  struct ms_socket *s;
+
+  if (uv_fileno ((uv_handle_t *)listener, &waiting_at))
+    return NULL;
+  fd = accept (waiting_at, NULL, NULL);
+  if (fd < 0)
+    return NULL;
+  s = create_socket (listener->loop, events, owner);
+  if (!s || uv_tcp_open (&s->tcp, fd))
+    {
+      close (fd);
+      if (s)
+        ms_socket_close (s);
+      return NULL;
+    }
+  ms_socket_resume (s);
+  return s;
+}
+
 static void
 on_connected (uv_connect_t *connect, int error)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -47,6 +47,12 @@
                                     const struct ms_socket_events *events,
                                     void *owner);
 
+/* The same for a connection that waits in the backlog of LISTENER, whether its
+   callback was called or not.  NULL also if none waits.  */
+struct ms_socket *
+ms_socket_accept_waiting (uv_tcp_t *listener,
+                          const struct ms_socket_events *events, void *owner);
+
 /* Start to connect to ADDRESS; the connected event gives the outcome.  NULL if
    no socket can be created.  */
 struct ms_socket *ms_socket_connect (uv_loop_t *loop,
--- /dev/null
+++ b/src/gateway/time.c
@@ -0,0 +1,31 @@
+#include "base/event.h"
+#include "gateway/gateway.h"
+
+/* A tick interval longer than this means that the whole process did not run
+   for a while.  */
+#define STALLED_TICK (700 * MS_MSEC)
+
+/* Note at the first event after it that the whole process did not run for a
+   while: data that waited in the sockets is read before the next tick.  */
+static void
+check_stall (struct ms_gateway *gw)
+{
+  ms_time last
+      = gw->last_tick > gw->stalled_at ? gw->last_tick : gw->stalled_at;
+
+  if (!last || gw->now - last <= STALLED_TICK)
+    return;
+  gw->stalled_at = gw->now;
+  gw->loop_late = true;
+  ms_event (gw->now, "stood_still", "ms=%lld",
+            (long long)((gw->now - last) / MS_MSEC));
+  ms_place_note_stall (gw->place, gw->now);
+}
+
+ms_time
+ms_gateway_update_time (struct ms_gateway *gw)
+{
+  gw->now = ms_now (&gw->clock);
+  check_stall (gw);
+  return gw->now;
+}
