Relay the changes since the peer's offset, with a checksum of all records

One record with a NUL in its value made every relay unreadable, as JSON text does not allow it.

Change: replicas know up to which offset each record changed and the last 256 removals; a peer that asks for changes gets those since its offset and a checksum of all records. If its own differs it asks for all. Records that cannot be written as JSON count as removed. Routers of earlier versions still get whole lists.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -1,6 +1,8 @@
 #include "fleet/replica.h"
 
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <uthash.h>
 
 #include "base/alloc.h"
@@ -9,6 +11,16 @@
 /* Longer keys are not relayed.  */
 #define MAX_KEY_LENGTH 255
 
+/* Removals that are remembered to relay them.  A peer that lacks an older one
+   gets all records.  */
+#define MAX_REMOVALS 256
+
+/* Stands for the offset of changes whose read is not complete yet.  */
+#define OFFSET_PENDING UINT64_MAX
+
+/* Length of a checksum as hexadecimal digits, with the terminating NUL.  */
+#define SUM_BYTES 17
+
 /* The store may notice only this long after an outage that a record has
    expired in it.  */
 #define OUTAGE_AFTERMATH (600 * MS_MSEC)
@@ -19,16 +31,30 @@
   size_t key_length;
   char *value;
   size_t value_length;
-  bool missing; /* The store no longer has it.  */
+  bool missing;    /* The store no longer has it.  */
+  bool relayable;  /* It can be written as JSON text.  */
+  uint64_t hash;   /* Of key and value.  */
+  uint64_t offset; /* Its last change is before this offset.  */
   UT_hash_handle hh;
 };
 
+/* A key that was removed before OFFSET.  */
+struct removal
+{
+  char *key;
+  uint64_t offset;
+};
+
 struct ms_replica
 {
   struct ms_replica_options options;
   struct record *records;
   struct record *snapshot; /* Records of the pages read so far.  */
   bool loaded;             /* A snapshot was applied.  */
+  bool incomplete; /* A relay of changes did not lead to the peer's records. */
+  struct removal removals[MAX_REMOVALS]; /* Ring of the latest.  */
+  unsigned removals_next;                /* Next to be written.  */
+  uint64_t changes_from; /* All changes from this offset on are known.  */
   uint64_t next;
   ms_time read_at;    /* As of ms_replica_read_at.  */
   ms_time outage_end; /* Send time of the read that ended the last outage; 0
@@ -71,6 +97,8 @@
     return;
   free_table (&replica->records);
   free_table (&replica->snapshot);
+  for (unsigned i = 0; i < MAX_REMOVALS; i++)
+    free (replica->removals[i].key);
   free (replica);
 }
 
@@ -86,6 +114,12 @@
   return replica->loaded ? replica->read_at : 0;
 }
 
+bool
+ms_replica_incomplete (const struct ms_replica *replica)
+{
+  return replica->incomplete;
+}
+
 uint64_t
 ms_replica_next (const struct ms_replica *replica)
 {
@@ -101,14 +135,38 @@
   return r;
 }
 
-/* Set KEY to VALUE in *TABLE.  Return whether the value changed.  */
+/* Return whether a record of KEY and VALUE can be relayed, which is written as
+   JSON text: such that are not UTF-8, or have a NUL, no router can decode
+   anyway.  */
+static bool
+is_relayable (struct ms_str key, struct ms_str value)
+{
+  json_t *text;
+
+  if (key.length > MAX_KEY_LENGTH || memchr (key.data, 0, key.length)
+      || (value.length && memchr (value.data, 0, value.length)))
+    return false;
+  text = json_stringn (key.data, key.length);
+  json_decref (text);
+  if (!text)
+    return false;
+  text = json_stringn (value.data, value.length);
+  json_decref (text);
+  return text != NULL;
+}
+
+/* Set KEY to VALUE in *TABLE, changed before OFFSET.  Return whether the value
+   changed.  */
 static bool
-set_record (struct record **table, struct ms_str key, struct ms_str value)
+set_record (struct record **table, struct ms_str key, struct ms_str value,
+            uint64_t offset)
 {
   struct record *r = find_record (*table, key);
 
   if (r)
     {
+      if (r->missing)
+        r->offset = offset;
       r->missing = false;
       if (ms_str_equal ((struct ms_str){ r->value, r->value_length }, value))
         return false;
@@ -123,14 +181,17 @@
     }
   r->value = ms_copy (value.data, value.length);
   r->value_length = value.length;
+  r->offset = offset;
+  r->relayable = is_relayable (key, value);
+  r->hash = ms_id_pair (ms_id (key), ms_id (value));
   return true;
 }
 
 static void
 update_record (struct ms_replica *replica, struct ms_str key,
-               struct ms_str value)
+               struct ms_str value, uint64_t offset)
 {
-  if (set_record (&replica->records, key, value))
+  if (set_record (&replica->records, key, value, offset))
     replica->options.changed (replica->options.context, key, value, false);
 }
 
@@ -153,13 +214,31 @@
     replica->outage_end = sent_at;
 }
 
+/* Remember that R was removed before OFFSET.  */
+static void
+note_removal (struct ms_replica *replica, const struct record *r,
+              uint64_t offset)
+{
+  struct removal *removal = &replica->removals[replica->removals_next];
+
+  if (!r->relayable)
+    return;
+  if (removal->key && removal->offset > replica->changes_from)
+    replica->changes_from = removal->offset;
+  free (removal->key);
+  *removal = (struct removal){ ms_copy (r->key, r->key_length), offset };
+  replica->removals_next = (replica->removals_next + 1) % MAX_REMOVALS;
+}
+
 /* A read that was sent at SENT_AT shows that the store no longer has the
-   record R: delete it, or keep it for a while if it may have expired in an
-   outage.  */
+   record R, which was removed before OFFSET: delete it, or keep it for a while
+   if it may have expired in an outage.  */
 static void
-handle_missing (struct ms_replica *replica, struct record *r, ms_time sent_at,
-                ms_time now)
+handle_missing (struct ms_replica *replica, struct record *r, uint64_t offset,
+                ms_time sent_at, ms_time now)
 {
+  if (!r->missing)
+    note_removal (replica, r, offset);
   if (!replica->outage_end
       || sent_at >= replica->outage_end + OUTAGE_AFTERMATH)
     delete_record (replica, r);
@@ -181,19 +260,19 @@
   note_read (replica, sent_at);
   if (!removed)
     {
-      update_record (replica, key, value);
+      update_record (replica, key, value, OFFSET_PENDING);
       return;
     }
   r = find_record (replica->records, key);
   if (r)
-    handle_missing (replica, r, sent_at, now);
+    handle_missing (replica, r, OFFSET_PENDING, sent_at, now);
 }
 
 void
 ms_replica_add (struct ms_replica *replica, struct ms_str key,
                 struct ms_str value)
 {
-  set_record (&replica->snapshot, key, value);
+  set_record (&replica->snapshot, key, value, 0);
 }
 
 void
@@ -214,16 +293,19 @@
   HASH_ITER (hh, replica->records, r, next)
   {
     if (!find_record (*table, (struct ms_str){ r->key, r->key_length }))
-      handle_missing (replica, r, sent_at, now);
+      handle_missing (replica, r, end, sent_at, now);
   }
   HASH_ITER (hh, *table, r, next)
   {
     update_record (replica, (struct ms_str){ r->key, r->key_length },
-                   (struct ms_str){ r->value, r->value_length });
+                   (struct ms_str){ r->value, r->value_length }, end);
   }
   free_table (table);
+  if (!replica->loaded)
+    replica->changes_from = end;
   replica->next = end;
   replica->loaded = true;
+  replica->incomplete = false;
 }
 
 void
@@ -238,10 +320,29 @@
     replica->read_at = sent_at;
 }
 
+/* The read of changes that were applied goes up to the offset NEXT.  */
+static void
+set_pending (struct ms_replica *replica, uint64_t next)
+{
+  struct record *r, *following;
+
+  if (next == replica->next)
+    return;
+  HASH_ITER (hh, replica->records, r, following)
+  {
+    if (r->offset == OFFSET_PENDING)
+      r->offset = next;
+  }
+  for (unsigned i = 0; i < MAX_REMOVALS; i++)
+    if (replica->removals[i].offset == OFFSET_PENDING)
+      replica->removals[i].offset = next;
+}
+
 void
 ms_replica_advance (struct ms_replica *replica, uint64_t next, uint64_t end,
                     ms_time confirmed_at)
 {
+  set_pending (replica, next);
   replica->next = next;
   if (next < end)
     return;
@@ -269,13 +370,72 @@
   }
 }
 
+/* Write the checksum of the records that can be relayed to TEXT.  */
+static void
+write_sum (const struct ms_replica *replica, char text[SUM_BYTES])
+{
+  struct record *r, *next;
+  uint64_t sum = 0;
+
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    if (!r->missing && r->relayable)
+      sum += r->hash;
+  }
+  snprintf (text, SUM_BYTES, "%016llx", (unsigned long long)sum);
+}
+
+/* Return the records that can be relayed and have changed since the offset
+   KNOWN.  */
+static json_t *
+encode_records (const struct ms_replica *replica, uint64_t known)
+{
+  json_t *records = json_object ();
+  struct record *r, *next;
+
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    if (!r->missing && r->relayable && r->offset > known)
+      json_object_set_new (records, r->key,
+                           json_stringn (r->value, r->value_length));
+  }
+  return records;
+}
+
+/* Return the keys that were removed since the offset KNOWN and are not there
+   again, or whose records cannot be relayed since.  */
+static json_t *
+encode_removals (const struct ms_replica *replica, uint64_t known)
+{
+  json_t *keys = json_array ();
+  struct record *changed, *next;
+
+  HASH_ITER (hh, replica->records, changed, next)
+  {
+    if (!changed->relayable && !changed->missing && changed->offset > known)
+      json_array_append_new (keys,
+                             json_stringn (changed->key, changed->key_length));
+  }
+  for (unsigned i = 0; i < MAX_REMOVALS; i++)
+    {
+      const struct removal *removal = &replica->removals[i];
+      const struct record *r;
+
+      if (!removal->key || removal->offset <= known)
+        continue;
+      r = find_record (replica->records, ms_str (removal->key));
+      if (!r || r->missing)
+        json_array_append_new (keys, json_string (removal->key));
+    }
+  return keys;
+}
+
 json_t *
 ms_replica_encode (const struct ms_replica *replica, uint64_t known,
-                   ms_time now)
+                   bool changes, ms_time now)
 {
   json_t *relay;
-  json_t *records;
-  struct record *r, *next;
+  char sum[SUM_BYTES];
 
   if (!replica->loaded)
     return NULL;
@@ -283,17 +443,93 @@
                      (json_int_t)(now - replica->read_at));
   if (known >= replica->next)
     return relay;
-  records = json_object ();
-  HASH_ITER (hh, replica->records, r, next)
+  if (!changes || !known || known < replica->changes_from)
+    {
+      json_object_set_new (relay, "records", encode_records (replica, 0));
+      return relay;
+    }
+  write_sum (replica, sum);
+  json_object_set_new (relay, "since", json_integer ((json_int_t)known));
+  json_object_set_new (relay, "sum", json_string (sum));
+  json_object_set_new (relay, "records", encode_records (replica, known));
+  json_object_set_new (relay, "removed", encode_removals (replica, known));
+  return relay;
+}
+
+/* Apply the changes in RELAY, which was read at READ_AT and goes up to OFFSET.
+   Return whether they lead to the records of the peer.  */
+static bool
+apply_changes (struct ms_replica *replica, const json_t *relay,
+               uint64_t offset, ms_time read_at, ms_time now)
+{
+  const char *peer_sum = json_string_value (json_object_get (relay, "sum"));
+  json_t *records = json_object_get (relay, "records");
+  json_t *removed = json_object_get (relay, "removed");
+  char sum[SUM_BYTES];
+  const char *key;
+  json_t *value;
+  size_t i;
+
+  note_read (replica, read_at);
+  json_object_foreach (records, key, value)
   {
-    /* A value that is not UTF-8, which no router could decode anyway, is left
-       out.  */
-    if (!r->missing && r->key_length <= MAX_KEY_LENGTH)
-      json_object_set_new (records, r->key,
-                           json_stringn (r->value, r->value_length));
+    update_record (replica, ms_str (key),
+                   (struct ms_str){ json_string_value (value),
+                                    json_string_length (value) },
+                   offset);
   }
-  json_object_set_new (relay, "records", records);
-  return relay;
+  json_array_foreach (removed, i, value)
+  {
+    struct record *r = json_is_string (value)
+                           ? find_record (replica->records,
+                                          ms_str (json_string_value (value)))
+                           : NULL;
+
+    if (r)
+      handle_missing (replica, r, offset, read_at, now);
+  }
+  replica->next = offset;
+  write_sum (replica, sum);
+  replica->incomplete = !peer_sum || strcmp (sum, peer_sum) != 0;
+  if (replica->incomplete)
+    ms_event (now, "relay_incomplete", "topic=%s next=%llu",
+              replica->options.name, (unsigned long long)offset);
+  return !replica->incomplete;
+}
+
+/* Replace the records by those in RELAY, which was read at READ_AT and goes up
+   to OFFSET.  */
+static void
+apply_all (struct ms_replica *replica, const json_t *relay, uint64_t offset,
+           ms_time read_at, ms_time now)
+{
+  struct record *table = NULL;
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (json_object_get (relay, "records"), key, value)
+  {
+    set_record (&table, ms_str (key),
+                (struct ms_str){ json_string_value (value),
+                                 json_string_length (value) },
+                offset);
+  }
+  apply_snapshot (replica, &table, offset, read_at, now);
+}
+
+/* Return whether all values of OBJECT are strings.  */
+static bool
+has_strings_only (json_t *object)
+{
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (object, key, value)
+  {
+    if (!json_is_string (value))
+      return false;
+  }
+  return json_is_object (object);
 }
 
 bool
@@ -302,28 +538,25 @@
 {
   const json_t *next = json_object_get (relay, "next");
   const json_t *age = json_object_get (relay, "age_us");
+  const json_t *since = json_object_get (relay, "since");
   json_t *records = json_object_get (relay, "records");
   ms_time read_at = sent_at - json_integer_value (age);
   uint64_t offset = (uint64_t)json_integer_value (next);
-  struct record *table = NULL;
-  const char *key;
-  json_t *value;
 
   if (!json_is_integer (next) || !json_is_integer (age)
       || offset < replica->next
       || (replica->loaded && read_at <= replica->read_at))
     return false;
-  if (offset > replica->next || !replica->loaded)
+  if (offset > replica->next || !replica->loaded || replica->incomplete)
     {
-      if (!json_is_object (records))
+      if (!has_strings_only (records))
+        return false;
+      if (!since)
+        apply_all (replica, relay, offset, read_at, now);
+      else if (!replica->loaded || replica->incomplete
+               || (uint64_t)json_integer_value (since) != replica->next
+               || !apply_changes (replica, relay, offset, read_at, now))
         return false;
-      json_object_foreach (records, key, value)
-      {
-        set_record (&table, ms_str (key),
-                    (struct ms_str){ json_string_value (value),
-                                     json_string_length (value) });
-      }
-      apply_snapshot (replica, &table, offset, read_at, now);
     }
   note_read (replica, read_at);
   replica->read_at = read_at;
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -81,13 +81,19 @@
 /* Delete the records that were kept until now.  */
 void ms_replica_tick (struct ms_replica *replica, ms_time now);
 
+/* Return whether a relay of changes did not lead to the records of the peer,
+   so that a snapshot or a relay of all records is needed.  */
+bool ms_replica_incomplete (const struct ms_replica *replica);
+
 /* Return a JSON object for a peer's ms_replica_apply: the next offset and the
-   age of the records, and all the records if the peer lacks some of them: it
-   has them up to the offset KNOWN.  Records that are only kept are left out,
-   as whether to keep them depends on what the peer itself has missed.  NULL if
-   nothing was read yet.  The caller owns the result.  */
+   age of the records, and if the peer lacks records, which it has up to the
+   offset KNOWN, also records: with CHANGES those that have changed or gone
+   since and a checksum of all, if that is still known, otherwise all of them.
+   Records that are only kept count as gone, as whether to keep them depends on
+   what the peer itself has missed.  NULL if nothing was read yet.  The caller
+   owns the result.  */
 json_t *ms_replica_encode (const struct ms_replica *replica, uint64_t known,
-                           ms_time now);
+                           bool changes, ms_time now);
 
 /* Apply RELAY, which a peer returned for a call sent at SENT_AT.  Return true
    if it brought newer records or confirmed them by a later read; otherwise it
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -146,16 +146,18 @@
   uint64_t operator_next = parse_number (query_parameter (target, "operator"));
   uint64_t endpoints_next
       = parse_number (query_parameter (target, "endpoints"));
+  /* Routers of earlier versions take whole lists only.  */
+  bool changes = query_parameter (target, "changes").length != 0;
   json_t *document = json_object ();
   json_t *relay;
   char *text;
 
   relay = ms_replica_encode (ms_topic_replica (gw->operator_topic),
-                             operator_next, gw->now);
+                             operator_next, changes, gw->now);
   if (relay)
     json_object_set_new (document, "operator", relay);
   relay = ms_replica_encode (ms_topic_replica (gw->endpoint_topic),
-                             endpoints_next, gw->now);
+                             endpoints_next, changes, gw->now);
   if (relay)
     json_object_set_new (document, "endpoints", relay);
   text = json_dumps (document, JSON_COMPACT);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -78,6 +78,16 @@
          && address->sin_addr.s_addr != own.sin_addr.s_addr;
 }
 
+/* The offset up to which this router has the records of TOPIC; 0 if it needs
+   all of them.  */
+static uint64_t
+known_offset (struct ms_topic *topic)
+{
+  const struct ms_replica *replica = ms_topic_replica (topic);
+
+  return ms_replica_incomplete (replica) ? 0 : ms_replica_next (replica);
+}
+
 static bool
 needs_relay (const struct ms_topic *topic, ms_time now)
 {
@@ -101,11 +111,10 @@
   r->next_call_at = now + CALL_PERIOD;
   if (!choose_source (gw, &address))
     return;
-  snprintf (path, sizeof path, MS_RELAY_PATH "?operator=%llu&endpoints=%llu",
-            (unsigned long long)ms_replica_next (
-                ms_topic_replica (gw->operator_topic)),
-            (unsigned long long)ms_replica_next (
-                ms_topic_replica (gw->endpoint_topic)));
+  snprintf (path, sizeof path,
+            MS_RELAY_PATH "?operator=%llu&endpoints=%llu&changes=1",
+            (unsigned long long)known_offset (gw->operator_topic),
+            (unsigned long long)known_offset (gw->endpoint_topic));
   ms_exchange_call (r->exchange, &address, "GET", path,
                     (struct ms_str){ "", 0 }, CALL_TIMEOUT, on_relay, r);
 }
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -196,7 +196,7 @@
 static bool
 needs_snapshot (const struct ms_topic *t)
 {
-  return !ms_replica_loaded (t->replica)
+  return !ms_replica_loaded (t->replica) || ms_replica_incomplete (t->replica)
          || (t->history_gone
              && t->call_offset == ms_replica_next (t->replica));
 }
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/random.h"
 #include "fleet/replica.h"
 
 /* Replicas of the endpoint list at several routers.  The store is a counter of
@@ -79,8 +80,8 @@
 static void
 relay (struct router *r, struct router *from, ms_time now)
 {
-  json_t *document
-      = ms_replica_encode (from->replica, ms_replica_next (r->replica), now);
+  json_t *document = ms_replica_encode (
+      from->replica, ms_replica_next (r->replica), false, now);
 
   ms_replica_tick (r->replica, now);
   ms_replica_apply (r->replica, document, now, now + MS_MSEC);
@@ -218,6 +219,266 @@
   ms_replica_destroy (r.replica);
 }
 
+/* Replicas of a topic with many keys, "k0" and so on, of which the test keeps
+   the true records: the number of the last write, 0 if there is no record.  */
+#define KEYS 400
+#define REPLICAS 4
+
+struct topic
+{
+  unsigned values[KEYS];
+  uint64_t offsets[KEYS]; /* Of the last change of a key.  */
+  uint64_t end;
+};
+
+struct follower
+{
+  struct ms_replica *replica;
+  unsigned values[KEYS]; /* As the replica reported them.  */
+};
+
+static void
+on_key_change (void *context, struct ms_str key, struct ms_str value,
+               bool removed)
+{
+  struct follower *f = context;
+
+  f->values[strtoul (key.data + 1, NULL, 10)]
+      = removed ? 0 : (unsigned)strtoul (value.data, NULL, 10);
+}
+
+static void
+create_follower (struct follower *f)
+{
+  const struct ms_replica_options options
+      = { .name = "keys", .changed = on_key_change, .context = f };
+
+  memset (f, 0, sizeof *f);
+  f->replica = ms_replica_create (&options);
+}
+
+static void
+write_key (struct topic *topic, unsigned key, bool removed)
+{
+  topic->values[key] = removed ? 0 : (unsigned)topic->end + 1;
+  topic->offsets[key] = topic->end++;
+}
+
+/* Let F read from the store: a snapshot at first, then the changes, of which a
+   read brings at most MOST offsets.  */
+static void
+read_topic (struct follower *f, const struct topic *topic, unsigned most,
+            ms_time now)
+{
+  uint64_t from = ms_replica_next (f->replica);
+  uint64_t next = from + most < topic->end ? from + most : topic->end;
+  bool snapshot
+      = !ms_replica_loaded (f->replica) || ms_replica_incomplete (f->replica);
+
+  for (unsigned i = 0; i < KEYS; i++)
+    {
+      char key[8];
+      char value[16];
+
+      snprintf (key, sizeof key, "k%u", i);
+      snprintf (value, sizeof value, "%u", topic->values[i]);
+      if (snapshot && topic->values[i])
+        ms_replica_add (f->replica, ms_str (key), ms_str (value));
+      /* The store keeps only the newest change of a key.  */
+      else if (!snapshot && topic->end && topic->offsets[i] >= from
+               && topic->offsets[i] < next)
+        ms_replica_change (f->replica, ms_str (key), ms_str (value),
+                           !topic->values[i], now, now);
+    }
+  if (snapshot)
+    ms_replica_complete (f->replica, topic->end, now, now);
+  else
+    ms_replica_advance (f->replica, next, topic->end, now);
+}
+
+/* Let TO call FROM for a relay, as text, at NOW.  Returns the length.  */
+static size_t
+relay_changes (struct follower *to, struct follower *from, ms_time now)
+{
+  uint64_t known = ms_replica_incomplete (to->replica)
+                       ? 0
+                       : ms_replica_next (to->replica);
+  json_t *document = ms_replica_encode (from->replica, known, true, now);
+  char *text = document ? json_dumps (document, JSON_COMPACT) : NULL;
+  size_t length = text ? strlen (text) : 0;
+  json_t *received = text ? json_loads (text, 0, NULL) : NULL;
+
+  if (text)
+    assert_non_null (received);
+  if (received)
+    ms_replica_apply (to->replica, received, now, now);
+  json_decref (document);
+  json_decref (received);
+  free (text);
+  return length;
+}
+
+static void
+expect_equal (const struct follower *f, const struct topic *topic)
+{
+  for (unsigned i = 0; i < KEYS; i++)
+    assert_int_equal (f->values[i], topic->values[i]);
+}
+
+/* A relay to a peer that lacks one of many records has about the size of one
+   record, and the peer has the same records then; a peer that lacks more
+   removals than are remembered gets all.  */
+static void
+test_relay_has_what_changed (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower from, to;
+  ms_time now = MS_SEC;
+  size_t all;
+
+  (void)state;
+  create_follower (&from);
+  create_follower (&to);
+  for (unsigned i = 0; i < KEYS; i++)
+    write_key (&topic, i, false);
+  read_topic (&from, &topic, KEYS, now);
+  all = relay_changes (&to, &from, ++now);
+  expect_equal (&to, &topic);
+  write_key (&topic, 7, false);
+  write_key (&topic, 8, true);
+  read_topic (&from, &topic, KEYS, ++now);
+  assert_true (relay_changes (&to, &from, ++now) < all / 20);
+  expect_equal (&to, &topic);
+  assert_true (relay_changes (&to, &from, ++now) < all / 20);
+  for (unsigned i = 10; i < KEYS; i++)
+    {
+      write_key (&topic, i, true);
+      read_topic (&from, &topic, KEYS, ++now);
+    }
+  relay_changes (&to, &from, ++now);
+  expect_equal (&to, &topic);
+  ms_replica_destroy (from.replica);
+  ms_replica_destroy (to.replica);
+}
+
+/* A peer that misses a change although it takes itself for complete finds out
+   by the checksum, and gets all records with the next relay.  */
+static void
+test_gap_is_detected (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower from, to;
+  ms_time now = MS_SEC;
+
+  (void)state;
+  create_follower (&from);
+  create_follower (&to);
+  for (unsigned i = 0; i < KEYS; i++)
+    write_key (&topic, i, false);
+  read_topic (&from, &topic, KEYS, now);
+  relay_changes (&to, &from, ++now);
+  write_key (&topic, 3, false);
+  read_topic (&from, &topic, KEYS, ++now);
+  ms_replica_advance (to.replica, topic.end, topic.end, ++now);
+  write_key (&topic, 4, false);
+  read_topic (&from, &topic, KEYS, ++now);
+  relay_changes (&to, &from, ++now);
+  assert_true (ms_replica_incomplete (to.replica));
+  assert_true (ms_replica_read_at (to.replica) < now);
+  relay_changes (&to, &from, ++now);
+  assert_false (ms_replica_incomplete (to.replica));
+  expect_equal (&to, &topic);
+  ms_replica_destroy (from.replica);
+  ms_replica_destroy (to.replica);
+}
+
+/* Whatever the order in which routers read the store and relay to each other,
+   they end with the records of the store.  */
+static void
+test_replicas_agree_in_any_order (void **state)
+{
+  (void)state;
+  for (unsigned seed = 1; seed <= 40; seed++)
+    {
+      struct ms_random random = { seed };
+      struct topic topic = { .end = 1 };
+      struct follower all[REPLICAS];
+      ms_time now = MS_SEC;
+
+      for (unsigned i = 0; i < REPLICAS; i++)
+        create_follower (&all[i]);
+      for (unsigned step = 0; step < 400; step++)
+        {
+          unsigned a = (unsigned)ms_random_below (&random, REPLICAS);
+          unsigned b = (unsigned)ms_random_below (&random, REPLICAS);
+          unsigned key = (unsigned)ms_random_below (&random, KEYS);
+
+          now += MS_MSEC;
+          switch (ms_random_below (&random, 4))
+            {
+            case 0:
+            case 1:
+              write_key (&topic, key, ms_random_below (&random, 3) == 0);
+              break;
+            case 2:
+              if (a < 2)
+                read_topic (&all[a], &topic,
+                            1 + (unsigned)ms_random_below (&random, 5), now);
+              break;
+            default:
+              if (a != b)
+                relay_changes (&all[a], &all[b], now);
+            }
+        }
+      read_topic (&all[0], &topic, 1000, now += MS_MSEC);
+      for (unsigned i = 1; i < REPLICAS; i++)
+        for (unsigned j = 0; j < 2; j++)
+          relay_changes (&all[i], &all[0], now += MS_MSEC);
+      for (unsigned i = 0; i < REPLICAS; i++)
+        {
+          expect_equal (&all[i], &topic);
+          ms_replica_destroy (all[i].replica);
+        }
+    }
+}
+
+/* A record that no router can decode does not keep the others from being
+   relayed, and replaces the one that its key had.  */
+static void
+test_unreadable_record_is_relayed_as_removed (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower from, to;
+  ms_time now = MS_SEC;
+
+  (void)state;
+  create_follower (&from);
+  create_follower (&to);
+  for (unsigned i = 0; i < 5; i++)
+    write_key (&topic, i, false);
+  read_topic (&from, &topic, KEYS, now);
+  relay_changes (&to, &from, ++now);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      ms_replica_change (from.replica, i ? ms_str ("k2") : ms_str ("k1"),
+                         i ? ms_str ("\xff\xfe")
+                           : (struct ms_str){ "1\0002", 3 },
+                         false, now, now);
+      topic.values[i + 1] = 0;
+    }
+  topic.end += 2;
+  write_key (&topic, 3, false);
+  ms_replica_change (from.replica, ms_str ("k3"), ms_str ("8"), false, now,
+                     now);
+  topic.values[3] = 8;
+  ms_replica_advance (from.replica, topic.end, topic.end, ++now);
+  relay_changes (&to, &from, ++now);
+  assert_false (ms_replica_incomplete (to.replica));
+  expect_equal (&to, &topic);
+  ms_replica_destroy (from.replica);
+  ms_replica_destroy (to.replica);
+}
+
 int
 main (void)
 {
@@ -227,6 +488,10 @@
     cmocka_unit_test (test_router_on_relays_does_not_put_off_a_removal),
     cmocka_unit_test (test_entries_that_expire_in_an_outage_are_kept),
     cmocka_unit_test (test_read_that_stops_short_does_not_confirm_the_list),
+    cmocka_unit_test (test_relay_has_what_changed),
+    cmocka_unit_test (test_gap_is_detected),
+    cmocka_unit_test (test_replicas_agree_in_any_order),
+    cmocka_unit_test (test_unreadable_record_is_relayed_as_removed),
   };
 
   return RUN (tests);
