Fuzz parsers and decoders; bound the numbers that they read

Cause: nothing but hand-written cases covered the bytes that callers, endpoints, peers and the store send. The new harnesses found within seconds: an empty list of a configuration sorted by qsort with a null pointer, and numbers outside the range of their type converted (undefined). By reading beside it: the deadline of a caller, the Keep-Alive time of an endpoint, whose digits were read past the header, and the cold time of an endpoint.

Numbers are moved into ranges by ms_str_number and the platform's field readers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 	libcyaml-dev libyaml-dev libjansson-dev libcurl4-openssl-dev libssl-dev \
 	libxxhash-dev uthash-dev rpcsvc-proto pkg-config \
 	libuv1-dev libhttp-parser-dev \
-	curl clang-format clang-tidy make gcc
+	curl clang-format clang-tidy clang libclang-rt-dev make gcc
 # pkg-config modules of all programs but the gateway.
 MODULES = liburcu-bp libtirpc libcyaml yaml-0.1 jansson libcurl libcrypto libxxhash
 
@@ -108,6 +108,7 @@
 	$(MAKE) check-e2e
 	$(MAKE) check-gateway
 	$(MAKE) soak
+	$(MAKE) fuzz
 
 check-units: $(TESTS)
 	@sh tests/units.sh $(TESTS)
@@ -115,6 +116,34 @@
 check-traces: $(BUILD)/monsoonspur-replay
 	BUILD=$(BUILD) sh tests/proofs.sh
 
+# Fuzzing harnesses, with libFuzzer under the sanitizers.  Each makes FUZZ_RUNS
+# runs from its corpus with a fixed seed; FUZZ_SECONDS limits its time.
+FUZZ_RUNS ?= 30000
+FUZZ_SECONDS ?= 60
+FUZZ_SEED ?= 1
+FUZZ_TARGETS = $(patsubst tests/fuzz/%.c,%,$(wildcard tests/fuzz/*.c))
+FUZZED = CC=clang BUILD=build-fuzz \
+	CFLAGS="-O1 -g -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=undefined"
+
+$(BUILD)/fuzz-%: $(BUILD)/tests/fuzz/%.o $(CORE)
+	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LIBS)
+
+fuzz-programs: $(FUZZ_TARGETS:%=$(BUILD)/fuzz-%)
+
+fuzz: install-packages
+	$(MAKE) $(FUZZED) -j$(JOBS) fuzz-programs
+	@for target in $(FUZZ_TARGETS); do \
+	  folder=$$(mktemp -d) || exit 1; \
+	  build-fuzz/fuzz-$$target -runs=$(FUZZ_RUNS) -seed=$(FUZZ_SEED) \
+	    -max_total_time=$(FUZZ_SECONDS) -max_len=4096 -verbosity=0 \
+	    -artifact_prefix=$$folder/ $$folder tests/fuzz/corpus/$$target \
+	    >$$folder/log 2>&1 \
+	    || { cat $$folder/log; echo "inputs are in $$folder"; exit 1; }; \
+	  rm -rf $$folder; \
+	  echo "ok fuzz $$target"; \
+	done
+
 check-cli: all
 	BUILD=$(BUILD) sh tests/cli.sh
 
@@ -180,7 +209,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all all-and-tests bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-gateway soak check-asan \
+.PHONY: all all-and-tests fuzz fuzz-programs bench slopes install-packages demo check check-units check-cli check-traces check-e2e check-gateway soak check-asan \
 	check-asan-traces lint format clean
 .SECONDARY:
 
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -15,6 +15,24 @@
   return a.length == b.length && memcmp (a.data, b.data, a.length) == 0;
 }
 
+uint64_t
+ms_str_number (struct ms_str text, uint64_t most)
+{
+  uint64_t number = 0;
+
+  for (size_t i = 0; i < text.length; i++)
+    {
+      unsigned digit = (unsigned)(text.data[i] - '0');
+
+      if (digit > 9)
+        break;
+      if (digit > most || number > (most - digit) / 10)
+        return most;
+      number = number * 10 + digit;
+    }
+  return number;
+}
+
 uint64_t
 ms_id (struct ms_str name)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -18,6 +18,10 @@
 
 bool ms_str_equal (struct ms_str a, struct ms_str b);
 
+/* The number that the decimal digits at the start of TEXT make; 0 if there is
+   none, MOST if it is larger than that.  */
+uint64_t ms_str_number (struct ms_str text, uint64_t most);
+
 /* The 64-bit identifier of NAME: a hash, the same on all routers.  It is never
    0, which means "none".  */
 uint64_t ms_id (struct ms_str name);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -1,7 +1,6 @@
 #include "gateway/pages.h"
 
 #include <arpa/inet.h>
-#include <ctype.h>
 #include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -127,25 +126,14 @@
       plat_encode_directory (body, sizeof body, addresses, count, ttl));
 }
 
-/* The number in TEXT, up to the first character that is no digit.  */
-static uint64_t
-parse_number (struct ms_str text)
-{
-  uint64_t number = 0;
-
-  for (size_t i = 0; i < text.length && isdigit ((unsigned char)text.data[i]);
-       i++)
-    number = number * 10 + (uint64_t)(text.data[i] - '0');
-  return number;
-}
-
 static void
 respond_relay (struct page_connection *p, struct ms_str target)
 {
   struct ms_gateway *gw = p->gw;
-  uint64_t operator_next = parse_number (query_parameter (target, "operator"));
+  uint64_t operator_next
+      = ms_str_number (query_parameter (target, "operator"), UINT64_MAX);
   uint64_t endpoints_next
-      = parse_number (query_parameter (target, "endpoints"));
+      = ms_str_number (query_parameter (target, "endpoints"), UINT64_MAX);
   /* Routers of earlier versions take whole lists only.  */
   bool changes = query_parameter (target, "changes").length != 0;
   json_t *document = json_object ();
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -24,6 +24,9 @@
 /* Time for a request whose caller sends no deadline.  */
 #define DEFAULT_DEADLINE (60 * MS_SEC)
 
+/* A longer time is taken for this.  */
+#define MAX_DEADLINE_MS 86400000.0
+
 /* Cost units of one generated token; a prompt token costs 1.  */
 #define OUTPUT_TOKEN_COST 2.0
 
@@ -100,12 +103,18 @@
 {
   struct ms_str text = ms_head_find (head, PLAT_DEADLINE);
   char copy[24] = "";
+  double ms;
 
   if (text.data && text.length < sizeof copy)
     memcpy (copy, text.data, text.length);
-  r->deadline = r->arrived
-                + (*copy ? (ms_time)(strtod (copy, NULL) * MS_MSEC)
-                         : DEFAULT_DEADLINE);
+  ms = strtod (copy, NULL);
+  /* Written so that it holds for no number at all, too.  */
+  if (!(ms > 0))
+    ms = 0;
+  if (ms > MAX_DEADLINE_MS)
+    ms = MAX_DEADLINE_MS;
+  r->deadline
+      = r->arrived + (*copy ? (ms_time)(ms * MS_MSEC) : DEFAULT_DEADLINE);
   r->timeout_at = r->route.timeout ? r->arrived + r->route.timeout : MS_NEVER;
 }
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -17,6 +17,7 @@
    on a connection that the endpoint is closing.  */
 #define DEFAULT_IDLE_TIMEOUT (2 * MS_SEC)
 #define IDLE_TIMEOUT_MARGIN (700 * MS_MSEC)
+#define MAX_IDLE_TIMEOUT_S 3600
 
 /* A connection attempt fails after this time.  */
 #define CONNECT_TIMEOUT (400 * MS_MSEC)
@@ -119,7 +120,9 @@
   for (size_t i = 0; value.data && i + 8 < value.length; i++)
     if (strncasecmp (value.data + i, "timeout=", 8) == 0)
       {
-        ms_time timeout = strtol (value.data + i + 8, NULL, 10) * MS_SEC;
+        struct ms_str rest = { value.data + i + 8, value.length - i - 8 };
+        ms_time timeout
+            = (ms_time)ms_str_number (rest, MAX_IDLE_TIMEOUT_S) * MS_SEC;
 
         return timeout > 2 * IDLE_TIMEOUT_MARGIN
                    ? timeout - IDLE_TIMEOUT_MARGIN
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -72,16 +72,24 @@
                        ((const struct ms_key *)right)->text);
 }
 
+/* qsort for an array that may be NULL if it is empty.  */
+static void
+sort (void *array, size_t count, size_t size,
+      int (*compare) (const void *, const void *))
+{
+  if (count)
+    qsort (array, count, size, compare);
+}
+
 void
 ms_routes_index (struct ms_routes *routes)
 {
-  qsort (routes->routes, routes->routes_count, sizeof *routes->routes,
-         by_host_and_prefix);
-  qsort (routes->services, routes->services_count, sizeof *routes->services,
-         by_service_id);
-  qsort (routes->teams, routes->teams_count, sizeof *routes->teams,
-         by_team_id);
-  qsort (routes->keys, routes->keys_count, sizeof *routes->keys, by_key_text);
+  sort (routes->routes, routes->routes_count, sizeof *routes->routes,
+        by_host_and_prefix);
+  sort (routes->services, routes->services_count, sizeof *routes->services,
+        by_service_id);
+  sort (routes->teams, routes->teams_count, sizeof *routes->teams, by_team_id);
+  sort (routes->keys, routes->keys_count, sizeof *routes->keys, by_key_text);
 }
 
 void
--- /dev/null
+++ b/tests/fuzz/store.c
@@ -0,0 +1,40 @@
+/* Fuzzes the decoders of what the store returns: pages of records, reads of
+   changes, and the two kinds of records in them.  */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "platform.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+take_record (void *context, const struct plat_record *record)
+{
+  struct ms_endpoint_entry entry;
+  struct ms_routes *routes;
+  struct ms_str zone;
+
+  (void)context;
+  plat_operator_key (record->key, &zone);
+  plat_decode_endpoint (record->key, record->value, &entry);
+  if (plat_decode_routes (record->value, &routes) == MS_OK)
+    ms_routes_destroy (routes);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  const struct ms_str text = { (const char *)data, size };
+  const struct plat_record record = { { "e1", 2 }, text, false };
+  char after[256];
+  uint64_t next;
+  uint64_t end;
+  bool more;
+
+  take_record (NULL, &record);
+  plat_decode_newest (text, take_record, NULL, &end, &more, after,
+                      sizeof after);
+  plat_decode_read (text, 1, take_record, NULL, &next, &end);
+  return 0;
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -211,6 +211,54 @@
   assert_false (plat_header_dropped (ms_str ("X-Request-Attempt-Id")));
 }
 
+/* Numbers out of any sensible range are moved into it, be they of the
+   operators or of an endpoint.  */
+static void
+test_numbers_out_of_range_are_bounded (void **state)
+{
+  static const char hostile[]
+      = "{\"version\":-3,\"routes\":[{\"name\":\"a\",\"hostname\":\"h\","
+        "\"path_prefix\":\"/\",\"service\":\"app\",\"timeout_ms\":1e300,"
+        "\"max_attempts\":-1}],\"services\":[{\"name\":\"app\","
+        "\"engine\":{\"slots\":1e40,\"kv_cache_tokens\":-5}}]}";
+  static const char endpoint[]
+      = "{\"service\":\"app\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+        "\"slots\":99999999999,\"state\":\"ready\",\"cold_remaining_ms\":"
+        "1e300,"
+        "\"sequence\":1}";
+  struct ms_routes *routes;
+  struct ms_endpoint_entry entry;
+
+  (void)state;
+  assert_int_equal (plat_decode_routes (ms_str (hostile), &routes), MS_OK);
+  assert_int_equal (routes->version, 0);
+  assert_int_equal (routes->routes[0].max_attempts, 1);
+  assert_true (routes->routes[0].timeout > 0);
+  assert_int_equal (routes->services[0].slots, UINT32_MAX);
+  assert_int_equal (routes->services[0].memory_tokens, 0);
+  ms_routes_destroy (routes);
+  assert_int_equal (
+      plat_decode_endpoint (ms_str ("e1"), ms_str (endpoint), &entry), MS_OK);
+  assert_int_equal (entry.slots, UINT32_MAX);
+  assert_true (entry.cold_for > 0);
+}
+
+static void
+test_numbers_end_with_their_text (void **state)
+{
+  (void)state;
+  assert_int_equal (ms_str_number ((struct ms_str){ "1234", 2 }, 100), 12);
+  assert_int_equal (ms_str_number (ms_str ("7 8"), 100), 7);
+  assert_int_equal (ms_str_number (ms_str ("x"), 100), 0);
+  assert_int_equal (ms_str_number (ms_str ("101"), 100), 100);
+  assert_int_equal (ms_str_number (ms_str ("99999999999999999999999"), 100),
+                    100);
+  assert_int_equal (
+      ms_str_number (ms_str ("18446744073709551615"), UINT64_MAX), UINT64_MAX);
+  assert_int_equal (
+      ms_str_number (ms_str ("18446744073709551616"), UINT64_MAX), UINT64_MAX);
+}
+
 int
 main (void)
 {
@@ -223,6 +271,8 @@
     cmocka_unit_test (test_decodes_newest_records),
     cmocka_unit_test (test_decodes_prompt_headers),
     cmocka_unit_test (test_drops_router_and_connection_headers),
+    cmocka_unit_test (test_numbers_out_of_range_are_bounded),
+    cmocka_unit_test (test_numbers_end_with_their_text),
   };
 
   return RUN (tests);
