Believe only answers that repeat the request's id

Cause: an answer without the id was taken for one to the request in progress. A late second copy of another answer that lacks it would have been passed on to the next caller, and a refusal in it told as 'not run'.

Change: if the caller sent an id, an answer without it is neither accepted nor believed as a refusal.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -18,6 +18,7 @@
 ms_request_response_head (struct ms_request *r, const struct ms_head *head)
 {
   struct ms_str id = ms_head_find (head, PLAT_ATTEMPT_ID);
+  bool repeats_id;
 
   if (id.data && !ms_str_equal (id, r->full_id))
     {
@@ -25,15 +26,21 @@
                 r->request_id, r->last_endpoint.data);
       return false;
     }
+  /* Endpoints repeat the id.  A response without it may belong to another
+     request, so nothing that it says is believed.  */
+  repeats_id = id.data || !r->full_id.length;
   r->response_status = head->status;
   r->response_head = head;
-  r->not_run = ms_head_find (head, PLAT_NOT_RUN).data != NULL
-               || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  r->not_run = repeats_id
+               && (ms_head_find (head, PLAT_NOT_RUN).data != NULL
+                   || head->status == HTTP_STATUS_MISDIRECTED_REQUEST);
   /* A response with a status below 300 is accepted only if the endpoint signed
      it and it has no Content-Encoding.  */
-  r->response_accepted = head->status >= 300
-                         || (ms_head_find (head, PLAT_SIGNATURE).data != NULL
-                             && !ms_head_find (head, "Content-Encoding").data);
+  r->response_accepted
+      = repeats_id
+        && (head->status >= 300
+            || (ms_head_find (head, PLAT_SIGNATURE).data != NULL
+                && !ms_head_find (head, "Content-Encoding").data));
   r->stream_response = r->route.repeat == MS_STREAMING && head->status == 200
                        && r->response_accepted;
   return true;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -287,6 +287,12 @@
 request 1 /any/unsigned
 is "$status" 502
 verdict "a successful answer without the endpoint's signature gets 502" $?
+request 1 /once/noid -X POST -d x
+is "$status" 502 && is "$(run_count $id)" 1
+verdict "an answer that does not repeat the request's id gets 502" $?
+request 1 /once/noid/refused -X POST -d x
+is "$status" 502 && is "$(run_count $id)" 1
+verdict "a refusal that does not repeat the request's id is not believed" $?
 request 1 /once/endless
 # The answer has 64 MiB.  The gateway's peak memory, in kB, is compared with that
 # only if BUILD is "build", not for the sanitizer build of make check-asan.
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -326,6 +326,12 @@
     send_endless (connection);
   else if (strstr (path, "/noanswer"))
     send_no_answer (connection, path);
+  else if (strstr (path, "/noid/refused"))
+    mg_printf (connection, "HTTP/1.1 503 -\r\nX-Not-Executed: 1\r\n"
+                           "Content-Length: 0\r\n\r\n");
+  else if (strstr (path, "/noid"))
+    mg_printf (connection, "HTTP/1.1 200 -\r\nX-Response-Signature: s\r\n"
+                           "Content-Length: 2\r\n\r\nno");
   else if (strstr (path, "/unsigned"))
     send_head (connection, 200, "Content-Length: 2\r\n\r\nno");
   else if (strstr (path, "/unframed"))
