Remove the store's records of routers that are gone

Cause: records of members were never removed from the store: a starting router divided limits among all names listed, for ten minutes, and 295 routers with spares and replacements come close to the 1,024 that are known at most.

Change: the first reader of a zone that has run for ten minutes removes the record of a router that it has not heard for as long, one a read of the members, by an append that takes place only if nothing was written since that read.

Result: test_only_gone_routers_are_removed. The append itself was not played: it takes ten minutes, and the stand-in of the store knows no condition.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -170,6 +170,18 @@
   fleet->news_at = now;
 }
 
+bool
+ms_fleet_is_gone (const struct ms_fleet *fleet, uint64_t id,
+                  uint64_t incarnation, ms_time now)
+{
+  unsigned i = find_index (fleet, id);
+
+  return now - fleet->started > MS_ROUTER_SHARE_TIME && i < fleet->count
+         && fleet->routers[i].id == id
+         && fleet->routers[i].incarnation == incarnation
+         && !has_share (&fleet->routers[i], now);
+}
+
 void
 ms_fleet_note_members (struct ms_fleet *fleet)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -71,6 +71,13 @@
 void ms_fleet_learn (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
                      uint64_t zone, struct in_addr ip, ms_time now);
 
+/* Return whether the record of router ID in the store may be removed: this
+   router has run for MS_ROUTER_SHARE_TIME, has not heard that router or of a
+   new start of it for as long, and INCARNATION, that of the record, is the
+   latest known.  */
+bool ms_fleet_is_gone (const struct ms_fleet *fleet, uint64_t id,
+                       uint64_t incarnation, ms_time now);
+
 /* All routers that have a record in the store were learned.  */
 void ms_fleet_note_members (struct ms_fleet *fleet);
 
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/address.h"
 #include "base/alloc.h"
@@ -29,8 +30,19 @@
   ms_time register_at; /* No registration starts before this time.  */
   ms_time read_at;     /* No read starts before this time.  */
   char after[256];     /* The next read starts after this key.  */
+  uint64_t end; /* Offset at which the topic ended when the read began.  */
+  struct ms_name gone; /* A router of the last read whose record is to be
+                          removed; empty if there is none.  */
 };
 
+static void
+set_gone (struct ms_members *m, struct ms_str name)
+{
+  memset (&m->gone, 0, sizeof m->gone);
+  m->gone.length = name.length;
+  memcpy (m->gone.data, name.data, name.length);
+}
+
 static void
 learn_member (void *context, const struct plat_record *record)
 {
@@ -44,9 +56,16 @@
 
   if (ip && zone && json_is_integer (incarnation)
       && inet_pton (AF_INET, ip, &address) == 1)
-    ms_fleet_learn (m->gw->fleet, ms_id (record->key),
-                    (uint64_t)json_integer_value (incarnation),
-                    ms_id (ms_str (zone)), address, m->gw->now);
+    {
+      uint64_t id = ms_id (record->key);
+      uint64_t started = (uint64_t)json_integer_value (incarnation);
+
+      ms_fleet_learn (m->gw->fleet, id, started, ms_id (ms_str (zone)),
+                      address, m->gw->now);
+      if (record->key.length < MS_NAME_BYTES
+          && ms_fleet_is_gone (m->gw->fleet, id, started, m->gw->now))
+        set_gone (m, record->key);
+    }
   json_decref (value);
 }
 
@@ -56,7 +75,8 @@
 {
   struct ms_members *m = context;
   struct ms_gateway *gw = m->gw;
-  uint64_t end;
+  uint64_t end = 0;
+  bool first_page = !m->after[0];
   bool more;
 
   (void)sent_at;
@@ -69,6 +89,8 @@
       m->read_at = gw->now + RETRY_DELAY;
       return;
     }
+  if (first_page)
+    m->end = end;
   if (more)
     return;
   m->after[0] = '\0';
@@ -95,6 +117,35 @@
     ms_event (m->gw->now, "member_unwritten", "code=%u", code);
 }
 
+static void
+on_removed (void *context, enum ms_status status, unsigned code,
+            struct ms_str body, ms_time sent_at)
+{
+  struct ms_members *m = context;
+
+  (void)body;
+  (void)sent_at;
+  /* After a failure the next read finds the record again.  */
+  ms_event (m->gw->now, "member_removed", "name=%s code=%u", m->gone.data,
+            status == MS_OK ? code : 0);
+  m->gone.length = 0;
+}
+
+/* Remove the record of a router that is gone, unless any record was written
+   since the read that found it: that router may have started again.  */
+static void
+remove_gone (struct ms_members *m)
+{
+  size_t length = plat_encode_record (
+      m->record, sizeof m->record,
+      (struct ms_str){ m->gone.data, m->gone.length }, ms_str (""));
+
+  plat_append_at_path (m->path, sizeof m->path, PLAT_TOPIC_MEMBERS, m->end);
+  ms_exchange_call (m->exchange, &m->store, "POST", m->path,
+                    (struct ms_str){ m->record, length }, CALL_TIMEOUT,
+                    on_removed, m);
+}
+
 static void
 register_self (struct ms_members *m)
 {
@@ -124,10 +175,18 @@
       register_self (m);
       return;
     }
+  /* One router is enough for that.  */
+  if (m->gone.length && ms_fleet_reads_store (m->gw->fleet, now))
+    {
+      remove_gone (m);
+      return;
+    }
   /* The read does not wait for the registration: limits of the whole fleet
      cannot be used before it.  */
   if (now < m->read_at)
     return;
+  if (!m->after[0])
+    m->gone.length = 0;
   plat_newest_path (m->path, sizeof m->path, PLAT_TOPIC_MEMBERS, m->after);
   ms_exchange_call (m->exchange, &m->store, "GET", m->path,
                     (struct ms_str){ "", 0 }, CALL_TIMEOUT, on_members_read,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -494,6 +494,36 @@
   ms_fleet_destroy (fleet);
 }
 
+/* The record of a router is removed only when it has been silent for as long
+   as its share lasts, by a router that has run for as long, and not if it has
+   started again.  */
+static void
+test_only_gone_routers_are_removed (void **state)
+{
+  struct ms_fleet *fleet = create_fleet ();
+  struct ms_fleet *young;
+  ms_time later = MS_ROUTER_SHARE_TIME + 20 * MS_SEC;
+
+  (void)state;
+  ms_fleet_learn (fleet, 1, 5, ZONE_A, parse_ip ("10.0.0.1"), MS_SEC);
+  ms_fleet_learn (fleet, 2, 5, ZONE_A, parse_ip ("10.0.0.2"), MS_SEC);
+  assert_false (ms_fleet_is_gone (fleet, 1, 5, 2 * MS_SEC));
+  receive_digest (fleet, 2, 5, 1, ZONE_A, true, 15 * MS_SEC);
+  assert_false (ms_fleet_is_gone (fleet, 1, 5, MS_ROUTER_SHARE_TIME));
+  assert_true (ms_fleet_is_gone (fleet, 1, 5, later));
+  assert_false (ms_fleet_is_gone (fleet, 1, 6, later));
+  assert_true (ms_fleet_is_gone (fleet, 2, 5, later));
+  receive_digest (fleet, 2, 5, 2, ZONE_A, true, later);
+  assert_false (ms_fleet_is_gone (fleet, 2, 5, later));
+  assert_false (ms_fleet_is_gone (fleet, 3, 5, later));
+  young = ms_fleet_create (101, 1, ZONE_A, parse_ip ("10.0.0.101"), 1,
+                           later - MS_SEC);
+  ms_fleet_learn (young, 1, 5, ZONE_A, parse_ip ("10.0.0.1"), later);
+  assert_false (ms_fleet_is_gone (young, 1, 5, later));
+  ms_fleet_destroy (young);
+  ms_fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -509,6 +539,7 @@
     cmocka_unit_test (test_quiet_digests_name_one_other),
     cmocka_unit_test (test_malformed_digest_is_rejected),
     cmocka_unit_test (test_gone_routers_keep_neither_share_nor_room),
+    cmocka_unit_test (test_only_gone_routers_are_removed),
   };
 
   return RUN (tests);
