Shares: routers agree on the level; credit by the demand before an arrival

The logs showed the callers of the first team on one router of 89, whose level was 120 to 900 thousand while the others had 300 to 1,100: each router computes the level from its own sight of use and of ended requests, and a team that keeps to one router gets that router's. Besides, a router took its part of a team's demand right after adding the request in question, so that routers with few requests of a team admitted too much of it.

Change: digests and zone sums carry the level; the one in force is the harmonic mean of the own (weight 0.25) and the others'. Credit accrues by the demand before an arrival.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -38,6 +38,10 @@
    which it is admitted.  */
 #define BURST_S 0.3
 
+/* Weight of a router's own level in the one that it uses, if it knows others.
+ */
+#define OWN_LEVEL_WEIGHT 0.25
+
 /* A team is removed once neither this router nor another one has had a request
    of it for this long.  */
 #define IDLE_TEAM_TIMEOUT (30 * MS_SEC)
@@ -64,13 +68,17 @@
   double credit;     /* Cost units that may still be admitted, as in a token
                         bucket; below 0 after a request that overdrew it.  */
   ms_time credit_at; /* When credit was last added.  */
+  double last_cost;  /* Of the latest request that the level applied to.  */
   UT_hash_handle hh;
 };
 
 struct ms_share
 {
   struct team *teams;
-  double level; /* Cost units per second; 0 if nothing is scarce.  */
+  double level;        /* Cost units per second; 0 if nothing is scarce.  */
+  double own_level;    /* As computed by this router.  */
+  double others_level; /* Mean of those of other routers.  */
+  unsigned others_count;
   ms_time level_at;
 };
 
@@ -136,36 +144,42 @@
   return t;
 }
 
+/* Add the credit of team T since it was last added.  Each router admits a part
+   of the level in proportion to its part of the team's demand.  That is the
+   demand before a request that arrives now: with it, routers that have few
+   requests of the team would take their part for larger than it is.  */
+static void
+accrue_credit (const struct ms_share *share, struct team *t, ms_time now)
+{
+  double own = rate_value (&t->demand, now);
+  double all = own + t->others_demand;
+  double part = all > 0 ? share->level / all : 0;
+
+  t->credit += part * own * (double)(now - t->credit_at) / MS_SEC;
+  t->credit_at = now;
+  /* Besides a burst, what the last request alone adds.  */
+  t->credit = fmin (t->credit, part * (own * BURST_S + t->last_cost));
+}
+
 bool
 ms_share_admit (struct ms_share *share, uint64_t team, double cost,
                 ms_time now)
 {
   struct team *t = find_or_add_team (share, team);
-  double own;
   double all;
-  double rate;
-  double max_credit;
 
   t->active_at = now;
+  accrue_credit (share, t, now);
   rate_add (&t->demand, cost, now);
-  own = rate_value (&t->demand, now);
-  all = own + t->others_demand;
+  all = rate_value (&t->demand, now) + t->others_demand;
   if (share->level <= 0 || all <= share->level)
     {
       t->credit = 0;
-      t->credit_at = now;
       return true;
     }
-  /* Each router admits a part of the level in proportion to its part of the
-     team's demand.  */
-  rate = share->level * own / all;
-  max_credit = rate * BURST_S;
-  t->credit += rate * (double)(now - t->credit_at) / MS_SEC;
-  t->credit_at = now;
-  if (t->credit > max_credit)
-    t->credit = max_credit;
   /* A request is admitted while any credit is left, and may overdraw it:
      otherwise large requests would be refused more often than small ones.  */
+  t->last_cost = cost;
   if (t->credit <= 0)
     return false;
   t->credit -= cost;
@@ -322,18 +336,52 @@
   }
 }
 
+/* Return the level that is in force: the harmonic mean of this router's and
+   the others', in which those without one count as unlimited.  Routers see the
+   end of requests and free capacity at different times.  If each used its own
+   level, a team whose callers keep to a router with a low one would get less
+   than its share.  */
+static double
+agreed_level (const struct ms_share *share)
+{
+  double own = share->own_level > 0 ? 1 / share->own_level : 0;
+  double others = share->others_level > 0 ? 1 / share->others_level : 0;
+  double weight = share->others_count ? OWN_LEVEL_WEIGHT : 1;
+  double inverse = weight * own + (1 - weight) * others;
+
+  return inverse > 0 ? 1 / inverse : 0;
+}
+
 void
 ms_share_tick (struct ms_share *share, const struct ms_share_usage *usage,
                ms_time now)
 {
   struct summary summary;
+  struct team *t, *next;
 
   if (now - share->level_at < LEVEL_PERIOD)
     return;
   share->level_at = now;
+  HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
   summary = summarize_teams (share, now);
-  share->level = max_min_level (share, admitted_rate (&summary, usage), now);
+  share->own_level
+      = max_min_level (share, admitted_rate (&summary, usage), now);
+  share->level = agreed_level (share);
+}
+
+void
+ms_share_set_others_level (struct ms_share *share, double level,
+                           unsigned count)
+{
+  share->others_level = level;
+  share->others_count = count;
+}
+
+double
+ms_share_own_level (const struct ms_share *share)
+{
+  return share->own_level;
 }
 
 static int
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -69,6 +69,11 @@
                            estimate that is too low.  */
 };
 
+/* Set the harmonic mean LEVEL of the levels that COUNT other routers have
+   computed, as of ms_share_own_level; 0 if they have none.  */
+void ms_share_set_others_level (struct ms_share *share, double level,
+                                unsigned count);
+
 /* Recompute the level from the rates of all routers and from USAGE.  Call it
    several times a second; calls within 100 ms of the last computation do
    nothing.  */
@@ -86,6 +91,10 @@
    there is no demand.  */
 double ms_share_fraction (struct ms_share *share, ms_time now);
 
+/* Return the level as this router computes it by itself, for the others; the
+   one in force is agreed on with them.  */
+double ms_share_own_level (const struct ms_share *share);
+
 /* Return the number of teams whose rates are kept.  */
 unsigned ms_share_team_count (const struct ms_share *share);
 
--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -6,8 +6,8 @@
 #include "base/alloc.h"
 
 /* Length of the end of a digest that routers of earlier versions do not send:
-   USED and an empty list of rooms.  */
-#define ADDED_BYTES 8
+   USED, LEVEL and an empty list of rooms.  */
+#define ADDED_BYTES 12
 
 unsigned
 ms_digest_encode (const struct fleet_digest *digest, char *data, size_t size)
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -75,6 +75,8 @@
 	u_quad_t zone;
 	u_int capacity;
 	u_int used;
+	u_int routers;
+	u_int level;
 	struct {
 		u_int capacities_len;
 		u_int *capacities_val;
@@ -114,6 +116,7 @@
 		digest_zone *zones_val;
 	} zones;
 	u_int used;
+	u_int level;
 	struct {
 		u_int rooms_len;
 		digest_room *rooms_val;
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -70,6 +70,8 @@
   unsigned hyper zone;
   unsigned int capacity;
   unsigned int used;
+  unsigned int routers; /* Live ones.  */
+  unsigned int level;   /* Harmonic mean of theirs.  */
   unsigned int capacities<DIGEST_MEMBERS>;
   digest_load more_loads<DIGEST_MORE_LOADS>;
 };
@@ -88,6 +90,8 @@
   digest_team teams<DIGEST_TEAMS>;
   digest_zone zones<DIGEST_ZONES>;
   /* Routers of earlier versions do not send what follows.  */
-  unsigned int used; /* Of CAPACITY.  */
+  unsigned int used;  /* Of CAPACITY.  */
+  unsigned int level; /* The share level as computed by the sender, in cost
+                         units per second; 0 if there is none.  */
   digest_room rooms<DIGEST_ZONES>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -146,12 +146,73 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->routers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->capacity);
+		IXDR_PUT_U_LONG(buf, objp->used);
+		IXDR_PUT_U_LONG(buf, objp->routers);
+		IXDR_PUT_U_LONG(buf, objp->level);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->capacities.capacities_val, (u_int *) &objp->capacities.capacities_len, DIGEST_MEMBERS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->more_loads.more_loads_val, (u_int *) &objp->more_loads.more_loads_len, DIGEST_MORE_LOADS,
+			sizeof (digest_load), (xdrproc_t) xdr_digest_load))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->used))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->routers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+
+		} else {
+		objp->capacity = IXDR_GET_U_LONG(buf);
+		objp->used = IXDR_GET_U_LONG(buf);
+		objp->routers = IXDR_GET_U_LONG(buf);
+		objp->level = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->capacities.capacities_val, (u_int *) &objp->capacities.capacities_len, DIGEST_MEMBERS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->more_loads.more_loads_val, (u_int *) &objp->more_loads.more_loads_len, DIGEST_MORE_LOADS,
+			sizeof (digest_load), (xdrproc_t) xdr_digest_load))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->zone))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->capacity))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->used))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->routers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->capacities.capacities_val, (u_int *) &objp->capacities.capacities_len, DIGEST_MEMBERS,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
@@ -207,6 +268,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->used))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->level))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 			 return FALSE;
@@ -251,6 +314,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->used))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->level))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 			 return FALSE;
@@ -286,6 +351,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->used))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 		sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 		 return FALSE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -237,6 +237,7 @@
   router->leaving = d->leaving;
   router->capacity = d->capacity;
   router->used = d->used;
+  router->level = d->level;
   router->rate = d->rate;
   free_arrays (router);
   router->loads = d->loads.loads_val;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -39,6 +39,8 @@
   unsigned capacity;  /* Thousandths of a CPU core.  */
   unsigned used;      /* Of them.  */
   unsigned rate;      /* Requests in the last ten seconds.  */
+  unsigned level;     /* Its share level, in cost units per second; 0 if it has
+                         none.  */
   unsigned sequence;  /* Of the last digest.  */
   ms_time heard;      /* Time of its last digest, or of the last zone sums that
                          name it as ready; 0 if none yet.  */
@@ -108,6 +110,8 @@
      is not known, and of each in READY, if CAPACITIES_COUNT is not 0.  */
   unsigned capacity;
   unsigned used;
+  unsigned routers; /* Live ones, and the harmonic mean of their levels.  */
+  unsigned level;
   unsigned *capacities;
   unsigned capacities_count;
 };
@@ -216,6 +220,12 @@
 const struct ms_fleet_router *ms_fleet_routers (const struct ms_fleet *fleet,
                                                 unsigned *count);
 
+/* Return the harmonic mean of the share levels that the other live routers
+   have reported, in cost units per second; 0 if it is not limited, or none is
+   known.  Set *COUNT to the number of these routers.  */
+double ms_fleet_mean_level (const struct ms_fleet *fleet, ms_time now,
+                            unsigned *count);
+
 /* Set what this router reports of itself: CAPACITY and the part USED of it in
    thousandths of a CPU core, RATE as the requests in the last ten seconds.  */
 void ms_fleet_set_load (struct ms_fleet *fleet, unsigned capacity,
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -1,5 +1,6 @@
 #include "fleet/internal.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -170,6 +171,8 @@
     {
       zone->capacity = room->capacity;
       zone->used = room->used;
+      zone->routers = room->routers;
+      zone->level = room->level;
       zone->capacities = room->capacities.capacities_val;
       zone->capacities_count = room->capacities.capacities_len;
       zone->more_loads = room->more_loads.more_loads_val;
@@ -229,6 +232,8 @@
         .zone = z->id,
         .capacity = z->capacity,
         .used = z->used,
+        .routers = z->routers,
+        .level = z->level,
         .capacities = { z->capacities_count, z->capacities },
         .more_loads = { z->more_loads_count, z->more_loads },
       };
@@ -321,6 +326,43 @@
   sums[i].ended += team->ended;
 }
 
+/* The sum of inverse levels, of which the harmonic mean is made: levels of 0,
+   which stand for no limit, add nothing.  */
+static double
+inverse_level (unsigned level)
+{
+  return level ? 1.0 / level : 0;
+}
+
+double
+ms_fleet_mean_level (const struct ms_fleet *fleet, ms_time now,
+                     unsigned *count)
+{
+  bool large = ms_fleet_large (fleet, now);
+  double sum = 0;
+
+  *count = 0;
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if ((large && r->zone != fleet->self.zone) || !ms_fleet_alive (r, now))
+        continue;
+      sum += inverse_level (r->level);
+      ++*count;
+    }
+  for (unsigned i = 0; large && i < fleet->zones_count; i++)
+    {
+      const struct ms_fleet_zone *z = &fleet->zones[i];
+
+      if (now - z->heard > MS_ROUTER_SILENT_TIME)
+        continue;
+      sum += z->routers * inverse_level (z->level);
+      *count += z->routers;
+    }
+  return sum > 0 ? *count / sum : 0;
+}
+
 /* Add a router that accepts callers to SUMS.  */
 static void
 add_ready (struct ms_zone_sums *sums, digest_member member, unsigned capacity,
@@ -344,8 +386,10 @@
                    ms_time now)
 {
   digest_zone *zone = &sums->zone;
+  double inverse = inverse_level (own->level);
 
   memset (sums, 0, sizeof *sums);
+  sums->room.routers = 1;
   zone->zone = fleet->self.zone;
   zone->author = fleet->self.id;
   zone->sequence = fleet->sequence;
@@ -369,6 +413,8 @@
 
       if (r->zone != fleet->self.zone || !ms_fleet_alive (r, now))
         continue;
+      sums->room.routers++;
+      inverse += inverse_level (r->level);
       for (unsigned j = 0; j < r->loads_count; j++)
         add_load (sums, &r->loads[j]);
       for (unsigned j = 0; j < r->teams_count; j++)
@@ -379,6 +425,9 @@
                                     ntohl (r->ip.s_addr) },
                    r->capacity, r->used);
     }
+  if (inverse > 0)
+    sums->room.level
+        = (unsigned)fmin (sums->room.routers / inverse, UINT32_MAX);
 }
 
 /* Return whether R, a router of another zone, is to be sent the zone sums of
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -1,6 +1,7 @@
 #include "gateway/peers.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -99,7 +100,11 @@
   static uint64_t ids[MAX_ROUTERS];
   unsigned alive = ms_fleet_alive_count (gw->fleet, gw->now);
   unsigned sharers = ms_fleet_sharers (gw->fleet, gw->now, ids, MAX_ROUTERS);
+  unsigned level_count;
+  double level;
 
+  level = ms_fleet_mean_level (gw->fleet, gw->now, &level_count);
+  ms_share_set_others_level (gw->share, level, level_count);
   ms_place_clear_others (gw->place);
   ms_share_clear_others (gw->share);
   for (unsigned i = 0; i < count; i++)
@@ -282,6 +287,7 @@
   ms_fleet_fill_digest (gw->fleet, &digest, members, now);
   digest.ready = ms_gateway_ready (gw) && !ms_pressure_high (gw->pressure);
   digest.leaving = gw->terminated_at != 0;
+  digest.level = (unsigned)fmin (ms_share_own_level (gw->share), UINT32_MAX);
   list.now = now;
   list.count = 0;
   ms_place_each (gw->place, collect_load, &list);
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -220,11 +220,11 @@
 
   (void)state;
   assert_true (length > 8);
-  assert_true (ms_digest_decode (data, length - 8, &read));
+  assert_true (ms_digest_decode (data, length - 12, &read));
   assert_int_equal (read.sequence, 7);
   assert_int_equal (read.used, 0);
   ms_digest_free (&read);
-  assert_false (ms_digest_decode (data, length - 12, &read));
+  assert_false (ms_digest_decode (data, length - 16, &read));
 }
 
 int
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -57,6 +57,8 @@
   unsigned count;
   double running_cost;
   double capacity; /* Cost units per second that endpoints complete.  */
+  double late_use; /* By how much router 0 takes endpoints for fuller than they
+                      are.  */
   struct ms_random random;
 };
 
@@ -77,6 +79,26 @@
     ms_share_destroy (fleet->shares[i]);
 }
 
+/* Tell each router the mean of the others' levels.  */
+static void
+exchange_levels (struct fleet *fleet)
+{
+  for (unsigned i = 0; i < fleet->routers; i++)
+    {
+      double sum = 0;
+
+      for (unsigned j = 0; j < fleet->routers; j++)
+        {
+          double level = ms_share_own_level (fleet->shares[j]);
+
+          sum += j != i && level > 0 ? 1 / level : 0;
+        }
+      ms_share_set_others_level (fleet->shares[i],
+                                 sum > 0 ? (fleet->routers - 1) / sum : 0,
+                                 fleet->routers - 1);
+    }
+}
+
 /* Deliver the reports made DELAY periods ago, and make the reports of NOW.  */
 static void
 exchange_reports (struct fleet *fleet, ms_time now)
@@ -90,6 +112,7 @@
         for (unsigned k = 0; j != i && k < fleet->reports_count[slot][j]; k++)
           ms_share_add_others (fleet->shares[i], &fleet->reports[slot][j][k]);
     }
+  exchange_levels (fleet);
   for (unsigned i = 0; i < fleet->routers; i++)
     fleet->reports_count[slot][i] = ms_share_report (
         fleet->shares[i], now, fleet->reports[slot][i], MAX_REPORTED);
@@ -199,7 +222,13 @@
         fleet->running_cost / (fleet->capacity * RUN_S), fleet->running_cost
       };
       for (unsigned i = 0; i < fleet->routers && fleet->shares[0]; i++)
-        ms_share_tick (fleet->shares[i], &usage, now);
+        {
+          struct ms_share_usage seen = usage;
+
+          if (i == 0)
+            seen.used_fraction += fleet->late_use;
+          ms_share_tick (fleet->shares[i], &seen, now);
+        }
     }
 }
 
@@ -354,6 +383,52 @@
   destroy_fleet (&fleet);
 }
 
+/* Two teams ask for the same, far more than their shares.  The callers of one
+   use all routers, so that each router has few and large requests of it, those
+   of the other use a single router: both get about the same.  */
+static void
+test_spread_and_concentrated_teams_get_the_same (void **state)
+{
+  struct load loads[]
+      = { { .team = 1, .cost = 13000, .per_tick = 0.6, .router = ALL_ROUTERS },
+          { .team = 2, .cost = 13000, .per_tick = 0.6 } };
+  static struct fleet fleet;
+  double ratio;
+
+  (void)state;
+  create_fleet (&fleet, 30, 260000);
+  simulate (&fleet, loads, 2, 0, 10 * MS_SEC);
+  simulate (&fleet, loads, 2, 10 * MS_SEC, 40 * MS_SEC);
+  ratio = loads[0].admitted / loads[1].admitted;
+  assert_true (ratio > 0.8);
+  assert_true (ratio < 1.25);
+  assert_true (loads[0].admitted + loads[1].admitted > 0.8 * 260000 * 30);
+  destroy_fleet (&fleet);
+}
+
+/* A team whose callers keep to one router gets no less than another that asks
+   as much of all routers, although that router sees endpoints fuller than the
+   others do: routers agree on the level.  */
+static void
+test_routers_agree_on_the_level (void **state)
+{
+  struct load loads[] = {
+    { .team = 1, .cost = 2000, .per_tick = 8, .router = ALL_ROUTERS },
+    { .team = 2, .cost = 2000, .per_tick = 8 },
+    { .team = 3, .cost = 2000, .per_tick = 0.75, .router = ALL_ROUTERS }
+  };
+  static struct fleet fleet;
+
+  (void)state;
+  create_fleet (&fleet, 20, 520000);
+  fleet.late_use = 0.25;
+  simulate (&fleet, loads, 3, 0, 10 * MS_SEC);
+  simulate (&fleet, loads, 3, 10 * MS_SEC, 30 * MS_SEC);
+  assert_true (loads[1].admitted > 0.5 * loads[0].admitted);
+  assert_true (loads[2].admitted > 0.9 * loads[2].demanded);
+  destroy_fleet (&fleet);
+}
+
 /* Teams that ask no more, here or at other routers, are removed while the
    level goes on being computed; a team that asks elsewhere is kept.  */
 static void
@@ -387,6 +462,8 @@
     cmocka_unit_test (test_share_counts_demand_at_other_routers),
     cmocka_unit_test (test_router_fraction_follows_demand),
     cmocka_unit_test (test_two_hot_teams_get_similar_shares),
+    cmocka_unit_test (test_spread_and_concentrated_teams_get_the_same),
+    cmocka_unit_test (test_routers_agree_on_the_level),
     cmocka_unit_test (test_idle_teams_are_removed),
   };
 
