--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -547,8 +547,9 @@
   for (unsigned i = 0; i < 3; i++)
     put_endpoint (place, i, PLAIN, ZONE_A, 0, 0);
   for (unsigned i = 0; i < 30; i++)
-    assert_true (run_plain_request (place, 1500 * MS_MSEC, i * 2 * MS_SEC)
-                 > 0);
+    assert_true (
+        run_plain_request (place, 1500 * MS_MSEC, (ms_time)i * 2 * MS_SEC)
+        > 0);
   ms_place_destroy (place);
 }
 
@@ -568,7 +569,8 @@
       for (unsigned i = 0; i < 3; i++)
         put_endpoint (place, i, PLAIN, ZONE_A, 0, 0);
       for (unsigned i = 0; i < 600; i++)
-        expected = run_plain_request (place, times[j], i * 200 * MS_MSEC);
+        expected
+            = run_plain_request (place, times[j], (ms_time)i * 200 * MS_MSEC);
       assert_in_range (expected, times[j] * 3 / 4, times[j] * 3 / 2);
       ms_place_destroy (place);
     }
