--- a/src/base/str.c
+++ b/src/base/str.c
@@ -12,7 +12,9 @@
 bool
 ms_str_equal (struct ms_str a, struct ms_str b)
 {
-  return a.length == b.length && memcmp (a.data, b.data, a.length) == 0;
+  /* An empty string may have no data, which memcmp must not get.  */
+  return a.length == b.length
+         && (!a.length || memcmp (a.data, b.data, a.length) == 0);
 }
 
 uint64_t
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -243,6 +243,18 @@
   assert_true (entry.cold_for > 0);
 }
 
+/* Empty strings are equal, also one without data; the sanitizers look on.  */
+static void
+test_empty_strings_are_equal (void **state)
+{
+  const struct ms_str none = { NULL, 0 };
+
+  (void)state;
+  assert_true (ms_str_equal (none, ms_str ("")));
+  assert_true (ms_str_equal (ms_str (""), none));
+  assert_false (ms_str_equal (none, ms_str ("a")));
+}
+
 static void
 test_numbers_end_with_their_text (void **state)
 {
@@ -272,6 +284,7 @@
     cmocka_unit_test (test_decodes_prompt_headers),
     cmocka_unit_test (test_drops_router_and_connection_headers),
     cmocka_unit_test (test_numbers_out_of_range_are_bounded),
+    cmocka_unit_test (test_empty_strings_are_equal),
     cmocka_unit_test (test_numbers_end_with_their_text),
   };
 
