--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -35,12 +35,12 @@
 }
 
 # list_engine NUMBER STATE [ZONE] [SERVICE]: write an endpoint's entry on the
-# store's list.
+# store's list; BORN, if set, is the time of its start.
 list_engine ()
 {
   store_put keyed.servers "e$1" "{\"service\":\"${4:-app}\",\
 \"address\":\"$(engine_address "$1")\",\"zone\":\"${3:-a}\",\"slots\":8,\
-\"state\":\"$2\",\"cold_remaining_ms\":0,\"sequence\":1}"
+\"state\":\"$2\",\"cold_remaining_ms\":0,\"sequence\":1${BORN:+,\"born\":$BORN}}"
 }
 
 # route NAME KIND TIMEOUT_MS SERVICE ATTEMPTS PUBLIC RESUMABLE: print the JSON
@@ -462,6 +462,29 @@
 await 5 all_run_on 1
 verdict "an endpoint removed from the list gets no requests" $?
 list_engine 0 ready
+
+# runs_on NUMBER: whether a request runs on this endpoint.
+runs_on () { request 1 /any/x; body_has "\"endpoint\":\"e$1\""; }
+leave_engine () { get -X PUT "http://$(engine_address "$1")/leave?to=$2" >/dev/null; }
+await 5 runs_on 0
+leave_engine 0 1
+await 5 runs_on 0
+head_has '^Server-Leaving' && told_caller=1 || told_caller=0
+all_run_on 1 && all_run_on 1
+verdict "an endpoint that said in an answer that it leaves gets no more requests" $?
+is $told_caller 0
+verdict "callers are not told that an endpoint leaves" $?
+list_engine 0 ready b
+sleep 1
+all_run_on 1 && all_run_on 1
+verdict "an entry of the list does not undo what an endpoint said of its leaving" $?
+leave_engine 0 0
+BORN=2
+list_engine 0 ready
+BORN=
+await 5 runs_on 0
+verdict "an endpoint that started again after it left gets requests" $?
+list_engine 0 ready
 get -X PUT "$(store_url)/forget?topic=keyed.servers" >/dev/null
 get -X PUT "$(store_url)/forget?topic=keyed.op" >/dev/null
 list_engine 0 draining
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -23,13 +23,15 @@
 
    GET /runs?id=ID returns how often the request with X-Request-Attempt-Id ID
    was run, GET /cancelled?id=ID how often its connection was found closed
-   during a stream.  With --runs=FILE each run is appended to FILE before it
+   during a stream.  PUT /leave?to=1 makes all answers say that the endpoint
+   leaves, until PUT /leave?to=0.  With --runs=FILE each run is appended to FILE before it
    begins: ID and the time in milliseconds of the monotonic clock.  */
 
 #include <argp.h>
 #include <civetweb.h>
 #include <errno.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -53,6 +55,7 @@
 static struct request_runs runs[MAX_RUNS];
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 static const char *endpoint_name = "e0";
+static atomic_bool is_leaving;
 static FILE *runs_file;
 
 /* The entry of ID, made if there is none, or the first entry if the table
@@ -147,8 +150,9 @@
 static void
 send_head (struct mg_connection *connection, int status, const char *more)
 {
-  mg_printf (connection, "HTTP/1.1 %d -\r\nX-Request-Attempt-Id: %s\r\n%s",
-             status, header_value (connection, "X-Request-Attempt-Id"), more);
+  mg_printf (connection, "HTTP/1.1 %d -\r\nX-Request-Attempt-Id: %s\r\n%s%s",
+             status, header_value (connection, "X-Request-Attempt-Id"),
+             is_leaving ? "Server-Leaving: 1\r\n" : "", more);
 }
 
 static int
@@ -359,6 +363,15 @@
   return 1;
 }
 
+static int
+handle_leave (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  is_leaving = query_number (connection, "to", 1) != 0;
+  mg_printf (connection, "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
+  return 1;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -409,6 +422,7 @@
   static const struct standin_handler handlers[] = {
     { "/runs$", handle_runs },
     { "/cancelled$", handle_cancelled },
+    { "/leave$", handle_leave },
     { "/**", handle_request },
   };
   const char *address = "127.0.0.1:0";
