Stop sending to endpoints that say in their answers that they leave

Callers' requests reached endpoints that had said in an answer that they leave (Server-Leaving), for as long as the list showed them as ready.

The list lags, and may be out of reach.

No entry of the same start undoes it, nor does the endpoint's absence from the list; another start time does. A misdirected answer speaks for the endpoint that is listed there.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -1,10 +1,12 @@
 #include "gateway/upstream.h"
 
+#include <http_parser.h>
 #include <stdlib.h>
 #include <strings.h>
 #include <utlist.h>
 
 #include "base/alloc.h"
+#include "base/event.h"
 #include "gateway/request.h"
 #include "gateway/socket.h"
 
@@ -44,6 +46,7 @@
   enum state state;
   ms_time expires_at;   /* End of CONNECTING or of IDLE.  */
   ms_time idle_timeout; /* How long it may be IDLE.  */
+  int64_t born;         /* The endpoint's start, as listed on connecting.  */
   bool keep_alive;      /* Reusable once the response is complete.  */
   bool complete;        /* The response was read to its end.  */
   bool skip; /* This response is 1xx or to another request: ignored.  */
@@ -131,6 +134,28 @@
   return DEFAULT_IDLE_TIMEOUT;
 }
 
+/* Note whether the endpoint that sent HEAD says that it leaves.  A misdirected
+   request was answered by another one than expected.  */
+static void
+note_leaving (struct ms_upstream *u, const struct ms_head *head)
+{
+  const struct ms_endpoint_state *e = u->endpoint;
+  struct ms_gateway *gw = u->gw;
+  bool misdirected = head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  bool changed;
+
+  if (!plat_says_leaving (head))
+    return;
+  changed = misdirected
+                ? ms_place_note_leaving_at (gw->place, &e->entry.address,
+                                            e->id, gw->now)
+                : ms_place_note_leaving (gw->place, e->id, u->born, gw->now);
+  if (changed)
+    ms_event (gw->now, "endpoint_leaving",
+              "source=answer endpoint=%s misdirected=%d", e->entry.id.data,
+              misdirected);
+}
+
 static void
 on_head (void *context, const struct ms_head *head)
 {
@@ -142,6 +167,7 @@
       u->skip = true;
       return;
     }
+  note_leaving (u, head);
   u->keep_alive = head->keep_alive;
   u->idle_timeout = read_idle_timeout (head);
   if (u->request && !ms_request_response_head (u->request, head))
@@ -315,6 +341,7 @@
     }
   u->parser = ms_parser_create (false, MAX_HEAD_BYTES, &sink, u);
   u->state = CONNECTING;
+  u->born = endpoint->entry.born;
   u->expires_at = gw->now + CONNECT_TIMEOUT;
   DL_APPEND (get_pool (endpoint)->connections, u);
   ms_place_hold (endpoint);
@@ -377,7 +404,7 @@
   if (u->state == CLOSED)
     return;
   if (!u->complete || !u->keep_alive || ms_socket_queued (u->socket)
-      || !u->endpoint->listed || u->endpoint->entry.leaving)
+      || !u->endpoint->listed || ms_place_is_leaving (u->endpoint))
     {
       close_upstream (u);
       return;
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -28,7 +28,7 @@
 static bool
 is_in_service (const struct ms_place *place, const struct ms_endpoint_state *e)
 {
-  return e->listed && !e->entry.leaving
+  return e->listed && !ms_place_is_leaving (e)
          && !ms_place_zone_evacuated (place, e->entry.zone);
 }
 
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -50,10 +50,22 @@
 /* Free the response times of all services.  */
 void ms_speed_destroy (struct ms_place *place);
 
+/* Endpoints that said in an answer that they leave.  */
+struct ms_left;
+
+/* Return whether ID, of the start time BORN, has said that it leaves.  Another
+   start time ends what was said before.  */
+bool ms_left_has (struct ms_place *place, uint64_t id, int64_t born,
+                  ms_time now);
+
+/* Free the records of all endpoints that leave.  */
+void ms_left_destroy (struct ms_place *place);
+
 struct ms_place
 {
   struct ms_need *needs;
   struct ms_speed *speeds;
+  struct ms_left *left;
   ms_time limits_adjusted_at; /* Last adjustment of the endpoints' limits.  */
   struct ms_place_options options;
   const struct ms_place_policy *policy;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -68,6 +68,7 @@
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
   ms_speed_destroy (place);
+  ms_left_destroy (place);
   free (place);
 }
 
@@ -129,6 +130,7 @@
     reset_history (e);
   e->entry = *entry;
   e->listed = true;
+  e->said_leaving = ms_left_has (place, id, entry->born, now);
   if (entry->cold_for > 0 && now + entry->cold_for > e->cold_until)
     e->cold_until = now + entry->cold_for;
   return e;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -37,6 +37,7 @@
   uint64_t id; /* ms_id of the name in the entry.  */
   struct ms_endpoint_entry entry;
   bool listed;           /* The endpoint list names it.  */
+  bool said_leaving;     /* It said in an answer that it leaves.  */
   unsigned references;   /* Attempts and connections that point to it.  */
   struct ms_load own;    /* Sent by this router.  Here and in others, pace and
                             limit stay 0; they are fields below.  */
@@ -200,6 +201,23 @@
    it, and it is freed once nothing refers to it.  */
 void ms_place_remove (struct ms_place *place, uint64_t id);
 
+/* Endpoint ID said in an answer that it leaves.  BORN is the start time that
+   its entry had when the connection was made.  From now on it gets no new
+   requests, whatever entries the list has, until one states another start
+   time.  This is remembered for ten minutes, also while the list lacks the
+   endpoint.  Return whether it was not known.  */
+bool ms_place_note_leaving (struct ms_place *place, uint64_t id, int64_t born,
+                            ms_time now);
+
+/* The same for the endpoints listed at ADDRESS but ID: another endpoint
+   answered there.  */
+bool ms_place_note_leaving_at (struct ms_place *place,
+                               const struct sockaddr_in *address, uint64_t id,
+                               ms_time now);
+
+/* Whether ENDPOINT is about to end, by its entry or by what it said.  */
+bool ms_place_is_leaving (const struct ms_endpoint_state *endpoint);
+
 /* Evacuate ZONE if OUT, so that its endpoints get no new work; otherwise use
    it again and treat its endpoints as cold for the cold time of their service.
    At most 16 zones can be evacuated at once; the evacuation of a further one
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -24,8 +24,9 @@
    GET /runs?id=ID returns how often the request with X-Request-Attempt-Id ID
    was run, GET /cancelled?id=ID how often its connection was found closed
    during a stream.  PUT /leave?to=1 makes all answers say that the endpoint
-   leaves, until PUT /leave?to=0.  With --runs=FILE each run is appended to FILE before it
-   begins: ID and the time in milliseconds of the monotonic clock.  */
+   leaves, until PUT /leave?to=0.  With --runs=FILE each run is appended to
+   FILE before it begins: ID and the time in milliseconds of the monotonic
+   clock.  */
 
 #include <argp.h>
 #include <civetweb.h>
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -223,6 +223,58 @@
   ms_place_destroy (place);
 }
 
+/* Guards against requests at an endpoint that said in an answer that it
+   leaves, by an entry of the same start.  */
+static void
+test_entry_does_not_undo_a_leaving_that_was_said (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_entry entry
+      = { .id = { 2, "e1" }, .service = MODEL, .zone = ZONE_A, .born = 1700 };
+  struct ms_endpoint_state *e = ms_place_put (place, &entry, 0);
+
+  (void)state;
+  assert_true (ms_place_may_send (place, e, MS_SEC));
+  assert_true (ms_place_note_leaving (place, e->id, 1700, MS_SEC));
+  assert_false (ms_place_note_leaving (place, e->id, 1700, MS_SEC));
+  assert_false (ms_place_may_send (place, e, MS_SEC));
+  assert_false (ms_place_confirm_send (place, e, 0, MS_SEC));
+  ms_place_remove (place, e->id);
+  entry.zone = ZONE_B;
+  e = ms_place_put (place, &entry, 2 * MS_SEC);
+  assert_false (ms_place_may_send (place, e, 2 * MS_SEC));
+  entry.born = 1800;
+  e = ms_place_put (place, &entry, 3 * MS_SEC);
+  assert_true (ms_place_may_send (place, e, 3 * MS_SEC));
+  /* A late answer of its earlier start.  */
+  assert_false (ms_place_note_leaving (place, e->id, 1700, 3 * MS_SEC));
+  assert_true (ms_place_may_send (place, e, 3 * MS_SEC));
+  ms_place_destroy (place);
+}
+
+/* Guards against requests at an endpoint that said that it leaves while it was
+   taken for the one that had its address before.  */
+static void
+test_leaving_of_a_misdirected_answer_is_of_the_other_endpoint (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *gone
+      = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+  struct ms_endpoint_state *there
+      = put_endpoint (place, 2, MODEL, ZONE_A, 0, 0);
+  struct ms_endpoint_state *other
+      = put_endpoint (place, 3, MODEL, ZONE_A, 0, 0);
+
+  (void)state;
+  gone->entry.address.sin_port = there->entry.address.sin_port = 80;
+  other->entry.address.sin_port = 81;
+  ms_place_note_leaving_at (place, &gone->entry.address, gone->id, MS_SEC);
+  assert_true (ms_place_may_send (place, gone, MS_SEC));
+  assert_false (ms_place_may_send (place, there, MS_SEC));
+  assert_true (ms_place_may_send (place, other, MS_SEC));
+  ms_place_destroy (place);
+}
+
 /* Guards against a request at an endpoint that left, or whose zone was
    evacuated, while the connection to it was being made.  */
 static void
@@ -605,6 +657,9 @@
     cmocka_unit_test (test_cold_bound_holds_for_twelve_routers),
     cmocka_unit_test (test_cold_bound_holds_for_more_routers_than_requests),
     cmocka_unit_test (test_leaving_and_evacuated_endpoints_get_no_request),
+    cmocka_unit_test (test_entry_does_not_undo_a_leaving_that_was_said),
+    cmocka_unit_test (
+        test_leaving_of_a_misdirected_answer_is_of_the_other_endpoint),
     cmocka_unit_test (
         test_endpoint_that_left_while_connecting_gets_no_request),
     cmocka_unit_test (test_cold_limit_counts_from_the_send_on),
