gateway.sh: check of an endpoint that leaves does not rest on who is chosen

The check let both endpoints serve and expected the one that leaves to get nothing. Now it is the only one in service, and the request after its answer must get 503 and not run, which is as strict for either reason.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -466,17 +466,23 @@
 # runs_on NUMBER: whether a request runs on this endpoint.
 runs_on () { request 1 /any/x; body_has "\"endpoint\":\"e$1\""; }
 leave_engine () { get -X PUT "http://$(engine_address "$1")/leave?to=$2" >/dev/null; }
-await 5 runs_on 0
+refused_unrun ()
+{
+  request 1 /any/x
+  is "$status" 503 && is "$(run_count $id)" 0
+}
+list_engine 1 draining
+await 5 all_run_on 0
 leave_engine 0 1
-await 5 runs_on 0
+runs_on 0
 head_has '^Server-Leaving' && told_caller=1 || told_caller=0
-all_run_on 1 && all_run_on 1
+refused_unrun
 verdict "an endpoint that said in an answer that it leaves gets no more requests" $?
 is $told_caller 0
 verdict "callers are not told that an endpoint leaves" $?
 list_engine 0 ready b
 sleep 1
-all_run_on 1 && all_run_on 1
+refused_unrun
 verdict "an entry of the list does not undo what an endpoint said of its leaving" $?
 leave_engine 0 0
 BORN=2
@@ -485,6 +491,7 @@
 await 5 runs_on 0
 verdict "an endpoint that started again after it left gets requests" $?
 list_engine 0 ready
+list_engine 1 ready
 get -X PUT "$(store_url)/forget?topic=keyed.servers" >/dev/null
 get -X PUT "$(store_url)/forget?topic=keyed.op" >/dev/null
 list_engine 0 draining
