Tests of CONFIG: the store comes back from an older copy

The stand-in of the store takes a copy, comes back from it with a higher Store-Era, and gives out offsets again.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -540,6 +540,60 @@
 verdict "a new gateway without access to the store is counted by the others" $?
 stop gateway4 KILL
 
+# The store comes back from an older copy.  Gateway 3 still depends on relays.
+copy_store () { get -X PUT "$(store_url)/copy" >/dev/null; }
+restore_store () { get -X PUT "$(store_url)/restore?empty=${1:-}" >/dev/null; }
+both_have_version ()
+{
+  log_has 1 "event=configuration version=$1 " \
+    && log_has 2 "event=configuration version=$1 "
+}
+all_serve () { serves 1 && serves 2 && serves 3; }
+copy_store
+for version in 6 7 8 9; do
+  publish_config $version '"k1"'
+done
+await 5 both_have_version 9
+restore_store
+publish_config 10 '"k1", "k10"'
+KEY=k10
+await 3 all_serve
+verdict "a configuration written after the store came back from a copy is in force" $?
+copy_store
+publish_config 11 '"k1"'
+await 5 both_have_version 11
+store_mode down
+restore_store
+publish_config 12 '"k1", "k12"'
+store_put keyed.op other 1
+store_put keyed.op other 2
+store_mode up
+KEY=k12
+await 3 all_serve
+verdict "a configuration at an offset that was given out before is in force" $?
+copy_store
+publish_config 13 '"k1"'
+await 5 both_have_version 13
+restore_store keyed.monsoonspur
+sleep 1
+still_refused=0
+for n in 1 2 3; do
+  request $n /any/x
+  is "$status" 200 || still_refused=$((still_refused + 1))
+done
+is $still_refused 3
+verdict "a key that was revoked does not come back with an older copy" $?
+KEY=k1
+publish_config 13 '"k1"'
+members_listed ()
+{
+  get "$(store_url)/log-newest?topic=keyed.monsoonspur" >"$DIR/members"
+  grep -q '"g1"' "$DIR/members" && grep -q '"g2"' "$DIR/members"
+}
+await 3 members_listed
+verdict "routers register again after the store lost their records" $?
+await 5 all_serve
+
 store_mode down
 keys_refused ()
 {
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -3,15 +3,17 @@
 
    GET  /log-read?topic=T&from=N&wait_ms=M
                records of T from offset N on, in binary; waits up to M ms for
-               one; 410 if the record at N was dropped
+               one; 410 if the record at N was dropped or is beyond the end
    GET  /log-newest?topic=T
                the newest value of each key of T, in JSON
    POST /log-append?topic=T
                appends the records of the body, each behind its length in
                4 bytes
 
-   Other parameters, such as part, are ignored.  Tests control the stand-in
-   with the following calls, which it also serves while the store is down:
+   Other parameters, such as part, are ignored.  All answers have the header
+   Store-Era, a number that rises when the store comes back from a copy.  Tests
+   control the stand-in with the following calls, which it also serves while
+   the store is down:
 
    PUT  /put?topic=T&key=K
                the body becomes K's value; an empty one removes K
@@ -19,7 +21,12 @@
                down: the store's own calls, /log-read, /log-newest and
                /log-append, get 503 until the store is up again
    PUT  /forget?topic=T
-               drops the history of T: only /log-newest still shows it  */
+               drops the history of T: only /log-newest still shows it
+   PUT  /copy
+               takes a copy of all topics
+   PUT  /restore?empty=T
+               brings the store back from the copy, without the records of T,
+               if given; what was appended since the copy is gone  */
 
 #include <argp.h>
 #include <civetweb.h>
@@ -48,14 +55,17 @@
 {
   char name[64];
   struct record *records;
-  unsigned long first; /* Oldest offset that /log-read has.  */
-  unsigned long end;   /* Offset of the next record.  */
+  unsigned long first;        /* Oldest offset that /log-read has.  */
+  unsigned long end;          /* Offset of the next record.  */
+  unsigned long copied_first; /* Both as of the copy.  */
+  unsigned long copied_end;
 };
 
 static struct topic topics[MAX_TOPICS];
 static pthread_mutex_t topics_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static bool is_down;
+static unsigned era = 1;
 
 /* The topic NAME, created if need be, or the first one if there are too many.
    The caller holds topics_lock.  */
@@ -126,8 +136,8 @@
 {
   mg_printf (connection,
              "HTTP/1.1 %d -\r\nContent-Length: %zu\r\n"
-             "Connection: keep-alive\r\n\r\n",
-             status, length);
+             "Store-Era: %u\r\nConnection: keep-alive\r\n\r\n",
+             status, length, era);
   mg_write (connection, data, length);
   return 1;
 }
@@ -155,7 +165,7 @@
       deadline.tv_sec++;
       deadline.tv_nsec -= 1000000000;
     }
-  while (t->end <= from && !is_down
+  while (t->end == from && !is_down
          && pthread_cond_timedwait (&changed, &topics_lock, &deadline) == 0)
     ;
 }
@@ -208,7 +218,7 @@
     wait_for_records (t, from, strtol (wait_text, NULL, 10));
   if (is_down)
     result = send_response (connection, 503, "", 0);
-  else if (from < t->first)
+  else if (from < t->first || from > t->end)
     result = send_response (connection, 410, "{}", 2);
   else
     result = send_records (connection, t, from);
@@ -343,6 +353,42 @@
   return send_response (connection, 200, "", 0);
 }
 
+static int
+handle_copy (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  pthread_mutex_lock (&topics_lock);
+  for (int i = 0; i < MAX_TOPICS; i++)
+    {
+      topics[i].copied_first = topics[i].first;
+      topics[i].copied_end = topics[i].end;
+    }
+  pthread_mutex_unlock (&topics_lock);
+  return send_response (connection, 200, "", 0);
+}
+
+static int
+handle_restore (struct mg_connection *connection, void *context)
+{
+  char empty[64];
+
+  (void)context;
+  query_value (connection, "empty", empty, sizeof empty);
+  pthread_mutex_lock (&topics_lock);
+  for (int i = 0; i < MAX_TOPICS; i++)
+    {
+      struct topic *t = &topics[i];
+      bool keep = !*empty || strcmp (t->name, empty) != 0;
+
+      t->first = keep ? t->copied_first : 0;
+      t->end = keep ? t->copied_end : 0;
+    }
+  era++;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&topics_lock);
+  return send_response (connection, 200, "", 0);
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -367,6 +413,8 @@
     { "/put$", handle_put },
     { "/mode$", handle_mode },
     { "/forget$", handle_forget },
+    { "/copy$", handle_copy },
+    { "/restore$", handle_restore },
   };
   const char *address = "127.0.0.1:0";
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -325,6 +325,28 @@
     assert_int_equal (f->values[i], topic->values[i]);
 }
 
+/* Guards against older records that stay in force because the store came back
+   from a copy, whose offsets are lower.  */
+static void
+test_snapshot_of_a_store_that_went_back_is_applied (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower f;
+
+  (void)state;
+  create_follower (&f);
+  for (unsigned i = 0; i < 20; i++)
+    write_key (&topic, 0, false);
+  read_topic (&f, &topic, KEYS, 1 * MS_SEC);
+  topic.end = 5;
+  write_key (&topic, 0, false);
+  ms_replica_add (f.replica, ms_str ("k0"), ms_str ("6"));
+  ms_replica_complete (f.replica, topic.end, 2 * MS_SEC, 2 * MS_SEC);
+  expect_equal (&f, &topic);
+  assert_int_equal (ms_replica_next (f.replica), topic.end);
+  ms_replica_destroy (f.replica);
+}
+
 /* A relay to a peer that lacks one of many records has about the size of one
    record, and the peer has the same records then; a peer that lacks more
    removals than are remembered gets all.  */
@@ -488,6 +510,7 @@
     cmocka_unit_test (test_router_on_relays_does_not_put_off_a_removal),
     cmocka_unit_test (test_entries_that_expire_in_an_outage_are_kept),
     cmocka_unit_test (test_read_that_stops_short_does_not_confirm_the_list),
+    cmocka_unit_test (test_snapshot_of_a_store_that_went_back_is_applied),
     cmocka_unit_test (test_relay_has_what_changed),
     cmocka_unit_test (test_gap_is_detected),
     cmocka_unit_test (test_replicas_agree_in_any_order),
