Follow the era of the store: one that came back from an older copy

Callers got refusals as an older version of the configuration says, though a newer one had been acknowledged.

Cause: offsets of a topic were taken for a measure of how new records are, across a loss in the store. The same cause: routers' own records were never written again, and an endpoint that had left could come back.

Change: each answer of the store, and each relay, carries the store's era (Store-Era); a 410 for an offset that is not reached yet says the same. A replica belongs to one era: older answers and relays change nothing, a later era comes as a whole only. What was in force stays until its writers had 2.5 s to write again, and records that only the copy has are not used before; a missing route or key gets 503 meanwhile. Gateways write their own records again within 1.5 s. An endpoint that was leaving does not become ready with the same start.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -32,6 +32,7 @@
   char *value;
   size_t value_length;
   bool missing;    /* The store no longer has it.  */
+  bool held;       /* Only an older copy of the store has it; not reported.  */
   bool relayable;  /* It can be written as JSON text.  */
   uint64_t hash;   /* Of key and value.  */
   uint64_t offset; /* Its last change is before this offset.  */
@@ -51,14 +52,18 @@
   struct record *records;
   struct record *snapshot; /* Records of the pages read so far.  */
   bool loaded;             /* A snapshot was applied.  */
-  bool incomplete; /* A relay of changes did not lead to the peer's records. */
+  bool incomplete;         /* As of ms_replica_incomplete.  */
+  bool lost;    /* As of ms_replica_note_loss, until the next snapshot.  */
+  uint64_t era; /* As of ms_replica_era.  */
   struct removal removals[MAX_REMOVALS]; /* Ring of the latest.  */
   unsigned removals_next;                /* Next to be written.  */
   uint64_t changes_from; /* All changes from this offset on are known.  */
   uint64_t next;
   ms_time read_at;    /* As of ms_replica_read_at.  */
-  ms_time outage_end; /* Send time of the read that ended the last outage; 0
-                         if there was none.  */
+  ms_time outage_end; /* Send time of the read that ended the last outage, or
+                         that showed a loss; 0 if there was none.  */
+  ms_time kept_until; /* When what was kept or held since then ends.  */
+  ms_time settled_at; /* The same of the last loss; 0 if there was none.  */
 };
 
 struct ms_replica *
@@ -120,6 +125,24 @@
   return replica->incomplete;
 }
 
+uint64_t
+ms_replica_era (const struct ms_replica *replica)
+{
+  return replica->era;
+}
+
+bool
+ms_replica_settling (const struct ms_replica *replica, ms_time now)
+{
+  return now < replica->settled_at;
+}
+
+void
+ms_replica_note_loss (struct ms_replica *replica)
+{
+  replica->lost = replica->loaded;
+}
+
 uint64_t
 ms_replica_next (const struct ms_replica *replica)
 {
@@ -187,21 +210,47 @@
   return true;
 }
 
+static struct ms_str
+record_key (const struct record *r)
+{
+  return (struct ms_str){ r->key, r->key_length };
+}
+
+static struct ms_str
+record_value (const struct record *r)
+{
+  return (struct ms_str){ r->value, r->value_length };
+}
+
 static void
 update_record (struct ms_replica *replica, struct ms_str key,
                struct ms_str value, uint64_t offset)
 {
-  if (set_record (&replica->records, key, value, offset))
+  struct record *r = find_record (replica->records, key);
+  bool held = r && r->held;
+
+  if (held)
+    r->held = false;
+  if (set_record (&replica->records, key, value, offset) || held)
     replica->options.changed (replica->options.context, key, value, false);
 }
 
+/* Report a record that was held.  */
+static void
+release_record (struct ms_replica *replica, struct record *r)
+{
+  r->held = false;
+  replica->options.changed (replica->options.context, record_key (r),
+                            record_value (r), false);
+}
+
 static void
 delete_record (struct ms_replica *replica, struct record *r)
 {
   HASH_DEL (replica->records, r);
-  replica->options.changed (replica->options.context,
-                            (struct ms_str){ r->key, r->key_length },
-                            (struct ms_str){ "", 0 }, true);
+  if (!r->held)
+    replica->options.changed (replica->options.context, record_key (r),
+                              (struct ms_str){ "", 0 }, true);
   free_record (r);
 }
 
@@ -211,7 +260,31 @@
 {
   if (replica->options.outage && replica->loaded
       && sent_at - replica->read_at >= replica->options.outage)
-    replica->outage_end = sent_at;
+    {
+      replica->outage_end = sent_at;
+      replica->kept_until = sent_at + replica->options.keep;
+    }
+}
+
+/* A read that was sent at SENT_AT shows that the store came back from an older
+   copy: offsets before it mean nothing any more.  */
+static void
+note_older_copy (struct ms_replica *replica, uint64_t end, uint64_t era,
+                 ms_time sent_at, ms_time now)
+{
+  ms_event (now, "store_lost_records",
+            "topic=%s era=%llu end=%llu known_era=%llu known_end=%llu",
+            replica->options.name, (unsigned long long)era,
+            (unsigned long long)end, (unsigned long long)replica->era,
+            (unsigned long long)replica->next);
+  replica->outage_end = sent_at;
+  replica->kept_until = sent_at + replica->options.rewrite;
+  replica->settled_at = replica->kept_until;
+  for (unsigned i = 0; i < MAX_REMOVALS; i++)
+    {
+      free (replica->removals[i].key);
+      replica->removals[i] = (struct removal){ NULL, 0 };
+    }
 }
 
 /* Remember that R was removed before OFFSET.  */
@@ -239,7 +312,7 @@
 {
   if (!r->missing)
     note_removal (replica, r, offset);
-  if (!replica->outage_end
+  if (!replica->outage_end || r->held
       || sent_at >= replica->outage_end + OUTAGE_AFTERMATH)
     delete_record (replica, r);
   else if (!r->missing)
@@ -281,41 +354,75 @@
   free_table (&replica->snapshot);
 }
 
-/* Replace the records by those in *TABLE, a snapshot up to offset END that was
-   requested at SENT_AT, and empty *TABLE.  */
+/* Apply the record R of a snapshot up to offset END.  From an older copy, one
+   that is new here is held.  */
+static void
+apply_from_snapshot (struct ms_replica *replica, const struct record *r,
+                     uint64_t end, bool older_copy)
+{
+  struct record *known = find_record (replica->records, record_key (r));
+
+  if (!known && older_copy)
+    {
+      set_record (&replica->records, record_key (r), record_value (r), end);
+      find_record (replica->records, record_key (r))->held = true;
+    }
+  else if (!known || !known->held
+           || !ms_str_equal (record_value (known), record_value (r)))
+    update_record (replica, record_key (r), record_value (r), end);
+}
+
+/* Replace the records by those in *TABLE, a snapshot up to offset END of ERA
+   that was requested at SENT_AT, and empty *TABLE.  */
 static void
 apply_snapshot (struct ms_replica *replica, struct record **table,
-                uint64_t end, ms_time sent_at, ms_time now)
+                uint64_t end, uint64_t era, ms_time sent_at, ms_time now)
 {
+  bool older_copy = replica->loaded && (replica->lost || era > replica->era);
   struct record *r, *next;
 
   note_read (replica, sent_at);
+  if (older_copy)
+    note_older_copy (replica, end, era, sent_at, now);
   HASH_ITER (hh, replica->records, r, next)
   {
-    if (!find_record (*table, (struct ms_str){ r->key, r->key_length }))
+    if (!find_record (*table, record_key (r)))
       handle_missing (replica, r, end, sent_at, now);
   }
   HASH_ITER (hh, *table, r, next)
   {
-    update_record (replica, (struct ms_str){ r->key, r->key_length },
-                   (struct ms_str){ r->value, r->value_length }, end);
+    apply_from_snapshot (replica, r, end, older_copy);
   }
   free_table (table);
-  if (!replica->loaded)
-    replica->changes_from = end;
+  /* The changes since an offset before a loss cannot be told.  */
+  if (!replica->loaded || end < replica->next || older_copy)
+    {
+      replica->changes_from = end;
+      HASH_ITER (hh, replica->records, r, next) { r->offset = end; }
+    }
   replica->next = end;
   replica->loaded = true;
   replica->incomplete = false;
+  replica->lost = false;
+  if (era)
+    replica->era = era;
 }
 
 void
-ms_replica_complete (struct ms_replica *replica, uint64_t end, ms_time sent_at,
-                     ms_time now)
+ms_replica_complete (struct ms_replica *replica, uint64_t end, uint64_t era,
+                     ms_time sent_at, ms_time now)
 {
-  if (replica->loaded && end < replica->next)
-    free_table (&replica->snapshot); /* A relay brought a newer state.  */
-  else
-    apply_snapshot (replica, &replica->snapshot, end, sent_at, now);
+  bool older_era = era && era < replica->era;
+  /* A relay brought a newer state.  */
+  bool overtaken = replica->loaded && era <= replica->era && !replica->lost
+                   && end < replica->next && sent_at <= replica->read_at;
+
+  if (older_era || overtaken)
+    {
+      free_table (&replica->snapshot);
+      return;
+    }
+  apply_snapshot (replica, &replica->snapshot, end, era, sent_at, now);
   if (sent_at > replica->read_at)
     replica->read_at = sent_at;
 }
@@ -356,12 +463,13 @@
 {
   struct record *r, *next;
 
-  if (!replica->outage_end
-      || now < replica->outage_end + replica->options.keep)
+  if (!replica->outage_end || now < replica->kept_until)
     return;
   replica->outage_end = 0;
   HASH_ITER (hh, replica->records, r, next)
   {
+    if (r->held)
+      release_record (replica, r);
     if (!r->missing)
       continue;
     ms_event (now, "record_dropped", "topic=%s key=%.*s",
@@ -441,6 +549,9 @@
     return NULL;
   relay = json_pack ("{s:I, s:I}", "next", (json_int_t)replica->next, "age_us",
                      (json_int_t)(now - replica->read_at));
+  if (replica->era)
+    json_object_set_new (relay, "era",
+                         json_integer ((json_int_t)replica->era));
   if (known >= replica->next)
     return relay;
   if (!changes || !known || known < replica->changes_from)
@@ -498,10 +609,10 @@
 }
 
 /* Replace the records by those in RELAY, which was read at READ_AT and goes up
-   to OFFSET.  */
+   to OFFSET of ERA.  */
 static void
 apply_all (struct ms_replica *replica, const json_t *relay, uint64_t offset,
-           ms_time read_at, ms_time now)
+           uint64_t era, ms_time read_at, ms_time now)
 {
   struct record *table = NULL;
   const char *key;
@@ -514,7 +625,7 @@
                                  json_string_length (value) },
                 offset);
   }
-  apply_snapshot (replica, &table, offset, read_at, now);
+  apply_snapshot (replica, &table, offset, era, read_at, now);
 }
 
 /* Return whether all values of OBJECT are strings.  */
@@ -532,6 +643,24 @@
   return json_is_object (object);
 }
 
+/* Apply RELAY, which was read at READ_AT and goes up to OFFSET of a later ERA.
+   Without all records, the next call asks for them.  */
+static bool
+apply_later_era (struct ms_replica *replica, const json_t *relay,
+                 uint64_t offset, uint64_t era, ms_time read_at, ms_time now)
+{
+  if (json_object_get (relay, "since")
+      || !has_strings_only (json_object_get (relay, "records")))
+    {
+      replica->incomplete = true;
+      return false;
+    }
+  apply_all (replica, relay, offset, era, read_at, now);
+  if (read_at > replica->read_at)
+    replica->read_at = read_at;
+  return true;
+}
+
 bool
 ms_replica_apply (struct ms_replica *replica, const json_t *relay,
                   ms_time sent_at, ms_time now)
@@ -542,9 +671,15 @@
   json_t *records = json_object_get (relay, "records");
   ms_time read_at = sent_at - json_integer_value (age);
   uint64_t offset = (uint64_t)json_integer_value (next);
+  json_int_t era = json_integer_value (json_object_get (relay, "era"));
 
-  if (!json_is_integer (next) || !json_is_integer (age)
-      || offset < replica->next
+  if (!json_is_integer (next) || !json_is_integer (age) || era < 0
+      || (uint64_t)era < replica->era)
+    return false;
+  if (replica->loaded && (uint64_t)era > replica->era)
+    return apply_later_era (replica, relay, offset, (uint64_t)era, read_at,
+                            now);
+  if (offset < replica->next
       || (replica->loaded && read_at <= replica->read_at))
     return false;
   if (offset > replica->next || !replica->loaded || replica->incomplete)
@@ -552,7 +687,7 @@
       if (!has_strings_only (records))
         return false;
       if (!since)
-        apply_all (replica, relay, offset, read_at, now);
+        apply_all (replica, relay, offset, (uint64_t)era, read_at, now);
       else if (!replica->loaded || replica->incomplete
                || (uint64_t)json_integer_value (since) != replica->next
                || !apply_changes (replica, relay, offset, read_at, now))
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -27,6 +27,12 @@
   ms_time outage;
   ms_time keep;
 
+  /* After the store came back from an older copy: until REWRITE after the read
+     that showed it, records that the copy lacks are kept, and those that only
+     the copy has are not reported unless they are written again.  By then the
+     writers have written again what is true.  */
+  ms_time rewrite;
+
   /* Called when the value of KEY changes, or with REMOVED set when KEY is
      deleted; VALUE is then empty.  */
   void (*changed) (void *context, struct ms_str key, struct ms_str value,
@@ -60,11 +66,24 @@
 /* Forget the snapshot that is being read.  */
 void ms_replica_abandon (struct ms_replica *replica);
 
+/* The era of the store that the records come from: a number that rises when
+   the store comes back from an older copy.  0 if it is not known.  */
+uint64_t ms_replica_era (const struct ms_replica *replica);
+
+/* Whether the store came back from an older copy so recently that the records
+   may lack what was acknowledged before.  */
+bool ms_replica_settling (const struct ms_replica *replica, ms_time now);
+
+/* The store no longer has the offset at which the next read of changes starts
+   and gives out those before it again.  The next snapshot comes from an older
+   copy.  */
+void ms_replica_note_loss (struct ms_replica *replica);
+
 /* The snapshot that was being read is complete: it has the records up to the
-   offset END, and its first page was requested at SENT_AT.  It replaces the
-   records unless they are newer.  */
+   offset END of the store's ERA (0: not known), and its first page was
+   requested at SENT_AT.  It replaces the records unless they are newer.  */
 void ms_replica_complete (struct ms_replica *replica, uint64_t end,
-                          ms_time sent_at, ms_time now);
+                          uint64_t era, ms_time sent_at, ms_time now);
 
 /* Apply a change that a read brought, which was sent at SENT_AT: KEY has VALUE
    now, or was removed.  */
@@ -82,7 +101,8 @@
 void ms_replica_tick (struct ms_replica *replica, ms_time now);
 
 /* Return whether a relay of changes did not lead to the records of the peer,
-   so that a snapshot or a relay of all records is needed.  */
+   or came from a later era, so that a snapshot or a relay of all records is
+   needed.  */
 bool ms_replica_incomplete (const struct ms_replica *replica);
 
 /* Return a JSON object for a peer's ms_replica_apply: the next offset and the
@@ -90,14 +110,14 @@
    offset KNOWN, also records: with CHANGES those that have changed or gone
    since and a checksum of all, if that is still known, otherwise all of them.
    Records that are only kept count as gone, as whether to keep them depends on
-   what the peer itself has missed.  NULL if nothing was read yet.  The caller
-   owns the result.  */
+   what the peer itself has missed.  The object also has the era, if known.
+   NULL if nothing was read yet.  The caller owns the result.  */
 json_t *ms_replica_encode (const struct ms_replica *replica, uint64_t known,
                            bool changes, ms_time now);
 
 /* Apply RELAY, which a peer returned for a call sent at SENT_AT.  Return true
    if it brought newer records or confirmed them by a later read; otherwise it
-   is ignored.  */
+   is ignored, as is a relay of an older era.  */
 bool ms_replica_apply (struct ms_replica *replica, const json_t *relay,
                        ms_time sent_at, ms_time now);
 
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -26,6 +26,10 @@
    those that live have written their entry again.  */
 #define ENDPOINT_KEEP (1500 * MS_MSEC)
 
+/* By then operators, endpoints and routers have written again what a store
+   that came back from an older copy had lost.  */
+#define REWRITE_TIME (2500 * MS_MSEC)
+
 /* Part of the revocation bound that is set aside for a request to reach its
    endpoint after its key was checked.  */
 #define REVOCATION_MARGIN (400 * MS_MSEC)
@@ -52,7 +56,8 @@
   ms_time bound = (ms_time)(gw->settings->config_apply_ms * MS_MSEC
                             * CONFIG_RECENT_FRACTION);
 
-  return now - ms_topic_read_at (gw->operator_topic) < bound;
+  return now - ms_topic_read_at (gw->operator_topic) < bound
+         && !ms_replica_settling (ms_topic_replica (gw->operator_topic), now);
 }
 
 bool
@@ -169,6 +174,7 @@
   struct ms_topic_options operator_options = {
     .replica = {
       .name = PLAT_TOPIC_OPERATOR,
+      .rewrite = REWRITE_TIME,
       .changed = on_operator_change,
       .context = gw,
     },
@@ -182,6 +188,7 @@
       .name = PLAT_TOPIC_ENDPOINTS,
       .outage = endpoint_outage (gw->settings),
       .keep = ENDPOINT_KEEP,
+      .rewrite = REWRITE_TIME,
       .changed = on_endpoint_change,
       .context = gw,
     },
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -7,6 +7,7 @@
 
 #include "base/alloc.h"
 #include "gateway/socket.h"
+#include "platform.h"
 #include "wire/message.h"
 
 /* Limit on the names and values of a response's headers.  */
@@ -29,6 +30,7 @@
   bool keep_alive; /* The connection can be used for another call.  */
   bool too_large;  /* The response's body exceeds MAX_BODY_BYTES.  */
   unsigned code;   /* Status code of the response.  */
+  uint64_t era;    /* Of the store, as of ms_exchange_era.  */
   char *body;
   size_t body_length;
   size_t body_capacity;
@@ -76,6 +78,7 @@
   struct ms_exchange *x = context;
 
   x->code = head->status;
+  x->era = plat_decode_era (head);
   x->keep_alive = head->keep_alive;
 }
 
@@ -217,6 +220,12 @@
   return exchange->busy;
 }
 
+uint64_t
+ms_exchange_era (const struct ms_exchange *exchange)
+{
+  return exchange->era;
+}
+
 /* Write the request line, headers and BODY to a new x->request.  */
 static void
 compose_request (struct ms_exchange *x, const char *method, const char *path,
@@ -251,6 +260,7 @@
   x->context = context;
   x->sent_at = ms_now (x->clock);
   x->code = 0;
+  x->era = 0;
   x->too_large = false;
   x->body_length = 0;
   uv_timer_start (&x->timer, on_timeout, (uint64_t)(timeout / MS_MSEC), 0);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -33,6 +33,10 @@
 /* Whether a call is in progress.  */
 bool ms_exchange_busy (const struct ms_exchange *exchange);
 
+/* The era of the store (plat_decode_era) that the answer to the last call
+   states; 0 if there was no answer or it states none.  */
+uint64_t ms_exchange_era (const struct ms_exchange *exchange);
+
 /* Send METHOD PATH with BODY, which may be empty and is copied, to SERVER.
    EXCHANGE must not be busy.  DONE is called once with CONTEXT, after TIMEOUT
    microseconds at the latest and never before this function returns.  */
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -19,6 +19,10 @@
 #define RETRY_DELAY (500 * MS_MSEC)
 #define CALL_TIMEOUT (1500 * MS_MSEC)
 
+/* Time over which all routers write their records again after the store came
+   back from an older copy.  */
+#define REWRITE_SPREAD (1500 * MS_MSEC)
+
 struct ms_members
 {
   struct ms_gateway *gw;
@@ -27,6 +31,7 @@
   char path[512];
   char record[512];
   bool registered;     /* The store has this router's record.  */
+  uint64_t era;        /* The store's, when that record was written.  */
   ms_time register_at; /* No registration starts before this time.  */
   ms_time read_at;     /* No read starts before this time.  */
   char after[256];     /* The next read starts after this key.  */
@@ -112,6 +117,8 @@
   /* Writing the record twice has the same effect as once, so an unknown
      outcome is simply retried.  */
   m->registered = status == MS_OK && code == 200;
+  if (ms_exchange_era (m->exchange) > m->era)
+    m->era = ms_exchange_era (m->exchange);
   m->register_at = m->gw->now + RETRY_DELAY;
   if (!m->registered)
     ms_event (m->gw->now, "member_unwritten", "code=%u", code);
@@ -165,11 +172,33 @@
                     on_registered, m);
 }
 
+/* If the store has come back from an older copy since, this router's record
+   may be gone: write it again.  All routers do so, spread over a while.  */
+static void
+check_era (struct ms_members *m, ms_time now)
+{
+  uint64_t operator_era
+      = ms_replica_era (ms_topic_replica (m->gw->operator_topic));
+  uint64_t endpoint_era
+      = ms_replica_era (ms_topic_replica (m->gw->endpoint_topic));
+  uint64_t era = operator_era > endpoint_era ? operator_era : endpoint_era;
+
+  if (!m->registered || era <= m->era)
+    return;
+  m->era = era;
+  m->registered = false;
+  m->register_at
+      = now + (ms_time)ms_random_below (&m->gw->random, REWRITE_SPREAD);
+  /* Found in records of before.  */
+  m->gone.length = 0;
+}
+
 void
 ms_members_tick (struct ms_members *m, ms_time now)
 {
   if (ms_exchange_busy (m->exchange))
     return;
+  check_era (m, now);
   if (!m->registered && now >= m->register_at)
     {
       register_self (m);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -28,6 +28,7 @@
   char page_after[256];     /* ...starting after this key.  */
   uint64_t snapshot_end;    /* Offset to read changes from, given with the
                                first page.  */
+  uint64_t snapshot_era;    /* Era of the store, given with the first page.  */
   ms_time snapshot_sent_at; /* When the first page was requested.  */
   uint64_t call_offset;     /* Where the last read of changes starts.  */
   bool history_gone;        /* The store has dropped the record there.  */
@@ -94,6 +95,14 @@
   t->failures = 0;
 }
 
+/* Drop the pages read so far.  */
+static void
+abandon_snapshot (struct ms_topic *t)
+{
+  t->snapshot_open = false;
+  ms_replica_abandon (t->replica);
+}
+
 /* Drop an unfinished snapshot and schedule the next try.  CODE is the HTTP
    status if there was a response.  */
 static void
@@ -108,20 +117,46 @@
               t->options.replica.name, code,
               (long long)((now - ms_replica_read_at (t->replica)) / MS_MSEC));
   t->failures++;
-  t->snapshot_open = false;
-  ms_replica_abandon (t->replica);
+  abandon_snapshot (t);
   t->next_call_at = now + pause;
 }
 
+/* Read a snapshot next, and at once.  */
+static void
+restart_from_snapshot (struct ms_topic *t, ms_time now)
+{
+  t->history_gone = true;
+  /* Pages of an earlier snapshot that a relay made needless are old.  */
+  abandon_snapshot (t);
+  t->next_call_at = now;
+}
+
+/* Return whether an answer of ERA says nothing of the store as it is now: it
+   was sent before the store came back from an older copy.  */
+static bool
+is_of_older_era (const struct ms_topic *t, uint64_t era)
+{
+  return era && era < ms_replica_era (t->replica);
+}
+
 static void
 on_snapshot_page (void *context, enum ms_status status, unsigned code,
                   struct ms_str body, ms_time sent_at)
 {
   struct ms_topic *t = context;
   ms_time now = ms_now (t->clock);
+  uint64_t era = ms_exchange_era (t->exchange);
   bool more;
   uint64_t end;
 
+  if (status == MS_OK
+      && (is_of_older_era (t, era)
+          || (t->snapshot_open && era != t->snapshot_era)))
+    {
+      abandon_snapshot (t);
+      t->next_call_at = now + MIN_RETRY_DELAY;
+      return;
+    }
   if (status != MS_OK || code != 200
       || plat_decode_newest (body, add_to_snapshot, t, &end, &more,
                              t->page_after, sizeof t->page_after)
@@ -133,6 +168,7 @@
   if (!t->snapshot_open)
     {
       t->snapshot_end = end;
+      t->snapshot_era = era;
       t->snapshot_sent_at = sent_at;
     }
   t->snapshot_open = more;
@@ -140,7 +176,8 @@
   if (more)
     return;
   t->next_call_at = now + t->options.pause;
-  ms_replica_complete (t->replica, t->snapshot_end, t->snapshot_sent_at, now);
+  ms_replica_complete (t->replica, t->snapshot_end, t->snapshot_era,
+                       t->snapshot_sent_at, now);
   t->history_gone = false;
   read_succeeded (t, t->snapshot_sent_at);
 }
@@ -153,21 +190,31 @@
   ms_time now = ms_now (t->clock);
   ms_time wait = t->options.wait_ms * MS_MSEC;
   ms_time confirmed_at = sent_at;
+  uint64_t era = ms_exchange_era (t->exchange);
   uint64_t next;
   uint64_t end;
 
   t->call_sent_at = sent_at;
+  if (status == MS_OK && is_of_older_era (t, era))
+    {
+      t->next_call_at = now + MIN_RETRY_DELAY;
+      return;
+    }
+  if (status == MS_OK && code == 200 && era > ms_replica_era (t->replica))
+    {
+      /* The offset was given out again.  */
+      restart_from_snapshot (t, now);
+      return;
+    }
   if (status == MS_OK && code == 410)
     {
-      /* The store no longer has the record at this offset: read a
-         snapshot.  */
+      /* The store no longer has the record at this offset.  */
       ms_event (now, "topic_history_gone", "topic=%s from=%llu",
                 t->options.replica.name, (unsigned long long)t->call_offset);
-      t->history_gone = true;
-      /* Pages of an earlier snapshot that a relay made needless are old.  */
-      t->snapshot_open = false;
-      ms_replica_abandon (t->replica);
-      t->next_call_at = now;
+      if (plat_offset_lost (body, t->call_offset)
+          && t->call_offset == ms_replica_next (t->replica))
+        ms_replica_note_loss (t->replica);
+      restart_from_snapshot (t, now);
       return;
     }
   if (status == MS_OK && code == 200
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -50,11 +50,11 @@
 /* Free the response times of all services.  */
 void ms_speed_destroy (struct ms_place *place);
 
-/* Endpoints that said in an answer that they leave.  */
+/* Endpoints that leave, though the list may not say so.  */
 struct ms_left;
 
-/* Return whether ID, of the start time BORN, has said that it leaves.  Another
-   start time ends what was said before.  */
+/* Return whether ID, of the start time BORN, is known to leave.  Another start
+   time ends what was known before.  */
 bool ms_left_has (struct ms_place *place, uint64_t id, int64_t born,
                   ms_time now);
 
--- a/src/place/leaving.c
+++ b/src/place/leaving.c
@@ -4,9 +4,9 @@
 #include "base/alloc.h"
 #include "place/internal.h"
 
-/* Endpoints that said in an answer that they leave.  An endpoint knows this
-   earlier than the list, which may be out of reach or older, so no entry of
-   the same start undoes it.  */
+/* Endpoints that leave by what they said in an answer, or by an entry that the
+   list has no more.  The list may be out of reach or older, so no entry of the
+   same start undoes it.  */
 
 /* By then an endpoint that leaves has ended.  */
 #define LEFT_LIFETIME (600 * MS_SEC)
@@ -74,7 +74,7 @@
   left->born = born;
   left->said_at = now;
   if (e)
-    e->said_leaving = true;
+    e->known_leaving = true;
   return !known;
 }
 
@@ -100,7 +100,7 @@
 bool
 ms_place_is_leaving (const struct ms_endpoint_state *endpoint)
 {
-  return endpoint->entry.leaving || endpoint->said_leaving;
+  return endpoint->entry.leaving || endpoint->known_leaving;
 }
 
 void
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -128,9 +128,13 @@
     e = add_endpoint (place, id);
   if (e->entry.born != entry->born)
     reset_history (e);
+  /* An entry that an older copy of the store has.  */
+  if (e->entry.leaving && !entry->leaving && entry->born
+      && e->entry.born == entry->born)
+    ms_place_note_leaving (place, id, entry->born, now);
   e->entry = *entry;
   e->listed = true;
-  e->said_leaving = ms_left_has (place, id, entry->born, now);
+  e->known_leaving = ms_left_has (place, id, entry->born, now);
   if (entry->cold_for > 0 && now + entry->cold_for > e->cold_until)
     e->cold_until = now + entry->cold_for;
   return e;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -37,7 +37,7 @@
   uint64_t id; /* ms_id of the name in the entry.  */
   struct ms_endpoint_entry entry;
   bool listed;           /* The endpoint list names it.  */
-  bool said_leaving;     /* It said in an answer that it leaves.  */
+  bool known_leaving;    /* By an answer or an earlier entry.  */
   unsigned references;   /* Attempts and connections that point to it.  */
   struct ms_load own;    /* Sent by this router.  Here and in others, pace and
                             limit stay 0; they are fields below.  */
--- a/tests/fuzz/relay.c
+++ b/tests/fuzz/relay.c
@@ -43,7 +43,7 @@
   apply (replica, (const char *)data, size, 100);
   ms_replica_add (replica, ms_str ("a"), ms_str ("1"));
   ms_replica_add (replica, ms_str ("b"), ms_str ("2"));
-  ms_replica_complete (replica, 5, 200, 200);
+  ms_replica_complete (replica, 5, 0, 200, 200);
   apply (replica, (const char *)data, size, 300);
   ms_replica_tick (replica, 400);
   relay = ms_replica_encode (replica, 5, true, 400);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -246,6 +246,14 @@
   entry.born = 1800;
   e = ms_place_put (place, &entry, 3 * MS_SEC);
   assert_true (ms_place_may_send (place, e, 3 * MS_SEC));
+  entry.leaving = true;
+  ms_place_put (place, &entry, 3 * MS_SEC);
+  entry.leaving = false;
+  ms_place_put (place, &entry, 3 * MS_SEC);
+  assert_false (ms_place_may_send (place, e, 3 * MS_SEC));
+  entry.born = 1900;
+  ms_place_put (place, &entry, 3 * MS_SEC);
+  assert_true (ms_place_may_send (place, e, 3 * MS_SEC));
   /* A late answer of its earlier start.  */
   assert_false (ms_place_note_leaving (place, e->id, 1700, 3 * MS_SEC));
   assert_true (ms_place_may_send (place, e, 3 * MS_SEC));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -271,6 +271,18 @@
       ms_str_number (ms_str ("18446744073709551616"), UINT64_MAX), UINT64_MAX);
 }
 
+static void
+test_loss_of_an_offset (void **state)
+{
+  (void)state;
+  assert_true (plat_offset_lost (ms_str ("{\"first\":4}"), 9));
+  assert_true (plat_offset_lost (ms_str ("{\"first\":9}"), 9));
+  assert_false (plat_offset_lost (ms_str ("{\"first\":10}"), 9));
+  assert_false (plat_offset_lost (ms_str ("{\"first\":-1}"), 9));
+  assert_false (plat_offset_lost (ms_str ("{}"), 9));
+  assert_false (plat_offset_lost (ms_str (""), 9));
+}
+
 int
 main (void)
 {
@@ -286,6 +298,7 @@
     cmocka_unit_test (test_numbers_out_of_range_are_bounded),
     cmocka_unit_test (test_empty_strings_are_equal),
     cmocka_unit_test (test_numbers_end_with_their_text),
+    cmocka_unit_test (test_loss_of_an_offset),
   };
 
   return RUN (tests);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -14,6 +14,7 @@
 #define ENDPOINTS 4
 #define OUTAGE (2400 * MS_MSEC)
 #define KEEP (1500 * MS_MSEC)
+#define REWRITE (2500 * MS_MSEC)
 
 struct router
 {
@@ -24,6 +25,7 @@
 
 struct store
 {
+  uint64_t era;
   uint64_t end;
   bool has[ENDPOINTS];
 };
@@ -45,6 +47,7 @@
   const struct ms_replica_options options = { .name = "endpoints",
                                               .outage = OUTAGE,
                                               .keep = KEEP,
+                                              .rewrite = REWRITE,
                                               .changed = on_change,
                                               .context = r };
 
@@ -73,15 +76,17 @@
       if (store->has[i])
         ms_replica_add (r->replica, ms_str (key), ms_str ("ready"));
     }
-  ms_replica_complete (r->replica, store->end, sent_at, sent_at + 5 * MS_MSEC);
+  ms_replica_complete (r->replica, store->end, store->era, sent_at,
+                       sent_at + 5 * MS_MSEC);
 }
 
 /* Let R call FROM for a relay at NOW.  */
 static void
 relay (struct router *r, struct router *from, ms_time now)
 {
-  json_t *document = ms_replica_encode (
-      from->replica, ms_replica_next (r->replica), false, now);
+  uint64_t known
+      = ms_replica_incomplete (r->replica) ? 0 : ms_replica_next (r->replica);
+  json_t *document = ms_replica_encode (from->replica, known, false, now);
 
   ms_replica_tick (r->replica, now);
   ms_replica_apply (r->replica, document, now, now + MS_MSEC);
@@ -219,6 +224,92 @@
   ms_replica_destroy (r.replica);
 }
 
+/* The store came back from a copy from before E2 was listed and E3 was
+   removed.  */
+static const struct store older_copy
+    = { .era = 2, .end = 8, .has = { true, true, false, true } };
+static const struct store before_loss
+    = { .era = 1, .end = 12, .has = { true, true, true, false } };
+
+/* Guards against endpoints that are dropped, or listed again, because the
+   store came back from an older copy, until their writers have written again.
+ */
+static void
+test_records_of_an_older_copy_are_not_believed_at_once (void **state)
+{
+  struct router r;
+  ms_time loss = 3 * MS_SEC;
+
+  (void)state;
+  create_router (&r);
+  read_snapshot (&r, &before_loss, 1 * MS_SEC);
+  read_snapshot (&r, &older_copy, loss);
+  assert_true (ms_replica_settling (r.replica, loss + MS_SEC));
+  assert_true (r.listed[2]);
+  assert_false (r.listed[3]);
+  ms_replica_tick (r.replica, loss + REWRITE - MS_MSEC);
+  assert_true (r.listed[2]);
+  assert_false (r.listed[3]);
+  ms_replica_tick (r.replica, loss + REWRITE);
+  assert_false (ms_replica_settling (r.replica, loss + REWRITE));
+  assert_false (r.listed[2]);
+  assert_true (r.listed[3]);
+  ms_replica_destroy (r.replica);
+}
+
+/* Guards against endpoints that are left out although their writers have
+   written again since the store came back from an older copy.  */
+static void
+test_records_that_are_written_again_count_at_once (void **state)
+{
+  struct router r;
+  ms_time loss = 3 * MS_SEC;
+
+  (void)state;
+  create_router (&r);
+  read_snapshot (&r, &before_loss, 1 * MS_SEC);
+  read_snapshot (&r, &older_copy, loss);
+  for (unsigned i = 2; i < 4; i++)
+    ms_replica_change (r.replica, i == 2 ? ms_str ("e2") : ms_str ("e3"),
+                       ms_str ("ready"), false, loss + MS_SEC, loss + MS_SEC);
+  ms_replica_advance (r.replica, 10, 10, loss + MS_SEC);
+  assert_true (r.listed[3]);
+  ms_replica_tick (r.replica, loss + REWRITE);
+  assert_true (r.listed[2] && r.listed[3]);
+  ms_replica_destroy (r.replica);
+}
+
+/* Guards against records of before a loss of the store that come back by a
+   peer, or by a late answer.  */
+static void
+test_records_of_an_older_era_are_ignored (void **state)
+{
+  struct router ahead, behind;
+  ms_time loss = 3 * MS_SEC;
+
+  (void)state;
+  create_router (&ahead);
+  create_router (&behind);
+  read_snapshot (&ahead, &before_loss, 1 * MS_SEC);
+  read_snapshot (&behind, &before_loss, 2 * MS_SEC);
+  read_snapshot (&ahead, &older_copy, loss);
+  relay (&ahead, &behind, loss + 100 * MS_MSEC);
+  read_snapshot (&ahead, &before_loss, loss + 200 * MS_MSEC);
+  assert_int_equal (ms_replica_next (ahead.replica), older_copy.end);
+  assert_int_equal (ms_replica_read_at (ahead.replica), loss);
+  /* One relay shows the later era, the next has all records.  */
+  relay (&behind, &ahead, loss + 300 * MS_MSEC);
+  assert_true (ms_replica_incomplete (behind.replica));
+  relay (&behind, &ahead, loss + 700 * MS_MSEC);
+  assert_false (ms_replica_incomplete (behind.replica));
+  assert_int_equal (ms_replica_era (behind.replica), older_copy.era);
+  assert_int_equal (ms_replica_next (behind.replica), older_copy.end);
+  assert_true (behind.listed[2]);
+  assert_false (behind.listed[3]);
+  ms_replica_destroy (ahead.replica);
+  ms_replica_destroy (behind.replica);
+}
+
 /* Replicas of a topic with many keys, "k0" and so on, of which the test keeps
    the true records: the number of the last write, 0 if there is no record.  */
 #define KEYS 400
@@ -291,7 +382,7 @@
                            !topic->values[i], now, now);
     }
   if (snapshot)
-    ms_replica_complete (f->replica, topic->end, now, now);
+    ms_replica_complete (f->replica, topic->end, 0, now, now);
   else
     ms_replica_advance (f->replica, next, topic->end, now);
 }
@@ -341,7 +432,7 @@
   topic.end = 5;
   write_key (&topic, 0, false);
   ms_replica_add (f.replica, ms_str ("k0"), ms_str ("6"));
-  ms_replica_complete (f.replica, topic.end, 2 * MS_SEC, 2 * MS_SEC);
+  ms_replica_complete (f.replica, topic.end, 0, 2 * MS_SEC, 2 * MS_SEC);
   expect_equal (&f, &topic);
   assert_int_equal (ms_replica_next (f.replica), topic.end);
   ms_replica_destroy (f.replica);
@@ -510,6 +601,9 @@
     cmocka_unit_test (test_router_on_relays_does_not_put_off_a_removal),
     cmocka_unit_test (test_entries_that_expire_in_an_outage_are_kept),
     cmocka_unit_test (test_read_that_stops_short_does_not_confirm_the_list),
+    cmocka_unit_test (test_records_of_an_older_copy_are_not_believed_at_once),
+    cmocka_unit_test (test_records_that_are_written_again_count_at_once),
+    cmocka_unit_test (test_records_of_an_older_era_are_ignored),
     cmocka_unit_test (test_snapshot_of_a_store_that_went_back_is_applied),
     cmocka_unit_test (test_relay_has_what_changed),
     cmocka_unit_test (test_gap_is_detected),
