Soak: endpoints that say that they leave, a store that loses records

Change: every second release is told by the endpoint's answers alone; twice in ten seconds the store comes back from a copy after four configurations, and what was lost is written again. New checks: DRAIN after an answer, and CONFIG when a gateway in touch refuses a key that is in force.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -41,9 +41,11 @@
   unsigned gateway; /* To which it was sent.  */
   bool second_key;
   bool after_revocation; /* Sent when its key had to be refused.  */
-  long status;           /* HTTP status, 0 without an answer.  */
-  bool complete;         /* The request's own answer came in full.  */
-  unsigned runs;         /* By the endpoints' logs.  */
+  bool key_in_force;     /* Sent when its key, the second, had to be known.  */
+  long long sent_at;
+  long status;   /* HTTP status, 0 without an answer.  */
+  bool complete; /* The request's own answer came in full.  */
+  unsigned runs; /* By the endpoints' logs.  */
   UT_hash_handle hh;
 };
 
@@ -69,6 +71,8 @@
 static atomic_bool stopping;
 /* When the second key was revoked, 0 while it is valid.  */
 static _Atomic long long revoked_at_ms;
+/* When it became valid, 0 while it is revoked.  */
+static _Atomic long long valid_at_ms = 1;
 
 static size_t
 append_body (char *data, size_t size, size_t count, void *context)
@@ -178,6 +182,7 @@
       const struct timespec pause
           = { 0, (long)ms_random_below (&c->random, MAX_PAUSE_MS) * 1000000 };
       long long revoked = revoked_at_ms;
+      long long valid = valid_at_ms;
 
       snprintf (r->id, sizeof r->id, "r%u-%u", c->index, c->requests_count);
       r->route = (enum route)ms_random_below (&c->random, ROUTES);
@@ -185,10 +190,14 @@
       r->second_key = ms_random_below (&c->random, 4) == 0;
       r->after_revocation = r->second_key && revoked
                             && fleet_now_ms () > revoked + REVOCATION_MS;
+      r->sent_at = fleet_now_ms ();
+      r->key_in_force
+          = r->second_key && valid && r->sent_at > valid + CONFIG_APPLY_MS;
       send_request (c->curl, c->gateway, r,
                     5 + (unsigned)ms_random_below (&c->random, 40));
       /* A key that became valid again meanwhile may be served.  */
       r->after_revocation = r->after_revocation && revoked_at_ms == revoked;
+      r->key_in_force = r->key_in_force && valid_at_ms == valid;
       c->requests_count++;
       if (r->status != 200)
         c->gateway = (unsigned)ms_random_below (&c->random, GATEWAYS);
@@ -229,6 +238,7 @@
 void
 callers_set_revoked (long long at_ms)
 {
+  valid_at_ms = at_ms ? 0 : fleet_now_ms ();
   revoked_at_ms = at_ms;
 }
 
@@ -266,7 +276,8 @@
 
    UNASKED   a run that belongs to no request
    DRAIN     a run later than DRAIN_TIMEOUT_MS after the endpoint left, from a
-             gateway in touch with a store that was up when it left
+             gateway in touch with a store that was up when it left, or after
+             an answer had told the gateway that it leaves
    FAILBACK  too many runs at a cold endpoint within one second  */
 static unsigned
 count_instance_runs (struct request *table,
@@ -274,6 +285,7 @@
                      bool (*in_touch) (unsigned gateway, long long at_ms))
 {
   static long long times[MAX_RUNS];
+  long long told[GATEWAYS] = { 0 };
   unsigned count = 0;
   unsigned breaches = 0;
   FILE *file = fopen (instance->runs, "r");
@@ -302,6 +314,18 @@
                   id, r->gateway, instance->runs, at - instance->left_ms);
           breaches++;
         }
+      if (r && told[r->gateway]
+          && at > told[r->gateway] + RUN_MS + DRAIN_TIMEOUT_MS
+          && in_touch (r->gateway, at))
+        {
+          printf ("DRAIN: %s by gateway %u reached %s %lld ms after it said "
+                  "so\n",
+                  id, r->gateway, instance->runs, at - told[r->gateway]);
+          breaches++;
+        }
+      if (r && instance->said_ms && at > instance->said_ms && r->complete
+          && !told[r->gateway])
+        told[r->gateway] = at;
     }
   if (file)
     fclose (file);
@@ -321,10 +345,12 @@
    MIXED    an answer is not the full answer to its request, or came although
             no endpoint ran the request
    BUDGET   a request ran more often than its route allows
-   CONFIG   a request with a revoked key ran
+   CONFIG   a request with a revoked key ran, or one was refused by a gateway
+            in touch though its key was in force
    DENIED   a valid request got a client error  */
 static const char *
-broken_rule (const struct request *r)
+broken_rule (const struct request *r,
+             bool (*in_touch) (unsigned gateway, long long at_ms))
 {
   if (r->route == ROUTE_ONCE && r->runs > 1)
     return "TWICE";
@@ -339,6 +365,8 @@
     return "BUDGET";
   if (r->after_revocation && r->runs)
     return "CONFIG, revoked key";
+  if (r->key_in_force && r->status == 401 && in_touch (r->gateway, r->sent_at))
+    return "CONFIG, key in force";
   if (r->status >= 400 && r->status < 500 && r->status != 429
       && !(r->status == 401 && r->second_key))
     return "DENIED";
@@ -358,7 +386,7 @@
     breaches += count_instance_runs (table, &instances[i], in_touch);
   HASH_ITER (hh, table, r, next)
   {
-    const char *rule = broken_rule (r);
+    const char *rule = broken_rule (r, in_touch);
 
     if (rule)
       {
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -57,6 +57,9 @@
 static struct fleet_instance instances[MAX_INSTANCES];
 static unsigned instances_count;
 static unsigned heartbeats;
+/* Calls of fleet_heartbeat that still write again what the store has lost.  */
+static unsigned rewrites_left;
+static bool second_key_valid;
 static struct proxy *engine_links[ALL_ENGINES];
 static struct proxy *store_links[GATEWAYS];
 static unsigned config_version;
@@ -259,12 +262,12 @@
            port + 3, net, port + 3);
   fprintf (file,
            "memory_mb: 200\nfile_descriptors: 1000\ncpu_cores: 0.25\n"
-           "grace_period_s: 8\nconfig_apply_ms: 2000\n"
+           "grace_period_s: 8\nconfig_apply_ms: %d\n"
            "strict_revocation: true\nrevocation_ms: %d\n"
            "retry_budget_ratio: 0.2\nretry_window_s: 10\n"
            "retry_budget_slack: 58\ncold_burst_factor: 1.5\ncold_slack: 5\n"
            "directory_ttl_s: 2\n",
-           REVOCATION_MS);
+           CONFIG_APPLY_MS, REVOCATION_MS);
   if (fclose (file))
     err (EXIT_FAILURE, "%s", path);
 }
@@ -328,9 +331,20 @@
 }
 
 void
-fleet_release_engine (unsigned i, bool untold)
+fleet_release_engine (unsigned i, enum leaving leaving)
 {
-  set_engine_state (i, untold ? ENGINE_UNLISTED : ENGINE_DRAINING);
+  char url[128];
+
+  if (leaving == LEAVING_SAID)
+    {
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/leave?to=1",
+                options.base + ENGINE_PORT + i);
+      http_call ("PUT", url, "");
+      engines[i].instance->said_ms = fleet_now_ms ();
+      return;
+    }
+  set_engine_state (i, leaving == LEAVING_UNTOLD ? ENGINE_UNLISTED
+                                                 : ENGINE_DRAINING);
   engines[i].instance->left_ms = fleet_now_ms ();
 }
 
@@ -348,8 +362,15 @@
 {
   unsigned i = heartbeats++ % ALL_ENGINES;
 
-  if (engines[i].state != ENGINE_UNLISTED)
+  if (engines[i].state != ENGINE_UNLISTED || rewrites_left)
     publish_engine (i);
+  if (!rewrites_left)
+    return;
+  /* An older copy may list the start before.  */
+  put_store ("", "put?topic=keyed.servers&key=e%u-%u", i,
+             engines[i].starts - 1);
+  if (rewrites_left-- == ALL_ENGINES)
+    fleet_publish_config (second_key_valid);
 }
 
 const struct fleet_instance *
@@ -384,11 +405,25 @@
   put_store ("", "forget?topic=keyed.servers");
 }
 
+void
+fleet_copy_store (void)
+{
+  put_store ("", "copy");
+}
+
+void
+fleet_restore_store (void)
+{
+  put_store ("", "restore");
+  rewrites_left = ALL_ENGINES;
+}
+
 void
 fleet_publish_config (bool second_key)
 {
   char body[2048];
 
+  second_key_valid = second_key;
   snprintf (
       body, sizeof body,
       "{\"version\":%u,\"routes\":["
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -30,6 +30,10 @@
 #define COLD_PER_S 4
 #define COLD_BOUND (COLD_PER_S * 1.5 + 5)
 
+/* Time from a configuration's publication until gateways must apply it, their
+   setting config_apply_ms.  */
+#define CONFIG_APPLY_MS 2000
+
 /* Time from the revocation of a key until gateways must refuse it, their
    setting revocation_ms.  */
 #define REVOCATION_MS 3000
@@ -67,9 +71,16 @@
    store's list of endpoints follows.  */
 void fleet_restart_engine (unsigned engine);
 
-/* Let ENGINE leave: it is on the store's list as draining or, if UNTOLD, not
-   at all any more, but goes on serving.  */
-void fleet_release_engine (unsigned engine, bool untold);
+/* How others learn that an engine leaves.  */
+enum leaving
+{
+  LEAVING_DRAINING, /* The store's list says so.  */
+  LEAVING_UNTOLD,   /* The store's list lacks it.  */
+  LEAVING_SAID      /* Its answers say so; it stays ready on the list.  */
+};
+
+/* Let ENGINE leave as LEAVING says; it goes on serving.  */
+void fleet_release_engine (unsigned engine, enum leaving leaving);
 
 /* End a released ENGINE and start it again, cold, under a new name.  */
 void fleet_replace_engine (unsigned engine);
@@ -86,6 +97,8 @@
   long long cold_until_ms; /* 0 if it starts warm.  */
   long long left_ms;       /* When the store knew that it leaves; 0 if it did
                               not leave.  */
+  long long said_ms;       /* From when on its answers said so; 0 if they did
+                              not.  */
 };
 
 /* Return all starts of engines so far, and their number in COUNT.  */
@@ -104,6 +117,11 @@
    value.  */
 void fleet_forget_history (void);
 
+/* Take a copy of the store, and bring the store back from it.  What was lost
+   is written again by the next calls of fleet_heartbeat.  */
+void fleet_copy_store (void);
+void fleet_restore_store (void);
+
 /* Publish the next version of the configuration, in which the second API key
    ("k2") is valid or, unless SECOND_KEY, revoked.  */
 void fleet_publish_config (bool second_key);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -40,6 +40,9 @@
 #define STORE_CUT_MS 3000
 #define STORE_CUT_JITTER_MS 1000
 
+/* Configurations that a STORE_RESTORE loses.  */
+#define LOST_CONFIGS 4
+
 /* A gateway is in touch once it has been undisturbed for this time.  */
 #define STABLE_WINDOW_MS 3000
 
@@ -73,6 +76,7 @@
   RELEASE,      /* An engine leaves, and is replaced by a cold one.  */
   HERD_KILL, /* SIGKILL to all gateways, or all but one; a restart of each.  */
   STORE_CUT, /* No connection to the store for all gateways but one.  */
+  STORE_RESTORE, /* The store comes back from a copy taken at the start.  */
   FAULT_KINDS
 };
 
@@ -80,7 +84,7 @@
     = { "gateway_stop", "gateway_kill", "gateway_term", "gateway_hup",
         "engine_stop",  "engine_kill",  "engine_link",  "store_link",
         "store_down",   "store_forget", "configure",    "revoke",
-        "release",      "herd_kill",    "store_cut" };
+        "release",      "herd_kill",    "store_cut",    "store_restore" };
 
 struct fault
 {
@@ -93,7 +97,7 @@
                             gateway or engine; of kinds from RELEASE on see
                             below.  The others only print it.  */
   enum link_state state; /* Of ENGINE_LINK and STORE_LINK.  */
-  bool untold;           /* Of RELEASE: its entry is removed at once.  */
+  enum leaving leaving;  /* Of RELEASE.  */
   bool started;
   bool ended;
 };
@@ -150,12 +154,15 @@
       if (f->kind == RELEASE)
         {
           f->target = i;
-          f->untold = ms_random_below (random, 2) == 0;
+          f->leaving = ms_random_below (random, 2) == 0 ? LEAVING_UNTOLD
+                                                        : LEAVING_DRAINING;
+          if (i % 2)
+            f->leaving = LEAVING_SAID;
           f->start_ms
               = FIRST_FAULT_MS + (long long)i * RELEASE_PERIOD_MS
                 + (long long)ms_random_below (random, RELEASE_JITTER_MS);
           f->end_ms = f->start_ms + LINGER_MS;
-          if (f->untold)
+          if (f->leaving == LEAVING_UNTOLD)
             add_store_cut (random, f);
           continue;
         }
@@ -168,6 +175,24 @@
     }
 }
 
+/* Add losses of what was written to the store since a copy.  */
+static void
+add_store_losses (struct ms_random *random, unsigned seconds)
+{
+  for (unsigned i = 0;
+       i < 2 * seconds / HERD_PERIOD_S && faults_count < MAX_FAULTS; i++)
+    {
+      struct fault *f = &faults[faults_count++];
+
+      f->kind = STORE_RESTORE;
+      f->start_ms = FIRST_FAULT_MS
+                    + (long long)ms_random_below (random, seconds * 1000ULL);
+      f->end_ms
+          = f->start_ms + MIN_FAULT_MS
+            + (long long)ms_random_below (random, MAX_FAULT_MS - MIN_FAULT_MS);
+    }
+}
+
 static void
 choose_faults (struct ms_random *random, unsigned seconds)
 {
@@ -251,7 +276,7 @@
         callers_set_revoked (fleet_now_ms ());
       break;
     case RELEASE:
-      fleet_release_engine (released_engine (f), f->untold);
+      fleet_release_engine (released_engine (f), f->leaving);
       break;
     case HERD_KILL:
       for (unsigned i = 0; i < GATEWAYS; i++)
@@ -263,6 +288,11 @@
         if (!is_spared (f, i))
           proxy_set_state (fleet_store_link (i), LINK_RESET);
       break;
+    case STORE_RESTORE:
+      fleet_copy_store ();
+      for (unsigned i = 0; i < LOST_CONFIGS; i++)
+        fleet_publish_config (second_key);
+      break;
     case FAULT_KINDS:
       break;
     }
@@ -309,6 +339,9 @@
       for (unsigned i = 0; i < GATEWAYS; i++)
         proxy_set_state (fleet_store_link (i), LINK_GOOD);
       break;
+    case STORE_RESTORE:
+      fleet_restore_store ();
+      break;
     default:
       break;
     }
@@ -357,6 +390,7 @@
     case STORE_CUT:
       return gateway < GATEWAYS && !is_spared (f, gateway);
     case STORE_DOWN:
+    case STORE_RESTORE:
       return true;
     default:
       return false;
@@ -451,6 +485,7 @@
   random.state = a.seed;
   choose_faults (&random, a.seconds);
   add_releases (&random, a.seconds);
+  add_store_losses (&random, a.seconds);
   fleet_start (&a.fleet);
   callers_start (a.seed);
   start = fleet_now_ms ();
