--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -276,6 +276,19 @@
     ms_request_give_up (r, reason);
 }
 
+/* Write the identifiers of the shared parts of R's prompt to TEXT, with commas
+   between them; "-" if there is none.  */
+static void
+write_parts (const struct ms_request *r, char *text, size_t size)
+{
+  size_t used = 0;
+
+  snprintf (text, size, "-");
+  for (unsigned i = 0; i + 1 < r->prompt.parts_count && used < size; i++)
+    used += (size_t)snprintf (text + used, size - used, "%s%llx", i ? "," : "",
+                              (unsigned long long)r->prompt.parts[i].id);
+}
+
 void
 ms_request_upstream_failed (struct ms_request *r, enum ms_upstream_error error)
 {
@@ -300,10 +313,13 @@
     {
       unsigned deaths = ms_guard_death (r->gw->guard, r->fingerprint, endpoint,
                                         r->gw->now);
+      char parts[MS_MAX_PARTS * 20];
 
       ms_peers_report_death (r->gw->peers, r->fingerprint, deaths, r->gw->now);
-      ms_event (r->gw->now, "endpoint_broke", "id=%s endpoint=%s deaths=%u",
-                r->request_id, r->last_endpoint.data, deaths);
+      write_parts (r, parts, sizeof parts);
+      ms_event (r->gw->now, "endpoint_broke",
+                "id=%s endpoint=%s deaths=%u parts=%s", r->request_id,
+                r->last_endpoint.data, deaths, parts);
     }
   ms_request_attempt_failed (r, names[error]);
 }
