--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -145,10 +145,11 @@
 }
 
 # run_count ID: how often the endpoints ran the request ID.
+engines="0 1"
 run_count ()
 {
   total=0
-  for engine in 0 1; do
+  for engine in $engines; do
     total=$((total + $(get "http://$(engine_address $engine)/runs?id=$1")))
   done
   echo $total
@@ -236,6 +237,56 @@
   && grep -q '^monsoonspur_total_seconds_bucket' "$DIR/metrics"
 verdict "the control address serves counters and histograms" $?
 
+# prompt GATEWAY PART: send a request unlike all others with this part, among
+# parts that others have as well.
+prompt ()
+{
+  request "$1" "/once/prompt$ids" -X POST -d "$ids" \
+    -H 'X-Token-Counts: 4,10' -H "X-Prompt-Prefix: a1:1,$2:1,c3:1,$ids:1"
+}
+# part_refused: whether all gateways refuse the part that crashes endpoints.
+part_refused ()
+{
+  for n in 1 2 3; do
+    prompt $n dead
+    is "$status" 503 && is "$(run_count $id)" 0 || return 1
+  done
+}
+start_engine 2
+start_engine 3
+engines="0 1 2 3"
+prompt 1 b2
+for i in 1 2 3 4 5 6 7 8 9 10; do
+  prompt $((i % 3 + 1)) dead
+  sleep 0.4
+done
+part_refused
+verdict "requests unlike each other with a part that crashes endpoints are refused" $?
+sound=0
+for i in 1 2 3 4 5 6; do
+  prompt $((i % 3 + 1)) "b$i"
+  is "$status" 200 && sound=$((sound + 1))
+done
+is $sound 6
+verdict "requests with the other parts of one that crashes endpoints are served" $?
+for n in 1 2 3; do
+  stop gateway$n KILL
+done
+for n in 1 2 3; do
+  start_gateway $n
+done
+for n in 1 2 3; do
+  await 20 ready $n || exit 1
+done
+await 2 part_refused
+verdict "a part that crashed endpoints is refused after a restart of all gateways" $?
+store_put keyed.servers e2 ''
+store_put keyed.servers e3 ''
+stop engine2 KILL
+stop engine3 KILL
+engines="0 1"
+all_alive || await 10 all_alive
+
 # Retries within the first seconds of a gateway are limited to a fraction of its
 # requests.
 all_share () { metrics && grep -q '^monsoonspur_routers_sharing 3' "$DIR/metrics"; }
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -16,6 +16,9 @@
    others      200 with the endpoint's name, the team, key, deadline and hold
                headers, the query, and the length and a checksum of the body
 
+   A request with the part "dead" in its X-Prompt-Prefix, but as the last one,
+   is run, then the connection closes without an answer.
+
    The query parameters n=N and ms=MS set N (5 by default) and MS (10 by
    default for a stream, 1000 for /slow).  A request whose
    X-Expected-Instance names another endpoint gets 421.  Paths with /noanswer
@@ -315,7 +318,8 @@
     }
   body = standin_read_body (connection, MAX_BODY_BYTES);
   count = record_run (id);
-  if (strstr (path, "/crash"))
+  if (strstr (path, "/crash")
+      || strstr (header_value (connection, "X-Prompt-Prefix"), "dead:1,"))
     {
       free (body);
       return close_without_answer (connection);
