Quarantine parts of prompts that crash endpoints

Cause: harmful requests were known by their whole content, which no two of these share (H1): 46 of 48 log lines have deaths=1, none was refused. H2 was hidden by H1 and would have shown next: peers were told for 3 s only and not in other zones of large fleets, and routers that start knew nothing.

Change: src/guard/parts suspects the shared parts of requests that had not begun when their endpoint died; an answer that begins clears its parts, a failed trial after three deaths quarantines one. Reports go with digests and are passed on; counts are reported for as long as they hold; the store has the parts in quarantine. Digests end with a list of parts, which earlier routers ignore.

--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -17,6 +17,7 @@
 #define DIGEST_MORE_LOADS 1152
 #define DIGEST_MEMBERS 64
 #define DIGEST_DEATHS 16
+#define DIGEST_PARTS 64
 #define DIGEST_TEAMS 64
 #define DIGEST_ZONES 16
 
@@ -44,6 +45,14 @@
 };
 typedef struct digest_death digest_death;
 
+struct digest_part {
+	u_quad_t part;
+	u_quad_t endpoint;
+	u_int deaths;
+	u_int age;
+};
+typedef struct digest_part digest_part;
+
 struct digest_team {
 	u_quad_t team;
 	u_int asked;
@@ -121,6 +130,10 @@
 		u_int rooms_len;
 		digest_room *rooms_val;
 	} rooms;
+	struct {
+		u_int parts_len;
+		digest_part *parts_val;
+	} parts;
 };
 typedef struct fleet_digest fleet_digest;
 
@@ -130,6 +143,7 @@
 extern  bool_t xdr_digest_load (XDR *, digest_load*);
 extern  bool_t xdr_digest_member (XDR *, digest_member*);
 extern  bool_t xdr_digest_death (XDR *, digest_death*);
+extern  bool_t xdr_digest_part (XDR *, digest_part*);
 extern  bool_t xdr_digest_team (XDR *, digest_team*);
 extern  bool_t xdr_digest_zone (XDR *, digest_zone*);
 extern  bool_t xdr_digest_room (XDR *, digest_room*);
@@ -139,6 +153,7 @@
 extern bool_t xdr_digest_load ();
 extern bool_t xdr_digest_member ();
 extern bool_t xdr_digest_death ();
+extern bool_t xdr_digest_part ();
 extern bool_t xdr_digest_team ();
 extern bool_t xdr_digest_zone ();
 extern bool_t xdr_digest_room ();
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -5,6 +5,7 @@
 const DIGEST_MORE_LOADS = 1152;
 const DIGEST_MEMBERS = 64;
 const DIGEST_DEATHS = 16;
+const DIGEST_PARTS = 64;
 const DIGEST_TEAMS = 64;
 const DIGEST_ZONES = 16;
 
@@ -38,6 +39,17 @@
   unsigned int deaths;
 };
 
+/* What the sender knows of a part of prompts: the death of ENDPOINT if that is
+   not 0, else that DEATHS endpoints died because of it or, if that is 0, that an
+   answer began.  */
+struct digest_part
+{
+  unsigned hyper part;
+  unsigned hyper endpoint;
+  unsigned int deaths;
+  unsigned int age; /* Milliseconds since.  */
+};
+
 /* Recent rates of a team's requests at the sender, in cost units per
    second.  */
 struct digest_team
@@ -94,4 +106,5 @@
   unsigned int level; /* The share level as computed by the sender, in cost
                          units per second; 0 if there is none.  */
   digest_room rooms<DIGEST_ZONES>;
+  digest_part parts<DIGEST_PARTS>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -102,6 +102,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_digest_part (XDR *xdrs, digest_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deaths))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_digest_team (XDR *xdrs, digest_team *objp)
 {
@@ -273,6 +289,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, DIGEST_PARTS,
+			sizeof (digest_part), (xdrproc_t) xdr_digest_part))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -319,6 +338,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 			sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, DIGEST_PARTS,
+			sizeof (digest_part), (xdrproc_t) xdr_digest_part))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -356,5 +378,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, DIGEST_ZONES,
 		sizeof (digest_room), (xdrproc_t) xdr_digest_room))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, DIGEST_PARTS,
+		sizeof (digest_part), (xdrproc_t) xdr_digest_part))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -58,6 +58,7 @@
       = left > MIN_PLACEMENT_TARGET ? left : MIN_PLACEMENT_TARGET;
   offer->tried = r->tried;
   offer->tried_count = r->tried_count;
+  offer->alone = r->trial;
 }
 
 /* Append a header to OUT of SIZE bytes, of which *USED are filled.  *USED is
@@ -121,8 +122,9 @@
   return used;
 }
 
-/* Whether R may be sent at NOW: its key cannot have been revoked unseen and
-   its time is not over.  If not, R is ended and freed.  */
+/* Whether R may be sent at NOW: its key cannot have been revoked unseen, its
+   time is not over, and no part of its prompt has come under suspicion since
+   it was admitted.  If not, R is ended and freed.  */
 static bool
 check_may_send (struct ms_request *r, ms_time now)
 {
@@ -136,6 +138,13 @@
       ms_request_give_up (r, "deadline");
       return false;
     }
+  if (!r->trial
+      && !ms_part_guard_is_clear (r->gw->part_guard, r->shared_parts,
+                                  r->shared_count, now))
+    {
+      ms_request_give_up (r, "quarantined");
+      return false;
+    }
   return true;
 }
 
@@ -250,7 +259,7 @@
   bool allowed = r->tried_count < MS_MAX_TRIED;
 
   if (was_sent)
-    allowed = allowed && r->attempts < r->route.max_attempts
+    allowed = allowed && !r->trial && r->attempts < r->route.max_attempts
               && ms_budget_take (r->gw->budget, r->service, r->gw->now);
   if (!allowed)
     {
@@ -284,9 +293,9 @@
   size_t used = 0;
 
   snprintf (text, size, "-");
-  for (unsigned i = 0; i + 1 < r->prompt.parts_count && used < size; i++)
+  for (unsigned i = 0; i < r->shared_count && used < size; i++)
     used += (size_t)snprintf (text + used, size - used, "%s%llx", i ? "," : "",
-                              (unsigned long long)r->prompt.parts[i].id);
+                              (unsigned long long)r->shared_parts[i]);
 }
 
 void
@@ -296,6 +305,7 @@
                                        [MS_UPSTREAM_BROKEN] = "broken",
                                        [MS_UPSTREAM_BAD_BYTES] = "bad_bytes" };
   uint64_t endpoint = r->endpoint->id;
+  uint64_t start = ms_id_pair (endpoint, (uint64_t)r->endpoint->entry.born);
 
   r->upstream = NULL;
   if (!r->sent)
@@ -316,6 +326,11 @@
       char parts[MS_MAX_PARTS * 20];
 
       ms_peers_report_death (r->gw->peers, r->fingerprint, deaths, r->gw->now);
+      /* A trial counts at whichever endpoint it was.  */
+      if (r->trial)
+        start = ms_id_pair (start, (uint64_t)r->gw->now);
+      ms_part_guard_died (r->gw->part_guard, r->shared_parts, r->shared_count,
+                          start, r->gw->now);
       write_parts (r, parts, sizeof parts);
       ms_event (r->gw->now, "endpoint_broke",
                 "id=%s endpoint=%s deaths=%u parts=%s", r->request_id,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/socket.h"
 #include "gateway/topic.h"
 #include "guard/guard.h"
+#include "guard/parts.h"
 #include "place/place.h"
 #include "platform.h"
 #include "route/route.h"
@@ -64,6 +65,7 @@
   struct ms_topic *endpoint_topic;
   struct ms_place *place;
   struct ms_guard *guard;
+  struct ms_part_guard *part_guard;
   struct ms_budget *budget;
   struct ms_share *share;
   struct ms_pressure *pressure;
@@ -108,6 +110,10 @@
 /* Read the clock, store the time in GW's NOW and return it.  */
 ms_time ms_gateway_update_time (struct ms_gateway *gw);
 
+/* The time of day, in Unix microseconds.  It may differ between machines and
+   jump.  */
+int64_t ms_gateway_unix_us (void);
+
 /* Connections that may wait to be accepted, per listener.  */
 #define MS_BACKLOG 1024
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -35,6 +35,9 @@
   uint64_t fingerprint;    /* Hash by which the guard recognizes it.  */
   bool keyed;              /* Admitted by its key, which may be revoked.  */
   struct plat_prompt prompt;
+  uint64_t shared_parts[MS_MAX_PARTS]; /* Identifiers of the prompt's.  */
+  unsigned shared_count;
+  bool trial;  /* The trial of a part that may crash endpoints.  */
   double cost; /* In cost units, for the shares of teams.  */
 
   ms_time arrived;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -163,6 +163,7 @@
       ms_upstreams_sweep (gw, now);
       ms_callers_sweep (gw, now);
       ms_guard_tick (gw->guard, now);
+      ms_part_guard_tick (gw->part_guard, now);
     }
   update_request_rate (gw);
   if (may_exit (gw))
@@ -226,15 +227,6 @@
   uv_signal_start (handle, callback, number);
 }
 
-static uint64_t
-wall_clock_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return (uint64_t)now.tv_sec * MS_SEC + (uint64_t)now.tv_nsec / 1000;
-}
-
 static void
 start_gateway (struct ms_gateway *gw)
 {
@@ -244,7 +236,7 @@
   ms_gateway_update_time (gw);
   gw->id = ms_id (ms_str (s->name));
   gw->zone = ms_id (ms_str (s->availability_zone));
-  gw->incarnation = wall_clock_us ();
+  gw->incarnation = (uint64_t)ms_gateway_unix_us ();
   gw->random.state = gw->id ^ gw->incarnation;
   ms_address_parse (s->caller_address, &gw->caller_address);
   if (uv_loop_init (&gw->loop)
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -15,6 +15,13 @@
 #define READ_PERIOD (10 * MS_SEC)
 #define READ_PERIOD_RELAYED (60 * MS_SEC)
 
+/* The topic also has the parts of prompts that are in quarantine, under this
+   and their identifier.  */
+#define PART_PREFIX "part/"
+
+/* A record of a part with more deaths is not valid.  */
+#define MAX_PART_DEATHS 1000
+
 /* Delay after a failed call, and time limit of a call.  */
 #define RETRY_DELAY (500 * MS_MSEC)
 #define CALL_TIMEOUT (1500 * MS_MSEC)
@@ -34,6 +41,8 @@
   uint64_t era;        /* The store's, when that record was written.  */
   ms_time register_at; /* No registration starts before this time.  */
   ms_time read_at;     /* No read starts before this time.  */
+  ms_time part_at;     /* No part is written before this time.  */
+  uint64_t part;       /* Of which the record is being written.  */
   char after[256];     /* The next read starts after this key.  */
   uint64_t end; /* Offset at which the topic ended when the read began.  */
   struct ms_name gone; /* A router of the last read whose record is to be
@@ -48,6 +57,43 @@
   memcpy (m->gone.data, name.data, name.length);
 }
 
+static bool
+has_prefix (struct ms_str text, const char *prefix)
+{
+  size_t length = strlen (prefix);
+
+  return text.length > length && memcmp (text.data, prefix, length) == 0;
+}
+
+/* Learn from the store that the part of prompts that KEY names is in
+   quarantine, or have the record removed if it no longer is.  */
+static void
+learn_part (struct ms_members *m, struct ms_str key, const json_t *value)
+{
+  const json_t *at = json_object_get (value, "at");
+  json_int_t deaths = json_integer_value (json_object_get (value, "deaths"));
+  struct ms_part_report report = { 0 };
+  char text[MS_NAME_BYTES];
+  int64_t now_ms = ms_gateway_unix_us () / 1000;
+  int64_t at_ms = json_integer_value (at);
+
+  if (key.length >= sizeof text || !json_is_integer (at) || deaths <= 0
+      || deaths > MAX_PART_DEATHS)
+    return;
+  if (at_ms < now_ms - MS_PART_QUARANTINE_TIME / MS_MSEC)
+    {
+      set_gone (m, key);
+      return;
+    }
+  snprintf (text, sizeof text, "%.*s", (int)key.length, key.data);
+  report.part = strtoull (text + strlen (PART_PREFIX), NULL, 16);
+  report.deaths = (unsigned)deaths;
+  /* Clocks may differ.  */
+  report.age = at_ms < now_ms ? (now_ms - at_ms) * MS_MSEC : 0;
+  ms_part_guard_merge (m->gw->part_guard, &report, m->gw->now);
+  ms_part_guard_set_stored (m->gw->part_guard, report.part);
+}
+
 static void
 learn_member (void *context, const struct plat_record *record)
 {
@@ -59,8 +105,10 @@
   const json_t *incarnation = json_object_get (value, "incarnation");
   struct in_addr address;
 
-  if (ip && zone && json_is_integer (incarnation)
-      && inet_pton (AF_INET, ip, &address) == 1)
+  if (has_prefix (record->key, PART_PREFIX))
+    learn_part (m, record->key, value);
+  else if (ip && zone && json_is_integer (incarnation)
+           && inet_pton (AF_INET, ip, &address) == 1)
     {
       uint64_t id = ms_id (record->key);
       uint64_t started = (uint64_t)json_integer_value (incarnation);
@@ -153,6 +201,44 @@
                     on_removed, m);
 }
 
+static void
+on_part_written (void *context, enum ms_status status, unsigned code,
+                 struct ms_str body, ms_time sent_at)
+{
+  struct ms_members *m = context;
+
+  (void)body;
+  (void)sent_at;
+  if (status == MS_OK && code == 200)
+    ms_part_guard_set_stored (m->gw->part_guard, m->part);
+  else
+    ms_event (m->gw->now, "part_unwritten", "part=%llx code=%u",
+              (unsigned long long)m->part, code);
+  m->part_at = m->gw->now + RETRY_DELAY;
+}
+
+/* Write the part of REPORT to the store, for routers that start when no other
+   one knows it.  */
+static void
+write_part (struct ms_members *m, const struct ms_part_report *report)
+{
+  char key[32];
+  char value[128];
+  size_t length;
+
+  m->part = report->part;
+  snprintf (key, sizeof key, PART_PREFIX "%llx",
+            (unsigned long long)report->part);
+  snprintf (value, sizeof value, "{\"deaths\":%u,\"at\":%lld}", report->deaths,
+            (long long)((ms_gateway_unix_us () - report->age) / 1000));
+  length = plat_encode_record (m->record, sizeof m->record, ms_str (key),
+                               ms_str (value));
+  plat_append_path (m->path, sizeof m->path, PLAT_TOPIC_MEMBERS);
+  ms_exchange_call (m->exchange, &m->store, "POST", m->path,
+                    (struct ms_str){ m->record, length }, CALL_TIMEOUT,
+                    on_part_written, m);
+}
+
 static void
 register_self (struct ms_members *m)
 {
@@ -191,11 +277,14 @@
       = now + (ms_time)ms_random_below (&m->gw->random, REWRITE_SPREAD);
   /* Found in records of before.  */
   m->gone.length = 0;
+  ms_part_guard_forget_stored (m->gw->part_guard);
 }
 
 void
 ms_members_tick (struct ms_members *m, ms_time now)
 {
+  struct ms_part_report report;
+
   if (ms_exchange_busy (m->exchange))
     return;
   check_era (m, now);
@@ -204,6 +293,12 @@
       register_self (m);
       return;
     }
+  if (now >= m->part_at && ms_fleet_reads_store (m->gw->fleet, now)
+      && ms_part_guard_unstored (m->gw->part_guard, &report, now))
+    {
+      write_part (m, &report);
+      return;
+    }
   /* One router is enough for that.  */
   if (m->gone.length && ms_fleet_reads_store (m->gw->fleet, now))
     {
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -5,14 +5,15 @@
 
 /* Membership through the store: each router registers its address, zone and
    incarnation there when it starts and regularly reads the records of the
-   others, which it passes to the fleet.  */
+   others, which it passes to the fleet.  The same topic keeps the parts of
+   prompts that are in quarantine, which one router a zone writes.  */
 
 struct ms_members;
 
 struct ms_members *ms_members_create (struct ms_gateway *gw);
 void ms_members_destroy (struct ms_members *members);
 
-/* Register, or read the records of the others, if that is due.  Call on every
+/* Register, write a part, or read all records, if that is due.  Call on every
    tick.  */
 void ms_members_tick (struct ms_members *members, ms_time now);
 
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -120,6 +120,7 @@
   append (&out, "monsoonspur_endpoints_listed %u\n", gauges->endpoints);
   append (&out, "monsoonspur_routers_alive %u\n", gauges->routers);
   append (&out, "monsoonspur_routers_sharing %u\n", gauges->sharers);
+  append (&out, "monsoonspur_suspect_parts %u\n", gauges->suspect_parts);
   append (&out, "monsoonspur_config_version %llu\n", gauges->config_version);
   append (&out, "monsoonspur_config_age_seconds %.3f\n", gauges->config_age_s);
   append (&out, "monsoonspur_endpoints_age_seconds %.3f\n",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -52,6 +52,7 @@
   unsigned routers;   /* Alive, this one included.  */
   unsigned sharers;   /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
+  unsigned suspect_parts; /* Of prompts, under trial or in quarantine.  */
   double config_age_s;    /* Since the read that confirmed it.  */
   double endpoints_age_s; /* Likewise, of the list of endpoints.  */
   double share_level;     /* Rate at which a team is admitted at most, in cost
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -168,6 +168,7 @@
     .endpoints = ms_place_count (gw->place),
     .routers = ms_fleet_alive_count (gw->fleet, gw->now),
     .sharers = ms_peers_sharers (gw->peers),
+    .suspect_parts = ms_part_guard_count (gw->part_guard, gw->now),
     .config_version = gw->routes ? gw->routes->version : 0,
     .config_age_s
     = (double)(gw->now - ms_topic_read_at (gw->operator_topic)) / MS_SEC,
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -130,6 +130,24 @@
   p->sharers = sharers;
   ms_place_set_routers (gw->place, ids, sharers);
   ms_budget_set_routers (gw->budget, sharers);
+  ms_part_guard_set_routers (gw->part_guard, gw->id, ids, sharers);
+}
+
+/* Merge what the sender of DIGEST knows of harmful requests and parts.  */
+static void
+merge_harm (struct ms_gateway *gw, const struct fleet_digest *digest)
+{
+  for (unsigned i = 0; i < digest->deaths.deaths_len; i++)
+    ms_guard_merge (gw->guard, digest->deaths.deaths_val[i].fingerprint,
+                    digest->deaths.deaths_val[i].deaths, false, gw->now);
+  for (unsigned i = 0; i < digest->parts.parts_len; i++)
+    {
+      const digest_part *p = &digest->parts.parts_val[i];
+      const struct ms_part_report report
+          = { p->part, p->endpoint, p->deaths, p->age * MS_MSEC };
+
+      ms_part_guard_merge (gw->part_guard, &report, gw->now);
+    }
 }
 
 static void
@@ -144,9 +162,7 @@
       || !ms_digest_decode (buffer->base, (size_t)length, &digest))
     return;
   if (ms_fleet_receive (p->gw->fleet, &digest, p->gw->now))
-    for (unsigned i = 0; i < digest.deaths.deaths_len; i++)
-      ms_guard_merge (p->gw->guard, digest.deaths.deaths_val[i].fingerprint,
-                      digest.deaths.deaths_val[i].deaths, false, p->gw->now);
+    merge_harm (p->gw, &digest);
   ms_digest_free (&digest);
 }
 
@@ -200,6 +216,21 @@
   return count;
 }
 
+/* Fill PARTS with the reports of the part guard and return their number.  */
+static unsigned
+collect_parts (const struct ms_gateway *gw, digest_part *parts, ms_time now)
+{
+  struct ms_part_report reports[DIGEST_PARTS];
+  unsigned count
+      = ms_part_guard_report (gw->part_guard, reports, DIGEST_PARTS, now);
+
+  for (unsigned i = 0; i < count; i++)
+    parts[i] = (digest_part){ reports[i].part, reports[i].endpoint,
+                              reports[i].deaths,
+                              (unsigned)(reports[i].age / MS_MSEC) };
+  return count;
+}
+
 /* Encode DIGEST once and send it to COUNT RECIPIENTS.  */
 static void
 send_to_recipients (struct ms_peers *p, const struct fleet_digest *digest,
@@ -272,6 +303,7 @@
   struct in_addr recipients[MAX_RECIPIENTS];
   digest_member members[DIGEST_MEMBERS];
   digest_death deaths[DIGEST_DEATHS];
+  digest_part parts[DIGEST_PARTS];
   digest_team teams[DIGEST_TEAMS];
   struct ms_zone_list zones;
   struct fleet_digest digest = { 0 };
@@ -297,6 +329,8 @@
   digest.teams.teams_len = collect_teams (gw, teams, now);
   digest.deaths.deaths_val = deaths;
   digest.deaths.deaths_len = collect_deaths (p, deaths, now);
+  digest.parts.parts_val = parts;
+  digest.parts.parts_len = collect_parts (gw, parts, now);
   if (zone_reader)
     ms_fleet_put_zone_sums (gw->fleet, &digest, &zones, now);
   send_to_recipients (p, &digest, recipients, count);
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -31,9 +31,21 @@
   };
 }
 
+static void
+on_part_change (void *context, const char *event, uint64_t part,
+                unsigned deaths)
+{
+  const struct ms_gateway *gw = context;
+
+  ms_event (gw->now, event, "part=%llx deaths=%u", (unsigned long long)part,
+            deaths);
+}
+
 void
 ms_gateway_create_modules (struct ms_gateway *gw)
 {
+  const struct ms_part_guard_options parts
+      = { .changed = on_part_change, .context = gw };
   const struct ms_place_options place = place_options (gw);
   const struct ms_budget_options budget = budget_options (gw);
   const char *placement = gw->settings->placement;
@@ -41,6 +53,7 @@
   gw->place = ms_place_create (
       &place, ms_place_policy (placement ? placement : "prefix"));
   gw->guard = ms_guard_create ();
+  gw->part_guard = ms_part_guard_create (&parts);
   gw->share = ms_share_create ();
   gw->pressure = ms_pressure_create ();
   gw->waiting = ms_requests_create_queue ();
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -8,6 +8,7 @@
 #include "base/event.h"
 #include "gateway/caller.h"
 #include "gateway/internal.h"
+#include "gateway/peers.h"
 #include "gateway/request.h"
 
 /* Extra time that a sent request gets after its deadline or timeout: the
@@ -131,6 +132,15 @@
                      body.length ? ms_id (body) : 0);
 }
 
+/* Collect the parts of the prompt that others may have as well: all but the
+   last.  */
+static void
+collect_shared_parts (struct ms_request *r)
+{
+  for (unsigned i = 0; i + 1 < r->prompt.parts_count; i++)
+    r->shared_parts[r->shared_count++] = r->prompt.parts[i].id;
+}
+
 static struct ms_request *
 create_request (struct ms_gateway *gw, struct ms_caller *caller,
                 const struct ms_route *route, uint64_t team)
@@ -164,6 +174,7 @@
   r->arrived = gw->now;
   set_time_limits (r, head);
   plat_decode_prompt (head, &r->prompt);
+  collect_shared_parts (r);
   r->cost = r->prompt.tokens + OUTPUT_TOKEN_COST * r->prompt.output;
   r->fingerprint = request_fingerprint (r);
   r->first_byte_target = route->target_latency ? route->target_latency
@@ -197,6 +208,20 @@
          || gw->now + ms_request_time_left (r, gw->now) < exit_at;
 }
 
+/* Whether no part of R's prompt is known to crash endpoints, or R is the trial
+   of one that is suspected.  */
+static bool
+admit_parts (struct ms_request *r)
+{
+  enum ms_part_verdict verdict = ms_part_guard_admit (
+      r->gw->part_guard, r->shared_parts, r->shared_count, r->gw->now);
+
+  r->trial = verdict == MS_PART_TRIAL;
+  if (r->trial)
+    ms_peers_announce (r->gw->peers, r->gw->now);
+  return verdict != MS_PART_QUARANTINED;
+}
+
 struct ms_request *
 ms_request_begin (struct ms_gateway *gw, struct ms_caller *caller)
 {
@@ -241,7 +266,7 @@
   /* A request that is MS_SUSPECT is treated like one that is MS_CLEAR: it need
      not run alone.  */
   verdict = ms_guard_check (gw->guard, r->fingerprint, gw->now);
-  if (verdict == MS_QUARANTINED)
+  if (verdict == MS_QUARANTINED || !admit_parts (r))
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "quarantined");
       return NULL;
--- a/src/gateway/time.c
+++ b/src/gateway/time.c
@@ -22,6 +22,15 @@
   ms_place_note_stall (gw->place, gw->now);
 }
 
+int64_t
+ms_gateway_unix_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
 ms_time
 ms_gateway_update_time (struct ms_gateway *gw)
 {
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -292,7 +292,8 @@
           || (f.duplicate > SMALL_DUPLICATE_TOKENS
               && !is_lightly_loaded (e, service)))
         continue;
-      score = place->policy->score (place, e, &f);
+      score = offer->alone ? (double)e->own.running + e->others.running
+                           : place->policy->score (place, e, &f);
       if (choice->endpoint && score >= best_score)
         continue;
       best_score = score;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -82,6 +82,7 @@
   ms_time target_left; /* Time left to the first-byte target.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried; /* Endpoints not to try again.  */
+  bool alone; /* It may crash its endpoint: prefer the least busy one.  */
 };
 
 enum ms_place_result
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -238,7 +238,7 @@
 verdict "the control address serves counters and histograms" $?
 
 # prompt GATEWAY PART: send a request unlike all others with this part, among
-# parts that others have as well.
+# parts that sound requests have as well.
 prompt ()
 {
   request "$1" "/once/prompt$ids" -X POST -d "$ids" \
@@ -256,8 +256,9 @@
 start_engine 3
 engines="0 1 2 3"
 prompt 1 b2
-for i in 1 2 3 4 5 6 7 8 9 10; do
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16; do
   prompt $((i % 3 + 1)) dead
+  prompt $((i % 3 + 1)) "b$i"
   sleep 0.4
 done
 part_refused
@@ -278,7 +279,8 @@
 for n in 1 2 3; do
   await 20 ready $n || exit 1
 done
-await 2 part_refused
+sleep 1
+part_refused
 verdict "a part that crashed endpoints is refused after a restart of all gateways" $?
 store_put keyed.servers e2 ''
 store_put keyed.servers e3 ''
