--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -64,7 +64,8 @@
 $(route any idempotent 2000 app 2 false false),\
 $(route open idempotent 2000 app 2 true false),\
 $(route brief idempotent 300 app 2 false false),\
-$(route events streaming 8000 app 2 false true)${3:-}],\
+$(route events streaming 8000 app 2 false true),\
+$(route tail streaming 8000 app 2 false false)${3:-}],\
 \"services\":[{\"name\":\"app\"},{\"name\":\"other\",\"cold_per_s\":2}],\
 \"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,\
 \"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},\
@@ -411,6 +412,16 @@
 is "$status" 200 \
   && is "$(grep '^id: ' "$DIR/body" | tr -d 'id: \n')" 123456
 verdict "a broken resumable stream continues elsewhere, each event once" $?
+request 1 '/events/open/stream?n=8&ms=5'
+is "$status" 200 && is "$(grep -c '^id: ' "$DIR/body")" 8 && is "$code" 0
+verdict "a stream without a length arrives complete" $?
+request 1 '/events/open/half?n=6&ms=5'
+is "$status" 200 \
+  && is "$(grep '^id: ' "$DIR/body" | tr -d 'id: \n')" 123456
+verdict "a stream without a length that ends inside an event continues elsewhere" $?
+request 1 '/tail/open/half?n=6&ms=5'
+is "$status" 200 && [ "$code" -ne 0 ]
+verdict "a stream that ends inside an event does not look complete" $?
 request 1 '/events/stream?n=1000&ms=10' --max-time 1
 await 5 cancelled "$id"
 verdict "an endpoint's stream is cancelled when the caller disconnects" $?
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -10,6 +10,7 @@
    /stream     N server-sent events, MS milliseconds apart
    /half       such a stream, broken off in its third event unless resumed by
                Last-Event-Id
+   /open       with /stream or /half: without chunks, ended by closing
    /slow       an answer after MS milliseconds
    /flaky      500 at this endpoint's first run of the attempt ID, then 200
    /endless    64 MiB without X-Response-Signature
@@ -159,28 +160,41 @@
              is_leaving ? "Server-Leaving: 1\r\n" : "", more);
 }
 
+/* Send TEXT as a chunk of a body or, if the body is OPEN, as it is.  Return
+   whether the connection still takes bytes.  */
+static bool
+send_piece (struct mg_connection *connection, const char *text, bool open)
+{
+  return (open ? mg_printf (connection, "%s", text)
+               : mg_printf (connection, "%zx\r\n%s\r\n", strlen (text), text))
+         > 0;
+}
+
 static int
-send_stream (struct mg_connection *connection, const char *id, bool break_off)
+send_stream (struct mg_connection *connection, const char *id, bool break_off,
+             bool open)
 {
   long from = strtol (header_value (connection, "Last-Event-Id"), NULL, 10);
   long n = query_number (connection, "n", 5);
 
   send_head (connection, 200,
-             "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n");
+             "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n");
+  mg_printf (connection, open ? "Connection: close\r\n\r\n"
+                              : "Transfer-Encoding: chunked\r\n\r\n");
+  if (open)
+    mg_disable_connection_keep_alive (connection);
   for (long i = from + 1; i <= n; i++)
     {
       char event[64];
-      int length
-          = snprintf (event, sizeof event, "id: %ld\ndata: piece\n\n", i);
 
+      snprintf (event, sizeof event, "id: %ld\ndata: piece\n\n", i);
       if (break_off && from == 0 && i == 3)
         {
-          /* A chunk with the first 8 bytes of the event.  */
-          mg_printf (connection, "8\r\nid: 3\nda");
+          /* The first 8 bytes of the event.  */
+          mg_printf (connection, open ? "id: 3\nda" : "8\r\nid: 3\nda");
           return 1;
         }
-      if (mg_printf (connection, "%x\r\n%s\r\n", length, event) <= 0)
+      if (!send_piece (connection, event, open))
         {
           pthread_mutex_lock (&runs_lock);
           find_request_runs (id)->cancelled++;
@@ -189,7 +203,8 @@
         }
       pause_ms (query_number (connection, "ms", 10));
     }
-  mg_printf (connection, "0\r\n\r\n");
+  if (!open)
+    mg_printf (connection, "0\r\n\r\n");
   return 1;
 }
 
@@ -327,7 +342,8 @@
   if (strstr (path, "/stream") || strstr (path, "/half"))
     {
       free (body);
-      return send_stream (connection, id, strstr (path, "/half") != NULL);
+      return send_stream (connection, id, strstr (path, "/half") != NULL,
+                          strstr (path, "/open") != NULL);
     }
   if (strstr (path, "/slow"))
     pause_ms (query_number (connection, "ms", 1000));
