A stream that ends inside an event has been broken off

Callers got such a stream as a complete answer: its last event was passed on cut off, and the connection ended in order.

Cause: the orderly end of a connection was taken for the end of any answer without a length. For a stream the events say more.

Change: the incomplete rest of a stream's last event makes the attempt fail, so that the stream is resumed elsewhere or, where that is not allowed, the caller's connection is reset. The outcome is cut_event.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -39,6 +39,9 @@
                          "its list of revoked keys was too old" },
   { "broken",
     "the endpoint broke off, and the request must not be run again" },
+  { "cut_event",
+    "the endpoint's stream ended inside an event, and the request "
+    "must not be run again" },
   { "connect", "no connection to an endpoint was made" },
   { "endpoint_refused", "endpoints refused it without running it" },
   { "bad_bytes", "the endpoint's answer was malformed" },
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -221,6 +221,13 @@
       ms_request_attempt_failed (r, "unsigned");
       return;
     }
+  /* The end of the connection ends a stream without a length, also when the
+     endpoint broke it off.  */
+  if (r->stream_response && r->unsent_length)
+    {
+      ms_request_attempt_failed (r, "cut_event");
+      return;
+    }
   /* An error cannot be passed on once the head of the stream that this attempt
      resumes was sent.  */
   if (r->response_status >= 500 && r->head_sent)
