--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -326,6 +326,15 @@
 }
 await 5 quarantined
 verdict "a request that broke two connections is refused by another gateway" $?
+# By then the deaths are no news any more.
+sleep 3.5
+stop gateway3 KILL
+start_gateway 3
+await 10 ready 3
+sleep 1
+request 3 /any/crash -X POST -d poison
+is "$status" 503 && is "$(run_count $id)" 0
+verdict "a request that broke two connections is refused by one that starts later" $?
 await 5 serves 1
 # Each engine answers its first run of this request with 500 and later ones
 # with 200, so the retry gets 500 on the other engine and 200 on the same one.
