Tell a quarantined request to routers that start later and to other zones

A request that is known by its whole content ran again at each router that started after its deaths had been told, and in each zone of a large fleet.

Change: its fingerprint counts as one of the parts that the part guard knows a request by; a quarantine by content is one there as well, and so is passed on, reported for as long as it holds, and kept in the store. Counts that are no news are reported once a second, not with every digest.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -139,8 +139,8 @@
       return false;
     }
   if (!r->trial
-      && !ms_part_guard_is_clear (r->gw->part_guard, r->shared_parts,
-                                  r->shared_count, now))
+      && !ms_part_guard_is_clear (r->gw->part_guard, r->guarded,
+                                  r->guarded_count, now))
     {
       ms_request_give_up (r, "quarantined");
       return false;
@@ -293,9 +293,34 @@
   size_t used = 0;
 
   snprintf (text, size, "-");
-  for (unsigned i = 0; i < r->shared_count && used < size; i++)
+  for (unsigned i = 0; i + 1 < r->guarded_count && used < size; i++)
     used += (size_t)snprintf (text + used, size - used, "%s%llx", i ? "," : "",
-                              (unsigned long long)r->shared_parts[i]);
+                              (unsigned long long)r->guarded[i]);
+}
+
+/* The connection to ENDPOINT, of the start that START stands for, broke before
+   any of R's response was passed on: it may have crashed because of R.  Peers
+   are told, so that R or another request with a part of its prompt does not
+   bring down one endpoint after another.  */
+static void
+note_death (struct ms_request *r, uint64_t endpoint, uint64_t start)
+{
+  struct ms_gateway *gw = r->gw;
+  char parts[MS_MAX_PARTS * 20];
+  unsigned deaths
+      = ms_guard_death (gw->guard, r->fingerprint, endpoint, gw->now);
+
+  ms_peers_report_death (gw->peers, r->fingerprint, deaths, gw->now);
+  /* A trial counts at whichever endpoint it was.  */
+  if (r->trial)
+    start = ms_id_pair (start, (uint64_t)gw->now);
+  ms_part_guard_died (gw->part_guard, r->guarded, r->guarded_count, start,
+                      gw->now);
+  if (ms_guard_check (gw->guard, r->fingerprint, gw->now) == MS_QUARANTINED)
+    ms_part_guard_quarantine (gw->part_guard, r->fingerprint, gw->now);
+  write_parts (r, parts, sizeof parts);
+  ms_event (gw->now, "endpoint_broke", "id=%s endpoint=%s deaths=%u parts=%s",
+            r->request_id, r->last_endpoint.data, deaths, parts);
 }
 
 void
@@ -316,26 +341,8 @@
       ms_request_retry (r, false, names[error]);
       return;
     }
-  /* The connection broke before any of the response was passed on: the
-     endpoint may have crashed because of this request.  Peers are told, so
-     that it does not bring down one endpoint after another.  */
   if (error == MS_UPSTREAM_BROKEN && !r->response_started)
-    {
-      unsigned deaths = ms_guard_death (r->gw->guard, r->fingerprint, endpoint,
-                                        r->gw->now);
-      char parts[MS_MAX_PARTS * 20];
-
-      ms_peers_report_death (r->gw->peers, r->fingerprint, deaths, r->gw->now);
-      /* A trial counts at whichever endpoint it was.  */
-      if (r->trial)
-        start = ms_id_pair (start, (uint64_t)r->gw->now);
-      ms_part_guard_died (r->gw->part_guard, r->shared_parts, r->shared_count,
-                          start, r->gw->now);
-      write_parts (r, parts, sizeof parts);
-      ms_event (r->gw->now, "endpoint_broke",
-                "id=%s endpoint=%s deaths=%u parts=%s", r->request_id,
-                r->last_endpoint.data, deaths, parts);
-    }
+    note_death (r, endpoint, start);
   ms_request_attempt_failed (r, names[error]);
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -35,8 +35,10 @@
   uint64_t fingerprint;    /* Hash by which the guard recognizes it.  */
   bool keyed;              /* Admitted by its key, which may be revoked.  */
   struct plat_prompt prompt;
-  uint64_t shared_parts[MS_MAX_PARTS]; /* Identifiers of the prompt's.  */
-  unsigned shared_count;
+  /* By which the part guard knows it: the shared parts of its prompt, and its
+     fingerprint as the last.  */
+  uint64_t guarded[MS_MAX_PARTS];
+  unsigned guarded_count;
   bool trial;  /* The trial of a part that may crash endpoints.  */
   double cost; /* In cost units, for the shares of teams.  */
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -132,13 +132,14 @@
                      body.length ? ms_id (body) : 0);
 }
 
-/* Collect the parts of the prompt that others may have as well: all but the
-   last.  */
+/* Collect what the part guard knows R by.  The last part of a prompt is the
+   request's own.  */
 static void
-collect_shared_parts (struct ms_request *r)
+collect_guarded (struct ms_request *r)
 {
   for (unsigned i = 0; i + 1 < r->prompt.parts_count; i++)
-    r->shared_parts[r->shared_count++] = r->prompt.parts[i].id;
+    r->guarded[r->guarded_count++] = r->prompt.parts[i].id;
+  r->guarded[r->guarded_count++] = r->fingerprint;
 }
 
 static struct ms_request *
@@ -174,9 +175,9 @@
   r->arrived = gw->now;
   set_time_limits (r, head);
   plat_decode_prompt (head, &r->prompt);
-  collect_shared_parts (r);
   r->cost = r->prompt.tokens + OUTPUT_TOKEN_COST * r->prompt.output;
   r->fingerprint = request_fingerprint (r);
+  collect_guarded (r);
   r->first_byte_target = route->target_latency ? route->target_latency
                                                : DEFAULT_FIRST_BYTE_TARGET;
   wait = (ms_time)(MAX_WAIT_FRACTION * (double)r->first_byte_target);
@@ -214,7 +215,7 @@
 admit_parts (struct ms_request *r)
 {
   enum ms_part_verdict verdict = ms_part_guard_admit (
-      r->gw->part_guard, r->shared_parts, r->shared_count, r->gw->now);
+      r->gw->part_guard, r->guarded, r->guarded_count, r->gw->now);
 
   r->trial = verdict == MS_PART_TRIAL;
   if (r->trial)
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -109,7 +109,7 @@
   ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
                   r->gw->now - r->sent_at, r->gw->now);
   if (r->response_status < 300)
-    ms_part_guard_began (r->gw->part_guard, r->shared_parts, r->shared_count,
+    ms_part_guard_began (r->gw->part_guard, r->guarded, r->guarded_count,
                          r->gw->now);
 }
 
--- a/src/guard/parts.c
+++ b/src/guard/parts.c
@@ -32,8 +32,11 @@
 /* By then the result of a trial is known, or there is none.  */
 #define TRIAL_TIME (2 * MS_SEC)
 
-/* How long a change is reported.  */
+/* How long a change is reported.  Counts go on being reported, each in one
+   slot of COUNT_SLOTS.  */
 #define REPORT_TIME (3 * MS_SEC)
+#define COUNT_SLOT (100 * MS_MSEC)
+#define COUNT_SLOTS 10
 
 /* Answers, and trials, that peers report as less apart than this are one:
    their ages are not exact.  */
@@ -370,8 +373,10 @@
   HASH_ITER (hh, guard->records, r, next)
   {
     unsigned deaths = count_deaths (r, now);
+    bool is_news = now - r->changed_at < REPORT_TIME;
+    unsigned slot = (unsigned)(now / COUNT_SLOT % COUNT_SLOTS);
 
-    if (deaths >= TRIAL_DEATHS)
+    if (deaths >= TRIAL_DEATHS && (is_news || r->part % COUNT_SLOTS == slot))
       add_report (&list, (struct ms_part_report){ r->part, 0, deaths,
                                                   now - r->last_death });
   }
@@ -443,6 +448,15 @@
   report_change (guard, r, before, now);
 }
 
+void
+ms_part_guard_quarantine (struct ms_part_guard *guard, uint64_t part,
+                          ms_time now)
+{
+  const struct ms_part_report report = { part, 0, QUARANTINE_DEATHS, 0 };
+
+  ms_part_guard_merge (guard, &report, now);
+}
+
 bool
 ms_part_guard_unstored (const struct ms_part_guard *guard,
                         struct ms_part_report *report, ms_time now)
