A read of many removals does not end relays of changes

After one read of more removals than are remembered (256) a router relayed whole lists for good: safe, but its peers' cost of control grows with the list.

Cause: the marker of an unfinished read became the offset from which changes are known, and was not replaced when the read was done.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -443,6 +443,8 @@
   for (unsigned i = 0; i < MAX_REMOVALS; i++)
     if (replica->removals[i].offset == OFFSET_PENDING)
       replica->removals[i].offset = next;
+  if (replica->changes_from == OFFSET_PENDING)
+    replica->changes_from = next;
 }
 
 void
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -474,6 +474,35 @@
   ms_replica_destroy (to.replica);
 }
 
+/* Guards against relays of whole lists for good after one read of more
+   removals than are remembered.  */
+static void
+test_read_of_many_removals_does_not_end_relays_of_changes (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower from, to;
+  ms_time now = MS_SEC;
+  size_t all;
+
+  (void)state;
+  create_follower (&from);
+  create_follower (&to);
+  for (unsigned i = 0; i < KEYS; i++)
+    write_key (&topic, i, false);
+  read_topic (&from, &topic, KEYS, now);
+  for (unsigned i = 0; i < KEYS - 100; i++)
+    write_key (&topic, i, true);
+  read_topic (&from, &topic, KEYS, ++now);
+  all = relay_changes (&to, &from, ++now);
+  expect_equal (&to, &topic);
+  write_key (&topic, KEYS - 1, false);
+  read_topic (&from, &topic, KEYS, ++now);
+  assert_true (relay_changes (&to, &from, ++now) < all / 5);
+  expect_equal (&to, &topic);
+  ms_replica_destroy (from.replica);
+  ms_replica_destroy (to.replica);
+}
+
 /* A peer that misses a change although it takes itself for complete finds out
    by the checksum, and gets all records with the next relay.  */
 static void
@@ -606,6 +635,8 @@
     cmocka_unit_test (test_records_of_an_older_era_are_ignored),
     cmocka_unit_test (test_snapshot_of_a_store_that_went_back_is_applied),
     cmocka_unit_test (test_relay_has_what_changed),
+    cmocka_unit_test (
+        test_read_of_many_removals_does_not_end_relays_of_changes),
     cmocka_unit_test (test_gap_is_detected),
     cmocka_unit_test (test_replicas_agree_in_any_order),
     cmocka_unit_test (test_unreadable_record_is_relayed_as_removed),
