--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -565,6 +565,27 @@
 verdict "an endpoint that started again after it left gets requests" $?
 list_engine 0 ready
 list_engine 1 ready
+busy_engine () { get -X PUT "http://$(engine_address "$1")/busy?s=$2" >/dev/null; }
+turned () { get "http://$(engine_address "$1")/turned"; }
+list_engine 1 draining
+await 5 all_run_on 0
+busy_engine 0 3
+request 1 /any/x
+before=$(turned 0)
+for i in 1 2 3 4 5 6 7 8 9 10; do
+  request 1 /any/x
+  sleep 0.1
+done
+is "$(turned 0)" "$before"
+verdict "an endpoint that asks for a pause gets no request in it" $?
+# Of the 3 s, at least one has passed.
+wait_s=$(sed -n 's/^Retry-After: \([0-9]*\).*/\1/p' "$DIR/head")
+is "$status" 503 && [ "${wait_s:-0}" -ge 1 ]
+verdict "callers are told when endpoints that ask for a pause may be tried again" $?
+busy_engine 0 0
+await 5 runs_on 0
+verdict "an endpoint gets requests again after the pause that it asked for" $?
+list_engine 1 ready
 get -X PUT "$(store_url)/forget?topic=keyed.servers" >/dev/null
 get -X PUT "$(store_url)/forget?topic=keyed.op" >/dev/null
 list_engine 0 draining
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -28,9 +28,10 @@
    GET /runs?id=ID returns how often the request with X-Request-Attempt-Id ID
    was run, GET /cancelled?id=ID how often its connection was found closed
    during a stream.  PUT /leave?to=1 makes all answers say that the endpoint
-   leaves, until PUT /leave?to=0.  With --runs=FILE each run is appended to
-   FILE before it begins: ID and the time in milliseconds of the monotonic
-   clock.  */
+   leaves, until PUT /leave?to=0.  PUT /busy?s=N turns each request away with
+   503 and Retry-After: N until PUT /busy?s=0; GET /turned returns how many
+   were.  With --runs=FILE each run is appended to FILE before it begins: ID
+   and the time in milliseconds of the monotonic clock.  */
 
 #include <argp.h>
 #include <civetweb.h>
@@ -61,6 +62,8 @@
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 static const char *endpoint_name = "e0";
 static atomic_bool is_leaving;
+static atomic_long busy_s; /* 0: requests are run.  */
+static atomic_uint turned_away;
 static FILE *runs_file;
 
 /* The entry of ID, made if there is none, or the first entry if the table
@@ -320,6 +323,18 @@
       send_head (connection, 421, "Content-Length: 0\r\n\r\n");
       return 1;
     }
+  if (busy_s)
+    {
+      char more[96];
+
+      turned_away++;
+      snprintf (more, sizeof more,
+                "X-Not-Executed: 1\r\nRetry-After: %ld\r\n"
+                "Content-Length: 0\r\n\r\n",
+                busy_s);
+      send_head (connection, 503, more);
+      return 1;
+    }
   if (strstr (path, "/full"))
     {
       send_head (connection, 503,
@@ -393,6 +408,27 @@
   return 1;
 }
 
+static int
+handle_busy (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  busy_s = query_number (connection, "s", 1);
+  mg_printf (connection, "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
+  return 1;
+}
+
+static int
+handle_turned (struct mg_connection *connection, void *context)
+{
+  char text[24];
+
+  (void)context;
+  snprintf (text, sizeof text, "%u\n", turned_away);
+  mg_printf (connection, "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n%s",
+             strlen (text), text);
+  return 1;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -441,10 +477,9 @@
     NULL,    NULL,         NULL
   };
   static const struct standin_handler handlers[] = {
-    { "/runs$", handle_runs },
-    { "/cancelled$", handle_cancelled },
-    { "/leave$", handle_leave },
-    { "/**", handle_request },
+    { "/runs$", handle_runs },     { "/cancelled$", handle_cancelled },
+    { "/leave$", handle_leave },   { "/busy$", handle_busy },
+    { "/turned$", handle_turned }, { "/**", handle_request },
   };
   const char *address = "127.0.0.1:0";
 
