Leave an endpoint alone for the pause that it asks for

An endpoint that turns a request away with 503 may say for how long it wants none from that router (Retry-After); each further request reached it all the same.

Change: decoded in platform/, whole or fractional seconds, at most ten minutes; anything that is no number above 0 is logged and ignored. In the pause the endpoint counts as without capacity, also when a connection to it is made; the longest pause holds, another start ends it, and for a second after it the endpoint counts as cold. If all endpoints of a service ask for one, callers are refused at once and told to come back after the shortest.

gateway.sh: engine 0 stays listed with the start that it was given, as another entry is another start, which ends the pause.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -31,6 +31,8 @@
             "time" },
   { "no_endpoint",
     "refused, not run: no endpoint of its service was available" },
+  { "paused", "refused, not run: all endpoints of its service had asked for a "
+              "pause" },
   { "leaving", "refused, not run: the router was told to end and could not be "
                "sure to finish it" },
   { "quarantined",
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -239,7 +239,7 @@
       start_attempt (r, &offer);
       return true;
     }
-  if (r->gw->now < r->waiter.give_up_at)
+  if (r->gw->now + r->choice.paused_for < r->waiter.give_up_at)
     ms_waiting_add (r->gw->waiting, &r->waiter);
   else
     ms_request_give_up_unplaced (r);
@@ -250,6 +250,7 @@
 ms_request_give_up_unplaced (struct ms_request *r)
 {
   ms_request_give_up (r, r->choice.result == MS_PLACE_FULL ? "full"
+                         : r->choice.paused_for            ? "paused"
                                                            : "no_endpoint");
 }
 
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -10,7 +10,8 @@
 #include "gateway/request.h"
 
 /* Retry-After is MIN_RETRY_AFTER, plus the time by which the fastest endpoint
-   was expected to miss the first-byte target, plus a random time below
+   was expected to miss the first-byte target, or for which all endpoints asked
+   for a pause, plus a random time below
    RETRY_AFTER_JITTER so that refused callers do not return all at once.  */
 #define MIN_RETRY_AFTER (200 * MS_MSEC)
 #define RETRY_AFTER_JITTER (400 * MS_MSEC)
@@ -118,7 +119,8 @@
 {
   struct ms_caller *caller = r->caller;
   ms_time delay = status == HTTP_STATUS_SERVICE_UNAVAILABLE
-                      ? ms_gateway_retry_after (r->gw, r->choice.late_by)
+                      ? ms_gateway_retry_after (
+                          r->gw, r->choice.late_by + r->choice.paused_for)
                       : 0;
 
   ms_request_log_end (r, status, reason);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -156,6 +156,23 @@
               misdirected);
 }
 
+/* Note whether the endpoint that sent HEAD asks for a pause.  */
+static void
+note_pause (struct ms_upstream *u, const struct ms_head *head)
+{
+  struct ms_endpoint_state *e = u->endpoint;
+  bool valid;
+  ms_time pause = plat_decode_pause (head, &valid);
+
+  if (!valid)
+    ms_event (u->gw->now, "pause_invalid", "endpoint=%s", e->entry.id.data);
+  if (!pause || !ms_place_is_start (e, u->born))
+    return;
+  ms_event (u->gw->now, "endpoint_paused", "endpoint=%s ms=%lld",
+            e->entry.id.data, (long long)(pause / MS_MSEC));
+  ms_place_pause (e, pause, u->gw->now);
+}
+
 static void
 on_head (void *context, const struct ms_head *head)
 {
@@ -168,6 +185,7 @@
       return;
     }
   note_leaving (u, head);
+  note_pause (u, head);
   u->keep_alive = head->keep_alive;
   u->idle_timeout = read_idle_timeout (head);
   if (u->request && !ms_request_response_head (u->request, head))
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -39,7 +39,7 @@
               ms_time now)
 {
   return is_in_service (place, e) && now >= e->down_until
-         && (!e->failures || !e->probing);
+         && now >= e->paused_until && (!e->failures || !e->probing);
 }
 
 bool
@@ -54,7 +54,8 @@
                        ms_time placed_at, ms_time now)
 {
   ms_cold_forget (e, placed_at);
-  if (!is_in_service (place, e) || !ms_cold_allows (place, e, now))
+  if (!is_in_service (place, e) || now < e->paused_until
+      || !ms_cold_allows (place, e, now))
     return false;
   ms_cold_record (e, now);
   return true;
@@ -271,6 +272,7 @@
   const struct homes homes = find_homes (place, offer, now);
   double best_score = 0;
   ms_time earliest = MS_NEVER;
+  ms_time resume_at = MS_NEVER;
 
   memset (choice, 0, sizeof *choice);
   choice->result = MS_PLACE_NONE;
@@ -280,8 +282,12 @@
       struct ms_fit f;
       double score;
 
-      if (e->entry.service != offer->service || was_tried (offer, e)
-          || !ms_place_may_send (place, e, now))
+      if (e->entry.service != offer->service)
+        continue;
+      if (now < e->paused_until && is_in_service (place, e)
+          && e->paused_until < resume_at)
+        resume_at = e->paused_until;
+      if (was_tried (offer, e) || !ms_place_may_send (place, e, now))
         continue;
       choice->usable++;
       predict (place, e, service, offer, &homes, now, &f);
@@ -304,6 +310,8 @@
     choice->result = MS_PLACED;
   else if (choice->usable)
     choice->result = MS_PLACE_FULL;
+  if (!choice->usable && resume_at != MS_NEVER)
+    choice->paused_for = resume_at - now;
   if (earliest != MS_NEVER && earliest > offer->target_left)
     choice->late_by = earliest - offer->target_left;
 }
--- a/src/place/leaving.c
+++ b/src/place/leaving.c
@@ -58,11 +58,14 @@
 {
   struct ms_endpoint_state *e = ms_place_find (place, id);
   struct ms_left *left = find_left (place, id);
-  bool known = left && left->born == born;
+  bool known;
 
   /* An answer of an earlier start.  */
-  if (e && e->entry.born != born)
+  if (e && !ms_place_is_start (e, born))
     return false;
+  if (e)
+    born = e->entry.born;
+  known = left && left->born == born;
   if (!left)
     {
       if (HASH_COUNT (place->left) >= MAX_LEFT)
@@ -97,6 +100,12 @@
   return changed;
 }
 
+bool
+ms_place_is_start (const struct ms_endpoint_state *endpoint, int64_t born)
+{
+  return !born || !endpoint->entry.born || endpoint->entry.born == born;
+}
+
 bool
 ms_place_is_leaving (const struct ms_endpoint_state *endpoint)
 {
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -13,6 +13,9 @@
    then the endpoint list has been read again.  */
 #define STALL_COLD_TIME (1 * MS_SEC)
 
+/* How long an endpoint is treated as cold after a pause.  */
+#define PAUSED_COLD_TIME (1 * MS_SEC)
+
 /* A router has more than its share of the work if it exceeds the share by more
    than this fraction.  */
 #define SHARE_TOLERANCE 0.05
@@ -112,6 +115,7 @@
 {
   e->failures = 0;
   e->down_until = 0;
+  e->paused_until = 0;
   e->probing = false;
   e->slowness = 1;
   e->error_rate = 0;
@@ -140,6 +144,16 @@
   return e;
 }
 
+void
+ms_place_pause (struct ms_endpoint_state *endpoint, ms_time pause, ms_time now)
+{
+  if (now + pause <= endpoint->paused_until)
+    return;
+  endpoint->paused_until = now + pause;
+  if (endpoint->cold_until < endpoint->paused_until + PAUSED_COLD_TIME)
+    endpoint->cold_until = endpoint->paused_until + PAUSED_COLD_TIME;
+}
+
 /* Free all endpoints that are neither listed nor referenced.  */
 static void
 free_unused (struct ms_place *place)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -49,6 +49,7 @@
   unsigned failures;     /* Failures to reach it since its last complete
                             answer.  */
   ms_time down_until;    /* No request is sent until then.  */
+  ms_time paused_until;  /* The same, as the endpoint asked for it.  */
   bool probing;    /* One request is testing whether it is reachable again.  */
   double slowness; /* Exponential mean, at least 1, of the ratio of measured to
                       predicted time to the first token or response, where the
@@ -125,6 +126,9 @@
      as a new one, it may be placed.  0 if the endpoint would meet the
      target.  */
   ms_time late_by;
+  /* Without a usable endpoint: when the first of those that asked for a pause
+     may get requests again, counted from now; 0 if there is none.  */
+  ms_time paused_for;
 };
 
 /* Speed of an endpoint with nothing else to do.  Of a member that is 0, the
@@ -216,6 +220,17 @@
                                const struct sockaddr_in *address, uint64_t id,
                                ms_time now);
 
+/* ENDPOINT turned a request away and wants none for PAUSE from NOW on.  It
+   gets none until then, or until its entry states another start; a shorter
+   pause than the one in force changes nothing.  For a second after the pause
+   it counts as cold, so that not all requests that waited come at once.  */
+void ms_place_pause (struct ms_endpoint_state *endpoint, ms_time pause,
+                     ms_time now);
+
+/* Whether ENDPOINT's entry may be of the start time BORN; 0 is not stated.  */
+bool ms_place_is_start (const struct ms_endpoint_state *endpoint,
+                        int64_t born);
+
 /* Whether ENDPOINT is about to end, by its entry or by what it said.  */
 bool ms_place_is_leaving (const struct ms_endpoint_state *endpoint);
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -563,7 +563,6 @@
 BORN=
 await 5 runs_on 0
 verdict "an endpoint that started again after it left gets requests" $?
-list_engine 0 ready
 list_engine 1 ready
 busy_engine () { get -X PUT "http://$(engine_address "$1")/busy?s=$2" >/dev/null; }
 turned () { get "http://$(engine_address "$1")/turned"; }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -223,6 +223,33 @@
   ms_place_destroy (place);
 }
 
+/* Guards against requests at an endpoint in the pause that it asked for, and
+   against all that waited at once after it.  */
+static void
+test_endpoint_gets_no_request_in_the_pause_that_it_asked_for (void **state)
+{
+  static const uint64_t ids[9] = { 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+  struct ms_offer offer = long_prompt ();
+  struct ms_choice choice;
+  struct ms_load load;
+  unsigned sent = 0;
+
+  (void)state;
+  ms_place_set_routers (place, ids, 9);
+  ms_place_pause (e, 5 * MS_SEC, MS_SEC);
+  ms_place_pause (e, 1 * MS_SEC, MS_SEC);
+  ms_place_choose (place, &offer, 2 * MS_SEC, &choice);
+  assert_int_equal (choice.result, MS_PLACE_NONE);
+  assert_int_equal (choice.paused_for, 4 * MS_SEC);
+  assert_false (ms_place_confirm_send (place, e, 0, 2 * MS_SEC));
+  for (unsigned i = 0; i < 20; i++)
+    sent += choose_and_send (place, &offer, &load, 6 * MS_SEC) != NULL;
+  assert_in_range (sent, 1, 3);
+  ms_place_destroy (place);
+}
+
 /* Guards against requests at an endpoint that said in an answer that it
    leaves, by an entry of the same start.  */
 static void
@@ -665,6 +692,8 @@
     cmocka_unit_test (test_cold_bound_holds_for_twelve_routers),
     cmocka_unit_test (test_cold_bound_holds_for_more_routers_than_requests),
     cmocka_unit_test (test_leaving_and_evacuated_endpoints_get_no_request),
+    cmocka_unit_test (
+        test_endpoint_gets_no_request_in_the_pause_that_it_asked_for),
     cmocka_unit_test (test_entry_does_not_undo_a_leaving_that_was_said),
     cmocka_unit_test (
         test_leaving_of_a_misdirected_answer_is_of_the_other_endpoint),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -271,6 +271,40 @@
       ms_str_number (ms_str ("18446744073709551616"), UINT64_MAX), UINT64_MAX);
 }
 
+static ms_time
+decode_pause (const char *value, bool *valid)
+{
+  const struct ms_head head
+      = { .status = 503,
+          .headers_count = 1,
+          .headers = { { ms_str ("Retry-After"), ms_str (value) } } };
+
+  return plat_decode_pause (&head, valid);
+}
+
+static void
+test_decodes_pauses (void **state)
+{
+  static const char *const invalid[] = {
+    "-1", "0", "", "soon", "1s", "nan", "Fri, 04 Dec 2026 12:00:00 GMT"
+  };
+  struct ms_head ok = { .status = 200 };
+  bool valid;
+
+  (void)state;
+  assert_int_equal (decode_pause ("2", &valid), 2 * MS_SEC);
+  assert_int_equal (decode_pause ("0.25", &valid), 250 * MS_MSEC);
+  assert_int_equal (decode_pause ("1e300", &valid), 600 * MS_SEC);
+  assert_true (valid);
+  for (size_t i = 0; i < sizeof invalid / sizeof *invalid; i++)
+    {
+      assert_int_equal (decode_pause (invalid[i], &valid), 0);
+      assert_false (valid);
+    }
+  assert_int_equal (plat_decode_pause (&ok, &valid), 0);
+  assert_true (valid);
+}
+
 static void
 test_loss_of_an_offset (void **state)
 {
@@ -298,6 +332,7 @@
     cmocka_unit_test (test_numbers_out_of_range_are_bounded),
     cmocka_unit_test (test_empty_strings_are_equal),
     cmocka_unit_test (test_numbers_end_with_their_text),
+    cmocka_unit_test (test_decodes_pauses),
     cmocka_unit_test (test_loss_of_an_offset),
   };
 
