A request's own quarantine stays where it is heard; its deaths are told

Change: only the deaths of a request are told, by its fingerprint as one of the parts of the part guard: three deaths and a failed trial quarantine it, and an answer clears it. A death goes out with the next tick.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -317,8 +317,6 @@
     start = ms_id_pair (start, (uint64_t)gw->now);
   ms_part_guard_died (gw->part_guard, r->guarded, r->guarded_count, start,
                       gw->now);
-  if (ms_guard_check (gw->guard, r->fingerprint, gw->now) == MS_QUARANTINED)
-    ms_part_guard_quarantine (gw->part_guard, r->fingerprint, gw->now);
   write_parts (r, parts, sizeof parts);
   ms_event (gw->now, "endpoint_broke", "id=%s endpoint=%s deaths=%u parts=%s",
             r->request_id, r->last_endpoint.data, deaths, parts);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -355,6 +355,7 @@
   p->deaths[p->death_slot]
       = (struct death_report){ { fingerprint, deaths }, now };
   p->death_slot = (p->death_slot + 1) % DIGEST_DEATHS;
+  p->next_digest_at = now;
 }
 
 unsigned
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -28,9 +28,9 @@
    leave.  */
 void ms_peers_announce (struct ms_peers *peers, ms_time now);
 
-/* Report to the other routers that DEATHS endpoints may have crashed because
-   of requests with FINGERPRINT; 0 stands for one unconfirmed death, as for
-   ms_guard_death.  */
+/* Report to the other routers, by the next tick, that DEATHS endpoints may
+   have crashed because of requests with FINGERPRINT; 0 stands for one
+   unconfirmed death, as for ms_guard_death.  */
 void ms_peers_report_death (struct ms_peers *peers, uint64_t fingerprint,
                             unsigned deaths, ms_time now);
 
--- a/src/guard/parts.c
+++ b/src/guard/parts.c
@@ -448,15 +448,6 @@
   report_change (guard, r, before, now);
 }
 
-void
-ms_part_guard_quarantine (struct ms_part_guard *guard, uint64_t part,
-                          ms_time now)
-{
-  const struct ms_part_report report = { part, 0, QUARANTINE_DEATHS, 0 };
-
-  ms_part_guard_merge (guard, &report, now);
-}
-
 bool
 ms_part_guard_unstored (const struct ms_part_guard *guard,
                         struct ms_part_report *report, ms_time now)
--- a/src/guard/parts.h
+++ b/src/guard/parts.h
@@ -17,8 +17,9 @@
    answer clears the part, and a few more deaths quarantine it.  Routers report
    deaths, answers and counts to each other, and pass on what was new to them.
 
-   The fingerprint of a whole request counts as one of its parts, so that what
-   src/guard/guard.h finds is told to all routers in the same way.
+   The fingerprint of a whole request counts as one of its parts:
+   src/guard/guard.h finds such a request sooner, but tells peers for a short
+   time only.
 
    Not thread-safe.  Opens no socket and reads no clock.  */
 
@@ -79,10 +80,6 @@
 void ms_part_guard_began (struct ms_part_guard *guard, const uint64_t *parts,
                           unsigned count, ms_time now);
 
-/* PART is in quarantine by another rule than that of this guard.  */
-void ms_part_guard_quarantine (struct ms_part_guard *guard, uint64_t part,
-                               ms_time now);
-
 /* Return whether a request with the COUNT shared PARTS may be sent.  With
    MS_PART_TRIAL the trial of all of them that are suspects has begun.  */
 enum ms_part_verdict ms_part_guard_admit (struct ms_part_guard *guard,
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -20,6 +20,14 @@
 #define BODY_BYTES 8192
 #define MAX_RUNS 16384 /* Of one start of an endpoint.  */
 
+/* One request in so many has a part in its prompt that crashes endpoints.
+   After the fifth crash and the time until gateways are in touch, they may
+   send at most MAX_LATE_CRASHES more.  */
+#define HARMFUL_SHARE 50
+#define STABLE_WINDOW_MS 3000
+#define MAX_LATE_CRASHES 3
+#define MAX_CRASHES 1024
+
 /* Time that an endpoint spends on a request that is no stream.  */
 #define RUN_MS 200
 
@@ -39,6 +47,7 @@
   char id[40];
   enum route route;
   unsigned gateway; /* To which it was sent.  */
+  bool harmful;     /* With a part that crashes endpoints.  */
   bool second_key;
   bool after_revocation; /* Sent when its key had to be refused.  */
   bool key_in_force;     /* Sent when its key, the second, had to be known.  */
@@ -69,6 +78,7 @@
 
 static struct caller callers[CALLERS];
 static atomic_bool stopping;
+static atomic_uint prompts; /* Sent so far.  */
 /* When the second key was revoked, 0 while it is valid.  */
 static _Atomic long long revoked_at_ms;
 /* When it became valid, 0 while it is revoked.  */
@@ -130,6 +140,10 @@
   headers = curl_slist_append (headers, text);
   snprintf (text, sizeof text, "X-Request-Attempt-Id: %s", r->id);
   headers = curl_slist_append (headers, text);
+  /* No two prompts are alike.  */
+  snprintf (text, sizeof text, "X-Prompt-Prefix: a1:1,%s:1,%u:1",
+            r->harmful ? "dead" : "b2", ++prompts);
+  headers = curl_slist_append (headers, text);
   return curl_slist_append (headers, "X-Deadline-Remaining-Ms: 4000");
 }
 
@@ -188,6 +202,7 @@
       r->route = (enum route)ms_random_below (&c->random, ROUTES);
       r->gateway = c->gateway;
       r->second_key = ms_random_below (&c->random, 4) == 0;
+      r->harmful = ms_random_below (&c->random, HARMFUL_SHARE) == 0;
       r->after_revocation = r->second_key && revoked
                             && fleet_now_ms () > revoked + REVOCATION_MS;
       r->sent_at = fleet_now_ms ();
@@ -270,6 +285,44 @@
   return false;
 }
 
+/* A run that crashed its endpoint.  */
+struct crash
+{
+  long long at;
+  unsigned gateway;
+};
+
+static struct crash crashes[MAX_CRASHES];
+static unsigned crashes_count;
+
+static int
+compare_crashes (const void *a, const void *b)
+{
+  long long x = ((const struct crash *)a)->at;
+  long long y = ((const struct crash *)b)->at;
+
+  return (x > y) - (x < y);
+}
+
+/* Whether gateways in touch sent more requests than they may with a part under
+   which five endpoints had ended; prints how many.  */
+static bool
+crashes_go_on (bool (*in_touch) (unsigned gateway, long long at_ms))
+{
+  unsigned late = 0;
+
+  qsort (crashes, crashes_count, sizeof *crashes, compare_crashes);
+  for (unsigned i = 5; i < crashes_count; i++)
+    late += crashes[i].at > crashes[4].at + STABLE_WINDOW_MS
+            && in_touch (crashes[i].gateway, crashes[i].at);
+  printf ("%u endpoints crashed by a part\n", crashes_count);
+  if (late > MAX_LATE_CRASHES)
+    printf (
+        "BUDGET: %u requests with a part that had crashed five endpoints\n",
+        late);
+  return late > MAX_LATE_CRASHES;
+}
+
 /* Add the runs of one start of an endpoint to the requests in TABLE.  Prints
    the following breaches and returns their number.  The runs of callers_probe,
    whose ids begin with "try", are looked at for FAILBACK only.
@@ -299,6 +352,8 @@
       if (count < MAX_RUNS)
         times[count++] = at;
       HASH_FIND_STR (table, id, r);
+      if (r && r->harmful && crashes_count < MAX_CRASHES)
+        crashes[crashes_count++] = (struct crash){ at, r->gateway };
       if (r)
         r->runs++;
       else if (strncmp (id, "try", 3) != 0)
@@ -384,6 +439,7 @@
 
   for (unsigned i = 0; i < count; i++)
     breaches += count_instance_runs (table, &instances[i], in_touch);
+  breaches += crashes_go_on (in_touch);
   HASH_ITER (hh, table, r, next)
   {
     const char *rule = broken_rule (r, in_touch);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -122,6 +122,10 @@
 void fleet_copy_store (void);
 void fleet_restore_store (void);
 
+/* Start engines again that a request has crashed, under new names, a second
+   after their end.  Call it often.  */
+void fleet_restart_crashed (void);
+
 /* Publish the next version of the configuration, in which the second API key
    ("k2") is valid or, unless SECOND_KEY, revoked.  */
 void fleet_publish_config (bool second_key);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -491,6 +491,7 @@
   start = fleet_now_ms ();
   while (advance_faults (fleet_now_ms () - start))
     {
+      fleet_restart_crashed ();
       breaches += fleet_count_died ();
       if (++steps % (HEARTBEAT_STEP_MS / STEP_MS) == 0)
         fleet_heartbeat ();
