The store has the parts under trial as well, until they are cleared

Cause: only quarantined parts were written to the store. Gateways that start make no trials for 2 s, so that a part stayed under trial while they started one after the other, and was forgotten when all were killed.

Change: a part is written from its third death on. A reader that knows of an answer since has the record removed, and remembers answers for 30 s, three periods of reading.

--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -15,8 +15,8 @@
 #define READ_PERIOD (10 * MS_SEC)
 #define READ_PERIOD_RELAYED (60 * MS_SEC)
 
-/* The topic also has the parts of prompts that are in quarantine, under this
-   and their identifier.  */
+/* The topic also has the parts of prompts that are under trial or in
+   quarantine, under this and their identifier.  */
 #define PART_PREFIX "part/"
 
 /* A record of a part with more deaths is not valid.  */
@@ -65,8 +65,8 @@
   return text.length > length && memcmp (text.data, prefix, length) == 0;
 }
 
-/* Learn from the store that the part of prompts that KEY names is in
-   quarantine, or have the record removed if it no longer is.  */
+/* Learn from the store that the part of prompts that KEY names is under trial
+   or in quarantine, or have the record removed if it no longer is.  */
 static void
 learn_part (struct ms_members *m, struct ms_str key, const json_t *value)
 {
@@ -80,16 +80,21 @@
   if (key.length >= sizeof text || !json_is_integer (at) || deaths <= 0
       || deaths > MAX_PART_DEATHS)
     return;
+  snprintf (text, sizeof text, "%.*s", (int)key.length, key.data);
+  report.part = strtoull (text + strlen (PART_PREFIX), NULL, 16);
+  report.deaths = (unsigned)deaths;
+  /* Clocks may differ.  */
+  report.age = 0;
   if (at_ms < now_ms - MS_PART_QUARANTINE_TIME / MS_MSEC)
+    report.age = MS_PART_QUARANTINE_TIME + 1;
+  else if (at_ms < now_ms)
+    report.age = (now_ms - at_ms) * MS_MSEC;
+  if (report.age > MS_PART_QUARANTINE_TIME
+      || ms_part_guard_is_cleared (m->gw->part_guard, &report, m->gw->now))
     {
       set_gone (m, key);
       return;
     }
-  snprintf (text, sizeof text, "%.*s", (int)key.length, key.data);
-  report.part = strtoull (text + strlen (PART_PREFIX), NULL, 16);
-  report.deaths = (unsigned)deaths;
-  /* Clocks may differ.  */
-  report.age = at_ms < now_ms ? (now_ms - at_ms) * MS_MSEC : 0;
   ms_part_guard_merge (m->gw->part_guard, &report, m->gw->now);
   ms_part_guard_set_stored (m->gw->part_guard, report.part);
 }
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -6,7 +6,8 @@
 /* Membership through the store: each router registers its address, zone and
    incarnation there when it starts and regularly reads the records of the
    others, which it passes to the fleet.  The same topic keeps the parts of
-   prompts that are in quarantine, which one router a zone writes.  */
+   prompts that are under trial or in quarantine, which one router a zone
+   writes.  */
 
 struct ms_members;
 
--- a/src/guard/parts.c
+++ b/src/guard/parts.c
@@ -42,9 +42,9 @@
    their ages are not exact.  */
 #define SAME_EVENT (200 * MS_MSEC)
 
-/* How long an answer is remembered, as reports of deaths before it may follow.
- */
-#define ANSWER_LIFETIME (10 * MS_SEC)
+/* How long an answer is remembered, as reports of deaths before it may follow,
+   and the store may still have the part.  */
+#define ANSWER_LIFETIME (30 * MS_SEC)
 
 /* Bounds the memory; beyond this count a new record replaces the one that was
    added first.  */
@@ -260,6 +260,7 @@
 
   r->begun_at = at;
   r->trial_until = 0;
+  r->stored = false;
   drop_deaths (r, at);
   if (before)
     r->changed_at = now;
@@ -458,7 +459,7 @@
   {
     unsigned deaths = count_deaths (r, now);
 
-    if (r->stored || deaths < QUARANTINE_DEATHS)
+    if (r->stored || deaths < TRIAL_DEATHS)
       continue;
     *report
         = (struct ms_part_report){ r->part, 0, deaths, now - r->last_death };
@@ -467,6 +468,15 @@
   return false;
 }
 
+bool
+ms_part_guard_is_cleared (const struct ms_part_guard *guard,
+                          const struct ms_part_report *report, ms_time now)
+{
+  const struct record *r = find_record (guard, report->part);
+
+  return r && now - report->age <= r->begun_at;
+}
+
 void
 ms_part_guard_set_stored (struct ms_part_guard *guard, uint64_t part)
 {
--- a/src/guard/parts.h
+++ b/src/guard/parts.h
@@ -101,11 +101,16 @@
 void ms_part_guard_merge (struct ms_part_guard *guard,
                           const struct ms_part_report *report, ms_time now);
 
-/* Set REPORT to a quarantined part that the store does not have, or return
-   false if there is none.  */
+/* Set REPORT to a part under trial or in quarantine that the store does not
+   have, or return false if there is none.  */
 bool ms_part_guard_unstored (const struct ms_part_guard *guard,
                              struct ms_part_report *report, ms_time now);
 
+/* Whether an answer has begun since what REPORT, which the store has, says. */
+bool ms_part_guard_is_cleared (const struct ms_part_guard *guard,
+                               const struct ms_part_report *report,
+                               ms_time now);
+
 /* The store has PART.  */
 void ms_part_guard_set_stored (struct ms_part_guard *guard, uint64_t part);
 
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -558,8 +558,8 @@
   kill_process (&store);
 }
 
-/* Return whether P, named NAME and I, ended although no signal was sent to it,
-   and print how.  */
+/* Return whether P, named NAME and I, ended although no signal was sent to it
+   and no request crashes it, and print how.  */
 static bool
 has_died (struct process *p, const char *name, unsigned i)
 {
@@ -569,6 +569,8 @@
       || waitpid (p->pid, &status, WNOHANG) != p->pid)
     return false;
   p->pid = 0;
+  if (WIFEXITED (status) && WEXITSTATUS (status) == CRASH_STATUS)
+    return false;
   if (WIFSIGNALED (status))
     printf ("%s %u ended by signal %d\n", name, i, WTERMSIG (status));
   else
@@ -576,22 +578,6 @@
   return true;
 }
 
-/* Note the end of engine I if a request has crashed it.  */
-static void
-check_crash (unsigned i)
-{
-  struct engine *e = &engines[i];
-  siginfo_t info = { 0 };
-
-  if (!e->process.pid
-      || waitid (P_PID, (id_t)e->process.pid, &info,
-                 WEXITED | WNOHANG | WNOWAIT)
-      || info.si_code != CLD_EXITED || info.si_status != CRASH_STATUS)
-    return;
-  reap (&e->process);
-  e->crashed_at = fleet_now_ms ();
-}
-
 void
 fleet_restart_crashed (void)
 {
@@ -599,7 +585,6 @@
     {
       struct engine *e = &engines[i];
 
-      check_crash (i);
       /* One that leaves is replaced at the end of its release.  */
       if (e->crashed_at && fleet_now_ms () - e->crashed_at >= CRASH_BACK_MS
           && !e->instance->left_ms && !e->instance->said_ms)
@@ -615,6 +600,12 @@
   for (unsigned i = 0; i < GATEWAYS; i++)
     died += has_died (&gateways[i], "gateway", i);
   for (unsigned i = 0; i < ALL_ENGINES; i++)
-    died += has_died (&engines[i].process, "engine", i);
+    {
+      bool ran = engines[i].process.pid != 0;
+
+      died += has_died (&engines[i].process, "engine", i);
+      if (ran && !engines[i].process.pid)
+        engines[i].crashed_at = fleet_now_ms ();
+    }
   return died;
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -491,8 +491,8 @@
   start = fleet_now_ms ();
   while (advance_faults (fleet_now_ms () - start))
     {
-      fleet_restart_crashed ();
       breaches += fleet_count_died ();
+      fleet_restart_crashed ();
       if (++steps % (HEARTBEAT_STEP_MS / STEP_MS) == 0)
         fleet_heartbeat ();
       nanosleep (&step, NULL);
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -192,6 +192,36 @@
   ms_part_guard_destroy (b);
 }
 
+/* Guards against the loss of all that is known of a part when all routers
+   start again before its trial, and against a sound one that the store brings
+   back.  */
+static void
+test_store_has_suspects_until_they_are_cleared (void **state)
+{
+  static const uint64_t part = SOUND;
+  struct ms_part_guard *before = create_guard ();
+  struct ms_part_guard *after = create_guard ();
+  struct ms_part_report stored;
+  ms_time last = crash (before, SOUND, 3, MS_SEC);
+  ms_time now = last + 200 * MS_MSEC;
+
+  (void)state;
+  assert_true (ms_part_guard_unstored (before, &stored, now));
+  ms_part_guard_set_stored (before, stored.part);
+  assert_false (ms_part_guard_unstored (before, &stored, now));
+  ms_part_guard_merge (after, &stored, now);
+  assert_int_equal (admit (after, SOUND, now), MS_PART_QUARANTINED);
+  assert_false (ms_part_guard_is_cleared (after, &stored, now));
+  ms_part_guard_began (after, &part, 1, now);
+  stored.age += 20 * MS_SEC;
+  ms_part_guard_tick (after, now + 20 * MS_SEC);
+  assert_true (ms_part_guard_is_cleared (after, &stored, now + 20 * MS_SEC));
+  ms_part_guard_merge (after, &stored, now + 20 * MS_SEC);
+  assert_int_equal (admit (after, SOUND, now + 20 * MS_SEC), MS_PART_CLEAR);
+  ms_part_guard_destroy (before);
+  ms_part_guard_destroy (after);
+}
+
 /* A fleet before endpoints that a part crashes.  Times are in steps of STEP.
    Requests begin to be answered BEGIN_STEPS after they were sent; an endpoint
    that died is back after BACK_STEPS as another one.  Routers of a zone report
@@ -409,6 +439,7 @@
     cmocka_unit_test (test_trial_with_one_suspect_comes_first),
     cmocka_unit_test (test_failures_of_another_cause_make_no_suspect),
     cmocka_unit_test (test_reports_end_and_answers_win),
+    cmocka_unit_test (test_store_has_suspects_until_they_are_cleared),
     cmocka_unit_test (test_fleet_ends_crashes_and_serves_the_rest),
     cmocka_unit_test (test_fleet_ends_crashes_while_routers_restart),
   };
