Log the level of shares and the teams that it limits

Levels and the demand that a gateway knows of could not be seen, so that different levels, missing demand and lost credit looked alike. No decision changes.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -80,6 +80,10 @@
   double others_level; /* Mean of those of other routers.  */
   unsigned others_count;
   ms_time level_at;
+  /* Of the last computation of own_level.  */
+  double used_fraction;
+  double unplaced_fraction;
+  double answered;
 };
 
 struct ms_share *
@@ -365,6 +369,9 @@
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
   summary = summarize_teams (share, now);
+  share->used_fraction = usage->used_fraction;
+  share->unplaced_fraction = summary.unplaced_fraction;
+  share->answered = summary.answered;
   share->own_level
       = max_min_level (share, admitted_rate (&summary, usage), now);
   share->level = agreed_level (share);
@@ -432,6 +439,36 @@
   return share->level;
 }
 
+struct ms_share_state
+ms_share_state (const struct ms_share *share)
+{
+  return (struct ms_share_state){
+    share->level,         share->own_level,         share->others_level,
+    share->used_fraction, share->unplaced_fraction, share->answered,
+  };
+}
+
+unsigned
+ms_share_limited_teams (struct ms_share *share, ms_time now,
+                        struct ms_limited_team *teams, unsigned space)
+{
+  unsigned count = 0;
+  struct team *t, *next;
+
+  if (share->level <= 0)
+    return 0;
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    double demand = rate_value (&t->demand, now);
+
+    if (demand >= 1 && demand + t->others_demand > share->level
+        && count < space)
+      teams[count++] = (struct ms_limited_team){ t->id, demand,
+                                                 t->others_demand, t->credit };
+  }
+  return count;
+}
+
 double
 ms_share_fraction (struct ms_share *share, ms_time now)
 {
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -98,6 +98,36 @@
 /* Return the number of teams whose rates are kept.  */
 unsigned ms_share_team_count (const struct ms_share *share);
 
+/* What the level was last computed from, and the levels, in cost units per
+   second.  */
+struct ms_share_state
+{
+  double level;        /* In force; 0 while capacity is not scarce.  */
+  double own_level;    /* As computed by this router.  */
+  double others_level; /* As of ms_share_set_others_level.  */
+  double used_fraction;
+  double unplaced_fraction; /* Of the demand of the teams below the level.  */
+  double answered;          /* At all routers.  */
+};
+
+struct ms_share_state ms_share_state (const struct ms_share *share);
+
+/* A team that demands more than the level; in cost units per second, and
+   CREDIT in cost units.  */
+struct ms_limited_team
+{
+  uint64_t team;
+  double demand; /* At this router.  */
+  double others_demand;
+  double credit;
+};
+
+/* Store the teams that have requests here and demand more than the level, in
+   no order, in TEAMS.  Return how many were stored, at most SPACE.  */
+unsigned ms_share_limited_teams (struct ms_share *share, ms_time now,
+                                 struct ms_limited_team *teams,
+                                 unsigned space);
+
 /* Return the highest rate at which a team is admitted, in cost units per
    second, or 0 while capacity is not scarce.  */
 double ms_share_level (const struct ms_share *share);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,7 +89,8 @@
                                 that it did not; 0 if there was none.  */
   ms_time swept_at;          /* Start of the last sweep: a check of all
                                 connections' timeouts.  */
-  ms_time terminated_at;     /* When SIGTERM was received; 0 if it was not.  */
+  ms_time shares_logged_at;
+  ms_time terminated_at; /* When SIGTERM was received; 0 if it was not.  */
 
   /* Connections reset since SWEPT_AT because too many sockets were open.  */
   unsigned rejected_connections;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -17,6 +17,7 @@
 #include "gateway/pages.h"
 #include "gateway/peers.h"
 #include "gateway/request.h"
+#include "gateway/shares.h"
 
 /* Environment variable that holds the path of the settings file.  */
 #define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
@@ -126,20 +127,6 @@
   gw->crowded = ms_fleet_crowded (gw->fleet, gw->now);
 }
 
-/* Adjust the teams' shares to the capacity in use at endpoints, and this
-   router's part of each endpoint to its part of the demand.  */
-static void
-update_shares (struct ms_gateway *gw, ms_time now)
-{
-  const struct ms_place_use use = ms_place_use (gw->place, now);
-  /* The tokens stand for the cost, which they understate: a generated token
-     costs more than one cost unit.  */
-  const struct ms_share_usage usage = { use.fraction, use.tokens };
-
-  ms_share_tick (gw->share, &usage, now);
-  ms_place_set_share (gw->place, ms_share_fraction (gw->share, now));
-}
-
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -154,7 +141,7 @@
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
   ms_peers_tick (gw->peers, now);
-  update_shares (gw, now);
+  ms_gateway_update_shares (gw, now);
   ms_place_tick (gw->place, now);
   ms_requests_tick (gw, now);
   if (now - gw->swept_at >= SWEEP_PERIOD)
