Shares: the rate that is let in no longer jumps with the use of endpoints

What callers saw: on 295 machines one team got 14.7 M tokens in six seconds, another one 4.2 M of the 11.4 M that it asked for.

Cause: below a use of 0.6 there was no limit, above it the limit followed the rate of completions, which lags by a second or two. When requests ended with their endpoints, all routers let in everything for half a second and next to nothing afterwards, and what was let in was mostly the largest team's.

Change: the rate is that of completions, or what Little's law says of the running cost while endpoints fill up, times (0.82 / use) ^ 1.5, without a step.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -15,14 +15,17 @@
 /* Interval between computations of the level.  */
 #define LEVEL_PERIOD (100 * MS_MSEC)
 
-/* Teams get all they demand while the used fraction of capacity is below
-   UNLIMITED_USE.  From there on they get the rate at which requests complete,
-   times the factor 1 + USE_GAIN * (TARGET_USE - use), at least
-   MIN_RATE_FACTOR.  */
-#define UNLIMITED_USE 0.6
+/* All teams together are admitted at the rate at which requests complete,
+   times (TARGET_USE / use) ^ USE_EXPONENT.  There is no limit below IDLE_USE.
+   The rate must not jump with the use: all routers would let in what callers
+   hold back, and refuse as much afterwards.  */
 #define TARGET_USE 0.82
-#define USE_GAIN 3.0
-#define MIN_RATE_FACTOR 0.5
+#define USE_EXPONENT 1.5
+#define IDLE_USE 0.05
+
+/* Time constant of the mean run time.  It is long because run times change
+   little, unlike the rate at which requests complete.  */
+#define RUN_TIME_CONSTANT (4 * MS_SEC)
 
 /* If more than this fraction of the demand of teams below the level finds no
    free capacity, capacity counts as scarce whatever its used fraction is: the
@@ -30,10 +33,6 @@
    that less is admitted than completes.  */
 #define SCARCE_UNPLACED_FRACTION 0.04
 
-/* Requests seldom run longer than this, so the cost that is running now
-   completes at least at cost / LONGEST_RUN_S cost units per second.  */
-#define LONGEST_RUN_S 6.0
-
 /* Most credit that a team may save up for a burst, in seconds at the rate at
    which it is admitted.  */
 #define BURST_S 0.3
@@ -80,6 +79,12 @@
   double others_level; /* Mean of those of other routers.  */
   unsigned others_count;
   ms_time level_at;
+  /* Means over RUN_TIME_CONSTANT: the cost that runs at endpoints, and the
+     rate at which it completes; their ratio, 0 while unknown.  */
+  double mean_running;
+  double mean_answered;
+  double run_s;
+  ms_time answered_since; /* When a request first completed; 0 before.  */
   /* Of the last computation of own_level.  */
   double used_fraction;
   double unplaced_fraction;
@@ -306,21 +311,47 @@
   return level;
 }
 
+/* Update the mean run time, in seconds: by Little's law, the cost that is
+   running divided by the rate at which it completes.  While little of the past
+   is known it is taken to be shorter, as completions lag behind.  */
+static void
+update_run_time (struct ms_share *share, double running, double answered,
+                 ms_time now)
+{
+  double weight
+      = -expm1 (-(double)(now - share->level_at) / RUN_TIME_CONSTANT);
+
+  if (!share->answered_since && answered > 0)
+    share->answered_since = now;
+  share->mean_running += weight * (running - share->mean_running);
+  share->mean_answered += weight * (answered - share->mean_answered);
+  share->run_s = share->mean_answered > 0
+                     ? share->mean_running / share->mean_answered
+                           * -expm1 (-(double)(now - share->answered_since)
+                                     / RUN_TIME_CONSTANT)
+                     : 0;
+}
+
 /* Return the rate at which all teams together may be admitted, in cost units
-   per second; HUGE_VAL if there is no need for a limit.  */
+   per second; HUGE_VAL if there is no need for a limit, or nothing is known of
+   what endpoints can do.  */
 static double
-admitted_rate (const struct summary *summary,
+admitted_rate (const struct ms_share *share, const struct summary *summary,
                const struct ms_share_usage *usage)
 {
   double use = usage->used_fraction;
-  double completed
-      = fmax (summary->answered, usage->running_cost / LONGEST_RUN_S);
+  double running = usage->running_cost;
+  double completed;
 
+  if (use < IDLE_USE || share->run_s <= 0)
+    return HUGE_VAL;
+  /* As endpoints fill up, completions lag behind what is running; what is over
+     the target does not complete sooner.  */
+  completed = fmax (summary->answered,
+                    running * fmin (1, TARGET_USE / use) / share->run_s);
   if (summary->unplaced_fraction > SCARCE_UNPLACED_FRACTION)
     use = fmax (use, TARGET_USE + summary->unplaced_fraction);
-  if (use < UNLIMITED_USE)
-    return HUGE_VAL;
-  return completed * fmax (MIN_RATE_FACTOR, 1 + USE_GAIN * (TARGET_USE - use));
+  return completed * pow (TARGET_USE / use, USE_EXPONENT);
 }
 
 /* Remove the teams whose IDLE_TEAM_TIMEOUT is over.  */
@@ -365,15 +396,16 @@
 
   if (now - share->level_at < LEVEL_PERIOD)
     return;
-  share->level_at = now;
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
   summary = summarize_teams (share, now);
+  update_run_time (share, usage->running_cost, summary.answered, now);
+  share->level_at = now;
   share->used_fraction = usage->used_fraction;
   share->unplaced_fraction = summary.unplaced_fraction;
   share->answered = summary.answered;
   share->own_level
-      = max_min_level (share, admitted_rate (&summary, usage), now);
+      = max_min_level (share, admitted_rate (share, &summary, usage), now);
   share->level = agreed_level (share);
 }
 
