--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -387,6 +387,12 @@
   return inverse > 0 ? 1 / inverse : 0;
 }
 
+bool
+ms_share_is_due (const struct ms_share *share, ms_time now)
+{
+  return now - share->level_at >= LEVEL_PERIOD;
+}
+
 void
 ms_share_tick (struct ms_share *share, const struct ms_share_usage *usage,
                ms_time now)
@@ -394,7 +400,7 @@
   struct summary summary;
   struct team *t, *next;
 
-  if (now - share->level_at < LEVEL_PERIOD)
+  if (!ms_share_is_due (share, now))
     return;
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -74,9 +74,12 @@
 void ms_share_set_others_level (struct ms_share *share, double level,
                                 unsigned count);
 
-/* Recompute the level from the rates of all routers and from USAGE.  Call it
-   several times a second; calls within 100 ms of the last computation do
-   nothing.  */
+/* Return whether ms_share_tick is due: the level is recomputed ten times a
+   second.  */
+bool ms_share_is_due (const struct ms_share *share, ms_time now);
+
+/* Recompute the level from the rates of all routers and from USAGE; do nothing
+   if it is not due.  */
 void ms_share_tick (struct ms_share *share, const struct ms_share_usage *usage,
                     ms_time now);
 
--- a/src/gateway/shares.c
+++ b/src/gateway/shares.c
@@ -46,11 +46,15 @@
 void
 ms_gateway_update_shares (struct ms_gateway *gw, ms_time now)
 {
-  const struct ms_place_use use = ms_place_use (gw->place, now);
+  struct ms_place_use use;
+  struct ms_share_usage usage;
+
+  if (!ms_share_is_due (gw->share, now))
+    return;
+  use = ms_place_use (gw->place, now);
   /* The tokens stand for the cost, which they understate: a generated token
      costs more than one cost unit.  */
-  const struct ms_share_usage usage = { use.fraction, use.tokens };
-
+  usage = (struct ms_share_usage){ use.fraction, use.tokens };
   ms_share_tick (gw->share, &usage, now);
   ms_place_set_share (gw->place, ms_share_fraction (gw->share, now));
   log_shares (gw, now);
