Endpoints that failed unseen count little as capacity

A router without requests at an endpoint does not see that it fails, and the list names it for three heartbeats more. Until then its limit counted as free capacity, so that use looked a quarter lower than it was and the shares let in too much. Endpoints that run less than half of what is usual count the less, the fuller the others are.

Test: test_endpoints_that_failed_unseen_are_little_capacity, red before.

--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -1,5 +1,6 @@
 #include "place/internal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Fraction of a model endpoint's token memory that is filled at most.  */
@@ -24,6 +25,10 @@
 #define SMALL_DUPLICATE_TOKENS 256
 #define DUPLICATE_LOAD_FRACTION 0.6
 
+/* An endpoint is idle if, for its limit, it runs less than this fraction of
+   what endpoints run on average.  */
+#define IDLE_FRACTION 0.5
+
 /* Return whether the operators and the endpoint itself let E have requests. */
 static bool
 is_in_service (const struct ms_place *place, const struct ms_endpoint_state *e)
@@ -325,6 +330,20 @@
     choice->late_by = earliest - offer->target_left;
 }
 
+/* Return the service of E if that is an available endpoint of a model; NULL if
+   not.  */
+static const struct ms_service_entry *
+available_model (const struct ms_place *place,
+                 const struct ms_endpoint_state *e, ms_time now)
+{
+  const struct ms_service_entry *service
+      = place->routes ? ms_routes_service (place->routes, e->entry.service)
+                      : NULL;
+
+  return service && service->model && is_available (place, e, now) ? service
+                                                                   : NULL;
+}
+
 /* Return the requests that may run at the model endpoint E at once: where it
    names a limit of requests per second, as many as run when that is used.  */
 static double
@@ -343,26 +362,49 @@
   return limit;
 }
 
+/* Sums over endpoints.  */
+struct use_sums
+{
+  double running; /* Requests.  */
+  double limits;  /* Requests that may run at once.  */
+};
+
 struct ms_place_use
 ms_place_use (const struct ms_place *place, ms_time now)
 {
   struct ms_place_use use = { 0, 0 };
-  double limits_sum = 0;
+  struct use_sums all = { 0, 0 };
+  struct use_sums busy = { 0, 0 };
 
   for (unsigned i = 0; i < place->count; i++)
     {
       const struct ms_endpoint_state *e = place->endpoints[i];
-      const struct ms_service_entry *service
-          = place->routes ? ms_routes_service (place->routes, e->entry.service)
-                          : NULL;
+      const struct ms_service_entry *service = available_model (place, e, now);
 
-      if (!service || !service->model || !is_available (place, e, now))
+      if (!service)
         continue;
-      limits_sum += running_limit (e, service, now);
-      /* USE.FRACTION is the number of running requests until the division.  */
-      use.fraction += e->own.running + e->others.running;
+      all.running += e->own.running + e->others.running;
+      all.limits += running_limit (e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
     }
-  use.fraction = limits_sum > 0 ? use.fraction / limits_sum : 0;
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      const struct ms_endpoint_state *e = place->endpoints[i];
+      const struct ms_service_entry *service = available_model (place, e, now);
+      double running = e->own.running + e->others.running;
+      double limit = service ? running_limit (e, service, now) : 0;
+
+      if (running * all.limits < IDLE_FRACTION * all.running * limit)
+        continue;
+      busy.running += running;
+      busy.limits += limit;
+    }
+  /* While the others are full, an endpoint at which hardly anything runs has
+     probably failed, which routers without requests there do not see.  */
+  if (busy.limits > 0)
+    use.fraction = all.running
+                   / (busy.limits
+                      + fmax (0, 1 - busy.running / busy.limits)
+                            * (all.limits - busy.limits));
   return use;
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -710,6 +710,43 @@
   ms_place_destroy (place);
 }
 
+/* Let the first BUSY of 12 endpoints run RUNNING requests each, the others
+   FEW, and return the used fraction of the capacity.  */
+static double
+use_of_busy_endpoints (unsigned busy, unsigned running, unsigned few)
+{
+  struct ms_place *place = create_place ();
+  const struct ms_load load = { .running = running };
+  const struct ms_load low = { .running = few };
+  double fraction;
+
+  for (unsigned i = 0; i < 12; i++)
+    {
+      struct ms_endpoint_state *e
+          = put_endpoint (place, i, MODEL, ZONE_A, 0, 0);
+
+      ms_place_add_others (place, e->id, i < busy ? &load : &low);
+    }
+  fraction = ms_place_use (place, MS_SEC).fraction;
+  ms_place_destroy (place);
+  return fraction;
+}
+
+/* Guards against failed endpoints, at which hardly anything runs, that make
+   the others look less used than they are.  */
+static void
+test_endpoints_that_failed_unseen_are_little_capacity (void **state)
+{
+  double all = use_of_busy_endpoints (12, 70, 0);
+
+  (void)state;
+  assert_true (use_of_busy_endpoints (9, 70, 0) > 0.9 * all);
+  assert_true (use_of_busy_endpoints (9, 70, 2) > 0.9 * all);
+  /* In a calm fleet such an endpoint is free.  */
+  assert_true (use_of_busy_endpoints (6, 5, 0)
+               < 0.6 * use_of_busy_endpoints (12, 5, 0));
+}
+
 int
 main (void)
 {
@@ -740,6 +777,7 @@
     cmocka_unit_test (test_response_time_of_plain_service_is_learned),
     cmocka_unit_test (test_slow_endpoint_is_tried_again),
     cmocka_unit_test (test_request_with_a_version_goes_to_that_version_only),
+    cmocka_unit_test (test_endpoints_that_failed_unseen_are_little_capacity),
   };
 
   return RUN (tests);
