A pause outlives the endpoint's entry in the list

What callers saw: 503 at once from an endpoint that had asked their gateway for three seconds of pause, which got 99 requests in it.

Cause found: the pause was part of what a router knows of the listed endpoint. An entry that left the list for a moment, or one of another start, cleared it, and an endpoint that refuses looks idle, so that all requests went there.

Change: pauses are kept by endpoint and start, and hold for entries of the same or an earlier start. Where else: leavings were kept so already; the limit that an endpoint names is not, and is named again by each answer.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -170,7 +170,7 @@
     return;
   ms_event (u->gw->now, "endpoint_paused", "endpoint=%s ms=%lld",
             e->entry.id.data, (long long)(pause / MS_MSEC));
-  ms_place_pause (e, pause, u->gw->now);
+  ms_place_pause (u->gw->place, e, pause, u->gw->now);
 }
 
 /* Note the limit of requests that the endpoint which sent HEAD names, or that
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -61,6 +61,16 @@
 /* Free the records of all endpoints that leave.  */
 void ms_left_destroy (struct ms_place *place);
 
+/* Pauses that endpoints asked for.  */
+struct ms_paused;
+
+/* Apply to E the pause that its entry's start, or a later one, asked for.  */
+void ms_pause_restore (struct ms_place *place, struct ms_endpoint_state *e,
+                       ms_time now);
+
+/* Free the records of all pauses.  */
+void ms_pauses_destroy (struct ms_place *place);
+
 /* Requests for services, here and elsewhere.  */
 struct ms_demands;
 
@@ -75,6 +85,7 @@
   struct ms_need *needs;
   struct ms_speed *speeds;
   struct ms_left *left;
+  struct ms_paused *paused;
   struct ms_demands *demands;
   ms_time limits_adjusted_at; /* Last adjustment of the endpoints' limits.  */
   struct ms_place_options options;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -13,9 +13,6 @@
    then the endpoint list has been read again.  */
 #define STALL_COLD_TIME (1 * MS_SEC)
 
-/* How long an endpoint is treated as cold after a pause.  */
-#define PAUSED_COLD_TIME (1 * MS_SEC)
-
 /* A router has more than its share of the work if it exceeds the share by more
    than this fraction.  */
 #define SHARE_TOLERANCE 0.05
@@ -72,6 +69,7 @@
   ms_need_destroy (place);
   ms_speed_destroy (place);
   ms_left_destroy (place);
+  ms_pauses_destroy (place);
   ms_rate_destroy (place);
   free (place);
 }
@@ -129,7 +127,6 @@
 {
   e->failures = 0;
   e->down_until = 0;
-  e->paused_until = 0;
   ms_rate_reset (e);
   e->probing = false;
   e->slowness = 1;
@@ -154,21 +151,12 @@
   e->entry = *entry;
   e->listed = true;
   e->known_leaving = ms_left_has (place, id, entry->born, now);
+  ms_pause_restore (place, e, now);
   if (entry->cold_for > 0 && now + entry->cold_for > e->cold_until)
     e->cold_until = now + entry->cold_for;
   return e;
 }
 
-void
-ms_place_pause (struct ms_endpoint_state *endpoint, ms_time pause, ms_time now)
-{
-  if (now + pause <= endpoint->paused_until)
-    return;
-  endpoint->paused_until = now + pause;
-  if (endpoint->cold_until < endpoint->paused_until + PAUSED_COLD_TIME)
-    endpoint->cold_until = endpoint->paused_until + PAUSED_COLD_TIME;
-}
-
 /* Free all endpoints that are neither listed nor referenced.  */
 static void
 free_unused (struct ms_place *place)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -250,10 +250,12 @@
                                ms_time now);
 
 /* ENDPOINT turned a request away and wants none for PAUSE from NOW on.  It
-   gets none until then, or until its entry states another start; a shorter
-   pause than the one in force changes nothing.  For a second after the pause
+   gets none until then, also if its entry leaves the list meanwhile, or until
+   an entry states a later start; a shorter pause than the one in force changes
+   nothing.  For a second after the pause
    it counts as cold, so that not all requests that waited come at once.  */
-void ms_place_pause (struct ms_endpoint_state *endpoint, ms_time pause,
+void ms_place_pause (struct ms_place *place,
+                     struct ms_endpoint_state *endpoint, ms_time pause,
                      ms_time now);
 
 /* ENDPOINT said in an answer at AT that it takes LIMIT requests per second
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -127,7 +127,7 @@
   refuses = choice.endpoint->id == id_of (0);
   ms_place_sent (place, &offer, &choice, &load, now);
   if (refuses && pauses)
-    ms_place_pause (choice.endpoint, PAUSE, now);
+    ms_place_pause (place, choice.endpoint, PAUSE, now);
   ms_place_ended (place, choice.endpoint, &load,
                   refuses ? MS_END_REFUSED : MS_END_GOOD, now);
   return refuses;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -238,8 +238,8 @@
 
   (void)state;
   ms_place_set_routers (place, ids, 9);
-  ms_place_pause (e, 5 * MS_SEC, MS_SEC);
-  ms_place_pause (e, 1 * MS_SEC, MS_SEC);
+  ms_place_pause (place, e, 5 * MS_SEC, MS_SEC);
+  ms_place_pause (place, e, 1 * MS_SEC, MS_SEC);
   ms_place_choose (place, &offer, 2 * MS_SEC, &choice);
   assert_int_equal (choice.result, MS_PLACE_NONE);
   assert_int_equal (choice.paused_for, 4 * MS_SEC);
