An endpoint that refuses requests no longer looks idle

What callers saw: 503 from an endpoint that turns requests away at once, while others had room.

Cause: a refusal left no trace, so that the endpoint that refused was the least loaded one and was chosen again.

Change: refusals count in the error rate, as failed answers do.

--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -289,9 +289,10 @@
       note_reached (e, now);
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
       break;
-    case MS_END_REFUSED:
     case MS_END_CANCELLED:
       break;
+    /* An endpoint that refuses at once would look idle.  */
+    case MS_END_REFUSED:
     case MS_END_BROKEN:
       e->answered_at = now;
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -200,6 +200,35 @@
   ms_place_destroy (place);
 }
 
+/* Guards against an endpoint that refuses at once and so looks idle: it gets
+   no more requests than each of the others would in turn.  */
+static void
+test_endpoint_that_refuses_attracts_no_requests (void **state)
+{
+  (void)state;
+  for (unsigned s = 0; s < SIZES; s++)
+    {
+      unsigned sent = 0;
+      unsigned refused = 0;
+
+      for (unsigned r = 0; r < sizes[s].routers; r++)
+        {
+          struct ms_place *place = create_place (sizes[s].endpoints);
+
+          for (ms_time now = MS_SEC; now < 21 * MS_SEC; now += 2 * STEP)
+            {
+              ms_place_tick (place, now);
+              refused += send_request (place, false, now);
+              sent++;
+            }
+          ms_place_destroy (place);
+        }
+      print_message ("%u endpoints: %u of %u refused\n", sizes[s].endpoints,
+                     refused, sent);
+      assert_true (refused <= sent / sizes[s].endpoints);
+    }
+}
+
 int
 main (void)
 {
@@ -208,6 +237,7 @@
     cmocka_unit_test (test_pause_outlives_the_entry_in_the_list),
     cmocka_unit_test (test_pause_outlives_an_entry_of_an_earlier_start),
     cmocka_unit_test (test_pause_ends_with_the_start_that_asked_for_it),
+    cmocka_unit_test (test_endpoint_that_refuses_attracts_no_requests),
   };
 
   return RUN (tests);
