--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -662,6 +662,33 @@
 take_up 2 unknown
 is "$status" 503 && is "$(run_count $id)" 0
 verdict "a stream whose version is not known is refused" $?
+# All gateways are killed.
+streams=
+for i in 1 2 3 4 5 6; do
+  begin_stream
+  streams="$streams $stream"
+done
+sleep 1
+for n in 1 2 3; do
+  stop gateway$n KILL
+done
+for n in 1 2 3; do
+  start_gateway $n
+done
+for n in 1 2 3; do
+  await 20 ready $n || exit 1
+done
+taken_up () { take_up 2 "$stream"; is "$status" 200; }
+gone_on=0
+for stream in $streams; do
+  await 5 taken_up && is "$(ran_on $id)" "$(ran_on $stream)" \
+    && gone_on=$((gone_on + 1))
+done
+is $gone_on 6
+verdict "a stream goes on at its version after all gateways were killed" $?
+take_up 2 unknown
+is "$status" 503 && is "$(run_count $id)" 0
+verdict "a stream whose version the store does not have is refused" $?
 VERSION=v1
 list_engine 0 ready
 list_engine 1 ready
