The store has which version began each stream, while several serve

What callers saw: after all gateways were killed at once while two versions served, every stream that was taken up was refused; LOST was broken.

Cause: which version began a stream was known to routers only.

Change: while several versions serve, the first reader of each zone appends the streams of its zone to a log in the store, all that began within 200 ms in one record; a router that starts reads the log once.

A record a stream was weighed before (hundreds of writes a second); this is five writes a second for each zone.

--- a/src/fleet/streams.c
+++ b/src/fleet/streams.c
@@ -1,6 +1,8 @@
 #include "fleet/streams.h"
 
+#include <endian.h>
 #include <stdlib.h>
+#include <string.h>
 #include <uthash.h>
 #include <utlist.h>
 
@@ -13,6 +15,9 @@
 /* Older streams that one report has, by turns.  */
 #define OLD_PER_REPORT 32
 
+/* Streams that began before this time are not written to the store.  */
+#define STORE_TIME (10 * MS_SEC)
+
 /* Most streams that are known; the oldest are forgotten first.  */
 #define MAX_STREAMS 200000
 
@@ -47,8 +52,9 @@
 struct ms_streams
 {
   struct stream *table;
-  struct stream *list; /* Oldest first.  */
-  struct stream *next; /* Next older one to report.  */
+  struct stream *list;     /* Oldest first.  */
+  struct stream *next;     /* Next older one to report.  */
+  struct stream *unstored; /* Next one to be written to the store.  */
   struct service *services;
   ms_time known_since; /* All versions that were listed since are known.  */
 };
@@ -67,6 +73,8 @@
 {
   if (streams->next == s)
     streams->next = s->next;
+  if (streams->unstored == s)
+    streams->unstored = s->next;
   HASH_DEL (streams->table, s);
   DL_DELETE (streams->list, s);
   free (s);
@@ -168,6 +176,8 @@
   s->at = now;
   HASH_ADD (hh, streams->table, id, sizeof s->id, s);
   DL_APPEND (streams->list, s);
+  if (!streams->unstored)
+    streams->unstored = s;
   return s;
 }
 
@@ -229,9 +239,8 @@
   return s ? s->version : only_version (streams, services, count, now);
 }
 
-/* Return whether a service has several versions.  */
-static bool
-is_mixed (const struct ms_streams *streams, ms_time now)
+bool
+ms_streams_mixed (const struct ms_streams *streams, ms_time now)
 {
   for (const struct service *service = streams->services; service;
        service = service->hh.next)
@@ -253,7 +262,7 @@
   struct stream *s = streams->list ? streams->list->prev : NULL;
   unsigned count = 0;
 
-  if (!is_mixed (streams, now))
+  if (!ms_streams_mixed (streams, now))
     return 0;
   /* The newest are at the end of the list.  */
   for (; s && now - s->at < NEWS_TIME && count < space;
@@ -270,6 +279,60 @@
   return count;
 }
 
+unsigned
+ms_streams_take_unstored (struct ms_streams *streams,
+                          struct ms_stream_report *list, unsigned space,
+                          ms_time now)
+{
+  unsigned count = 0;
+
+  for (; streams->unstored && count < space;
+       streams->unstored = streams->unstored->next)
+    {
+      const struct stream *s = streams->unstored;
+
+      if (s->source != MS_STREAM_OTHER && now - s->at < STORE_TIME)
+        list[count++] = (struct ms_stream_report){ s->id, s->version };
+    }
+  return count;
+}
+
+size_t
+ms_streams_encode (const struct ms_stream_report *list, unsigned count,
+                   char *data)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      uint64_t stream = htobe64 (list[i].stream);
+      uint32_t version = htobe32 (list[i].version);
+
+      memcpy (data, &stream, sizeof stream);
+      memcpy (data + sizeof stream, &version, sizeof version);
+      data += MS_STREAM_STORED_BYTES;
+    }
+  return (size_t)count * MS_STREAM_STORED_BYTES;
+}
+
+unsigned
+ms_streams_load (struct ms_streams *streams, const char *data, size_t length,
+                 ms_time now)
+{
+  unsigned count = (unsigned)(length / MS_STREAM_STORED_BYTES);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      uint64_t stream;
+      uint32_t version;
+
+      memcpy (&stream, data, sizeof stream);
+      memcpy (&version, data + sizeof stream, sizeof version);
+      ms_streams_merge (streams, be64toh (stream), be32toh (version),
+                        MS_STREAM_OTHER, now);
+      data += MS_STREAM_STORED_BYTES;
+    }
+  return count;
+}
+
 unsigned
 ms_streams_report_versions (const struct ms_streams *streams,
                             struct ms_version_report *list, unsigned space,
--- a/src/fleet/streams.h
+++ b/src/fleet/streams.h
@@ -2,6 +2,7 @@
 #define FLEET_STREAMS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/clock.h"
@@ -69,6 +70,31 @@
                             struct ms_stream_report *list, unsigned space,
                             ms_time now);
 
+/* Return whether a service has several versions, so that it matters which one
+   began a stream.  */
+bool ms_streams_mixed (const struct ms_streams *streams, ms_time now);
+
+/* Fill LIST with up to SPACE streams that went first through this router or
+   another one of its zone and were not taken before, without those that are so
+   old that hardly any goes on.  Return their number.  */
+unsigned ms_streams_take_unstored (struct ms_streams *streams,
+                                   struct ms_stream_report *list,
+                                   unsigned space, ms_time now);
+
+/* Size of one stream in the form in which the store has it.  */
+#define MS_STREAM_STORED_BYTES 12
+
+/* Write the COUNT streams in LIST into DATA, which has MS_STREAM_STORED_BYTES
+   for each.  Return the length.  */
+size_t ms_streams_encode (const struct ms_stream_report *list, unsigned count,
+                          char *data);
+
+/* Read the streams in the LENGTH bytes at DATA, of which an incomplete one at
+   the end is ignored: they went first through other routers.  Return their
+   number.  */
+unsigned ms_streams_load (struct ms_streams *streams, const char *data,
+                          size_t length, ms_time now);
+
 /* A version that was listed within MS_STREAM_LIFETIME.  */
 struct ms_version_report
 {
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -11,6 +11,7 @@
 #include "base/event.h"
 #include "gateway/members.h"
 #include "gateway/relay.h"
+#include "gateway/stream_log.h"
 #include "place/flow.h"
 
 /* Largest digest that is sent or received, below the UDP payload limit of
@@ -44,6 +45,7 @@
   uv_udp_t udp;
   struct ms_relay *relay;
   struct ms_members *members;
+  struct ms_stream_log *stream_log;
   ms_time next_digest_at;
   unsigned alive;   /* Live routers at the last digest, this one included.  */
   unsigned sharers; /* As of ms_fleet_sharers at the last digest.  */
@@ -484,6 +486,7 @@
     }
   ms_relay_tick (p->relay, now);
   ms_members_tick (p->members, now);
+  ms_stream_log_tick (p->stream_log, now);
 }
 
 enum ms_status
@@ -510,6 +513,7 @@
     }
   p->relay = ms_relay_create (gw);
   p->members = ms_members_create (gw);
+  p->stream_log = ms_stream_log_create (gw);
   *result = p;
   return MS_OK;
 }
@@ -521,6 +525,7 @@
     return;
   ms_relay_destroy (p->relay);
   ms_members_destroy (p->members);
+  ms_stream_log_destroy (p->stream_log);
   uv_close ((uv_handle_t *)&p->udp, NULL);
   free (p);
 }
--- a/tests/test_streams.c
+++ b/tests/test_streams.c
@@ -19,6 +19,8 @@
 #define STEP (10 * MS_MSEC)
 #define SMALL_PERIOD (100 * MS_MSEC)
 #define LARGE_PERIOD (150 * MS_MSEC)
+#define STORE_PERIOD (200 * MS_MSEC)
+#define MAX_STORED 512
 #define STREAM_TIME (8 * MS_SEC)
 #define STREAMS_PER_SECOND 4 /* At each router.  */
 
@@ -58,6 +60,9 @@
   unsigned taken_up;
   unsigned known;
   unsigned wrong;
+  /* What the readers have written to the store.  */
+  char stored[MAX_STREAMS * MS_STREAM_STORED_BYTES];
+  size_t stored_length;
 };
 
 static struct in_addr
@@ -234,6 +239,23 @@
   w->streams_count = kept;
 }
 
+/* Write the streams of R's zone to the store, as its reader.  */
+static void
+store_streams (struct world *w, struct router *r)
+{
+  struct ms_stream_report list[MAX_STORED];
+  unsigned count;
+
+  if (w->now % STORE_PERIOD || !ms_fleet_reads_store (r->fleet, w->now)
+      || !ms_streams_mixed (r->streams, w->now))
+    return;
+  count = ms_streams_take_unstored (r->streams, list, MAX_STORED, w->now);
+  assert_true (w->stored_length + (size_t)count * MS_STREAM_STORED_BYTES
+               <= sizeof w->stored);
+  w->stored_length
+      += ms_streams_encode (list, count, w->stored + w->stored_length);
+}
+
 static void
 play (struct world *w, ms_time time)
 {
@@ -250,6 +272,7 @@
           begin_streams (w, r);
           if (w->now >= r->digest_at)
             send_digest (w, r);
+          store_streams (w, r);
         }
       end_streams (w);
     }
@@ -419,6 +442,33 @@
     }
 }
 
+static void
+test_streams_go_on_after_all_routers_were_killed (void **state)
+{
+  (void)state;
+  for (unsigned s = 0; s < SIZES; s++)
+    {
+      struct world *w = create_world (sizes[s].routers, sizes[s].zones);
+
+      w->new_serves = true;
+      play (w, 3 * MS_SEC);
+      for (unsigned i = 0; i < w->count; i++)
+        kill_router (&w->routers[i]);
+      for (unsigned i = 0; i < w->count; i++)
+        {
+          start_router (w, i, false);
+          ms_streams_load (w->routers[i].streams, w->stored, w->stored_length,
+                           w->now);
+        }
+      for (unsigned i = 0; i < w->streams_count; i++)
+        w->streams[i].router = &w->routers[0];
+      kill_router (&w->routers[0]);
+      take_up_streams (w);
+      check_most_go_on (w);
+      destroy_world (w);
+    }
+}
+
 static void
 test_all_streams_go_on_while_one_version_serves (void **state)
 {
@@ -523,6 +573,7 @@
     cmocka_unit_test (test_streams_go_on_at_the_version_that_began_them),
     cmocka_unit_test (test_streams_of_a_lost_zone_go_on_in_others),
     cmocka_unit_test (test_started_router_does_not_guess_a_version),
+    cmocka_unit_test (test_streams_go_on_after_all_routers_were_killed),
     cmocka_unit_test (test_all_streams_go_on_while_one_version_serves),
     cmocka_unit_test (test_a_version_that_left_is_remembered_for_a_lifetime),
     cmocka_unit_test (
