--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -142,16 +142,18 @@
   r->guarded[r->guarded_count++] = r->fingerprint;
 }
 
-/* Note which stream R takes up, if it does, the version that began it, and
-   which of the route's services has that version.  */
+/* If R is a stream that may be resumed, note which one it takes up, if it
+   does, the version that began it, and which of the route's services has that
+   version.  */
 static void
 identify_stream (struct ms_request *r, const struct ms_head *head)
 {
   struct ms_str resumes = ms_head_find (head, PLAT_RESUMES);
   uint64_t services[MS_MAX_SPLITS];
 
-  r->takes_up = r->route.repeat == MS_STREAMING && r->route.resumable
-                && ms_head_find (head, PLAT_RESUME_AFTER).length;
+  if (r->route.repeat != MS_STREAMING || !r->route.resumable)
+    return;
+  r->takes_up = ms_head_find (head, PLAT_RESUME_AFTER).length > 0;
   if (!r->takes_up)
     resumes = r->full_id;
   r->stream = resumes.length ? ms_id (resumes) : 0;
