The zone's reader learns of streams at once, and writes them ten times a second

A router now sends its zone's reader a notice of new streams each tick, which is no digest for any other purpose; the reader writes after 100 ms instead of 200.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -300,6 +300,13 @@
   d->members.members_len = count;
 }
 
+void
+ms_fleet_fill_notice (const struct ms_fleet *fleet, struct fleet_digest *d)
+{
+  d->self = fleet->self;
+  d->sequence = fleet->sequence;
+}
+
 unsigned
 ms_fleet_targets (struct ms_fleet *fleet, ms_time now, struct in_addr *targets,
                   unsigned space)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -209,6 +209,16 @@
    store itself and relays it to the others.  */
 bool ms_fleet_reads_store (const struct ms_fleet *fleet, ms_time now);
 
+/* Set *IP to the address of the first reader of this zone.  Return false if
+   that is this router.  */
+bool ms_fleet_first_reader (const struct ms_fleet *fleet, ms_time now,
+                            struct in_addr *ip);
+
+/* Fill in the sender of DIGEST and the sequence number of its last digest:
+   such a digest between two others is not taken for the sender's state.  */
+void ms_fleet_fill_notice (const struct ms_fleet *fleet,
+                           struct fleet_digest *digest);
+
 /* Return a router to ask for the store's contents, chosen at random among
    those that are alive and not leaving: a reader of this zone, but another
    router one time in eight or if there is no such reader; NULL if there is
--- a/src/fleet/streams.c
+++ b/src/fleet/streams.c
@@ -52,8 +52,9 @@
 struct ms_streams
 {
   struct stream *table;
-  struct stream *list;     /* Oldest first.  */
-  struct stream *next;     /* Next older one to report.  */
+  struct stream *list; /* Oldest first.  */
+  struct stream *next; /* Next older one to report.  */
+  bool unreported;     /* A stream has begun here since the last report.  */
   struct stream *unstored; /* Next one to be written to the store.  */
   struct service *services;
   ms_time known_since; /* All versions that were listed since are known.  */
@@ -187,6 +188,7 @@
 {
   find_or_add_stream (streams, stream, version, MS_STREAM_OWN, now)->source
       = MS_STREAM_OWN;
+  streams->unreported = true;
 }
 
 void
@@ -262,6 +264,8 @@
   struct stream *s = streams->list ? streams->list->prev : NULL;
   unsigned count = 0;
 
+  if (sources & MS_STREAM_OWN)
+    streams->unreported = false;
   if (!ms_streams_mixed (streams, now))
     return 0;
   /* The newest are at the end of the list.  */
@@ -279,6 +283,12 @@
   return count;
 }
 
+bool
+ms_streams_unreported (const struct ms_streams *streams, ms_time now)
+{
+  return streams->unreported && ms_streams_mixed (streams, now);
+}
+
 unsigned
 ms_streams_take_unstored (struct ms_streams *streams,
                           struct ms_stream_report *list, unsigned space,
--- a/src/fleet/streams.h
+++ b/src/fleet/streams.h
@@ -95,6 +95,11 @@
 unsigned ms_streams_load (struct ms_streams *streams, const char *data,
                           size_t length, ms_time now);
 
+/* Return whether streams have begun here since the last ms_streams_report that
+   had MS_STREAM_OWN among its sources, and it matters which version began
+   them.  */
+bool ms_streams_unreported (const struct ms_streams *streams, ms_time now);
+
 /* A version that was listed within MS_STREAM_LIFETIME.  */
 struct ms_version_report
 {
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -59,6 +59,23 @@
   return ms_readers_before (fleet, fleet->self.id, fleet->self.zone, now) == 0;
 }
 
+bool
+ms_fleet_first_reader (const struct ms_fleet *fleet, ms_time now,
+                       struct in_addr *ip)
+{
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (r->zone != fleet->self.zone || r->leaving || !ms_fleet_alive (r, now)
+          || ms_readers_before (fleet, r->id, r->zone, now))
+        continue;
+      *ip = r->ip;
+      return true;
+    }
+  return false;
+}
+
 /* Return whether this router, a reader, exchanges zone sums now.  */
 static bool
 is_sums_turn (const struct ms_fleet *fleet, ms_time now)
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -198,10 +198,9 @@
       || !ms_digest_decode (buffer->base, (size_t)length, &digest))
     return;
   if (ms_fleet_receive (p->gw->fleet, &digest, p->gw->now))
-    {
-      merge_harm (p->gw, &digest);
-      merge_streams (p->gw, &digest);
-    }
+    merge_harm (p->gw, &digest);
+  /* What began a stream stays true, so a notice of it needs no order.  */
+  merge_streams (p->gw, &digest);
   ms_digest_free (&digest);
 }
 
@@ -449,6 +448,26 @@
     send_zone_sums (p, &digest, now);
 }
 
+/* Tell the first reader of this zone of the streams that have begun, which it
+   writes to the store, without waiting for the next digest.  */
+static void
+send_stream_notice (struct ms_peers *p, ms_time now)
+{
+  struct ms_gateway *gw = p->gw;
+  struct fleet_digest digest = { 0 };
+  digest_stream streams[DIGEST_STREAMS];
+  struct in_addr reader;
+
+  if (!ms_streams_unreported (gw->streams, now)
+      || !ms_fleet_first_reader (gw->fleet, now, &reader))
+    return;
+  ms_fleet_fill_notice (gw->fleet, &digest);
+  digest.streams.streams_val = streams;
+  digest.streams.streams_len
+      = collect_streams (gw, MS_STREAM_OWN, streams, now);
+  send_to_recipients (p, &digest, &reader, 1);
+}
+
 void
 ms_peers_announce (struct ms_peers *p, ms_time now)
 {
@@ -484,6 +503,8 @@
       update_others (p);
       ms_peers_announce (p, now);
     }
+  else
+    send_stream_notice (p, now);
   ms_relay_tick (p->relay, now);
   ms_members_tick (p->members, now);
   ms_stream_log_tick (p->stream_log, now);
--- a/src/gateway/stream_log.c
+++ b/src/gateway/stream_log.c
@@ -10,7 +10,7 @@
 
 /* Time between two records of a zone: what began since the last one is lost if
    all routers are killed.  */
-#define WRITE_PERIOD (200 * MS_MSEC)
+#define WRITE_PERIOD (100 * MS_MSEC)
 
 /* Delay after a failed call, and time limit of a call.  */
 #define RETRY_DELAY (500 * MS_MSEC)
