A stream that is taken up is within its team's share

What callers saw: 309 of 581 streams that were taken up in the third second after all gateways had started again were refused as over_share, though the team had been charged for them when they began.

Change: they are admitted and charged; later requests of the team make up for it.

Test: test_rest_of_an_admitted_request_is_charged.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -195,6 +195,14 @@
   return true;
 }
 
+void
+ms_share_admit_rest (struct ms_share *share, uint64_t team, double cost,
+                     ms_time now)
+{
+  if (!ms_share_admit (share, team, cost, now))
+    find_or_add_team (share, team)->credit -= cost;
+}
+
 void
 ms_share_unplaced (struct ms_share *share, uint64_t team, double cost,
                    ms_time now)
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -45,6 +45,12 @@
 bool ms_share_admit (struct ms_share *share, uint64_t team, double cost,
                      ms_time now);
 
+/* The same for a request that goes on with work of an admitted one: it is
+   always admitted, and if it exceeds the team's share, later ones make up for
+   it.  */
+void ms_share_admit_rest (struct ms_share *share, uint64_t team, double cost,
+                          ms_time now);
+
 /* Count a request of TEAM that ms_share_admit admitted, but for which no
    endpoint had free capacity.  */
 void ms_share_unplaced (struct ms_share *share, uint64_t team, double cost,
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -250,6 +250,21 @@
   return verdict != MS_PART_QUARANTINED;
 }
 
+/* Whether R is within its team's share.  A stream that is taken up was, when
+   it began.  */
+static bool
+is_within_share (const struct ms_request *r)
+{
+  struct ms_gateway *gw = r->gw;
+
+  if (r->cost <= 0)
+    return true;
+  if (!r->takes_up)
+    return ms_share_admit (gw->share, r->team, r->cost, gw->now);
+  ms_share_admit_rest (gw->share, r->team, r->cost, gw->now);
+  return true;
+}
+
 struct ms_request *
 ms_request_begin (struct ms_gateway *gw, struct ms_caller *caller)
 {
@@ -310,8 +325,7 @@
                          "version_unknown");
       return NULL;
     }
-  if (team && r->cost > 0
-      && !ms_share_admit (gw->share, team, r->cost, gw->now))
+  if (team && !is_within_share (r))
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "over_share");
       return NULL;
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -429,6 +429,31 @@
   destroy_fleet (&fleet);
 }
 
+/* Guards against refusing the rest of what was admitted, and against a team
+   that gets more than its share by it: later requests make up for it.  */
+static void
+test_rest_of_an_admitted_request_is_charged (void **state)
+{
+  struct ms_share *share = ms_share_create ();
+  const struct ms_team_rates hot = { 1, 9000000, 0, 400000 };
+  const struct ms_share_usage usage = { 0.95, 1000000 };
+  unsigned admitted = 0;
+
+  (void)state;
+  for (ms_time now = TICK; now < 10 * MS_SEC; now += TICK)
+    {
+      ms_share_clear_others (share);
+      ms_share_add_others (share, &hot);
+      ms_share_tick (share, &usage, now);
+      if (now == 2 * MS_SEC)
+        ms_share_admit_rest (share, 1, 1000000, now);
+      if (now > 2 * MS_SEC)
+        admitted += ms_share_admit (share, 1, 1000, now);
+    }
+  assert_int_equal (admitted, 0);
+  ms_share_destroy (share);
+}
+
 /* Teams that ask no more, here or at other routers, are removed while the
    level goes on being computed; a team that asks elsewhere is kept.  */
 static void
@@ -464,6 +489,7 @@
     cmocka_unit_test (test_two_hot_teams_get_similar_shares),
     cmocka_unit_test (test_spread_and_concentrated_teams_get_the_same),
     cmocka_unit_test (test_routers_agree_on_the_level),
+    cmocka_unit_test (test_rest_of_an_admitted_request_is_charged),
     cmocka_unit_test (test_idle_teams_are_removed),
   };
 
