--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -463,7 +463,7 @@
                            + LIMIT_SLACK);
 }
 
-/* Check that the limits were used, TIME after begin_count.  */
+/* Check that the limits were used in the last TIME.  */
 static void
 check_limit_used (const struct world *w, ms_time time)
 {
@@ -471,7 +471,8 @@
   unsigned sent = 0;
 
   for (unsigned i = 0; i < w->endpoints; i++)
-    sent += w->sends_count[i];
+    for (unsigned j = 0; j < w->sends_count[i]; j++)
+      sent += w->sends[i][j] >= w->now - time;
   print_message ("%u routers: %u requests sent, %.0f allowed\n", w->count,
                  sent, allowed);
   assert_true (sent >= MIN_USED_FRACTION * allowed);
@@ -485,9 +486,11 @@
 #define SIZES (sizeof sizes / sizeof *sizes)
 
 /* Let routers of each size have FACTOR times the requests that 4 endpoints
-   take, at one of ACTIVE_DIVISOR routers.  */
+   take, at one of ACTIVE_DIVISOR routers, and check the use of the limits in
+   the last USED_TIME of 12 s after they were named.  */
 static void
-check_demand (double limit, double factor, unsigned active_divisor)
+check_demand (double limit, double factor, unsigned active_divisor,
+              ms_time used_time)
 {
   for (unsigned s = 0; s < SIZES; s++)
     {
@@ -501,7 +504,7 @@
       play (w, 12 * MS_SEC);
       check_limit_kept (w);
       if (factor > 1)
-        check_limit_used (w, 12 * MS_SEC);
+        check_limit_used (w, used_time);
       destroy_world (w);
     }
 }
@@ -510,16 +513,26 @@
 test_fleet_does_not_exceed_the_limit_that_an_endpoint_names (void **state)
 {
   (void)state;
-  check_demand (8, 3, 1);
-  check_demand (2, 3, 1);
+  check_demand (8, 3, 1, 12 * MS_SEC);
+  check_demand (2, 3, 1, 12 * MS_SEC);
+}
+
+/* Guards against a limit whose use is counted with the requests of the seconds
+   before routers have shared it.  */
+static void
+test_limit_is_used_after_the_first_seconds (void **state)
+{
+  (void)state;
+  check_demand (8, 3, 1, 8 * MS_SEC);
+  check_demand (2, 3, 1, 8 * MS_SEC);
 }
 
 static void
 test_few_routers_may_use_a_whole_limit (void **state)
 {
   (void)state;
-  check_demand (8, 2, 1000);
-  check_demand (8, 2, 3);
+  check_demand (8, 2, 1000, 12 * MS_SEC);
+  check_demand (8, 2, 3, 12 * MS_SEC);
 }
 
 static void
@@ -670,6 +683,8 @@
     cmocka_unit_test_teardown (
         test_fleet_does_not_exceed_the_limit_that_an_endpoint_names,
         destroy_current),
+    cmocka_unit_test_teardown (test_limit_is_used_after_the_first_seconds,
+                               destroy_current),
     cmocka_unit_test_teardown (test_few_routers_may_use_a_whole_limit,
                                destroy_current),
     cmocka_unit_test_teardown (test_no_refusal_while_a_limit_has_room,
