Only streams that are known to have begun are taken up beyond the share

Found by reading the diff: a caller could say of any request that it takes a stream up, and so exceed its team's share at will. Now that holds for streams that this router knows, once each.

Test: test_a_stream_that_began_is_taken_up_once.

--- a/src/fleet/streams.c
+++ b/src/fleet/streams.c
@@ -29,6 +29,7 @@
   uint64_t id;
   uint32_t version;
   enum ms_stream_source source;
+  bool taken_up;
   ms_time at;
   UT_hash_handle hh;
   struct stream *prev, *next;
@@ -241,6 +242,17 @@
   return s ? s->version : only_version (streams, services, count, now);
 }
 
+bool
+ms_streams_take_up (struct ms_streams *streams, uint64_t stream)
+{
+  struct stream *s = find_stream (streams, stream);
+
+  if (!s || s->taken_up)
+    return false;
+  s->taken_up = true;
+  return true;
+}
+
 bool
 ms_streams_mixed (const struct ms_streams *streams, ms_time now)
 {
--- a/src/fleet/streams.h
+++ b/src/fleet/streams.h
@@ -56,6 +56,10 @@
                              const uint64_t *services, unsigned count,
                              ms_time now);
 
+/* A caller takes STREAM up here.  Return whether the stream is known to have
+   begun and was not taken up here before.  */
+bool ms_streams_take_up (struct ms_streams *streams, uint64_t stream);
+
 struct ms_stream_report
 {
   uint64_t stream;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -251,7 +251,8 @@
 }
 
 /* Whether R is within its team's share.  A stream that is taken up was, when
-   it began.  */
+   it began.  What callers alone say of a stream does not count, else they
+   could exceed the share at will.  */
 static bool
 is_within_share (const struct ms_request *r)
 {
@@ -259,7 +260,7 @@
 
   if (r->cost <= 0)
     return true;
-  if (!r->takes_up)
+  if (!r->takes_up || !ms_streams_take_up (gw->streams, r->stream))
     return ms_share_admit (gw->share, r->team, r->cost, gw->now);
   ms_share_admit_rest (gw->share, r->team, r->cost, gw->now);
   return true;
--- a/tests/test_streams.c
+++ b/tests/test_streams.c
@@ -566,6 +566,21 @@
   ms_streams_destroy (streams);
 }
 
+/* Guards against a caller that takes up what never began, or one stream over
+   and over, to be let in.  */
+static void
+test_a_stream_that_began_is_taken_up_once (void **state)
+{
+  struct ms_streams *streams = ms_streams_create (true, MS_SEC);
+
+  (void)state;
+  assert_false (ms_streams_take_up (streams, 7));
+  ms_streams_begin (streams, 7, OLD_VERSION, MS_SEC);
+  assert_true (ms_streams_take_up (streams, 7));
+  assert_false (ms_streams_take_up (streams, 7));
+  ms_streams_destroy (streams);
+}
+
 int
 main (void)
 {
@@ -579,6 +594,7 @@
     cmocka_unit_test (
         test_fleet_that_started_again_learns_its_versions_from_the_store),
     cmocka_unit_test (test_version_in_the_store_that_left_is_not_forgotten),
+    cmocka_unit_test (test_a_stream_that_began_is_taken_up_once),
   };
 
   return RUN (tests);
