--- a/tests/test_levels.c
+++ b/tests/test_levels.c
@@ -21,7 +21,6 @@
 #define TICK (20 * MS_MSEC)
 #define SMALL_PERIOD (100 * MS_MSEC)
 #define LARGE_PERIOD (150 * MS_MSEC)
-#define START_TIME (300 * MS_MSEC) /* Until a router serves callers.  */
 #define MIN_RETRY_PAUSE (200 * MS_MSEC)
 #define RETRY_JITTER (400 * MS_MSEC)
 #define MAX_SECONDS 40
@@ -93,7 +92,6 @@
   uint64_t id;
   uint64_t zone;
   bool up;
-  ms_time serves_at;
   struct ms_fleet *fleet;
   struct ms_share *share;
   ms_time digest_at;
@@ -146,7 +144,6 @@
 
   *r = (struct router){ .id = i + 1, .zone = 1 + i % w->size.zones };
   r->up = true;
-  r->serves_at = w->now + START_TIME;
   r->digest_at = w->now + (ms_time)ms_random_below (&w->random, 100) * MS_MSEC;
   r->share = ms_share_create ();
   r->fleet = ms_fleet_create (r->id, (uint64_t)w->now + 1, r->zone,
@@ -182,10 +179,7 @@
   w->now = MS_SEC;
   w->random.state = size->routers;
   for (unsigned i = 0; i < size->routers; i++)
-    {
-      start_router (w, i);
-      w->routers[i].serves_at = w->now;
-    }
+    start_router (w, i);
   return w;
 }
 
@@ -389,8 +383,7 @@
 {
   unsigned i = team->router;
 
-  while (i == ALL_ROUTERS || !w->routers[i].up
-         || w->now < w->routers[i].serves_at)
+  while (i == ALL_ROUTERS || !w->routers[i].up)
     i = (unsigned)ms_random_below (&w->random, w->size.routers);
   return i;
 }
