Assume that silent routers use their part of a limit of requests

What was seen: test_zones_that_do_not_hear_each_other_do_not_exceed_a_limit, 64 requests in 4 s where 53 are allowed, at 90 routers whose zones are apart for 5 s.

Cause: what others had last reported stayed as it was. If they had sent less than their part at that moment, as in the calm after a burst, every zone made up for all that was missing, so that the endpoint got it once for each zone.

Routers and zones that were not heard for half a second now count as using their part of the limit, by their part of the requests for the service, or what they last reported if that is more. A router thus corrects only what those that it hears have sent. ms_flow_add_others is told the time, so that it knows who is silent; test_rate passes it.

--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -120,7 +120,7 @@
         add_reported (gw, r->loads, r->loads_count, r->teams, r->teams_count);
       if (r->heard && gw->now - r->heard <= MS_FLOW_REPORT_TIME)
         ms_flow_add_others (gw->place, r->rates, r->rates_count, r->demands,
-                            r->demands_count, r->heard);
+                            r->demands_count, r->heard, gw->now);
     }
   for (unsigned i = 0; large && i < zones_count; i++)
     {
@@ -134,7 +134,7 @@
         }
       if (gw->now - z->heard <= MS_FLOW_REPORT_TIME)
         ms_flow_add_others (gw->place, z->rates, z->rates_count, z->demands,
-                            z->demands_count, z->heard);
+                            z->demands_count, z->heard, gw->now);
     }
   if (alive != p->alive || sharers != p->sharers)
     ms_event (gw->now, "routers", "alive=%u sharers=%u", alive, sharers);
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -347,11 +347,11 @@
 /* Return the requests that may run at the model endpoint E at once: where it
    names a limit of requests per second, as many as run when that is used.  */
 static double
-running_limit (const struct ms_endpoint_state *e,
+running_limit (const struct ms_place *place, const struct ms_endpoint_state *e,
                const struct ms_service_entry *service, ms_time now)
 {
   double running = e->own.running + e->others.running;
-  double used = ms_rate_used (e, now);
+  double used = ms_rate_used (place, e, now);
   double limit = e->limit > 0 ? e->limit
                               : MS_SLOT_FILL_FRACTION
                                     * (service->slots ? service->slots
@@ -384,7 +384,7 @@
       if (!service)
         continue;
       all.running += e->own.running + e->others.running;
-      all.limits += running_limit (e, service, now);
+      all.limits += running_limit (place, e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
     }
   for (unsigned i = 0; i < place->count; i++)
@@ -392,7 +392,7 @@
       const struct ms_endpoint_state *e = place->endpoints[i];
       const struct ms_service_entry *service = available_model (place, e, now);
       double running = e->own.running + e->others.running;
-      double limit = service ? running_limit (e, service, now) : 0;
+      double limit = service ? running_limit (place, e, service, now) : 0;
 
       if (running * all.limits < IDLE_FRACTION * all.running * limit)
         continue;
--- a/src/place/flow.c
+++ b/src/place/flow.c
@@ -59,8 +59,10 @@
 void
 ms_flow_add_others (struct ms_place *place, const digest_rate *rates,
                     unsigned rates_count, const digest_demand *demands,
-                    unsigned demands_count, ms_time heard)
+                    unsigned demands_count, ms_time heard, ms_time now)
 {
+  bool silent = now - heard > MS_REPORT_DELAY;
+
   for (unsigned i = 0; i < rates_count; i++)
     {
       const digest_rate *r = &rates[i];
@@ -70,13 +72,13 @@
         .sent = r->sent,
       };
 
-      ms_place_add_others_rate (place, r->endpoint, &report);
+      ms_place_add_others_rate (place, r->endpoint, &report, silent);
     }
   for (unsigned i = 0; i < demands_count; i++)
     {
       const struct ms_demand demand
           = { demands[i].service, demands[i].arrived };
 
-      ms_place_add_others_demand (place, &demand);
+      ms_place_add_others_demand (place, &demand, silent);
     }
 }
--- a/src/place/flow.h
+++ b/src/place/flow.h
@@ -16,9 +16,9 @@
                           digest_demand *demands, unsigned space);
 
 /* Add what another router, or all routers of a zone, reported in a digest that
-   arrived at HEARD.  */
+   arrived at HEARD.  After MS_REPORT_DELAY they count as silent.  */
 void ms_flow_add_others (struct ms_place *place, const digest_rate *rates,
                          unsigned rates_count, const digest_demand *demands,
-                         unsigned demands_count, ms_time heard);
+                         unsigned demands_count, ms_time heard, ms_time now);
 
 #endif
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -131,6 +131,7 @@
 
 /* Return the requests that all routers send to E, as a fraction of the limit
    that it names; below 0 if it names none.  */
-double ms_rate_used (const struct ms_endpoint_state *e, ms_time now);
+double ms_rate_used (const struct ms_place *place,
+                     const struct ms_endpoint_state *e, ms_time now);
 
 #endif
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -41,6 +41,10 @@
   int64_t slot; /* Number of the newest slot, since the clock's start.  */
 };
 
+/* Time after which routers know of each other's requests, unless digests are
+   lost.  */
+#define MS_REPORT_DELAY (500 * MS_MSEC)
+
 /* The limit of requests that an endpoint names, and what routers use of it.
    See rate.c.  */
 struct ms_rate
@@ -52,7 +56,8 @@
   ms_time heard_at;
   ms_time ended_at;      /* When the last limit ended; 0 if there was none.  */
   struct ms_window sent; /* By this router since the limit was named.  */
-  unsigned others_sent;  /* By the others within MS_WINDOW_TIME.  */
+  unsigned others_sent;  /* Within MS_WINDOW_TIME by others that are heard. */
+  unsigned silent_sent;  /* The last reports of others that are silent.  */
   double permits;        /* Requests, and a fraction of one, that this router
                             may send; below 0 until that is computed.  */
   ms_time earned_at;     /* When PERMITS was last added to.  */
@@ -280,9 +285,11 @@
                            ms_time now, struct ms_rate_report *report);
 
 /* Add REPORT of others at endpoint ID; ms_place_clear_others clears what was
-   sent.  An unknown ID is ignored.  */
+   sent.  SILENT: they have not been heard for MS_REPORT_DELAY.  An unknown ID
+   is ignored.  */
 void ms_place_add_others_rate (struct ms_place *place, uint64_t id,
-                               const struct ms_rate_report *report);
+                               const struct ms_rate_report *report,
+                               bool silent);
 
 /* A request for SERVICE is to be placed.  Routers share the limits of requests
    by the numbers of these.  */
@@ -301,9 +308,10 @@
 unsigned ms_place_demands (const struct ms_place *place, ms_time now,
                            struct ms_demand *list, unsigned space);
 
-/* Add DEMAND of other routers; ms_place_clear_others clears it.  */
+/* Add DEMAND of other routers; ms_place_clear_others clears it.  SILENT is as
+   above.  */
 void ms_place_add_others_demand (struct ms_place *place,
-                                 const struct ms_demand *demand);
+                                 const struct ms_demand *demand, bool silent);
 
 /* Whether ENDPOINT's entry may be of the start time BORN; 0 is not stated.  */
 bool ms_place_is_start (const struct ms_endpoint_state *endpoint,
--- a/src/place/rate.c
+++ b/src/place/rate.c
@@ -16,7 +16,13 @@
    permit in the time that the limit is for, so fractions are kept.  Whole
    permits that are not used are soon lost: else as many requests as there are
    routers could come at once, when many want an endpoint that few wanted
-   before.  */
+   before.
+
+   Routers that have not been heard for MS_REPORT_DELAY are assumed to use
+   their part of the limit, or what they last reported if that is more.  A
+   router makes up for less than the limit only by its part of what those that
+   it hears have not sent: zones that lose each other would each make up for
+   all of it.  */
 
 /* Time between two updates of what a router has earned, and after which a
    permit that it has not used is lost.  */
@@ -37,9 +43,8 @@
    that names 0 is asked again.  */
 #define MIN_RATE 0.25
 
-/* Time after which routers know of each other's requests, and how much more
-   than the mean of its service an endpoint may get in it.  */
-#define REPORT_DELAY (500 * MS_MSEC)
+/* How much more than the mean of its service an endpoint may get before others
+   know of it.  */
 #define UNEVENNESS 6.0
 
 #define SLOT_TIME (MS_WINDOW_TIME / (MS_WINDOW_SLOTS - 1))
@@ -49,7 +54,8 @@
 {
   uint64_t service;
   struct ms_window own;
-  unsigned others;
+  unsigned others;    /* Of all other routers.  */
+  unsigned silent;    /* The part of OTHERS from routers not heard.  */
   unsigned endpoints; /* Of the service; 0 until they are counted.  */
   UT_hash_handle hh;
 };
@@ -127,9 +133,13 @@
 
 void
 ms_place_add_others_demand (struct ms_place *place,
-                            const struct ms_demand *demand)
+                            const struct ms_demand *demand, bool silent)
 {
-  find_or_add_demand (place, demand->service)->others += demand->arrived;
+  struct ms_demands *d = find_or_add_demand (place, demand->service);
+
+  d->others += demand->arrived;
+  if (silent)
+    d->silent += demand->arrived;
 }
 
 void
@@ -138,6 +148,7 @@
   for (struct ms_demands *d = place->demands; d; d = d->hh.next)
     {
       d->others = 0;
+      d->silent = 0;
       d->endpoints = 0;
     }
   for (unsigned i = 0; i < place->count; i++)
@@ -146,6 +157,7 @@
       struct ms_demands *demand = find_demand (place, e->entry.service);
 
       e->rate.others_sent = 0;
+      e->rate.silent_sent = 0;
       if (demand)
         demand->endpoints += e->listed;
     }
@@ -219,13 +231,16 @@
 
 void
 ms_place_add_others_rate (struct ms_place *place, uint64_t id,
-                          const struct ms_rate_report *report)
+                          const struct ms_rate_report *report, bool silent)
 {
   struct ms_endpoint_state *e = ms_place_find (place, id);
 
   if (!e)
     return;
-  e->rate.others_sent += report->sent;
+  if (silent)
+    e->rate.silent_sent += report->sent;
+  else
+    e->rate.others_sent += report->sent;
   if (report->told_at)
     note_limit (&e->rate, report->limit, report->told_at);
 }
@@ -244,29 +259,41 @@
   return effective_limit (e) * MS_WINDOW_TIME / MS_SEC;
 }
 
-/* Return the requests to E within MS_WINDOW_TIME, as far as they are known. */
+/* Return the requests to E within MS_WINDOW_TIME, as far as they are known or
+   assumed.  */
 static double
-sent_requests (const struct ms_endpoint_state *e, ms_time now)
+sent_requests (const struct ms_place *place, const struct ms_endpoint_state *e,
+               ms_time now)
 {
-  return window_total (&e->rate.sent, now) + e->rate.others_sent;
+  const struct ms_demands *demand = find_demand (place, e->entry.service);
+  double sent = window_total (&e->rate.sent, now) + e->rate.others_sent;
+  double silent = 0;
+
+  if (demand && demand->silent)
+    silent = allowed_requests (e) * demand->silent
+             / (window_total (&demand->own, now) + demand->others);
+  return sent + fmax (silent, e->rate.silent_sent);
 }
 
 double
-ms_rate_used (const struct ms_endpoint_state *e, ms_time now)
+ms_rate_used (const struct ms_place *place, const struct ms_endpoint_state *e,
+              ms_time now)
 {
   if (e->rate.limit < 0)
     return -1;
-  return sent_requests (e, now) / allowed_requests (e);
+  return sent_requests (place, e, now) / allowed_requests (e);
 }
 
 /* Return the permits that all routers together earn for E in a second.  */
 static double
-earning_rate (const struct ms_endpoint_state *e, ms_time now)
+earning_rate (const struct ms_place *place, const struct ms_endpoint_state *e,
+              ms_time now)
 {
   double allowed = allowed_requests (e);
   double excess = (EXCESS_FACTOR - 1) * allowed + EXCESS_REQUESTS;
   double factor
-      = 1 + (allowed - sent_requests (e, now)) / (STOP_FRACTION * excess);
+      = 1
+        + (allowed - sent_requests (place, e, now)) / (STOP_FRACTION * excess);
 
   return effective_limit (e) * fmin (fmax (factor, 0), MAX_RAISE);
 }
@@ -291,10 +318,10 @@
   double unknown = 0;
 
   if (demand)
-    unknown = demand->others * (double)REPORT_DELAY / MS_WINDOW_TIME;
+    unknown = demand->others * (double)MS_REPORT_DELAY / MS_WINDOW_TIME;
   if (demand && demand->endpoints > UNEVENNESS)
     unknown *= UNEVENNESS / demand->endpoints;
-  return sent_requests (e, now) + unknown + 1 <= allowed_requests (e);
+  return sent_requests (place, e, now) + unknown + 1 <= allowed_requests (e);
 }
 
 /* Add what this router has earned of the limit of E.  ROOM says whether
@@ -318,8 +345,9 @@
   /* The part is that of MS_WINDOW_TIME.  */
   if (elapsed > MS_WINDOW_TIME)
     elapsed = MS_WINDOW_TIME;
-  earned = earning_rate (e, now) * own_part (place, e->entry.service, now)
-           * (double)elapsed / MS_SEC;
+  earned = earning_rate (place, e, now)
+           * own_part (place, e->entry.service, now) * (double)elapsed
+           / MS_SEC;
   whole = floor (rate->permits);
   if (whole == 0)
     rate->whole_at = now;
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -183,7 +183,7 @@
         add_loads (r, routers[i].loads, routers[i].loads_count);
         ms_flow_add_others (r->place, routers[i].rates, routers[i].rates_count,
                             routers[i].demands, routers[i].demands_count,
-                            routers[i].heard);
+                            routers[i].heard, w->now);
       }
   for (unsigned i = 0; large && i < zones_count; i++)
     if (w->now - zones[i].heard <= MS_FLOW_REPORT_TIME)
@@ -191,7 +191,7 @@
         add_loads (r, zones[i].loads, zones[i].loads_count);
         ms_flow_add_others (r->place, zones[i].rates, zones[i].rates_count,
                             zones[i].demands, zones[i].demands_count,
-                            zones[i].heard);
+                            zones[i].heard, w->now);
       }
 }
 
