Let unreported requests reach into the excess that a limit allows

What was seen: test_no_refusal_while_a_limit_has_room, 2 of 162 requests refused at 90 routers that send 20 requests a second where 32 are allowed.

Cause: a router sent without a permit only if the limit had room for one more request besides all that others may have sent in the last half second, as if they all went to that endpoint. That happens when an endpoint that was idle becomes the best choice of all, but mostly they are spread, so that at 10 unreported requests there was no room from 22 of 32 on.

What is known to be sent must stay within the limit as before. Together with the unreported requests it may reach a quarter of the way from there to the bound of one and a half times the limit and five.

--- a/src/place/rate.c
+++ b/src/place/rate.c
@@ -37,6 +37,15 @@
 #define CORRECTION_TIME (700 * MS_MSEC)
 #define MAX_RAISE 4.0
 
+/* In MS_WINDOW_TIME an endpoint must not get more than EXCESS_FACTOR times
+   what its limit allows, and EXCESS_REQUESTS more.  Requests that others may
+   have sent but not reported may take ROOM_FRACTION of the way from the limit
+   to that bound: seldom do all of them go to one endpoint, so that keeping
+   them within the limit refused requests at half of its use.  */
+#define EXCESS_FACTOR 1.5
+#define EXCESS_REQUESTS 5
+#define ROOM_FRACTION 0.25
+
 /* Least requests per second at which permits are earned, so that an endpoint
    that names 0 is asked again.  */
 #define MIN_RATE 0.25
@@ -304,20 +313,24 @@
   return own > 0 ? own / (own + demand->others) : 1;
 }
 
-/* Return whether the limit of E has room for one more request besides those
-   that other routers may send before this one knows of them.  */
+/* Return whether there is room for one more request to E besides those that
+   other routers may send before this one knows of them.  */
 static bool
 has_room (const struct ms_place *place, const struct ms_endpoint_state *e,
           ms_time now)
 {
   const struct ms_demands *demand = find_demand (place, e->entry.service);
+  double allowed = allowed_requests (e);
+  double excess = (EXCESS_FACTOR - 1) * allowed + EXCESS_REQUESTS;
+  double sent = sent_requests (place, e, now);
   double unknown = 0;
 
   if (demand)
     unknown = demand->others * (double)MS_REPORT_DELAY / MS_WINDOW_TIME;
   if (demand && demand->endpoints > UNEVENNESS)
     unknown *= UNEVENNESS / demand->endpoints;
-  return sent_requests (place, e, now) + unknown + 1 <= allowed_requests (e);
+  return sent + 1 <= allowed
+         && sent + unknown + 1 <= allowed + ROOM_FRACTION * excess;
 }
 
 /* Add what this router has earned of the limit of E.  ROOM says whether
