Report a configuration once callers' threads use it

Cause: /v1/status reported the generation of the node's configuration. Callers' threads check keys by a copy that the main thread replaces after its next tick, up to 20 ms later, or more on a busy machine.

/v1/status reports the generation of that copy now, and the log says "in force" once the copy is in use. By the same cause /healthz could answer that a router is ready before there was a copy, when any key passes; it waits for the copy.

--- a/src/router/engine.c
+++ b/src/router/engine.c
@@ -161,9 +161,22 @@
     abort ();
   copy->generation = view->config->generation;
   pthread_mutex_unlock (&router->lock);
+  rcu_assign_pointer (router->caller_config, copy);
   ms_log (MS_INFO, "config", "in force generation=%llu",
           (unsigned long long)copy->generation);
-  rcu_assign_pointer (router->caller_config, copy);
   synchronize_rcu ();
   ms_config_destroy (former);
 }
+
+uint64_t
+ms_router_caller_generation (struct ms_router *router)
+{
+  const struct ms_config *config;
+  uint64_t generation;
+
+  rcu_read_lock ();
+  config = rcu_dereference (router->caller_config);
+  generation = config ? config->generation : 0;
+  rcu_read_unlock ();
+  return generation;
+}
--- a/src/router/pages.c
+++ b/src/router/pages.c
@@ -78,8 +78,9 @@
                                "lifetime_seconds", ADDRESS_LIFETIME_SECONDS));
 }
 
-/* 200 if the router takes requests; 503 while it drains or the node is not
-   ready (see ms_node_ready).  */
+/* 200 if the router takes requests; 503 while it drains, the node is not ready
+   (see ms_node_ready) or caller threads have no configuration to check API
+   keys by.  */
 static int
 handle_health (struct mg_connection *connection, void *context)
 {
@@ -89,7 +90,8 @@
 
   pthread_mutex_lock (&router->lock);
   status = ms_node_status (router->node, ms_router_now (router));
-  ready = ms_node_ready (router->node) && !status.draining;
+  ready = ms_node_ready (router->node) && !status.draining
+          && ms_router_caller_generation (router);
   pthread_mutex_unlock (&router->lock);
   return send_text (connection, ready ? 200 : 503, "text/plain",
                     ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
@@ -136,12 +138,13 @@
       json_pack ("{s:s,s:s,s:I,s:I,s:i,s:i,s:b,s:b,s:i,s:i,s:i,s:i}", "name",
                  router->settings->name, "availability_zone",
                  router->settings->availability_zone, "generation",
-                 (json_int_t)s.generation, "log_offset", (json_int_t)s.applied,
-                 "members", (int)s.members, "open_requests", (int)s.open,
-                 "log_stale", (int)s.stale, "draining", (int)s.draining,
-                 "cells", (int)s.dispatch.cells, "endpoints",
-                 (int)s.dispatch.endpoints, "slots", (int)s.dispatch.slots,
-                 "granted", (int)s.dispatch.granted));
+                 (json_int_t)ms_router_caller_generation (router),
+                 "log_offset", (json_int_t)s.applied, "members",
+                 (int)s.members, "open_requests", (int)s.open, "log_stale",
+                 (int)s.stale, "draining", (int)s.draining, "cells",
+                 (int)s.dispatch.cells, "endpoints", (int)s.dispatch.endpoints,
+                 "slots", (int)s.dispatch.slots, "granted",
+                 (int)s.dispatch.granted));
 }
 
 /* Describe a request that has no answer yet; NULL if it is not open.  The lock
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -155,4 +155,9 @@
    the main thread may call it, and without the lock.  */
 void ms_router_update_caller_config (struct ms_router *router);
 
+/* Return the generation of the configuration that caller threads use; 0 if
+   they have none.  The node's is up to a tick newer, so that this one is
+   reported as in force.  */
+uint64_t ms_router_caller_generation (struct ms_router *router);
+
 #endif
