--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,11 @@
 $(BUILD)/soak: $(SOAK_OBJECTS) $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/test_listen: $(BUILD)/tests/test_listen.o $(GATEWAY_PARTS) $(CORE)
+# Tests of a gateway within their own process.
+GATEWAY_TESTS = $(BUILD)/test_listen $(BUILD)/test_gone
+
+$(GATEWAY_TESTS): $(BUILD)/test_%: $(BUILD)/tests/test_%.o \
+	$(BUILD)/tests/support/gateway_fixture.o $(GATEWAY_PARTS) $(CORE)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(GATEWAY_LIBS) \
 	  $(shell pkg-config --libs cmocka)
 
