See that a caller has left while its connection is not read

Once a caller has sent 64 KiB more than its request, its connection is not read any more until the request has ended, so that its close was not seen and the run went on until the deadline.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -154,7 +154,7 @@
 bool
 ms_caller_has_closed (const struct ms_caller *c)
 {
-  return c->closed || ms_socket_half_closed (c->socket);
+  return c->closed || ms_socket_hung_up (c->socket);
 }
 
 /* Whether NAME is a token as RFC 9110 defines it for header names.  */
@@ -422,6 +422,16 @@
   }
 }
 
+/* End the request of C if C has disconnected while its connection is not read,
+   which hides that.  */
+static void
+check_hung_up (struct ms_caller *c)
+{
+  if (c->request && !c->closed && ms_socket_paused (c->socket)
+      && ms_socket_hung_up (c->socket))
+    ms_request_caller_gone (c->request);
+}
+
 /* Close C if it was idle for too long, or refuse its request if that arrives
    too slowly.  */
 static void
@@ -453,6 +463,7 @@
               gw->rejected_connections, ms_socket_open_count ());
   gw->rejected_connections = 0;
   DL_FOREACH_SAFE (gw->callers, c, next) { check_timeout (c, now); }
+  DL_FOREACH_SAFE (gw->callers, c, next) { check_hung_up (c); }
   evict_idle (gw);
 }
 
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -19,7 +19,9 @@
 void ms_callers_accept_waiting (struct ms_gateway *gw);
 
 /* Close connections that were idle for too long, refuse requests that arrive
-   too slowly, and close more idle connections while too many sockets are open.
+   too slowly, end those of callers that have disconnected while their
+   connection is not read, and close more idle connections while too many
+   sockets are open.
    Called by each sweep of all connections, several times a second, with the
    current time NOW.  */
 void ms_callers_sweep (struct ms_gateway *gw, ms_time now);
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -308,14 +308,30 @@
   return s->queued_bytes;
 }
 
-bool
-ms_socket_half_closed (const struct ms_socket *s)
+/* Set *INFO to what the kernel knows of the connection of S.  */
+static bool
+read_tcp_info (const struct ms_socket *s, struct tcp_info *info)
 {
-  char byte;
+  socklen_t length = sizeof *info;
   uv_os_fd_t fd;
 
+  memset (info, 0, sizeof *info);
   return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+         && getsockopt (fd, IPPROTO_TCP, TCP_INFO, info, &length) == 0;
+}
+
+bool
+ms_socket_paused (const struct ms_socket *s)
+{
+  return !s->reading && !s->closing;
+}
+
+bool
+ms_socket_hung_up (const struct ms_socket *s)
+{
+  struct tcp_info info;
+
+  return read_tcp_info (s, &info) && info.tcpi_state != TCP_ESTABLISHED;
 }
 
 void
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -79,9 +79,12 @@
 void ms_socket_pause (struct ms_socket *socket);
 void ms_socket_resume (struct ms_socket *socket);
 
-/* Whether the other side has closed its direction and all that it sent has
-   been read.  */
-bool ms_socket_half_closed (const struct ms_socket *socket);
+/* Whether reading was stopped by ms_socket_pause.  */
+bool ms_socket_paused (const struct ms_socket *socket);
+
+/* Whether the other side has closed its direction or reset the connection,
+   even if data that it sent before that was not read yet.  */
+bool ms_socket_hung_up (const struct ms_socket *socket);
 
 /* Close the connection once the queued bytes are sent.  No event follows.  */
 void ms_socket_close (struct ms_socket *socket);
