Count a caller's time from when its request arrived, not from when it was read

A request that waits unread in the kernel, because the loop is late, and one whose body arrives slowly or that waits behind another on its connection, got a deadline that was later than its caller's by that time, and its run went on for as long. The kernel tells how long ago the newest data of a connection arrived; the first byte of a request counts.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -65,8 +65,9 @@
   struct buffer out;     /* Response bytes not given to the socket yet.  */
   struct ms_request *request; /* In progress; NULL if none.  */
   ms_time timed_from;         /* Start of the idle time or of the request.  */
-  unsigned refuse_status;     /* Error for this request; 0 if valid.  */
-  bool complete;              /* Set to false only and never read.  */
+  ms_time sent_at; /* When the first byte of the request arrived, or later.  */
+  unsigned refuse_status; /* Error for this request; 0 if valid.  */
+  bool complete;          /* Set to false only and never read.  */
   bool keep_alive;
   bool chunked; /* The response is sent in chunks.  */
   bool closed;  /* SOCKET is closed and NULL.  */
@@ -157,6 +158,15 @@
   return c->closed || ms_socket_hung_up (c->socket);
 }
 
+ms_time
+ms_caller_sent_at (const struct ms_caller *c)
+{
+  ms_time data_at
+      = c->closed ? c->gw->now : c->gw->now - ms_socket_data_age (c->socket);
+
+  return data_at < c->sent_at ? data_at : c->sent_at;
+}
+
 /* Whether NAME is a token as RFC 9110 defines it for header names.  */
 static bool
 is_token (struct ms_str name)
@@ -231,7 +241,7 @@
   buffer_free (&c->body);
   c->refuse_status = 0;
   c->complete = false;
-  c->timed_from = c->gw->now;
+  c->timed_from = c->sent_at = c->gw->now;
 }
 
 /* Refuse with STATUS a request that is invalid, too large or too slow, or
@@ -294,7 +304,10 @@
   struct ms_caller *c = owner;
 
   if (!c->request && !ms_parser_started (c->parser) && !c->pending.length)
-    c->timed_from = c->gw->now;
+    {
+      c->timed_from = ms_gateway_update_time (c->gw);
+      c->sent_at = c->timed_from - ms_socket_data_age (c->socket);
+    }
   buffer_append (&c->pending, data, length);
   if (c->request && c->pending.length > MAX_PENDING_BYTES)
     ms_socket_pause (c->socket);
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -35,6 +35,11 @@
 const struct ms_head *ms_caller_head (const struct ms_caller *caller);
 struct ms_str ms_caller_body (const struct ms_caller *caller);
 
+/* When the first byte of CALLER's current request arrived, as far as it is
+   known, or a later time: it may have waited unread, and the rest may have
+   taken long to arrive.  */
+ms_time ms_caller_sent_at (const struct ms_caller *caller);
+
 /* How the end of a response body is marked.  */
 enum ms_framing
 {
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -22,6 +22,10 @@
 #define ACCEPT_AFTER_SIGTERM (3 * MS_SEC)
 #define EXIT_MARGIN (600 * MS_MSEC)
 
+/* A request that arrived longer than this ago was read late, so that its
+   caller may have left.  */
+#define LATE_READ (50 * MS_MSEC)
+
 /* Time for a request whose caller sends no deadline.  */
 #define DEFAULT_DEADLINE (60 * MS_SEC)
 
@@ -98,7 +102,7 @@
 }
 
 /* Set R's deadline from the caller's header, and its timeout from the route.
- */
+   The caller's time began when it sent the request.  */
 static void
 set_time_limits (struct ms_request *r, const struct ms_head *head)
 {
@@ -114,8 +118,8 @@
     ms = 0;
   if (ms > MAX_DEADLINE_MS)
     ms = MAX_DEADLINE_MS;
-  r->deadline
-      = r->arrived + (*copy ? (ms_time)(ms * MS_MSEC) : DEFAULT_DEADLINE);
+  r->deadline = *copy ? ms_caller_sent_at (r->caller) + (ms_time)(ms * MS_MSEC)
+                      : r->arrived + DEFAULT_DEADLINE;
   r->timeout_at = r->route.timeout ? r->arrived + r->route.timeout : MS_NEVER;
 }
 
@@ -276,9 +280,10 @@
 
   ms_gateway_update_time (gw);
   gw->request_rate.count++;
-  /* While the loop is late the caller may have given up since it sent the
-     request; an attempt would then be wasted.  */
-  if (gw->loop_late && ms_caller_has_closed (caller))
+  /* The caller may have given up since it sent the request; an attempt would
+     then be wasted.  */
+  if ((gw->loop_late || gw->now - ms_caller_sent_at (caller) > LATE_READ)
+      && ms_caller_has_closed (caller))
     {
       ms_event (gw->now, "caller_left", "read late");
       ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE, "left", 0);
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -12,6 +12,9 @@
 
 #define READ_BUFFER_BYTES 65536
 
+/* The kernel measures the age of data in ticks of up to 10 ms.  */
+#define MIN_DATA_AGE_MS 20
+
 struct ms_socket
 {
   uv_tcp_t tcp;
@@ -320,6 +323,16 @@
          && getsockopt (fd, IPPROTO_TCP, TCP_INFO, info, &length) == 0;
 }
 
+ms_time
+ms_socket_data_age (const struct ms_socket *s)
+{
+  struct tcp_info info;
+
+  if (!read_tcp_info (s, &info) || info.tcpi_last_data_recv < MIN_DATA_AGE_MS)
+    return 0;
+  return info.tcpi_last_data_recv * MS_MSEC;
+}
+
 bool
 ms_socket_paused (const struct ms_socket *s)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -79,6 +79,11 @@
 void ms_socket_pause (struct ms_socket *socket);
 void ms_socket_resume (struct ms_socket *socket);
 
+/* How long ago the newest data from the other side arrived at this machine,
+   whether it was read or not.  Times below 20 ms, which the kernel does not
+   measure well, count as 0, and so does an unknown time.  */
+ms_time ms_socket_data_age (const struct ms_socket *socket);
+
 /* Whether reading was stopped by ms_socket_pause.  */
 bool ms_socket_paused (const struct ms_socket *socket);
 
