End streams and idempotent requests at their caller's deadline, not 60 ms later

The 60 ms let an endpoint's last word arrive. What may not be repeated keeps the 60 ms, since the endpoint may still say that it did not run it, and so does the route's timeout, at which the caller still waits. test_stream_ends_at_its_deadline, test_unanswered_request_ends_at_its_deadline and test_deadline_counts_the_time_of_the_upload failed, and pass.

--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -11,9 +11,12 @@
 #include "gateway/peers.h"
 #include "gateway/request.h"
 
-/* Extra time that a sent request gets after its deadline or timeout: the
-   endpoint stops at the same deadline, and its response that says so may still
-   be on the way.  */
+/* Extra time that a sent request gets after its timeout, and after its
+   deadline if it may not be repeated: the endpoint stops at the same deadline,
+   and its response that says so, or that it did not run the request, may still
+   be on the way.  Other requests end at their deadline.  Their caller waits no
+   longer, and an endpoint that notices a closed connection only when it writes
+   would take one more event for wanted.  */
 #define EXPIRY_RESPONSE_GRACE (60 * MS_MSEC)
 
 /* Requests that arrive within ACCEPT_AFTER_SIGTERM of SIGTERM are served
@@ -359,13 +362,22 @@
   ms_caller_abort (caller);
 }
 
-/* End R if its deadline or timeout has passed.  */
-static void
-expire_request (struct ms_request *r, ms_time now)
+/* Whether R's deadline or timeout has passed at NOW, with the extra time that
+   R gets.  */
+static bool
+has_expired (const struct ms_request *r, ms_time now)
 {
   ms_time grace = r->sent ? EXPIRY_RESPONSE_GRACE : 0;
+  ms_time deadline_grace = r->route.repeat == MS_NON_IDEMPOTENT ? grace : 0;
+
+  return now - r->deadline >= deadline_grace || now - r->timeout_at >= grace;
+}
 
-  if (ms_request_time_left (r, now) > -grace)
+/* End R if its time is over.  */
+static void
+expire_request (struct ms_request *r, ms_time now)
+{
+  if (!has_expired (r, now))
     return;
   if (r->head_sent)
     ms_request_abort (r, "timeout");
