gateway.sh: a disconnection behind unread bytes, and a stream at its caller's deadline

The first check fails with the gateway of before, which learns of the disconnection with the next event, 10 s later. The second is in order there too.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -446,6 +446,22 @@
 request 1 '/events/stream?n=1000&ms=10' --max-time 1
 await 5 cancelled "$id"
 verdict "an endpoint's stream is cancelled when the caller disconnects" $?
+# More is sent than the gateway reads ahead.  It would learn of the disconnection
+# when it passes on the next event, after 10 s.
+{
+  printf 'GET /events/stream?n=5&ms=10000 HTTP/1.1\r\nHost: h\r\nX-Key: k1\r\nX-Request-Attempt-Id: unread\r\nX-Deadline-Remaining-Ms: 20000\r\n\r\n'
+  head -c 200000 /dev/zero
+} >"$DIR/raw"
+curl --silent --max-time 1 "telnet://$(ip 1):$((BASE + 1))" <"$DIR/raw" \
+  >"$DIR/answer" 2>/dev/null
+await 3 grep -q 'event=request id=unread .*outcome=caller_gone' \
+  "$DIR/gateway1.log"
+verdict "a disconnection behind bytes that are not read ends the request" $?
+DEADLINE=700
+request 1 '/events/stream?n=30&ms=200'
+DEADLINE=
+[ "$code" -ne 0 ] && await 2 cancelled "$id"
+verdict "an endpoint's stream is cancelled at the caller's deadline" $?
 request 1 '/brief/slow?ms=3000'
 is "$status" 504
 verdict "a request gets 504 at its route's timeout" $?
