--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -19,7 +19,9 @@
 void ms_callers_accept_waiting (struct ms_gateway *gw);
 
 /* Close connections that were idle for too long, refuse requests that arrive
-   too slowly, and close more idle connections while too many sockets are open.
+   too slowly, end those of callers that have disconnected while their
+   connection is not read, and close more idle connections while too many
+   sockets are open.
    Called by each sweep of all connections, several times a second, with the
    current time NOW.  */
 void ms_callers_sweep (struct ms_gateway *gw, ms_time now);
@@ -33,6 +35,11 @@
 const struct ms_head *ms_caller_head (const struct ms_caller *caller);
 struct ms_str ms_caller_body (const struct ms_caller *caller);
 
+/* When the first byte of CALLER's current request arrived, as far as it is
+   known, or a later time: it may have waited unread, and the rest may have
+   taken long to arrive.  */
+ms_time ms_caller_sent_at (const struct ms_caller *caller);
+
 /* How the end of a response body is marked.  */
 enum ms_framing
 {
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -11,9 +11,12 @@
 #include "gateway/peers.h"
 #include "gateway/request.h"
 
-/* Extra time that a sent request gets after its deadline or timeout: the
-   endpoint stops at the same deadline, and its response that says so may still
-   be on the way.  */
+/* Extra time that a sent request gets after its timeout, and after its
+   deadline if it may not be repeated: the endpoint stops at the same deadline,
+   and its response that says so, or that it did not run the request, may still
+   be on the way.  Other requests end at their deadline.  Their caller waits no
+   longer, and an endpoint that notices a closed connection only when it writes
+   would take one more event for wanted.  */
 #define EXPIRY_RESPONSE_GRACE (60 * MS_MSEC)
 
 /* Requests that arrive within ACCEPT_AFTER_SIGTERM of SIGTERM are served
@@ -22,6 +25,10 @@
 #define ACCEPT_AFTER_SIGTERM (3 * MS_SEC)
 #define EXIT_MARGIN (600 * MS_MSEC)
 
+/* A request that arrived longer than this ago was read late, so that its
+   caller may have left.  */
+#define LATE_READ (50 * MS_MSEC)
+
 /* Time for a request whose caller sends no deadline.  */
 #define DEFAULT_DEADLINE (60 * MS_SEC)
 
@@ -98,7 +105,7 @@
 }
 
 /* Set R's deadline from the caller's header, and its timeout from the route.
- */
+   The caller's time began when it sent the request.  */
 static void
 set_time_limits (struct ms_request *r, const struct ms_head *head)
 {
@@ -114,8 +121,8 @@
     ms = 0;
   if (ms > MAX_DEADLINE_MS)
     ms = MAX_DEADLINE_MS;
-  r->deadline
-      = r->arrived + (*copy ? (ms_time)(ms * MS_MSEC) : DEFAULT_DEADLINE);
+  r->deadline = *copy ? ms_caller_sent_at (r->caller) + (ms_time)(ms * MS_MSEC)
+                      : r->arrived + DEFAULT_DEADLINE;
   r->timeout_at = r->route.timeout ? r->arrived + r->route.timeout : MS_NEVER;
 }
 
@@ -276,9 +283,10 @@
 
   ms_gateway_update_time (gw);
   gw->request_rate.count++;
-  /* While the loop is late the caller may have given up since it sent the
-     request; an attempt would then be wasted.  */
-  if (gw->loop_late && ms_caller_has_closed (caller))
+  /* The caller may have given up since it sent the request; an attempt would
+     then be wasted.  */
+  if ((gw->loop_late || gw->now - ms_caller_sent_at (caller) > LATE_READ)
+      && ms_caller_has_closed (caller))
     {
       ms_event (gw->now, "caller_left", "read late");
       ms_caller_refuse (caller, HTTP_STATUS_SERVICE_UNAVAILABLE, "left", 0);
@@ -354,13 +362,22 @@
   ms_caller_abort (caller);
 }
 
-/* End R if its deadline or timeout has passed.  */
-static void
-expire_request (struct ms_request *r, ms_time now)
+/* Whether R's deadline or timeout has passed at NOW, with the extra time that
+   R gets.  */
+static bool
+has_expired (const struct ms_request *r, ms_time now)
 {
   ms_time grace = r->sent ? EXPIRY_RESPONSE_GRACE : 0;
+  ms_time deadline_grace = r->route.repeat == MS_NON_IDEMPOTENT ? grace : 0;
 
-  if (ms_request_time_left (r, now) > -grace)
+  return now - r->deadline >= deadline_grace || now - r->timeout_at >= grace;
+}
+
+/* End R if its time is over.  */
+static void
+expire_request (struct ms_request *r, ms_time now)
+{
+  if (!has_expired (r, now))
     return;
   if (r->head_sent)
     ms_request_abort (r, "timeout");
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -12,6 +12,9 @@
 
 #define READ_BUFFER_BYTES 65536
 
+/* The kernel measures the age of data in ticks of up to 10 ms.  */
+#define MIN_DATA_AGE_MS 20
+
 struct ms_socket
 {
   uv_tcp_t tcp;
@@ -308,14 +311,40 @@
   return s->queued_bytes;
 }
 
-bool
-ms_socket_half_closed (const struct ms_socket *s)
+/* Set *INFO to what the kernel knows of the connection of S.  */
+static bool
+read_tcp_info (const struct ms_socket *s, struct tcp_info *info)
 {
-  char byte;
+  socklen_t length = sizeof *info;
   uv_os_fd_t fd;
 
+  memset (info, 0, sizeof *info);
   return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+         && getsockopt (fd, IPPROTO_TCP, TCP_INFO, info, &length) == 0;
+}
+
+ms_time
+ms_socket_data_age (const struct ms_socket *s)
+{
+  struct tcp_info info;
+
+  if (!read_tcp_info (s, &info) || info.tcpi_last_data_recv < MIN_DATA_AGE_MS)
+    return 0;
+  return info.tcpi_last_data_recv * MS_MSEC;
+}
+
+bool
+ms_socket_paused (const struct ms_socket *s)
+{
+  return !s->reading && !s->closing;
+}
+
+bool
+ms_socket_hung_up (const struct ms_socket *s)
+{
+  struct tcp_info info;
+
+  return read_tcp_info (s, &info) && info.tcpi_state != TCP_ESTABLISHED;
 }
 
 void
