Crossings: fractions that leave a zone, in force in the gateway

Cause: each request decides alone by a static price whether it leaves its zone, on figures up to 0.3 s old: below load for small gains, in overload all routers for the same endpoints.

Change: src/place/crossing.[ch] keeps for each service and other zone the fraction of this router's requests that may leave, from the use of the zones' endpoints. Placement (src/place/outside.c, one place in choose.c) ranks endpoints of other zones behind those of the own zone that would serve the request, unless it has a permit or its home is there. The setting crossing: static keeps the former rule; balanced is the default. The directory refers more callers to zones that the own zone's requests need. Events crossing_start and crossing_stop, metrics monsoonspur_crossing_*.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -17,6 +17,13 @@
 #define NEAR_USE 0.2
 #define FAR_USE 0.5
 
+/* Weight that a router of another zone gains, relative to its room, if all
+   requests of the caller's zone had to be sent to that zone's endpoints.  The
+   requests of callers that were referred elsewhere are missing in the fraction
+   later, so this is well below what would follow the fraction exactly: callers
+   keep their addresses for seconds, and would come and go together.  */
+#define NEED_WEIGHT 0.5
+
 /* A zone's weight falls with its use, and to this at most.  */
 #define MIN_ROOM 0.05
 
@@ -106,6 +113,40 @@
   return room * (MIN_OTHER_WEIGHT + (1 - MIN_OTHER_WEIGHT) * away);
 }
 
+double
+ms_directory_need_weight (double weight, double use, double fraction)
+{
+  double room = fmax (1 - fmax (use, 0), MIN_ROOM);
+
+  return fmin (weight + NEED_WEIGHT * fraction * room, fmax (weight, room));
+}
+
+void
+ms_fleet_set_zone_need (struct ms_fleet *fleet, uint64_t zone, double fraction)
+{
+  unsigned i = 0;
+
+  while (i < fleet->needs_count && fleet->needs[i].zone != zone)
+    i++;
+  if (i == DIGEST_ZONES)
+    return;
+  if (i == fleet->needs_count)
+    fleet->needs_count++;
+  fleet->needs[i] = (struct ms_zone_need){ zone, fraction };
+}
+
+/* Return the part of the requests of CALLER_ZONE that need the endpoints of
+   ZONE.  This router knows it for its own zone only.  */
+static double
+zone_need (const struct ms_fleet *fleet, uint64_t zone, uint64_t caller_zone)
+{
+  for (unsigned i = 0;
+       caller_zone == fleet->self.zone && i < fleet->needs_count; i++)
+    if (fleet->needs[i].zone == zone)
+      return fleet->needs[i].fraction;
+  return 0;
+}
+
 /* Return the weight of the routers of ZONE for a caller of CALLER_ZONE, 0 if
    it named none.  WEIGHTS holds those that were computed before.  */
 static double
@@ -124,6 +165,9 @@
   w->weight = ms_directory_weight (ms_fleet_zone_use (fleet, caller_zone, now),
                                    ms_fleet_zone_use (fleet, zone, now),
                                    !caller_zone || zone == caller_zone);
+  w->weight = ms_directory_need_weight (w->weight,
+                                        ms_fleet_zone_use (fleet, zone, now),
+                                        zone_need (fleet, zone, caller_zone));
   return w->weight;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -272,6 +272,19 @@
    ms_fleet_zone_use, is OWN_USE, or else of one in a zone with use USE.  */
 double ms_directory_weight (double own_use, double use, bool own);
 
+/* The endpoints of this zone are so short that FRACTION, 0 to 1, of its
+   requests are sent to those of ZONE; the directory refers its callers there
+   accordingly.  Until this is called it is 0.  */
+void ms_fleet_set_zone_need (struct ms_fleet *fleet, uint64_t zone,
+                             double fraction);
+
+/* Return the weight of a router of another zone in the directory, which is
+   WEIGHT by the use of processor time as of ms_directory_weight, if the
+   endpoints of the caller's zone are so short that FRACTION of its requests
+   are sent to those of the router's zone.  USE is that of the router's zone.
+ */
+double ms_directory_need_weight (double weight, double use, double fraction);
+
 /* Fill ADDRESSES with up to SPACE addresses of routers that a caller in ZONE
    (0 for any) should use, drawn at random from the ready ones by
    ms_directory_weight: as many as the zone has, of more than six half of them;
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -17,6 +17,13 @@
 /* Most routers that are known besides this one.  */
 #define MS_MAX_FLEET_ROUTERS 1024
 
+/* What fraction of this zone's requests need the endpoints of ZONE.  */
+struct ms_zone_need
+{
+  uint64_t zone;
+  double fraction;
+};
+
 struct ms_fleet
 {
   digest_member self;
@@ -35,6 +42,8 @@
   unsigned next_member; /* Next router to mention in a digest, modulo count. */
   struct ms_fleet_zone zones[DIGEST_ZONES];
   unsigned zones_count;
+  struct ms_zone_need needs[DIGEST_ZONES];
+  unsigned needs_count;
 };
 
 /* Return how many other routers of ZONE come before its router ID in the order
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -103,6 +103,30 @@
   append (out, "monsoonspur_%s_seconds_count %llu\n", name, total);
 }
 
+static void
+print_crossings (struct text_buffer *out,
+                 const struct ms_metric_gauges *gauges)
+{
+  const struct ms_crossing_count *counts = gauges->crossings;
+
+  if (!gauges->crossings_count)
+    return;
+  append (out, "# TYPE monsoonspur_crossing_requests_total counter\n");
+  for (unsigned i = 0; i < gauges->crossings_count; i++)
+    append (out,
+            "monsoonspur_crossing_requests_total{zone=\"%s\","
+            "permit=\"yes\"} %llu\n"
+            "monsoonspur_crossing_requests_total{zone=\"%s\","
+            "permit=\"no\"} %llu\n",
+            counts[i].name.data, (unsigned long long)counts[i].permitted,
+            counts[i].name.data,
+            (unsigned long long)(counts[i].requests - counts[i].permitted));
+  append (out, "# TYPE monsoonspur_crossing_bytes_total counter\n");
+  for (unsigned i = 0; i < gauges->crossings_count; i++)
+    append (out, "monsoonspur_crossing_bytes_total{zone=\"%s\"} %llu\n",
+            counts[i].name.data, (unsigned long long)counts[i].bytes);
+}
+
 size_t
 ms_metrics_page (const struct ms_metric_gauges *gauges, char *text,
                  size_t size)
@@ -127,6 +151,7 @@
           gauges->endpoints_age_s);
   append (&out, "monsoonspur_share_level_tokens_per_second %.0f\n",
           gauges->share_level);
+  print_crossings (&out, gauges);
   for (int i = 0; i < MS_LATENCIES; i++)
     print_histogram (&out, latency_names[i], &histograms[i]);
   return out.used;
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 
 #include "base/clock.h"
+#include "place/place.h"
 
 /* Request counters and latency histograms of this process, printed in the
    Prometheus text format.  Not thread-safe: for the event loop's thread.  */
@@ -58,6 +59,8 @@
   double share_level;     /* Rate at which a team is admitted at most, in cost
                              units per second, although the name of the metric
                              says tokens; 0 while capacity is not scarce.  */
+  const struct ms_crossing_count *crossings; /* Borrowed.  */
+  unsigned crossings_count;
 };
 
 /* Print all metrics into TEXT, cut off if they exceed SIZE bytes.  Return the
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -162,7 +162,12 @@
 {
   struct ms_gateway *gw = p->gw;
   static char text[MAX_METRICS_BYTES];
+  unsigned crossings_count;
+  const struct ms_crossing_count *crossings
+      = ms_place_crossing_counts (gw->place, &crossings_count);
   struct ms_metric_gauges gauges = {
+    .crossings = crossings,
+    .crossings_count = crossings_count,
     .requests = gw->requests_count,
     .sockets = ms_socket_open_count (),
     .endpoints = ms_place_count (gw->place),
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -88,6 +88,56 @@
     }
 }
 
+/* Tell the placement which routers of other zones live, and how old the newest
+   report of each zone is.  */
+static void
+update_zones (struct ms_gateway *gw, const struct ms_fleet_router *routers,
+              unsigned count, const struct ms_fleet_zone *zones,
+              unsigned zones_count, bool large)
+{
+  struct ms_zone_state
+  {
+    uint64_t zone;
+    unsigned live;
+    ms_time heard;
+  } states[DIGEST_ZONES];
+  unsigned states_count = 1;
+
+  states[0] = (struct ms_zone_state){ gw->zone, 1, gw->now };
+  for (unsigned i = 0; i < count; i++)
+    {
+      unsigned j = 0;
+
+      while (j < states_count && states[j].zone != routers[i].zone)
+        j++;
+      if (j == DIGEST_ZONES)
+        continue;
+      if (j == states_count)
+        states[states_count++]
+            = (struct ms_zone_state){ .zone = routers[i].zone };
+      states[j].live += ms_fleet_alive (&routers[i], gw->now);
+      if (routers[i].heard > states[j].heard
+          && (!large || routers[i].zone == gw->zone))
+        states[j].heard = routers[i].heard;
+    }
+  for (unsigned i = 0; i < states_count; i++)
+    {
+      struct ms_zone_state *s = &states[i];
+
+      for (unsigned j = 0; large && j < zones_count; j++)
+        if (zones[j].id == s->zone && s->zone != gw->zone)
+          {
+            s->heard = zones[j].heard;
+            s->live = zones[j].routers ? zones[j].routers : s->live;
+          }
+      ms_place_set_zone (gw->place, s->zone, s->live, gw->now - s->heard);
+      if (s->zone != gw->zone)
+        ms_fleet_set_zone_need (
+            gw->fleet, s->zone,
+            ms_place_crossing_fraction (gw->place, s->zone));
+    }
+}
+
 /* Recompute what the other routers have in progress at each endpoint and the
    demand of their teams.  In a large fleet other zones are counted by their
    zone sums.  */
@@ -136,6 +186,7 @@
         ms_flow_add_others (gw->place, z->rates, z->rates_count, z->demands,
                             z->demands_count, z->heard);
     }
+  update_zones (gw, routers, count, zones, zones_count, large);
   if (alive != p->alive || sharers != p->sharers)
     ms_event (gw->now, "routers", "alive=%u sharers=%u", alive, sharers);
   p->alive = alive;
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -2,8 +2,29 @@
 #include "gateway/gateway.h"
 #include "gateway/request.h"
 
+/* Log that requests for a service start or stop being sent to ZONE because of
+   the state of its endpoints.  */
+static void
+on_crossing_change (void *context, const struct ms_crossing *c,
+                    const struct ms_crossing_zone *zone)
+{
+  const struct ms_gateway *gw = context;
+  const struct ms_service_entry *service
+      = gw->routes ? ms_routes_service (gw->routes, c->service) : NULL;
+  const struct ms_name name = ms_place_zone_name (gw->place, zone->view.zone);
+
+  ms_event (gw->now, zone->reported ? "crossing_start" : "crossing_stop",
+            "service=%s zone=%s fraction=%.3f reason=%s use=%.2f "
+            "unserved=%.3f running=%.0f limit=%.0f zone_use=%.2f "
+            "zone_room=%.1f zone_routers=%u zone_age_ms=%lld",
+            service ? service->name.data : "-", name.length ? name.data : "-",
+            zone->fraction, ms_crossing_reason_name (c->reason), c->use,
+            c->unserved, c->own.running, c->own.limit, zone->use, zone->room,
+            zone->view.routers, (long long)(zone->view.age / MS_MSEC));
+}
+
 static struct ms_place_options
-place_options (const struct ms_gateway *gw)
+place_options (struct ms_gateway *gw)
 {
   const struct ms_gateway_settings *s = gw->settings;
 
@@ -18,6 +39,9 @@
                .token_ms_per_running = s->token_ms_per_running,
                .response_ms = s->response_ms },
     .zone_byte_tokens = s->zone_byte_tokens,
+    .crossing = ms_crossing_policy (s->crossing ? s->crossing : "balanced"),
+    .crossing_changed = on_crossing_change,
+    .crossing_context = gw,
   };
 }
 
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -46,6 +46,7 @@
         TEXT_FIELD (store_address, CYAML_FLAG_DEFAULT),
         TEXT_FIELD (metrics_address, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
+        TEXT_FIELD (crossing, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
         COUNT_FIELD (peer_port),
         COUNT_FIELD (memory_mb),
@@ -174,6 +175,10 @@
     return ms_fail (MS_INVALID,
                     "%s: line %u: placement: \"%s\" is not a placement policy",
                     path, ms_yaml_key_line (text, "placement"), s->placement);
+  if (status == MS_OK && s->crossing && !ms_crossing_policy (s->crossing))
+    return ms_fail (MS_INVALID,
+                    "%s: line %u: crossing: \"%s\" is not a crossing policy",
+                    path, ms_yaml_key_line (text, "crossing"), s->crossing);
   return status;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -30,6 +30,8 @@
   uint32_t file_descriptors; /* File descriptors that it may open.  */
   double cpu_cores; /* Processor time that the process may use, in cores.  */
   char *placement;  /* Placement policy; NULL: "prefix".  */
+  char *crossing;   /* Crossing policy, see place/crossing.h; NULL:
+                       "balanced".  */
   char *log_level;  /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -246,6 +246,7 @@
                     ? 0
                     : crossing_tokens (place, offer);
   f->expected = expected_time (place, e, service, f->uncached);
+  f->rank = 0;
 }
 
 /* Return whether E is so lightly loaded that it may prefill shared parts that
@@ -283,6 +284,7 @@
       = place->routes ? ms_routes_service (place->routes, offer->service)
                       : NULL;
   const struct homes homes = find_homes (place, offer, now);
+  struct ms_crossings *crossings = ms_crossings_find (place, offer->service);
   double best_score = 0;
   ms_time earliest = MS_NEVER;
   ms_time resume_at = MS_NEVER;
@@ -312,9 +314,12 @@
           || (f.duplicate > SMALL_DUPLICATE_TOKENS
               && !is_lightly_loaded (e, service)))
         continue;
-      score = offer->alone ? (double)e->own.running + e->others.running
-                           : place->policy->score (place, e, &f);
-      if (choice->endpoint && score >= best_score)
+      score = ms_crossings_rank (place, crossings, offer, e, &f);
+      score += offer->alone ? (double)e->own.running + e->others.running
+                            : place->policy->score (place, e, &f);
+      if (choice->endpoint
+          && (f.rank > choice->fit.rank
+              || (f.rank == choice->fit.rank && score >= best_score)))
         continue;
       best_score = score;
       choice->endpoint = e;
@@ -362,6 +367,35 @@
   return limit;
 }
 
+bool
+ms_place_endpoint_room (const struct ms_place *place,
+                        const struct ms_endpoint_state *e,
+                        const struct ms_service_entry *service,
+                        uint32_t uncached, ms_time now,
+                        struct ms_endpoint_room *room)
+{
+  struct ms_endpoint_state unloaded = *e;
+
+  if (!is_available (place, e, now) || now < e->cold_until
+      || now < place->all_cold_until)
+    return false;
+  unloaded.own = (struct ms_load){ 0 };
+  unloaded.others = (struct ms_load){ 0 };
+  unloaded.slowness = 1;
+  *room = (struct ms_endpoint_room){
+    .limit = service->model   ? running_limit (e, service, now)
+             : e->entry.slots ? e->entry.slots
+                              : 1,
+    .expected = expected_time (place, e, service, uncached),
+    .unloaded = expected_time (place, &unloaded, service, uncached),
+  };
+  if (service->model && service->memory_tokens)
+    room->memory_use
+        = ((double)e->own.memory + e->others.memory)
+          / (MEMORY_FILL_FRACTION * (double)service->memory_tokens);
+  return true;
+}
+
 /* Sums over endpoints.  */
 struct use_sums
 {
--- a/src/place/endpoint.h
+++ b/src/place/endpoint.h
@@ -26,6 +26,7 @@
   struct ms_name id;
   uint64_t service;
   uint64_t zone;
+  struct ms_name zone_name; /* For logs and metrics only; may be empty.  */
   struct sockaddr_in address;
   uint32_t slots;   /* Requests that it can run at once.  Its free capacity and
                        the expected time of a plain endpoint, which runs no
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -80,8 +80,64 @@
 /* Free the demands of all services.  */
 void ms_rate_destroy (struct ms_place *place);
 
+/* Crossings for all services: see outside.c.  */
+struct ms_crossings;
+
+/* What is known of the routers of a zone.  */
+struct ms_zone_routers
+{
+  uint64_t zone;
+  unsigned live;
+  ms_time age;
+};
+
+/* Return the crossings for SERVICE; NULL if there are none yet, or the policy
+   needs no permits.  */
+struct ms_crossings *ms_crossings_find (const struct ms_place *place,
+                                        uint64_t service);
+
+/* Set F->rank and, if the request has a permit, lower the price in
+   F->crossing. Return what is to be added to the score.  */
+double ms_crossings_rank (const struct ms_place *place,
+                          struct ms_crossings *crossings,
+                          const struct ms_offer *offer,
+                          const struct ms_endpoint_state *e, struct ms_fit *f);
+
+/* OFFER is going to be sent to the endpoint of CHOICE.  */
+void ms_crossings_sent (struct ms_place *place, const struct ms_offer *offer,
+                        const struct ms_choice *choice);
+
+/* Recompute the fractions if it is time for that.  */
+void ms_crossings_tick (struct ms_place *place, ms_time now);
+
+/* Free the crossings for all services.  */
+void ms_crossings_destroy (struct ms_place *place);
+
+/* Room and load of an endpoint, as the crossings see it.  */
+struct ms_endpoint_room
+{
+  double limit;      /* Requests that may run there at once.  */
+  double memory_use; /* Fraction of the token memory that is in use.  */
+  ms_time expected;  /* Time to the first token or response.  */
+  ms_time unloaded;  /* The same if nothing else ran there.  */
+};
+
+/* Fill ROOM for a request with UNCACHED tokens to prefill.  Return false if E
+   may get no requests or is cold.  */
+bool ms_place_endpoint_room (const struct ms_place *place,
+                             const struct ms_endpoint_state *e,
+                             const struct ms_service_entry *service,
+                             uint32_t uncached, ms_time now,
+                             struct ms_endpoint_room *room);
+
 struct ms_place
 {
+  struct ms_crossings *crossings;
+  ms_time crossings_updated_at;
+  struct ms_crossing_count crossing_counts[MS_CROSSING_ZONES];
+  unsigned crossing_counts_count;
+  struct ms_zone_routers zones[MS_CROSSING_ZONES];
+  unsigned zones_count;
   struct ms_need *needs;
   struct ms_speed *speeds;
   struct ms_left *left;
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -161,6 +161,7 @@
 void
 ms_place_tick (struct ms_place *place, ms_time now)
 {
+  ms_crossings_tick (place, now);
   if (!place->routes || now - place->limits_adjusted_at < LIMIT_PERIOD)
     return;
   place->limits_adjusted_at = now;
@@ -194,6 +195,7 @@
   e->own.memory += load->memory;
   ms_cold_record (e, now);
   ms_rate_sent (e, now);
+  ms_crossings_sent (place, offer, choice);
   e->probing = e->failures > 0;
   for (unsigned i = 0; i + 1 < offer->parts_count; i++)
     ms_prefix_record (place->prefix, e->id, offer->parts[i].id, now);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -71,6 +71,7 @@
   ms_left_destroy (place);
   ms_pauses_destroy (place);
   ms_rate_destroy (place);
+  ms_crossings_destroy (place);
   free (place);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -1,6 +1,7 @@
 #ifndef PLACE_PLACE_H
 #define PLACE_PLACE_H
 
+#include "place/crossing.h"
 #include "place/endpoint.h"
 #include "route/route.h"
 
@@ -141,6 +142,11 @@
                         second, 0 if neither.  */
   ms_time expected;  /* Time from the send to the first token, or to the
                         response of an endpoint that runs no model.  */
+  unsigned rank;     /* Endpoints of a lower rank are preferred: 0 if nothing
+                        speaks against it, 1 if it is in another zone and the
+                        request has no permit for that, 2 if it would probably
+                        fail or be late.  Always 0 if the crossing policy needs
+                        no permits.  */
 };
 
 struct ms_choice
@@ -188,6 +194,13 @@
   struct ms_place_speed speed;
   double zone_byte_tokens; /* Prompt tokens that may be prefilled to keep a
                               byte within its availability zone.  */
+  const struct ms_crossing_policy *crossing; /* Borrowed; NULL for "static". */
+  /* Called with CROSSING_CONTEXT, which may be NULL, when requests for a
+     service start or stop being sent to ZONE; NULL if that is not of
+     interest.  */
+  void (*crossing_changed) (void *context, const struct ms_crossing *crossing,
+                            const struct ms_crossing_zone *zone);
+  void *crossing_context;
 };
 
 /* A rule to choose among the endpoints that can take the request now: the one
@@ -333,6 +346,37 @@
 void ms_place_add_others (struct ms_place *place, uint64_t id,
                           const struct ms_load *load);
 
+/* What is known of the routers of ZONE: LIVE of them, and the AGE of the
+   newest report of one.  Replaces what was set before for that zone.  A zone
+   that was never set is taken to have no routers.  */
+void ms_place_set_zone (struct ms_place *place, uint64_t zone, unsigned live,
+                        ms_time age);
+
+/* Return the fraction of this router's requests that leave for ZONE because
+   the endpoints of its own zone are short, of all services together.  */
+double ms_place_crossing_fraction (const struct ms_place *place,
+                                   uint64_t zone);
+
+/* Requests that this router has sent to another zone since its start.  */
+struct ms_crossing_count
+{
+  uint64_t zone;
+  struct ms_name name;
+  uint64_t requests;
+  uint64_t permitted; /* Of them, those with a permit.  */
+  uint64_t bytes;     /* Expected, of requests and responses.  */
+};
+
+/* Return the counts of all zones, and their number in COUNT; owned by PLACE
+   and valid until its next change.  */
+const struct ms_crossing_count *
+ms_place_crossing_counts (const struct ms_place *place, unsigned *count);
+
+/* Return the name of ZONE that the entries of its endpoints have; empty if it
+   is unknown.  */
+struct ms_name ms_place_zone_name (const struct ms_place *place,
+                                   uint64_t zone);
+
 /* How much of the capacity of the available model endpoints is used, by all
    routers together.  */
 struct ms_place_use
