Crossings: proportional part of the fraction, by measure of the zone model

Cause: with an integral alone the fraction swung between 0.02 and 0.40 every 4 s (model of 82 and 295 routers, load 0.4 times 3), since queued prompts are an integral themselves.

--- a/src/place/crossing.c
+++ b/src/place/crossing.c
@@ -11,11 +11,20 @@
    alone do not make a zone short, and two zones never send to each other.  The
    fraction that leaves rises above SHORT_USE, falls below HOLD_USE, and stays
    in between, so that it comes to rest.  */
-#define SHORT_USE 0.9
-#define HOLD_USE 0.8
-#define ENOUGH_USE 0.7
+#define SHORT_USE 0.95
+#define HOLD_USE 0.88
+#define ENOUGH_USE 0.75
 #define TARGET_USE 0.8
 
+/* Part of the time that requests allow which the mean endpoint of a zone may
+   take until a zone counts as fully used: requests differ, and reports are
+   late.  */
+#define FULL_WAIT 0.7
+
+/* The fraction rises only while it is at most by this above what is really
+   sent out: permits that no request wants would be used all at once later.  */
+#define UNUSED_MARGIN 0.1
+
 /* The part of requests that left unserved from which on the zone is short, and
    below which the fraction may fall.  */
 #define UNSERVED_SHORT 0.05
@@ -25,12 +34,15 @@
    Reports of other zones are up to 300 ms old, so what three updates add is
    not yet seen in them.  */
 #define MAX_RISE 0.05
-#define MAX_FALL 0.02
+#define MAX_FALL 0.05
 
-/* Change in an update for each unit by which the use is too high or too low.
- */
-#define RISE_GAIN 0.3
-#define FALL_GAIN 0.1
+/* The fraction follows changes of the use with FOLLOW_GAIN, and in each update
+   the distance of the use from HOLD_USE or SHORT_USE with the other gains.
+   While requests queue up, the use is an integral of what exceeds the zone's
+   capacity, so an integral alone, or a larger one, makes both swing.  */
+#define FOLLOW_GAIN 0.4
+#define RISE_GAIN 0.1
+#define FALL_GAIN 0.02
 
 /* Part of another zone's room that all routers together may take in an update,
    for the same reason.  */
@@ -47,7 +59,7 @@
 
 /* Weights of the newest sample in exponential means of the use and of the part
    that left unserved.  */
-#define USE_WEIGHT 0.3
+#define USE_WEIGHT 0.5
 #define UNSERVED_WEIGHT 0.2
 
 /* Permits that may be saved up, so that they are not used in bursts.  */
@@ -79,7 +91,7 @@
   if (view->closed || view->limit <= 0)
     return 1;
   return fmax (view->running / view->limit,
-               fmax (view->memory_use, view->wait_use));
+               fmax (view->memory_use, view->wait_use / FULL_WAIT));
 }
 
 /* Update the mean *USE and whether a zone is short of room.  */
@@ -122,11 +134,7 @@
       return;
     }
   follow_use (view, &z->use, &z->short_of_room);
-  room = view->closed ? 0
-                      : TARGET_USE * view->limit
-                            - fmax (view->running,
-                                    fmax (view->memory_use, view->wait_use)
-                                        * view->limit);
+  room = view->closed ? 0 : (TARGET_USE - view_use (view)) * view->limit;
   /* The loads that a silent zone reported are dropped after a while, which
      looks like room.  */
   if (view->age <= FRESH_TIME)
@@ -188,7 +196,7 @@
   double users = sending_routers (c) * fmax (c->running, 1);
   double room = 0;
 
-  step = fmin (step, 1 - c->fraction);
+  step = fmax (fmin (step, 1 - c->fraction), 0);
   for (unsigned i = 0; i < c->zones_count; i++)
     if (is_target (&c->zones[i]))
       room += fmax (c->zones[i].room, 0);
@@ -227,7 +235,7 @@
   for (unsigned i = 0; i < c->zones_count; i++)
     {
       struct ms_crossing_zone *z = &c->zones[i];
-      double excess = z->view.running - SHORT_USE * z->view.limit;
+      double excess = (view_use (&z->view) - SHORT_USE) * z->view.limit;
 
       if (!z->seen || z->view.closed || z->view.limit <= 0)
         z->fraction = 0;
@@ -254,12 +262,12 @@
 static void
 follow_sent (struct ms_crossing *c)
 {
-  if (c->sent)
-    c->unserved += UNSERVED_WEIGHT
-                   * ((double)c->sent_unserved / c->sent - c->unserved);
-  else
-    c->unserved *= 1 - UNSERVED_WEIGHT;
+  double sent = c->sent ? c->sent : 1;
+
+  c->unserved += UNSERVED_WEIGHT * (c->sent_unserved / sent - c->unserved);
+  c->permitted += UNSERVED_WEIGHT * (c->sent_permitted / sent - c->permitted);
   c->sent = 0;
+  c->sent_permitted = 0;
   c->sent_unserved = 0;
 }
 
@@ -267,6 +275,8 @@
 update_balanced (struct ms_crossing *c, ms_time now)
 {
   bool unusable = c->own.closed || c->own.limit <= 0;
+  double before = c->use;
+  double step;
 
   c->updated_at = now;
   follow_sent (c);
@@ -285,20 +295,25 @@
   yield_to_zones (c);
   sum_fractions (c);
   c->reason = MS_CROSSING_NO_REASON;
-  if (c->short_of_room
-      && (c->use >= SHORT_USE || c->unserved >= UNSERVED_NONE))
+  step = FOLLOW_GAIN * (c->use - before);
+  if (c->use >= SHORT_USE || c->unserved >= UNSERVED_NONE)
     {
       c->reason
           = c->use >= SHORT_USE ? MS_CROSSING_SHORT : MS_CROSSING_UNSERVED;
-      raise_fractions (c,
-                       fmin (MAX_RISE, RISE_GAIN * fmax (c->use - HOLD_USE, 0)
-                                           + UNSERVED_WEIGHT * c->unserved));
+      step += RISE_GAIN * fmax (c->use - HOLD_USE, 0)
+              + UNSERVED_WEIGHT * c->unserved;
     }
   else if (c->use < HOLD_USE)
     {
       c->reason = MS_CROSSING_ENOUGH;
-      lower_fractions (c, fmin (MAX_FALL, FALL_GAIN * (HOLD_USE - c->use)));
+      step -= FALL_GAIN * (HOLD_USE - c->use);
     }
+  if (step > 0 && c->short_of_room)
+    raise_fractions (
+        c, fmin (c->permitted + c->unserved + UNUSED_MARGIN - c->fraction,
+                 fmin (MAX_RISE, step)));
+  else if (step < 0)
+    lower_fractions (c, fmin (MAX_FALL, -step));
   sum_fractions (c);
   if (c->fraction <= 0 && c->reason != MS_CROSSING_ENOUGH)
     c->reason = MS_CROSSING_NO_ROOM;
@@ -381,6 +396,7 @@
   if (permitted)
     {
       to->permits -= 1;
+      c->sent_permitted++;
       return;
     }
   c->sent_unserved++;
--- a/src/place/crossing.h
+++ b/src/place/crossing.h
@@ -72,11 +72,13 @@
                                      hysteresis.  */
   enum ms_crossing_reason reason; /* Of the last update.  */
   struct ms_crossing_view own;
-  double use;      /* As in struct ms_crossing_zone.  */
-  double fraction; /* Sum over the zones.  */
-  double unserved; /* Exponential mean of the part of this router's requests
-                      that left its zone without a permit.  */
-  unsigned sent;   /* Requests sent since the last update.  */
+  double use;       /* As in struct ms_crossing_zone.  */
+  double fraction;  /* Sum over the zones.  */
+  double unserved;  /* Exponential mean of the part of this router's requests
+                       that left its zone without a permit.  */
+  unsigned sent;    /* Requests sent since the last update.  */
+  double permitted; /* The same of those with a permit.  */
+  unsigned sent_permitted;
   unsigned sent_unserved; /* Those of them that left without a permit.  */
   double running;         /* Requests of this router in progress, anywhere.  */
   ms_time updated_at;
