--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -383,7 +383,7 @@
   unloaded.others = (struct ms_load){ 0 };
   unloaded.slowness = 1;
   *room = (struct ms_endpoint_room){
-    .limit = service->model   ? running_limit (e, service, now)
+    .limit = service->model   ? running_limit (place, e, service, now)
              : e->entry.slots ? e->entry.slots
                               : 1,
     .expected = expected_time (place, e, service, uncached),
