--- a/src/place/outside.c
+++ b/src/place/outside.c
@@ -188,7 +188,8 @@
 {
   const struct ms_endpoint_state *e = choice->endpoint;
   bool leaves = e->entry.zone != place->options.zone;
-  bool permitted = leaves && !choice->fit.home && !choice->fit.rank;
+  bool permitted
+      = leaves && !choice->fit.home && !choice->fit.rank && !offer->alone;
   struct ms_crossings *crossings;
   double left = (double)offer->target_left;
 
