Rollouts: orders, canary, comparison of versions, states

The interface changes where it did not work: ratios are counted for both versions (timed[2]); a retry does not earn exposure (sent has AGAIN); a choice can exclude the versions of earlier orders and ask to wait for a close deadline; requests in progress here and elsewhere are told apart, and reports say which routers may still use the others (unmoved), as completion waits for both; the state in the store may name its order; zone sums are merged by zone, not by author, as two readers author the same sums.

--- /dev/null
+++ b/src/rollout/compare.c
@@ -0,0 +1,358 @@
+#include "rollout/internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+
+/* Cumulative sums of log-likelihood ratios.  An answer of the ordered version
+   adds the logarithm of how much likelier it is if the version is worse than
+   the others by some step than if it is as good; sums do not fall below 0.
+   There is a sum for each step, each route and all routes.  What the others
+   show is taken from the same route, zone and seconds, and rounded up, so that
+   a fault which all versions have does not count against the ordered one.  */
+
+/* Probabilities are in units of 1 / ONE.  */
+#define ONE ((int64_t)1 << 20)
+
+/* A version as good as the others is found bad by one sum in less than one in
+   e^16, 9 million, answers.  docs/design/rollout.md has the samples that it
+   takes.  */
+#define THRESHOLD (23 * (int64_t)65536) /* Of ms_log2: 2^23 = e^16.  */
+
+/* Steps by which a bad version may be worse than the others.  Small ones are
+   found by many answers, large ones by few.  */
+static const int64_t steps[] = { ONE / 256, ONE / 32, ONE / 8, 3 * ONE / 8 };
+
+#define STEPS (sizeof steps / sizeof *steps)
+
+#define MAX_STRATA 64
+#define MAX_SCOPES MS_EVIDENCE_ROUTES
+
+/* Counts of windows are in units of 1 / COUNT.  */
+#define COUNT 256
+
+/* Each evaluation with answers of the others reduces the counts of a window by
+   these fractions: at ten a second, windows of 3.2 s and 0.4 s.  The short one
+   is for faults that begin at all versions at once.  */
+#define LONG_PART 32
+#define SHORT_PART 4
+
+/* Before the others have answered, one in this many answers is assumed to be
+   bad; for the short window, none in this many.  */
+#define PRIOR 64
+#define SHORT_PRIOR 8
+
+/* Fewer answers of the others on a route and zone than this are not relied on;
+   those on the route, or else all, are used.  */
+#define MIN_ANSWERS 20
+
+/* Bounds on the part of bad answers that is assumed for a version as good as
+   the others.  Slowness is noisier than failures are.  */
+static const int64_t least_bad[MS_COMPARE_KINDS] = { ONE / 500, ONE / 50 };
+#define MOST_BAD (9 * ONE / 10)
+
+/* Answers of the other versions of late.  */
+struct window
+{
+  uint64_t answers;
+  uint64_t bad;
+  uint64_t short_answers;
+  uint64_t short_bad;
+};
+
+/* Answers of one kind that were not evaluated yet.  */
+struct sample
+{
+  uint32_t answers;
+  uint32_t bad;
+};
+
+struct stratum
+{
+  uint64_t route;
+  uint64_t zone;
+  struct window windows[MS_COMPARE_KINDS];
+  struct sample added[MS_COMPARE_KINDS][2];
+};
+
+struct scope
+{
+  uint64_t route;
+  int64_t sums[MS_COMPARE_KINDS][STEPS];
+};
+
+struct ms_compare
+{
+  struct stratum strata[MAX_STRATA];
+  unsigned strata_count;
+  struct scope scopes[MAX_SCOPES]; /* The first one is of all routes.  */
+  unsigned scopes_count;
+  struct ms_rollout_evidence total;
+};
+
+int64_t
+ms_log2 (uint64_t x)
+{
+  int exponent = 63 - __builtin_clzll (x);
+  uint64_t mantissa = x << (63 - exponent) >> 32; /* From 2^31 to 2^32.  */
+  int64_t result = exponent;
+
+  for (unsigned i = 0; i < 16; i++)
+    {
+      mantissa = mantissa * mantissa >> 31;
+      result <<= 1;
+      if (mantissa >> 32)
+        {
+          mantissa >>= 1;
+          result |= 1;
+        }
+    }
+  return result;
+}
+
+/* Return the square root of X, rounded down.  */
+static uint64_t
+square_root (uint64_t x)
+{
+  uint64_t root = 0;
+
+  for (uint64_t bit = (uint64_t)1 << 31; bit; bit >>= 1)
+    if ((root | bit) * (root | bit) <= x)
+      root |= bit;
+  return root;
+}
+
+struct ms_compare *
+ms_compare_create (void)
+{
+  struct ms_compare *compare = ms_new (sizeof *compare);
+
+  compare->scopes_count = 1;
+  return compare;
+}
+
+void
+ms_compare_destroy (struct ms_compare *compare)
+{
+  free (compare);
+}
+
+/* Return the stratum of ROUTE and ZONE, which is added if it is unknown.  If
+   there is no space, the last one stands for all further ones.  */
+static struct stratum *
+find_or_add_stratum (struct ms_compare *compare, uint64_t route, uint64_t zone)
+{
+  struct stratum *s = compare->strata;
+
+  for (; s < compare->strata + compare->strata_count; s++)
+    if (s->route == route && s->zone == zone)
+      return s;
+  if (compare->strata_count == MAX_STRATA)
+    return s - 1;
+  compare->strata_count++;
+  s->route = route;
+  s->zone = zone;
+  return s;
+}
+
+/* Return the scope of ROUTE, which is added if it is unknown; NULL if there is
+   no space.  */
+static struct scope *
+find_or_add_scope (struct ms_compare *compare, uint64_t route)
+{
+  struct scope *s = compare->scopes + 1;
+
+  for (; s < compare->scopes + compare->scopes_count; s++)
+    if (s->route == route)
+      return s;
+  if (compare->scopes_count == MAX_SCOPES)
+    return NULL;
+  compare->scopes_count++;
+  s->route = route;
+  return s;
+}
+
+void
+ms_compare_add (struct ms_compare *compare,
+                const struct ms_rollout_evidence *added)
+{
+  struct stratum *s = find_or_add_stratum (compare, added->route, added->zone);
+  struct ms_rollout_evidence *total = &compare->total;
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      s->added[MS_COMPARE_FAILED][i].answers += added->answers[i];
+      s->added[MS_COMPARE_FAILED][i].bad += added->failed[i];
+      s->added[MS_COMPARE_SLOW][i].answers += added->timed[i];
+      s->added[MS_COMPARE_SLOW][i].bad += added->slow[i];
+      total->answers[i] += added->answers[i];
+      total->failed[i] += added->failed[i];
+      total->timed[i] += added->timed[i];
+      total->slow[i] += added->slow[i];
+    }
+}
+
+static void
+update_window (struct window *w, const struct sample *added)
+{
+  uint64_t answers = (uint64_t)added->answers * COUNT;
+  uint64_t bad = (uint64_t)added->bad * COUNT;
+
+  if (!answers)
+    return;
+  w->answers += answers - w->answers / LONG_PART;
+  w->bad += bad - w->bad / LONG_PART;
+  w->short_answers += answers - w->short_answers / SHORT_PART;
+  w->short_bad += bad - w->short_bad / SHORT_PART;
+}
+
+static void
+add_window (struct window *sum, const struct window *w)
+{
+  sum->answers += w->answers;
+  sum->bad += w->bad;
+  sum->short_answers += w->short_answers;
+  sum->short_bad += w->short_bad;
+}
+
+/* Return an upper estimate of the part of bad answers in W: that of the long
+   window with 1.5 standard deviations more, or that of the short one.  */
+static int64_t
+bad_part (const struct window *w, enum ms_compare_kind kind)
+{
+  uint64_t bad = w->bad + square_root (w->bad * COUNT) * 3 / 2 + COUNT;
+  int64_t part = (int64_t)(bad * (uint64_t)ONE / (w->answers + PRIOR * COUNT));
+  int64_t short_part = (int64_t)(w->short_bad * (uint64_t)ONE
+                                 / (w->short_answers + SHORT_PRIOR * COUNT));
+
+  if (part < short_part)
+    part = short_part;
+  if (part < least_bad[kind])
+    part = least_bad[kind];
+  return part > MOST_BAD ? MOST_BAD : part;
+}
+
+/* Return the part of answers that a version as good as the others would answer
+   badly now, on the route and zone of S, or on all if S is NULL.  */
+static int64_t
+usual_part (const struct ms_compare *compare, const struct stratum *s,
+            enum ms_compare_kind kind)
+{
+  struct window route = { 0 };
+  struct window all = { 0 };
+
+  if (s && s->windows[kind].answers >= MIN_ANSWERS * COUNT)
+    return bad_part (&s->windows[kind], kind);
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    {
+      const struct stratum *other = &compare->strata[i];
+
+      add_window (&all, &other->windows[kind]);
+      if (s && other->route == s->route)
+        add_window (&route, &other->windows[kind]);
+    }
+  return bad_part (route.answers >= MIN_ANSWERS * COUNT ? &route : &all, kind);
+}
+
+/* Add what SAMPLE says of a version that is to be worse than USUAL by each
+   step to SUMS.  */
+static void
+add_ratios (int64_t sums[STEPS], const struct sample *sample, int64_t usual)
+{
+  for (unsigned i = 0; i < STEPS; i++)
+    {
+      int64_t worse = usual + steps[i] * (ONE - usual) / ONE;
+      int64_t bad = ms_log2 ((uint64_t)worse) - ms_log2 ((uint64_t)usual);
+      int64_t good = ms_log2 ((uint64_t)(ONE - worse))
+                     - ms_log2 ((uint64_t)(ONE - usual));
+
+      sums[i] += sample->bad * bad
+                 + (int64_t)(sample->answers - sample->bad) * good;
+    }
+}
+
+/* Evaluate the answers of KIND.  */
+static void
+step_kind (struct ms_compare *compare, enum ms_compare_kind kind)
+{
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    update_window (&compare->strata[i].windows[kind],
+                   &compare->strata[i].added[kind][1]);
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    {
+      struct stratum *s = &compare->strata[i];
+      const struct sample *sample = &s->added[kind][0];
+      struct scope *scope;
+      int64_t usual;
+
+      if (!sample->answers)
+        continue;
+      usual = usual_part (compare, s, kind);
+      add_ratios (compare->scopes[0].sums[kind], sample, usual);
+      scope = find_or_add_scope (compare, s->route);
+      if (scope)
+        add_ratios (scope->sums[kind], sample, usual);
+    }
+  for (unsigned i = 0; i < compare->scopes_count; i++)
+    for (unsigned j = 0; j < STEPS; j++)
+      {
+        int64_t *sum = &compare->scopes[i].sums[kind][j];
+
+        if (*sum < 0)
+          *sum = 0;
+        else if (*sum > 2 * THRESHOLD)
+          *sum = 2 * THRESHOLD;
+      }
+}
+
+void
+ms_compare_step (struct ms_compare *compare)
+{
+  step_kind (compare, MS_COMPARE_FAILED);
+  step_kind (compare, MS_COMPARE_SLOW);
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    memset (compare->strata[i].added, 0, sizeof compare->strata[i].added);
+}
+
+void
+ms_compare_reset (struct ms_compare *compare)
+{
+  for (unsigned i = 0; i < compare->scopes_count; i++)
+    memset (compare->scopes[i].sums, 0, sizeof compare->scopes[i].sums);
+}
+
+int64_t
+ms_compare_score (const struct ms_compare *compare, enum ms_compare_kind kind)
+{
+  int64_t most = 0;
+
+  for (unsigned i = 0; i < compare->scopes_count; i++)
+    for (unsigned j = 0; j < STEPS; j++)
+      if (compare->scopes[i].sums[kind][j] > most)
+        most = compare->scopes[i].sums[kind][j];
+  return most * MS_COMPARE_BAD / THRESHOLD;
+}
+
+const struct ms_rollout_evidence *
+ms_compare_total (const struct ms_compare *compare)
+{
+  return &compare->total;
+}
+
+uint64_t
+ms_compare_expected (const struct ms_compare *compare, uint32_t count)
+{
+  uint64_t part = 0;
+
+  for (unsigned kind = 0; kind < MS_COMPARE_KINDS; kind++)
+    {
+      struct window all = { 0 };
+
+      for (unsigned i = 0; i < compare->strata_count; i++)
+        add_window (&all, &compare->strata[i].windows[kind]);
+      if (all.answers)
+        part += all.bad * (uint64_t)ONE / all.answers;
+    }
+  return count * part;
+}
--- /dev/null
+++ b/src/rollout/rollout.c
@@ -0,0 +1,1087 @@
+#include "rollout/rollout.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/random.h"
+#include "base/str.h"
+#include "rollout/internal.h"
+
+/* Requests to the ordered version are earned by all requests for the service:
+   at the rate of the canary (credit), and at the highest rate that keeps to
+   the bound on the sum (budget).  The difference is left for the time before
+   the deadline in which all requests go to the version.
+
+   Each request that is earned is UNIT.  */
+#define UNIT ((int64_t)1 << 24)
+
+/* Part of the exposure share that is earned at most.  The rest is for requests
+   that were counted here but reached no endpoint.  */
+#define BUDGET_PERCENT 90
+
+/* Canary: part of the exposure share at first, and from FEW_GOOD good answers
+   of the fleet until it has MANY_ANSWERS.  More would leave less for the move
+   before the deadline, and tell little more.  */
+#define FIRST_PERCENT 25
+#define RAISED_PERCENT 50
+#define FEW_GOOD 20
+#define MANY_ANSWERS 120
+
+/* Most credit that is kept, so that requests that found no endpoint are not
+   made up for at once.  */
+#define MAX_CREDIT (2 * UNIT)
+
+/* Canary after the deadline, from which on the sum is not bounded: part of all
+   requests.  */
+#define LATE_PERCENT 50
+
+/* Endpoints that the canary uses at least, so that a fault of one can be told
+   from one of the version.  */
+#define MIN_CANARY 2
+
+/* The move may begin with ENOUGH_ANSWERS of the version in the fleet or, on
+   services with few requests, one for every 8 / exposure_share requests; by
+   the deadline ENOUGH_TIMED of them have a ratio.  It begins LATE_TIME after
+   the deadline in any case.  */
+#define ENOUGH_ANSWERS 20
+#define ENOUGH_TIMED 10
+#define LATE_TIME (2 * MS_SEC)
+
+/* While a score is above this fraction of the one of a bad version, nothing
+   is moved or completed.  */
+#define DOUBTFUL (MS_COMPARE_BAD / 3)
+
+/* The order ends OVERDUE_TIME after its deadline, as rolled back if a score is
+   above this fraction.  */
+#define OVERDUE_TIME (15 * MS_SEC)
+#define DUBIOUS (MS_COMPARE_BAD / 2)
+
+/* A router that moves sends nothing to the others once it has not done so for
+   CLOSE_TIME, or MAX_CLOSE_TIME after the move began: until then, endpoints
+   of the version that were not in the canary are warming up.  */
+#define CLOSE_TIME (200 * MS_MSEC)
+#define MAX_CLOSE_TIME (1 * MS_SEC)
+
+/* Before the order is completed, the version has run all requests for
+   MOVED_TIME and given MOVED_ANSWERS, or for MOVED_LONG_TIME.  If the canary
+   had less load on each endpoint than the others have, faults under load can
+   only appear now: then for UNLOADED_TIME and UNLOADED_ANSWERS.  */
+#define MOVED_TIME (300 * MS_MSEC)
+#define MOVED_ANSWERS 20
+#define UNLOADED_TIME (700 * MS_MSEC)
+#define UNLOADED_ANSWERS 60
+#define MOVED_LONG_TIME (5 * MS_SEC)
+
+/* The canary had load if LOADED_ANSWERS were given while each endpoint had at
+   least this part of the load of one of the others.  */
+#define LOADED_PERCENT 70
+#define LOADED_ANSWERS 50
+
+/* The order ends if the version has no usable endpoint after the deadline and
+   got no request for this long.  */
+#define NO_ENDPOINT_TIME (3 * MS_SEC)
+
+/* If the store has no state of an order and no router has told its age for
+   this long, the order begins now.  */
+#define UNKNOWN_TIME (3 * MS_SEC)
+
+/* Routers see the record of an order at most this much later than others.  */
+#define MAX_NOTICE_DELAY (3 * MS_SEC)
+
+/* A state without the ID of its order is of an earlier one if that is older
+   than the order by this.  */
+#define MAX_AGE_ERROR (5 * MS_SEC)
+
+/* After the store may have lost records, an order of the same content is the
+   same for this many evaluations, 10 s.  */
+#define RESTORE_STEPS 100
+
+/* A removed order is forgotten this long after the endpoints that it excluded
+   were listed last.  */
+#define FORGET_TIME (30 * MS_SEC)
+
+/* Time between two evaluations, and for which the rate of requests is
+   averaged.  */
+#define STEP_TIME (100 * MS_MSEC)
+#define RATE_TIME (2 * MS_SEC)
+
+struct order
+{
+  uint64_t service;
+  struct ms_rollout_order order;
+  uint64_t former_id; /* Of the same order, before it was written again.  */
+  bool appeared;
+  bool removed; /* The operators' records do not have it any more.  */
+  ms_time seen_at;
+  bool started;
+  ms_time started_at;
+  ms_time earliest_start; /* Bound on STARTED_AT, which others may know
+                             better.  */
+
+  enum ms_rollout_phase phase;
+  const char *reason;
+  ms_time stopped_at;
+  ms_time moved_at;
+  uint32_t moved_answers; /* Of the fleet when the move began.  */
+  bool closed;            /* While moving: nothing is sent to the others.  */
+  bool drained;           /* It is to be completed.  */
+
+  enum ms_rollout_phase stored; /* What the store has.  */
+  bool confirmed;
+  ms_time none_since; /* Since when the store is known to have no state.  */
+  unsigned restored_steps; /* Until its loss of records is over.  */
+
+  /* Versions of earlier orders that were not completed.  */
+  uint32_t excluded[MS_ROLLOUT_EXCLUDED - 1];
+  ms_time excluded_at;
+
+  int64_t credit;
+  int64_t budget;
+  int64_t canary_rate; /* Earned credit for each request.  */
+  unsigned requests;   /* Since the last evaluation, */
+  int64_t rate;        /* and for each second on average, in UNIT.  */
+  ms_time sent_other_at;
+  ms_time sent_ordered_at; /* By any router of the fleet, */
+  uint32_t sent_ordered;   /* this many.  */
+
+  unsigned ordered, others;
+  bool endpoints_known;
+  bool had_others;
+  unsigned running_here, running_elsewhere;
+  ms_time listed_at; /* Excluded endpoints were listed.  */
+
+  uint32_t loaded_answers;
+  uint32_t seen_answers; /* At the last evaluation.  */
+  ms_time stepped_at;
+  struct ms_evidence evidence;
+  UT_hash_handle hh;
+};
+
+struct ms_rollouts
+{
+  struct ms_rollout_options options;
+  int64_t share; /* Exposure share, in UNIT.  */
+  struct ms_random random;
+  struct order *orders;
+  uint64_t *services;
+  unsigned services_count;
+  unsigned turn; /* Of running orders to be reported.  */
+};
+
+/* Orders and their phases.  */
+
+struct ms_rollouts *
+ms_rollouts_create (const struct ms_rollout_options *options)
+{
+  struct ms_rollouts *rollouts = ms_new (sizeof *rollouts);
+
+  rollouts->random.state = options->random_seed;
+  ms_rollouts_set_options (rollouts, options);
+  return rollouts;
+}
+
+static void
+free_order (struct ms_rollouts *rollouts, struct order *o)
+{
+  HASH_DEL (rollouts->orders, o);
+  ms_evidence_free (&o->evidence);
+  free (o);
+}
+
+void
+ms_rollouts_destroy (struct ms_rollouts *rollouts)
+{
+  struct order *o, *next;
+
+  if (!rollouts)
+    return;
+  HASH_ITER (hh, rollouts->orders, o, next) { free_order (rollouts, o); }
+  free (rollouts->services);
+  free (rollouts);
+}
+
+void
+ms_rollouts_set_options (struct ms_rollouts *rollouts,
+                         const struct ms_rollout_options *options)
+{
+  double share = options->exposure_share;
+
+  rollouts->options = *options;
+  if (!(share > 0))
+    share = 0;
+  if (share > 1)
+    share = 1;
+  /* Scaling by a power of 2 is exact.  */
+  rollouts->share = (int64_t)(share * (double)UNIT);
+}
+
+static struct order *
+find_order (const struct ms_rollouts *rollouts, uint64_t service)
+{
+  struct order *o;
+
+  HASH_FIND (hh, rollouts->orders, &service, sizeof service, o);
+  return o;
+}
+
+static void
+list_services (struct ms_rollouts *rollouts)
+{
+  unsigned count = 0;
+
+  rollouts->services
+      = ms_resize (rollouts->services, HASH_COUNT (rollouts->orders) + 1,
+                   sizeof *rollouts->services);
+  for (const struct order *o = rollouts->orders; o; o = o->hh.next)
+    rollouts->services[count++] = o->service;
+  rollouts->services_count = count;
+}
+
+const uint64_t *
+ms_rollouts_services (const struct ms_rollouts *rollouts, unsigned *count)
+{
+  *count = rollouts->services_count;
+  return rollouts->services;
+}
+
+static bool
+is_terminal (enum ms_rollout_phase phase)
+{
+  return phase == MS_ROLLOUT_COMPLETED || phase == MS_ROLLOUT_ROLLED_BACK;
+}
+
+/* Return whether O may still change by this router's decision.  */
+static bool
+is_running (const struct order *o)
+{
+  return o->phase == MS_ROLLOUT_CANARY || o->phase == MS_ROLLOUT_MOVING;
+}
+
+static void
+set_phase (struct order *o, enum ms_rollout_phase phase, const char *reason,
+           ms_time now)
+{
+  bool stops = phase == MS_ROLLOUT_STOPPED || phase == MS_ROLLOUT_ROLLED_BACK;
+
+  /* Only where it was in use are there streams to resume.  */
+  if (stops && is_running (o))
+    o->stopped_at = now;
+  if (phase == MS_ROLLOUT_MOVING)
+    {
+      o->moved_at = now;
+      o->moved_answers = ms_compare_total (o->evidence.compare)->answers[0];
+    }
+  o->closed = false;
+  o->drained = false;
+  o->confirmed = false;
+  o->phase = phase;
+  o->reason = reason;
+}
+
+/* The order O was written at AT.  */
+static void
+start_order (struct order *o, ms_time at, const char *reason, ms_time now)
+{
+  o->started = true;
+  o->started_at = at;
+  o->earliest_start = at - MAX_NOTICE_DELAY;
+  if (o->phase == MS_ROLLOUT_UNKNOWN)
+    set_phase (o, MS_ROLLOUT_CANARY, reason, now);
+}
+
+static bool
+has_id (const struct order *o, uint64_t id)
+{
+  return id == o->order.id || (o->former_id && id == o->former_id);
+}
+
+/* Exclude VERSION from O.  */
+static void
+exclude_version (struct order *o, uint32_t version)
+{
+  unsigned i = 0;
+
+  if (!version || version == o->order.version)
+    return;
+  while (i < MS_ROLLOUT_EXCLUDED - 2 && o->excluded[i]
+         && o->excluded[i] != version)
+    i++;
+  o->excluded[i] = version;
+}
+
+static bool
+is_excluded (const struct order *o, uint32_t version)
+{
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
+    if (version && o->excluded[i] == version)
+      return true;
+  return false;
+}
+
+/* Exclude from O what the order FORMER, which it replaces, has excluded or not
+   completed.  */
+static void
+take_over_exclusions (struct order *o, const struct order *former, ms_time now)
+{
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
+    exclude_version (o, former->excluded[i]);
+  if (former->phase != MS_ROLLOUT_COMPLETED
+      && former->phase != MS_ROLLOUT_UNKNOWN)
+    exclude_version (o, former->order.version);
+  o->excluded_at = former->excluded_at;
+  if (o->excluded_at < former->stopped_at)
+    o->excluded_at = former->stopped_at;
+  if (is_running (former))
+    o->excluded_at = now;
+}
+
+/* Return whether O is the order of UPDATE under another ID.  */
+static bool
+is_same_order (const struct order *o, const struct ms_rollout_order *update)
+{
+  if (o->order.version != update->version)
+    return false;
+  if (o->phase != MS_ROLLOUT_STOPPED && !is_terminal (o->phase))
+    return true;
+  return o->order.duration == update->duration && o->restored_steps;
+}
+
+void
+ms_rollouts_put_order (struct ms_rollouts *rollouts,
+                       const struct ms_rollout_order *order, bool appeared,
+                       ms_time now)
+{
+  struct order *former = find_order (rollouts, order->service);
+  struct order *o;
+
+  if (former && has_id (former, order->id))
+    {
+      former->removed = false;
+      return;
+    }
+  if (former && is_same_order (former, order))
+    {
+      former->removed = false;
+      former->former_id = former->order.id;
+      former->order.id = order->id;
+      if (former->started && order->duration != former->order.duration
+          && now + order->duration
+                 > former->started_at + former->order.duration)
+        former->order.duration = now + order->duration - former->started_at;
+      return;
+    }
+  o = ms_new (sizeof *o);
+  o->service = order->service;
+  o->order = *order;
+  o->appeared = appeared;
+  o->seen_at = now;
+  o->listed_at = now;
+  o->stopped_at = now - rollouts->options.rollback_time;
+  o->excluded_at = o->stopped_at;
+  o->sent_ordered_at = now;
+  o->sent_other_at = now;
+  o->stepped_at = now;
+  o->reason = "order";
+  o->phase = MS_ROLLOUT_UNKNOWN;
+  /* A random part of a request each: without it, routers with few requests
+     would never earn one, and their sum would be below what is intended.  */
+  if (rollouts->options.exposure_slack >= 1)
+    o->credit = (int64_t)ms_random_below (&rollouts->random, (uint64_t)UNIT);
+  o->budget = o->credit;
+  ms_evidence_init (&o->evidence);
+  if (former)
+    {
+      take_over_exclusions (o, former, now);
+      free_order (rollouts, former);
+    }
+  HASH_ADD (hh, rollouts->orders, service, sizeof o->service, o);
+  list_services (rollouts);
+  if (appeared)
+    start_order (o, now, "order", now);
+}
+
+static void
+forget_order (struct ms_rollouts *rollouts, struct order *o)
+{
+  free_order (rollouts, o);
+  list_services (rollouts);
+}
+
+void
+ms_rollouts_remove_order (struct ms_rollouts *rollouts, uint64_t service,
+                          ms_time now)
+{
+  struct order *o = find_order (rollouts, service);
+
+  if (!o)
+    return;
+  o->removed = true;
+  o->listed_at = now;
+  if (o->phase == MS_ROLLOUT_UNKNOWN)
+    forget_order (rollouts, o);
+  else if (is_running (o))
+    set_phase (o, MS_ROLLOUT_STOPPED, "removed", now);
+}
+
+/* Requests.  */
+
+static ms_time
+deadline_of (const struct order *o)
+{
+  return o->started_at + o->order.duration;
+}
+
+/* Return whether the sum of requests to the version is bounded.  */
+static bool
+is_bounded (const struct order *o, ms_time now)
+{
+  return !o->started || now < deadline_of (o);
+}
+
+static int64_t
+budget_rate (const struct ms_rollouts *rollouts)
+{
+  return rollouts->share * BUDGET_PERCENT / 100;
+}
+
+/* Return whether O may use the version without regard to the bound on the sum,
+   as the service has never had another since the order.  */
+static bool
+is_only_version (const struct order *o)
+{
+  return o->endpoints_known && !o->had_others;
+}
+
+static bool
+takes_canary (const struct order *o, bool again, ms_time now)
+{
+  return !again && o->ordered && o->credit >= UNIT
+         && (!is_bounded (o, now) || o->budget >= UNIT);
+}
+
+struct ms_rollout_choice
+ms_rollouts_choose (struct ms_rollouts *rollouts, uint64_t service, bool again,
+                    ms_time now)
+{
+  const struct order *o = find_order (rollouts, service);
+  struct ms_rollout_choice choice = { 0 };
+  bool only = false;
+  bool any = false;
+
+  if (!o)
+    return choice;
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
+    choice.except[i + 1] = o->excluded[i];
+  switch (o->phase)
+    {
+    case MS_ROLLOUT_UNKNOWN:
+      any = o->endpoints_known && !o->others;
+      break;
+    case MS_ROLLOUT_CANARY:
+      any = is_only_version (o) || (!is_bounded (o, now) && !o->others);
+      only = takes_canary (o, again, now);
+      choice.fallback = only;
+      break;
+    case MS_ROLLOUT_MOVING:
+      any = is_only_version (o) || !o->ordered;
+      only = !is_bounded (o, now) || o->budget >= UNIT;
+      choice.fallback = only && !o->closed;
+      choice.wait
+          = !only && o->closed && deadline_of (o) - now < MS_ROLLOUT_MAX_WAIT;
+      break;
+    case MS_ROLLOUT_COMPLETED:
+      only = true;
+      break;
+    case MS_ROLLOUT_NONE:
+    case MS_ROLLOUT_STOPPED:
+    case MS_ROLLOUT_ROLLED_BACK:
+      break;
+    }
+  if (any)
+    choice.fallback = choice.wait = false;
+  else if (only)
+    choice.only = o->order.version;
+  else
+    choice.except[0] = o->order.version;
+  return choice;
+}
+
+bool
+ms_rollouts_allows (const struct ms_rollouts *rollouts, uint64_t service,
+                    uint32_t version, ms_time now)
+{
+  const struct order *o = find_order (rollouts, service);
+  ms_time grace = rollouts->options.rollback_time / 2;
+
+  if (!o)
+    return true;
+  if (is_excluded (o, version))
+    return now - o->excluded_at < grace;
+  if (version != o->order.version)
+    return o->phase != MS_ROLLOUT_COMPLETED;
+  switch (o->phase)
+    {
+    case MS_ROLLOUT_UNKNOWN:
+      return o->endpoints_known && !o->others;
+    case MS_ROLLOUT_STOPPED:
+    case MS_ROLLOUT_ROLLED_BACK:
+      return now - o->stopped_at < grace;
+    default:
+      return true;
+    }
+}
+
+uint64_t
+ms_rollouts_mark (const struct ms_rollouts *rollouts, uint64_t service,
+                  uint64_t id)
+{
+  const struct order *o = find_order (rollouts, service);
+
+  return ms_id_pair (id, o ? o->order.id : 0);
+}
+
+/* Return how many endpoints of the version get, in the canary, as many
+   requests each as one of the others, in percent of one.  */
+static int64_t
+canary_percent (const struct order *o)
+{
+  return o->canary_rate * o->others * 100 / UNIT;
+}
+
+unsigned
+ms_rollouts_canary_size (const struct ms_rollouts *rollouts, uint64_t service,
+                         unsigned usable)
+{
+  const struct order *o = find_order (rollouts, service);
+  int64_t size;
+
+  if (!o || o->phase != MS_ROLLOUT_CANARY || !o->others)
+    return 0;
+  size = (canary_percent (o) + 50) / 100;
+  if (size < MIN_CANARY)
+    size = MIN_CANARY;
+  return size < usable ? (unsigned)size : usable;
+}
+
+void
+ms_rollouts_sent (struct ms_rollouts *rollouts, uint64_t service,
+                  uint32_t version, bool again, ms_time now)
+{
+  struct order *o = find_order (rollouts, service);
+
+  if (!o)
+    return;
+  ms_evidence_sent (&o->evidence, version != o->order.version);
+  if (version == o->order.version)
+    {
+      o->credit -= UNIT;
+      o->budget -= UNIT;
+    }
+  else
+    o->sent_other_at = now;
+  if (again)
+    return;
+  o->requests++;
+  o->budget += budget_rate (rollouts);
+  /* What was earned before there are endpoints would be spent in a burst.  */
+  if (o->ordered)
+    o->credit += o->canary_rate;
+  if (o->credit > MAX_CREDIT)
+    o->credit = MAX_CREDIT;
+}
+
+void
+ms_rollouts_note (struct ms_rollouts *rollouts,
+                  const struct ms_rollout_answer *answer, ms_time now)
+{
+  struct order *o = find_order (rollouts, answer->service);
+
+  (void)now;
+  if (o && !is_excluded (o, answer->version))
+    ms_evidence_note (&o->evidence, answer->version != o->order.version,
+                      answer);
+}
+
+/* Other routers.  */
+
+/* Return whether this router may send requests for O to other versions.  */
+static bool
+may_use_others (const struct order *o, ms_time now)
+{
+  if (o->phase == MS_ROLLOUT_COMPLETED)
+    return false;
+  if (o->phase != MS_ROLLOUT_MOVING || !o->closed || !o->ordered)
+    return true;
+  return is_bounded (o, now) && o->budget < UNIT
+         && deadline_of (o) - now >= MS_ROLLOUT_MAX_WAIT;
+}
+
+static void
+report_order (const struct order *o, struct ms_rollout_report *report,
+              ms_time now)
+{
+  memset (report, 0, sizeof *report);
+  report->service = o->service;
+  report->order = o->order.id;
+  report->version = o->order.version;
+  report->age = o->started ? now - o->started_at : -1;
+  report->phase = o->phase;
+  report->confirmed = o->confirmed;
+  report->running_old = o->running_here;
+  report->unmoved = may_use_others (o, now);
+  ms_evidence_report (&o->evidence, report);
+}
+
+unsigned
+ms_rollouts_report (struct ms_rollouts *rollouts,
+                    struct ms_rollout_report list[MS_ROLLOUTS], ms_time now)
+{
+  unsigned running = 0;
+  unsigned index = 0;
+  unsigned count = 0;
+
+  for (const struct order *o = rollouts->orders; o; o = o->hh.next)
+    running += !is_terminal (o->phase);
+  /* By turns, if there are too many.  */
+  for (const struct order *o = rollouts->orders; o; o = o->hh.next)
+    if (!is_terminal (o->phase)
+        && (index++ + running - rollouts->turn % running) % running
+               < MS_ROLLOUTS)
+      report_order (o, &list[count++], now);
+  if (running > MS_ROLLOUTS)
+    rollouts->turn += MS_ROLLOUTS;
+  for (const struct order *o = rollouts->orders; o && count < MS_ROLLOUTS;
+       o = o->hh.next)
+    if (is_terminal (o->phase))
+      report_order (o, &list[count++], now);
+  return count;
+}
+
+void
+ms_rollouts_clear_others (struct ms_rollouts *rollouts)
+{
+  for (struct order *o = rollouts->orders; o; o = o->hh.next)
+    ms_evidence_clear (&o->evidence);
+}
+
+/* Learn from another router that the order O began AGE ago.  */
+static void
+merge_age (struct order *o, ms_time age, ms_time now)
+{
+  if (age < 0)
+    return;
+  if (!o->started)
+    start_order (o, now - age, "peer", now);
+  else if (now - age < o->started_at && now - age >= o->earliest_start)
+    o->started_at = now - age;
+}
+
+/* Adopt the phase that another router reports.  */
+static void
+merge_phase (struct order *o, const struct ms_rollout_report *report,
+             ms_time now)
+{
+  enum ms_rollout_phase phase = report->phase;
+
+  if (is_terminal (o->phase))
+    return;
+  if (is_terminal (phase) && report->confirmed)
+    {
+      set_phase (o, phase, "peer", now);
+      o->stored = phase;
+      o->confirmed = true;
+    }
+  else if (o->phase != MS_ROLLOUT_STOPPED
+           && (phase == MS_ROLLOUT_STOPPED || phase == MS_ROLLOUT_ROLLED_BACK))
+    set_phase (o, MS_ROLLOUT_STOPPED, "peer", now);
+}
+
+void
+ms_rollouts_merge (struct ms_rollouts *rollouts, uint64_t source,
+                   const struct ms_rollout_report *report, ms_time now)
+{
+  struct order *o = find_order (rollouts, report->service);
+
+  if (!o || !has_id (o, report->order) || report->version != o->order.version
+      || !ms_evidence_is_plausible (report))
+    return;
+  merge_age (o, report->age, now);
+  ms_evidence_merge (&o->evidence, source, report, now);
+  merge_phase (o, report, now);
+}
+
+void
+ms_rollouts_set_endpoints (struct ms_rollouts *rollouts, uint64_t service,
+                           unsigned ordered, unsigned others,
+                           unsigned running_here, unsigned running_elsewhere)
+{
+  struct order *o = find_order (rollouts, service);
+
+  if (!o)
+    return;
+  o->endpoints_known = true;
+  o->ordered = ordered;
+  o->others = others;
+  o->had_others = o->had_others || others;
+  o->running_here = running_here;
+  o->running_elsewhere = running_elsewhere;
+}
+
+/* Decisions.  */
+
+static void
+update_rate (struct order *o, ms_time now)
+{
+  ms_time elapsed = now - o->stepped_at;
+  ms_time window = now - o->seen_at;
+  int64_t rate = (int64_t)o->requests * UNIT / elapsed * MS_SEC;
+
+  if (window > RATE_TIME)
+    window = RATE_TIME;
+  if (elapsed > window)
+    elapsed = window;
+  o->rate += (rate - o->rate) / 1024 * (elapsed * 1024 / window);
+  o->requests = 0;
+}
+
+static bool
+is_doubtful (const struct order *o)
+{
+  return ms_evidence_score (&o->evidence) > DOUBTFUL;
+}
+
+/* Return whether the fleet knows enough of the version to move to it.  */
+static bool
+is_known_good (const struct ms_rollouts *rollouts, const struct order *o,
+               ms_time now)
+{
+  const struct ms_rollout_evidence *total
+      = ms_compare_total (o->evidence.compare);
+  uint64_t sent
+      = (uint64_t)o->evidence.total_sent[0] + o->evidence.total_sent[1];
+  uint64_t enough = sent * (uint64_t)rollouts->share / 8 / UNIT;
+
+  if (enough > ENOUGH_ANSWERS)
+    enough = ENOUGH_ANSWERS;
+  if (is_doubtful (o) || !total->answers[0] || total->answers[0] < enough)
+    return false;
+  return !is_bounded (o, now) || !total->timed[1]
+         || total->timed[0] >= ENOUGH_TIMED
+         || total->timed[0] >= total->answers[0] / 2;
+}
+
+static void
+update_canary_rate (const struct ms_rollouts *rollouts, struct order *o,
+                    ms_time now)
+{
+  const struct ms_rollout_evidence *total
+      = ms_compare_total (o->evidence.compare);
+  uint32_t bad = total->failed[0] + total->slow[0];
+  bool raised = total->answers[0] - bad >= FEW_GOOD
+                && total->answers[0] < MANY_ANSWERS && !is_doubtful (o);
+
+  if (is_bounded (o, now))
+    o->canary_rate
+        = rollouts->share * (raised ? RAISED_PERCENT : FIRST_PERCENT) / 100;
+  else
+    o->canary_rate = UNIT * LATE_PERCENT / 100;
+}
+
+/* Return whether this router can send all requests to the version until the
+   deadline within its budget.  */
+static bool
+can_move (const struct ms_rollouts *rollouts, const struct order *o,
+          ms_time now)
+{
+  int64_t left = (deadline_of (o) - now) / MS_MSEC;
+  int64_t requests = o->rate / 1000 * left;
+  int64_t cost = (UNIT - budget_rate (rollouts)) / 1024;
+
+  return o->budget >= requests / 1024 * cost / (UNIT / 1024 / 1024);
+}
+
+static void
+step_canary (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
+{
+  update_canary_rate (rollouts, o, now);
+  if (!o->ordered)
+    return;
+  if (is_bounded (o, now))
+    {
+      if (is_known_good (rollouts, o, now) && can_move (rollouts, o, now))
+        set_phase (o, MS_ROLLOUT_MOVING, "good", now);
+    }
+  else if (is_known_good (rollouts, o, now)
+           || now >= deadline_of (o) + LATE_TIME)
+    set_phase (o, MS_ROLLOUT_MOVING, "deadline", now);
+}
+
+/* Return whether the version has run all requests for long enough.  */
+static bool
+is_proven (const struct order *o, ms_time now)
+{
+  const struct ms_rollout_evidence *total
+      = ms_compare_total (o->evidence.compare);
+  uint32_t answers = total->answers[0] - o->moved_answers;
+  bool loaded = o->loaded_answers >= LOADED_ANSWERS;
+  ms_time moved = now - o->moved_at;
+
+  if (is_doubtful (o))
+    return false;
+  return moved >= MOVED_LONG_TIME
+         || (moved >= (loaded ? MOVED_TIME : UNLOADED_TIME)
+             && answers >= (loaded ? MOVED_ANSWERS : UNLOADED_ANSWERS));
+}
+
+static void
+step_moving (struct order *o, ms_time now)
+{
+  bool drained;
+
+  if (!o->closed
+      && (now - o->moved_at >= MAX_CLOSE_TIME
+          || (now - o->moved_at >= CLOSE_TIME
+              && now - o->sent_other_at >= CLOSE_TIME)))
+    o->closed = true;
+  drained = !may_use_others (o, now) && !o->running_here
+            && !o->running_elsewhere && ms_evidence_drained (&o->evidence, now)
+            && is_proven (o, now);
+  if (drained == o->drained)
+    return;
+  o->drained = drained;
+  o->reason = drained ? "drained" : "good";
+}
+
+/* End O if its deadline is long over.  */
+static void
+end_overdue (struct order *o, ms_time now)
+{
+  if (is_bounded (o, now) || now < deadline_of (o) + OVERDUE_TIME)
+    return;
+  if (!o->ordered || ms_evidence_score (&o->evidence) > DUBIOUS)
+    set_phase (o, MS_ROLLOUT_STOPPED, "overdue", now);
+  else if (o->phase == MS_ROLLOUT_MOVING && !o->drained)
+    {
+      o->drained = true;
+      o->reason = "overdue";
+    }
+}
+
+/* Return whether the version has no endpoint that any router uses, by the
+   deadline or later.  */
+static bool
+lacks_endpoints (struct order *o, ms_time now)
+{
+  if (o->evidence.total_sent[0] != o->sent_ordered)
+    {
+      o->sent_ordered = o->evidence.total_sent[0];
+      o->sent_ordered_at = now;
+    }
+  return !is_bounded (o, now) && !o->ordered && o->others
+         && now - o->sent_ordered_at >= NO_ENDPOINT_TIME;
+}
+
+static void
+count_loaded_answers (struct order *o)
+{
+  uint32_t answers = ms_compare_total (o->evidence.compare)->answers[0];
+
+  if (o->phase == MS_ROLLOUT_CANARY
+      && canary_percent (o) >= LOADED_PERCENT * MIN_CANARY)
+    o->loaded_answers += answers - o->seen_answers;
+  o->seen_answers = answers;
+}
+
+static void
+step_order (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
+{
+  enum ms_compare_kind fault;
+
+  update_rate (o, now);
+  o->stepped_at = now;
+  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
+  count_loaded_answers (o);
+  if (o->restored_steps)
+    o->restored_steps--;
+  if (o->phase == MS_ROLLOUT_UNKNOWN && o->none_since
+      && now - o->none_since >= UNKNOWN_TIME)
+    start_order (o, now, "order", now);
+  if (!is_running (o))
+    return;
+  if (fault != MS_COMPARE_KINDS)
+    set_phase (o, MS_ROLLOUT_STOPPED,
+               fault == MS_COMPARE_FAILED ? "failures" : "slow", now);
+  else if (lacks_endpoints (o, now))
+    set_phase (o, MS_ROLLOUT_STOPPED, "no_endpoint", now);
+  else if (o->phase == MS_ROLLOUT_CANARY)
+    step_canary (rollouts, o, now);
+  else
+    step_moving (o, now);
+  if (is_running (o))
+    end_overdue (o, now);
+}
+
+/* Return whether O was removed and excludes nothing any more.  */
+static bool
+is_obsolete (struct order *o, ms_time now)
+{
+  if (o->phase == MS_ROLLOUT_COMPLETED ? o->others : o->ordered)
+    o->listed_at = now;
+  return o->removed && is_terminal (o->phase)
+         && now - o->listed_at >= FORGET_TIME;
+}
+
+void
+ms_rollouts_tick (struct ms_rollouts *rollouts, ms_time now)
+{
+  struct order *o, *next;
+
+  HASH_ITER (hh, rollouts->orders, o, next)
+  {
+    if (now - o->stepped_at >= STEP_TIME)
+      step_order (rollouts, o, now);
+    if (is_obsolete (o, now))
+      forget_order (rollouts, o);
+  }
+}
+
+/* The store.  */
+
+/* Return the phase that the store should have for O, MS_ROLLOUT_NONE if this
+   router cannot say.  */
+static enum ms_rollout_phase
+phase_to_store (const struct order *o)
+{
+  switch (o->phase)
+    {
+    case MS_ROLLOUT_CANARY:
+      return MS_ROLLOUT_CANARY;
+    case MS_ROLLOUT_MOVING:
+      return o->drained ? MS_ROLLOUT_COMPLETED : MS_ROLLOUT_CANARY;
+    case MS_ROLLOUT_STOPPED:
+      return MS_ROLLOUT_ROLLED_BACK;
+    case MS_ROLLOUT_COMPLETED:
+    case MS_ROLLOUT_ROLLED_BACK:
+      return o->phase;
+    default:
+      return MS_ROLLOUT_NONE;
+    }
+}
+
+static void
+fill_state (const struct order *o, struct ms_rollout_state *state)
+{
+  const struct ms_rollout_evidence *total
+      = ms_compare_total (o->evidence.compare);
+
+  memset (state, 0, sizeof *state);
+  state->order = o->order;
+  state->phase = o->phase;
+  state->confirmed = o->confirmed;
+  state->started_at = o->started ? o->started_at : 0;
+  state->reason = o->reason;
+  for (unsigned i = 0; i < 2; i++)
+    {
+      state->sent[i] = o->evidence.sent[i];
+      state->answers[i] = total->answers[i];
+      state->failed[i] = total->failed[i];
+      state->slow[i] = total->slow[i];
+    }
+  state->score
+      = (double)ms_evidence_score (&o->evidence) / (double)MS_COMPARE_BAD;
+}
+
+bool
+ms_rollouts_state (const struct ms_rollouts *rollouts, uint64_t service,
+                   ms_time now, struct ms_rollout_state *state)
+{
+  const struct order *o = find_order (rollouts, service);
+
+  (void)now;
+  if (o)
+    fill_state (o, state);
+  return o;
+}
+
+bool
+ms_rollouts_unwritten (const struct ms_rollouts *rollouts, ms_time now,
+                       struct ms_rollout_state *state)
+{
+  (void)now;
+  for (const struct order *o = rollouts->orders; o; o = o->hh.next)
+    {
+      enum ms_rollout_phase phase = phase_to_store (o);
+
+      if (phase == MS_ROLLOUT_NONE || phase == o->stored)
+        continue;
+      fill_state (o, state);
+      state->phase = phase;
+      return true;
+    }
+  return false;
+}
+
+/* Return whether the state of ORDER, 0 if it is not named, to VERSION, whose
+   AGE is below 0 if it is not known, is of O.  */
+static bool
+is_state_of (const struct order *o, uint32_t version, uint64_t order,
+             ms_time age, ms_time now)
+{
+  if (version != o->order.version)
+    return false;
+  if (order)
+    return has_id (o, order);
+  return age < 0 || !o->started || now - age >= o->started_at - MAX_AGE_ERROR;
+}
+
+void
+ms_rollouts_learn_state (struct ms_rollouts *rollouts, uint64_t service,
+                         uint32_t version, uint64_t order,
+                         enum ms_rollout_phase phase, ms_time age, ms_time now)
+{
+  struct order *o = find_order (rollouts, service);
+
+  if (!o)
+    return;
+  if (phase != MS_ROLLOUT_CANARY && !is_terminal (phase))
+    phase = MS_ROLLOUT_NONE;
+  if (!is_state_of (o, version, order, age, now))
+    phase = MS_ROLLOUT_NONE;
+  o->stored = phase;
+  if (phase == MS_ROLLOUT_NONE)
+    {
+      if (!o->none_since)
+        o->none_since = now;
+      return;
+    }
+  o->none_since = 0;
+  if (age > o->order.duration)
+    age = o->order.duration;
+  if (!o->started)
+    start_order (o, age > 0 ? now - age : now, "store", now);
+  if (is_terminal (phase) && phase != o->phase)
+    set_phase (o, phase, phase == phase_to_store (o) ? o->reason : "store",
+               now);
+  o->confirmed = phase_to_store (o) == phase;
+}
+
+void
+ms_rollouts_forget_stored (struct ms_rollouts *rollouts)
+{
+  for (struct order *o = rollouts->orders; o; o = o->hh.next)
+    {
+      o->stored = MS_ROLLOUT_NONE;
+      o->restored_steps = RESTORE_STEPS;
+    }
+}
+
+const char *
+ms_rollout_phase_name (enum ms_rollout_phase phase)
+{
+  static const char *const names[]
+      = { "none",   "unknown",   "canary",     "stopped",
+          "moving", "completed", "rolled_back" };
+
+  return phase < sizeof names / sizeof *names ? names[phase] : "none";
+}
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -75,17 +75,27 @@
   MS_ROLLOUT_ROLLED_BACK
 };
 
+/* Most versions of one service that are excluded.  */
+#define MS_ROLLOUT_EXCLUDED 3
+
 /* Which endpoints of a service a request may be sent to.  */
 struct ms_rollout_choice
 {
-  uint32_t only;   /* Only endpoints of this version; 0 for any.  */
-  uint32_t except; /* No endpoints of this version; 0 for any.  */
-  bool fallback;   /* If no endpoint of ONLY can take the request, the others
-                      may.  */
+  uint32_t only; /* Only endpoints of this version; 0 for any.  */
+  uint32_t except[MS_ROLLOUT_EXCLUDED]; /* No endpoints of these versions; 0
+                                           for none.  */
+  bool fallback; /* If no endpoint of ONLY can take the request, the others
+                    may, but not those of EXCEPT.  */
+  bool wait;     /* The deadline is less than MS_ROLLOUT_MAX_WAIT away and the
+                    request should wait for it: at the endpoints that it may be
+                    sent to now it would delay the end of the rollout.  */
 };
 
+#define MS_ROLLOUT_MAX_WAIT (400 * MS_MSEC)
+
 /* Choose for a new request for SERVICE.  AGAIN says that the request was sent
-   before: it is not used for the canary.  Nothing is counted yet.  */
+   before: it is not used for the canary.  Nothing is counted yet, and the
+   choice holds only for the moment: a request that waits needs another.  */
 struct ms_rollout_choice ms_rollouts_choose (struct ms_rollouts *rollouts,
                                              uint64_t service, bool again,
                                              ms_time now);
@@ -105,10 +115,10 @@
 unsigned ms_rollouts_canary_size (const struct ms_rollouts *rollouts,
                                   uint64_t service, unsigned usable);
 
-/* A request for SERVICE is sent to an endpoint of VERSION, also if it was sent
-   before.  */
+/* A request for SERVICE is sent to an endpoint of VERSION.  AGAIN says that it
+   was sent before.  */
 void ms_rollouts_sent (struct ms_rollouts *rollouts, uint64_t service,
-                       uint32_t version, ms_time now);
+                       uint32_t version, bool again, ms_time now);
 
 /* What an answer says of the version that gave it.  */
 struct ms_rollout_answer
@@ -127,8 +137,10 @@
                    used.  */
 };
 
-/* An attempt ended, or its first byte came, with ANSWER.  What did not run,
-   and requests that may crash endpoints, are not to be passed.  */
+/* An attempt ended, or its first byte came, with ANSWER.  Each call counts as
+   one answer, so one attempt may give two: at its first byte, and at its end
+   if that failed or has a pace.  What did not run, and requests that may crash
+   endpoints, are not to be passed.  */
 void ms_rollouts_note (struct ms_rollouts *rollouts,
                        const struct ms_rollout_answer *answer, ms_time now);
 
@@ -139,11 +151,12 @@
 {
   uint64_t route;
   uint64_t zone;
-  uint32_t answers[2]; /* That ran; FAILED and SLOW are part of them.  */
+  uint32_t answers[2]; /* That ran; FAILED and TIMED are part of them.  */
   uint32_t failed[2];
+  uint32_t timed[2]; /* Have a ratio; SLOW is part of them.  */
   uint32_t slow[2];
-  uint32_t timed;  /* Answers of the others that have a ratio, */
-  float log_ratio; /* and the recent mean of its natural logarithm.  */
+  float log_ratio; /* Recent mean of the natural logarithm of the ratios of the
+                      others.  */
 };
 
 /* Bad answers of one endpoint of the ordered version.  */
@@ -169,6 +182,7 @@
   bool confirmed;       /* The store has that phase.  */
   uint32_t sent[2];     /* Requests to the ordered version, and to others.  */
   uint32_t running_old; /* Requests in progress at endpoints of others.  */
+  uint32_t unmoved;     /* Routers that may still send requests to others.  */
   unsigned strata_count;
   struct ms_rollout_evidence strata[MS_ROLLOUT_STRATA];
   unsigned suspects_count;
@@ -182,26 +196,30 @@
                              ms_time now);
 
 /* Replace what the other routers report: clear it, then merge REPORT of each
-   source.  SOURCE identifies a router and its start, or the author of zone
-   sums; counts of one source only grow, and one that was not merged since the
-   last call of ms_rollouts_clear_others keeps what it reported last for as
-   long as the order lives.  */
+   source.  SOURCE identifies a router and its start, or the zone of zone sums
+   whoever added them up; counts of a router only grow.  What a source has
+   counted stays for as long as the order lives; the rest of its report counts
+   if it was merged since the last call of ms_rollouts_clear_others, or within
+   the last second.  Reports that contradict themselves are ignored.  */
 void ms_rollouts_clear_others (struct ms_rollouts *rollouts);
 void ms_rollouts_merge (struct ms_rollouts *rollouts, uint64_t source,
                         const struct ms_rollout_report *report, ms_time now);
 
-/* Add up A and B, of routers of one zone, into A.  Phases: the latest one that
-   is confirmed, else the gravest.  */
+/* Add up A and B, of routers of one zone, into A, which may be all zero.
+   Reports of different orders are not added.  Phases: a terminal one that is
+   confirmed, else the gravest.  */
 void ms_rollouts_add_report (struct ms_rollout_report *a,
                              const struct ms_rollout_report *b);
 
-/* How many endpoints of SERVICE are usable: of the ordered version and of
-   others; and how many requests this and the other routers have in progress at
-   the others.  Call for each service with an order before each
+/* ORDERED endpoints of the ordered version of SERVICE are usable, and OTHERS
+   of other versions are listed.  This router has RUNNING_HERE requests in
+   progress at the others, and all other routers RUNNING_ELSEWHERE according to
+   their loads.  Call for each service with an order before each
    ms_rollouts_tick.  */
 void ms_rollouts_set_endpoints (struct ms_rollouts *rollouts, uint64_t service,
                                 unsigned ordered, unsigned others,
-                                unsigned running_others);
+                                unsigned running_here,
+                                unsigned running_elsewhere);
 
 /* Evaluate the evidence and move the phases on.  Call at least ten times a
    second.  */
@@ -221,7 +239,7 @@
   ms_time started_at; /* 0 if it is not known.  */
   const char *reason; /* Of the last change of phase: "order", "failures",
                          "slow", "peer", "no_endpoint", "removed", "store",
-                         "deadline", "drained", "good".  */
+                         "deadline", "drained", "good", "overdue".  */
   uint32_t sent[2];   /* By this router.  */
   uint32_t answers[2], failed[2], slow[2]; /* Over the fleet.  */
   double score; /* Of the test; the version is bad at 1.  */
@@ -235,13 +253,16 @@
 bool ms_rollouts_unwritten (const struct ms_rollouts *rollouts, ms_time now,
                             struct ms_rollout_state *state);
 
-/* The store has PHASE (MS_ROLLOUT_CANARY for one that runs) for the order of
+/* The store has PHASE (MS_ROLLOUT_CANARY for one that runs) for the ORDER of
    SERVICE to VERSION, as this router has written or read, and the order's AGE,
-   below 0 if it is not stated.  A terminal phase is final.  PHASE is
-   MS_ROLLOUT_NONE if the store has none.  */
+   below 0 if it is not stated.  ORDER is the ID that the record names, 0 if it
+   names none; the state of an earlier order is no state of this one.  A
+   terminal phase is final.  PHASE is MS_ROLLOUT_NONE if the store has none.
+   Call it again after ms_rollouts_put_order.  */
 void ms_rollouts_learn_state (struct ms_rollouts *rollouts, uint64_t service,
-                              uint32_t version, enum ms_rollout_phase phase,
-                              ms_time age, ms_time now);
+                              uint32_t version, uint64_t order,
+                              enum ms_rollout_phase phase, ms_time age,
+                              ms_time now);
 
 /* The store may have lost its states.  */
 void ms_rollouts_forget_stored (struct ms_rollouts *rollouts);
