Rollouts: routers share a part of the exposure slack for the move

At 9 routers and 100 requests a second a good version was completed 0.2 s after its deadline, as what a router may send to it before is a tenth of its own requests. Routers that saw the order appear now share 0.4 of the slack; for this, reports count the routers that they are of. A first test program has this model.

--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -25,6 +25,7 @@
 #define LN2 0.69314718055994530942
 
 /* Bounds on plausible reports.  */
+#define MAX_ROUTERS 10000
 #define MAX_COUNT ((uint32_t)1 << 26)
 #define MAX_LOG_RATIO 20.0F
 #define MAX_AGE (24 * 3600 * MS_SEC)
@@ -68,6 +69,7 @@
   memset (evidence, 0, sizeof *evidence);
   evidence->compare = ms_compare_create ();
   evidence->paces_count = 1;
+  evidence->routers = 1;
 }
 
 void
@@ -85,13 +87,16 @@
 
 /* Return the index of ROUTE and ZONE in LIST of COUNT, which are added if they
    are unknown.  The last space is for route 0 and zone 0, which stand for all
-   that have no space.  */
+   that have no space.  HINT is where they probably are.  */
 static unsigned
 find_or_add_stratum (struct ms_rollout_evidence list[MS_ROLLOUT_STRATA],
-                     unsigned *count, uint64_t route, uint64_t zone)
+                     unsigned *count, uint64_t route, uint64_t zone,
+                     unsigned hint)
 {
   unsigned i;
 
+  if (hint < *count && list[hint].route == route && list[hint].zone == zone)
+    return hint;
   for (i = 0; i < *count; i++)
     if (list[i].route == route && list[i].zone == zone)
       return i;
@@ -176,7 +181,7 @@
                   const struct ms_rollout_answer *answer)
 {
   unsigned i = find_or_add_stratum (evidence->own, &evidence->own_count,
-                                    answer->route, answer->zone);
+                                    answer->route, answer->zone, 0);
   struct ms_rollout_evidence *own = &evidence->own[i];
   struct ms_rollout_evidence added
       = { .route = own->route, .zone = own->zone };
@@ -280,7 +285,8 @@
   if (report->strata_count > MS_ROLLOUT_STRATA
       || report->suspects_count > MS_ROLLOUT_SUSPECTS
       || report->phase > MS_ROLLOUT_ROLLED_BACK || report->age > MAX_AGE
-      || report->sent[0] > MAX_COUNT || report->sent[1] > MAX_COUNT)
+      || report->routers > MAX_ROUTERS || report->sent[0] > MAX_COUNT
+      || report->sent[1] > MAX_COUNT)
     return false;
   for (unsigned i = 0; i < report->strata_count; i++)
     {
@@ -346,7 +352,7 @@
       const struct ms_rollout_evidence *s = &report->strata[i];
       const struct ms_rollout_evidence *c
           = &counted->strata[find_or_add_stratum (
-              counted->strata, &counted->strata_count, s->route, s->zone)];
+              counted->strata, &counted->strata_count, s->route, s->zone, i)];
 
       before += (uint64_t)c->answers[0] + c->answers[1];
       after += (uint64_t)s->answers[0] + s->answers[1];
@@ -354,14 +360,15 @@
   return after < before;
 }
 
-/* Count the stratum S of SOURCE, from now on if ANEW.  */
+/* Count the stratum S of SOURCE, probably its one of index HINT, from now on
+   if ANEW.  */
 static void
 merge_stratum (struct ms_evidence *evidence, struct ms_rollout_source *source,
-               const struct ms_rollout_evidence *s, bool anew)
+               const struct ms_rollout_evidence *s, unsigned hint, bool anew)
 {
   struct ms_rollout_report *counted = &source->counted;
   struct ms_rollout_evidence *c = &counted->strata[find_or_add_stratum (
-      counted->strata, &counted->strata_count, s->route, s->zone)];
+      counted->strata, &counted->strata_count, s->route, s->zone, hint)];
   struct ms_rollout_evidence added = { .route = c->route, .zone = c->zone };
 
   c->log_ratio = s->log_ratio;
@@ -388,7 +395,7 @@
       if (added.slow[i] > added.timed[i])
         added.slow[i] = added.timed[i];
     }
-  if (!anew)
+  if (added.answers[0] || added.answers[1])
     ms_compare_add (evidence->compare, &added);
 }
 
@@ -433,10 +440,10 @@
 
 static void
 add_stratum (struct ms_rollout_report *sum,
-             const struct ms_rollout_evidence *b)
+             const struct ms_rollout_evidence *b, unsigned hint)
 {
   struct ms_rollout_evidence *a = &sum->strata[find_or_add_stratum (
-      sum->strata, &sum->strata_count, b->route, b->zone)];
+      sum->strata, &sum->strata_count, b->route, b->zone, hint)];
 
   a->log_ratio
       = mean_log_ratio (a->log_ratio, a->timed[1], b->log_ratio, b->timed[1]);
@@ -488,10 +495,11 @@
     a->age = b->age;
   for (unsigned i = 0; i < 2; i++)
     a->sent[i] = add_counts (a->sent[i], b->sent[i]);
+  a->routers = add_counts (a->routers, b->routers);
   a->running_old = add_counts (a->running_old, b->running_old);
   a->unmoved = add_counts (a->unmoved, b->unmoved);
   for (unsigned i = 0; i < b->strata_count; i++)
-    add_stratum (a, &b->strata[i]);
+    add_stratum (a, &b->strata[i], i);
   for (unsigned i = 0; i < b->suspects_count; i++)
     {
       struct ms_rollout_suspect *s
@@ -536,9 +544,10 @@
       evidence->total_sent[i]
           += raise_count (&counted->sent[i], report->sent[i]);
   for (unsigned i = 0; i < report->strata_count; i++)
-    merge_stratum (evidence, source, &report->strata[i], anew);
+    merge_stratum (evidence, source, &report->strata[i], i, anew);
   for (unsigned i = 0; i < report->suspects_count; i++)
     merge_suspect (evidence, source, &report->suspects[i], anew);
+  counted->routers = report->routers;
   counted->running_old = report->running_old;
   counted->unmoved = report->unmoved;
 }
@@ -620,6 +629,19 @@
     }
 }
 
+static void
+count_routers (struct ms_evidence *evidence, ms_time now)
+{
+  unsigned routers = 1;
+
+  for (const struct ms_rollout_source *s = evidence->sources; s;
+       s = s->hh.next)
+    if (is_current (s, now))
+      routers += s->counted.routers;
+  if (evidence->routers < routers)
+    evidence->routers = routers;
+}
+
 /* Return the endpoint with the most bad answers in the fleet.  */
 static struct ms_rollout_suspect
 worst_endpoint (const struct ms_evidence *evidence)
@@ -676,6 +698,7 @@
 
   evidence->several = several;
   update_paces (evidence, now);
+  count_routers (evidence, now);
   ms_compare_step (evidence->compare);
   for (kind = 0; kind < MS_COMPARE_KINDS; kind++)
     if (ms_compare_score (evidence->compare, kind) >= MS_COMPARE_BAD)
--- a/src/rollout/internal.h
+++ b/src/rollout/internal.h
@@ -88,6 +88,7 @@
   bool several;           /* Endpoints of the ordered version are usable.  */
   uint64_t outlier;       /* The one of them that is bad; 0 if none.  */
   uint32_t total_sent[2]; /* By the fleet.  */
+  unsigned routers; /* The most that have reported at a time, and this one.  */
   struct ms_compare *compare;
   /* Mean logarithm of the others' ratios on each route, in units of 2^-16,
      index 0 for all routes.  */
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -20,6 +20,14 @@
    that were counted here but reached no endpoint.  */
 #define BUDGET_PERCENT 90
 
+/* Part of the exposure slack that the routers share for the move.  The rest is
+   for the random parts of requests that they start with.  No router takes more
+   than this part of what its requests earned, if it does not know how many
+   routers there are.  */
+#define SLACK_PERCENT 40
+#define MAX_SLACK_PERCENT 50
+#define MAX_SLACK 1e6
+
 /* Canary: part of the exposure share at first, and from FEW_GOOD good answers
    of the fleet until it has MANY_ANSWERS.  More would leave less for the move
    before the deadline, and tell little more.  */
@@ -70,7 +78,7 @@
 #define MOVED_TIME (300 * MS_MSEC)
 #define MOVED_ANSWERS 20
 #define UNLOADED_TIME (700 * MS_MSEC)
-#define UNLOADED_ANSWERS 60
+#define UNLOADED_ANSWERS 40
 #define MOVED_LONG_TIME (5 * MS_SEC)
 
 /* The canary had load if LOADED_ANSWERS were given while each endpoint had at
@@ -161,7 +169,8 @@
 struct ms_rollouts
 {
   struct ms_rollout_options options;
-  int64_t share; /* Exposure share, in UNIT.  */
+  int64_t share; /* Exposure share and slack, in UNIT.  */
+  int64_t slack;
   struct ms_random random;
   struct order *orders;
   uint64_t *services;
@@ -206,14 +215,20 @@
                          const struct ms_rollout_options *options)
 {
   double share = options->exposure_share;
+  double slack = options->exposure_slack;
 
   rollouts->options = *options;
   if (!(share > 0))
     share = 0;
   if (share > 1)
     share = 1;
+  if (!(slack > 0))
+    slack = 0;
+  if (slack > MAX_SLACK)
+    slack = MAX_SLACK;
   /* Scaling by a power of 2 is exact.  */
   rollouts->share = (int64_t)(share * (double)UNIT);
+  rollouts->slack = (int64_t)(slack * (double)UNIT);
 }
 
 static struct order *
@@ -445,6 +460,28 @@
   return rollouts->share * BUDGET_PERCENT / 100;
 }
 
+/* Return this router's part of the exposure slack.  Only routers that saw the
+   order appear have one: others may have used theirs before they restarted. */
+static int64_t
+own_slack (const struct ms_rollouts *rollouts, const struct order *o)
+{
+  int64_t slack = rollouts->slack * SLACK_PERCENT / 100 / o->evidence.routers;
+  int64_t most = ((int64_t)o->evidence.sent[0] + o->evidence.sent[1])
+                 * rollouts->share * MAX_SLACK_PERCENT / 100;
+
+  if (!o->appeared)
+    return 0;
+  return slack < most ? slack : most;
+}
+
+/* Return whether O has the budget for a request while all go to the version.
+ */
+static bool
+has_budget (const struct ms_rollouts *rollouts, const struct order *o)
+{
+  return o->budget + own_slack (rollouts, o) >= UNIT;
+}
+
 /* Return whether O may use the version without regard to the bound on the sum,
    as the service has never had another since the order.  */
 static bool
@@ -485,7 +522,7 @@
       break;
     case MS_ROLLOUT_MOVING:
       any = is_only_version (o) || !o->ordered;
-      only = !is_bounded (o, now) || o->budget >= UNIT;
+      only = !is_bounded (o, now) || has_budget (rollouts, o);
       choice.fallback = only && !o->closed;
       choice.wait
           = !only && o->closed && deadline_of (o) - now < MS_ROLLOUT_MAX_WAIT;
@@ -607,19 +644,20 @@
 
 /* Return whether this router may send requests for O to other versions.  */
 static bool
-may_use_others (const struct order *o, ms_time now)
+may_use_others (const struct ms_rollouts *rollouts, const struct order *o,
+                ms_time now)
 {
   if (o->phase == MS_ROLLOUT_COMPLETED)
     return false;
   if (o->phase != MS_ROLLOUT_MOVING || !o->closed || !o->ordered)
     return true;
-  return is_bounded (o, now) && o->budget < UNIT
+  return is_bounded (o, now) && !has_budget (rollouts, o)
          && deadline_of (o) - now >= MS_ROLLOUT_MAX_WAIT;
 }
 
 static void
-report_order (const struct order *o, struct ms_rollout_report *report,
-              ms_time now)
+report_order (const struct ms_rollouts *rollouts, const struct order *o,
+              struct ms_rollout_report *report, ms_time now)
 {
   memset (report, 0, sizeof *report);
   report->service = o->service;
@@ -629,7 +667,8 @@
   report->phase = o->phase;
   report->confirmed = o->confirmed;
   report->running_old = o->running_here;
-  report->unmoved = may_use_others (o, now);
+  report->routers = 1;
+  report->unmoved = may_use_others (rollouts, o, now);
   ms_evidence_report (&o->evidence, report);
 }
 
@@ -648,13 +687,13 @@
     if (!is_terminal (o->phase)
         && (index++ + running - rollouts->turn % running) % running
                < MS_ROLLOUTS)
-      report_order (o, &list[count++], now);
+      report_order (rollouts, o, &list[count++], now);
   if (running > MS_ROLLOUTS)
     rollouts->turn += MS_ROLLOUTS;
   for (const struct order *o = rollouts->orders; o && count < MS_ROLLOUTS;
        o = o->hh.next)
     if (is_terminal (o->phase))
-      report_order (o, &list[count++], now);
+      report_order (rollouts, o, &list[count++], now);
   return count;
 }
 
@@ -798,7 +837,8 @@
   int64_t requests = o->rate / 1000 * left;
   int64_t cost = (UNIT - budget_rate (rollouts)) / 1024;
 
-  return o->budget >= requests / 1024 * cost / (UNIT / 1024 / 1024);
+  return o->budget + own_slack (rollouts, o)
+         >= requests / 1024 * cost / (UNIT / 1024 / 1024);
 }
 
 static void
@@ -835,7 +875,7 @@
 }
 
 static void
-step_moving (struct order *o, ms_time now)
+step_moving (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
 {
   bool drained;
 
@@ -844,7 +884,7 @@
           || (now - o->moved_at >= CLOSE_TIME
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
-  drained = !may_use_others (o, now) && !o->running_here
+  drained = !may_use_others (rollouts, o, now) && !o->running_here
             && !o->running_elsewhere && ms_evidence_drained (&o->evidence, now)
             && is_proven (o, now);
   if (drained == o->drained)
@@ -917,7 +957,7 @@
   else if (o->phase == MS_ROLLOUT_CANARY)
     step_canary (rollouts, o, now);
   else
-    step_moving (o, now);
+    step_moving (rollouts, o, now);
   if (is_running (o))
     end_overdue (o, now);
 }
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -182,7 +182,9 @@
   bool confirmed;       /* The store has that phase.  */
   uint32_t sent[2];     /* Requests to the ordered version, and to others.  */
   uint32_t running_old; /* Requests in progress at endpoints of others.  */
-  uint32_t unmoved;     /* Routers that may still send requests to others.  */
+  uint32_t routers;     /* That the report is of.  */
+  uint32_t unmoved;     /* Those of them that may still send requests to
+                           others.  */
   unsigned strata_count;
   struct ms_rollout_evidence strata[MS_ROLLOUT_STRATA];
   unsigned suspects_count;
--- /dev/null
+++ b/tests/test_rollout.c
@@ -0,0 +1,685 @@
+#include "check.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/random.h"
+#include "rollout/rollout.h"
+
+/* Rollouts in a model of a fleet: routers exchange reports with the delays of
+   digests and zone sums, endpoints of two versions answer by rule, the store
+   holds the state.  The bounds are those of EXPOSURE in
+   docs/design/rollouts-and-overload.md.  */
+
+#define SERVICE 77
+#define OLD 1
+#define NEW 2
+#define SHARE 0.1
+#define SLACK 50
+#define ROLLBACK_TIME (5 * MS_SEC)
+#define BAD_ANSWERS 50 /* After this many, ROLLBACK_TIME begins.  */
+
+#define STEP (10 * MS_MSEC)
+#define MAX_ROUTERS 295
+#define MAX_ENDPOINTS 64 /* Of each version.  */
+#define ZONES 3
+#define SMALL_FLEET 16
+#define PERIOD (150 * MS_MSEC)
+#define ZONE_DELAY (150 * MS_MSEC)
+#define SUM_DELAY (300 * MS_MSEC) /* Besides ZONE_DELAY.  */
+#define HISTORY 8
+#define STORE_PERIOD (100 * MS_MSEC)
+#define STABLE_TIME (5 * MS_SEC)
+#define ORDER_AT (10 * MS_SEC)
+#define NOTICE_TIME (300 * MS_MSEC) /* Until a router sees the order.  */
+#define END_AT (50 * MS_SEC)
+#define WHEEL 1024 /* Steps that the longest request may last.  */
+#define ALL UINT32_MAX
+
+/* What goes wrong with endpoints of the versions in VERSIONS, a sum of OLD and
+   NEW, from FROM after the order on.  */
+struct fault
+{
+  unsigned versions;
+  ms_time from;
+  double failed;    /* Part of the answers.  */
+  double slow;      /* The same, that take SLOW_FACTOR times as long.  */
+  unsigned route;   /* ALL for every route.  */
+  unsigned index;   /* Of the endpoint; ALL for every one.  */
+  unsigned running; /* Only with this many requests at the endpoint.  */
+};
+
+#define SLOW_FACTOR 5
+
+/* From FROM to UNTIL after the order, COUNT routers from FIRST on are cut off
+   from the others and from the store, or do not run.  */
+struct outage
+{
+  ms_time from;
+  ms_time until;
+  unsigned first;
+  unsigned count;
+  bool killed;
+};
+
+struct scenario
+{
+  unsigned routers;
+  double rate; /* Requests per second.  */
+  ms_time duration;
+  unsigned endpoints; /* Of each version.  */
+  ms_time usable;     /* Endpoints of the new version, after the order.  */
+  ms_time latency;
+  double base_failed; /* Part of the answers of all endpoints.  */
+  double streams;     /* Part of the requests that run for 2 s.  */
+  struct fault fault;
+  struct outage outages[3];
+  ms_time store_from, store_until; /* Store unavailable.  */
+  double lost_replies;             /* Of appends to the store.  */
+  ms_time surge_at;                /* Three times the rate for 2 s.  */
+  uint64_t seed;
+};
+
+struct router
+{
+  struct ms_rollouts *rollouts;
+  unsigned start; /* Number of its start.  */
+  unsigned running_old;
+  ms_time out_until; /* It is not in touch until STABLE_TIME later.  */
+  bool knows_order;
+  struct ms_rollout_report reports[HISTORY];
+  ms_time reported_at[HISTORY];
+  unsigned read_end; /* Of the store, as it knows it.  */
+};
+
+struct endpoint
+{
+  unsigned running;
+};
+
+struct run
+{
+  unsigned router, start, version, endpoint, route;
+  bool failed, slow, again; /* VERSION is 0 while it waits.  */
+  struct run *next;
+};
+
+struct fleet
+{
+  struct scenario s;
+  struct ms_random random;
+  struct router *routers;
+  struct endpoint endpoints[3][MAX_ENDPOINTS];
+  struct run *ends[WHEEL];
+  struct ms_rollout_report sums[ZONES][HISTORY];
+  ms_time summed_at[ZONES][HISTORY];
+  /* The store: the last state, and how often it was written.  */
+  enum ms_rollout_phase state;
+  ms_time state_started;
+  unsigned store_end;
+  ms_time written_at;
+  unsigned conflicts;
+  /* Results.  */
+  unsigned all, sent_new, bad, late, aborted;
+  unsigned sent_old_after; /* To the old version after it was completed.  */
+  ms_time bad_at;          /* When the last of BAD_ANSWERS came.  */
+  ms_time ended_at;        /* After the order.  */
+};
+
+static double
+draw (struct fleet *f)
+{
+  return (double)ms_random_below (&f->random, 1 << 30) / (1 << 30);
+}
+
+static unsigned
+zone_of (unsigned index)
+{
+  return index % ZONES;
+}
+
+static bool
+is_large (const struct fleet *f)
+{
+  return f->s.routers > SMALL_FLEET;
+}
+
+static const struct outage *
+outage_of (const struct fleet *f, unsigned router, ms_time now)
+{
+  for (unsigned i = 0; i < sizeof f->s.outages / sizeof *f->s.outages; i++)
+    {
+      const struct outage *o = &f->s.outages[i];
+
+      if (router >= o->first && router < o->first + o->count
+          && now >= ORDER_AT + o->from && now < ORDER_AT + o->until)
+        return o;
+    }
+  return NULL;
+}
+
+static bool
+is_store_up (const struct fleet *f, ms_time now)
+{
+  return now < ORDER_AT + f->s.store_from
+         || now >= ORDER_AT + f->s.store_until;
+}
+
+static const struct ms_rollout_order order
+    = { .service = SERVICE, .version = NEW, .id = 5 };
+
+static struct ms_rollout_options
+options (uint64_t seed)
+{
+  return (struct ms_rollout_options){ SHARE, SLACK, ROLLBACK_TIME, seed };
+}
+
+static void
+start_router (struct fleet *f, unsigned i)
+{
+  struct router *r = &f->routers[i];
+  struct ms_rollout_options o = options (ms_random_next (&f->random));
+  unsigned start = r->start + 1;
+
+  ms_rollouts_destroy (r->rollouts);
+  *r = (struct router){ .rollouts = ms_rollouts_create (&o), .start = start };
+}
+
+/* Requests.  */
+
+static bool
+is_faulty (const struct fleet *f, const struct run *run, ms_time now)
+{
+  const struct fault *t = &f->s.fault;
+
+  return t->versions & run->version && now >= ORDER_AT + t->from
+         && (t->route == ALL || t->route == run->route)
+         && (t->index == ALL || t->index == run->endpoint)
+         && f->endpoints[run->version][run->endpoint].running >= t->running;
+}
+
+/* Return the endpoint of VERSION with the fewest requests, of those that
+   ROUTER's canary uses.  */
+static unsigned
+choose_endpoint (struct fleet *f, const struct router *r, unsigned version)
+{
+  unsigned count = f->s.endpoints;
+  unsigned size = version == NEW
+                      ? ms_rollouts_canary_size (r->rollouts, SERVICE, count)
+                      : 0;
+  uint64_t below = UINT64_MAX;
+  unsigned best = ALL;
+
+  /* The mark of the last endpoint of the canary.  */
+  for (unsigned n = 0; n < size && size < count; n++)
+    {
+      uint64_t next = UINT64_MAX;
+      uint64_t above = n ? below : 0;
+
+      for (unsigned i = 0; i < count; i++)
+        {
+          uint64_t mark = ms_rollouts_mark (r->rollouts, SERVICE, i + 1);
+
+          if (mark > above && mark < next)
+            next = mark;
+        }
+      below = next;
+    }
+  for (unsigned n = 0, i = (unsigned)ms_random_below (&f->random, count);
+       n < count; n++, i = (i + 1) % count)
+    if (ms_rollouts_mark (r->rollouts, SERVICE, i + 1) <= below
+        && (best == ALL
+            || f->endpoints[version][i].running
+                   < f->endpoints[version][best].running))
+      best = i;
+  return best;
+}
+
+static void
+send_request (struct fleet *f, unsigned router, unsigned route, bool again,
+              ms_time now)
+{
+  struct router *r = &f->routers[router];
+  struct ms_rollout_choice choice
+      = ms_rollouts_choose (r->rollouts, SERVICE, again, now);
+  bool usable = now >= ORDER_AT + f->s.usable;
+  bool moved = f->state == MS_ROLLOUT_COMPLETED;
+  struct run *run = ms_new (sizeof *run);
+  ms_time time = f->s.latency / 2 + (ms_time)(draw (f) * (double)f->s.latency);
+
+  if (choice.wait)
+    time = STEP;
+  *run = (struct run){ router, r->start, 0, 0, route, false, false, again, 0 };
+  if (choice.wait)
+    {
+      run->next = f->ends[(now + time) / STEP % WHEEL];
+      f->ends[(now + time) / STEP % WHEEL] = run;
+      return;
+    }
+  if (choice.only && (usable || !choice.fallback))
+    run->version = choice.only;
+  else
+    run->version = choice.except[0] || !moved ? OLD : NEW;
+  if (run->version == NEW && !usable)
+    {
+      free (run);
+      return;
+    }
+  run->endpoint = choose_endpoint (f, r, run->version);
+  ms_rollouts_sent (r->rollouts, SERVICE, run->version, again, now);
+  f->endpoints[run->version][run->endpoint].running++;
+  if (run->version == OLD)
+    r->running_old++;
+  if (is_faulty (f, run, now))
+    {
+      run->failed = draw (f) < f->s.fault.failed;
+      run->slow = !run->failed && draw (f) < f->s.fault.slow;
+    }
+  run->failed = run->failed || draw (f) < f->s.base_failed;
+  if (draw (f) < f->s.streams)
+    time = 2 * MS_SEC;
+  else if (run->slow)
+    time *= SLOW_FACTOR;
+  run->next = f->ends[(now + time) / STEP % WHEEL];
+  f->ends[(now + time) / STEP % WHEEL] = run;
+  if (now >= ORDER_AT && now < ORDER_AT + f->s.duration)
+    {
+      f->all += !again;
+      f->sent_new += run->version == NEW;
+    }
+  f->late += run->version == NEW && f->bad_at
+             && now > f->bad_at + ROLLBACK_TIME
+             && now > r->out_until + STABLE_TIME;
+  f->sent_old_after += moved && run->version == OLD;
+}
+
+/* Ratio of a time that varies by about a third.  */
+static double
+draw_ratio (struct fleet *f)
+{
+  return exp (0.6 * (draw (f) + draw (f) + draw (f) - 1.5));
+}
+
+static void
+end_request (struct fleet *f, const struct run *run, ms_time now)
+{
+  struct router *r = &f->routers[run->router];
+  struct ms_rollout_answer answer = { .service = SERVICE,
+                                      .version = run->version,
+                                      .route = run->route + 1,
+                                      .zone = zone_of (run->endpoint) + 1,
+                                      .endpoint = run->endpoint + 1,
+                                      .failed = run->failed };
+
+  if (!run->version)
+    {
+      if (r->start == run->start)
+        send_request (f, run->router, run->route, run->again, now);
+      return;
+    }
+  f->endpoints[run->version][run->endpoint].running--;
+  if (run->version == NEW && (run->failed || run->slow)
+      && ++f->bad == BAD_ANSWERS)
+    f->bad_at = now;
+  if (r->start != run->start)
+    return;
+  if (run->version == OLD)
+    r->running_old--;
+  answer.ratio = draw_ratio (f) * (run->slow ? SLOW_FACTOR : 1);
+  ms_rollouts_note (r->rollouts, &answer, now);
+  if (run->failed && !run->again)
+    send_request (f, run->router, run->route, true, now);
+}
+
+static void
+step_requests (struct fleet *f, ms_time now)
+{
+  struct run *run = f->ends[now / STEP % WHEEL];
+  double rate = f->s.rate;
+  double expected;
+
+  f->ends[now / STEP % WHEEL] = NULL;
+  while (run)
+    {
+      struct run *next = run->next;
+
+      end_request (f, run, now);
+      free (run);
+      run = next;
+    }
+  if (f->s.surge_at && now >= ORDER_AT + f->s.surge_at
+      && now < ORDER_AT + f->s.surge_at + 2 * MS_SEC)
+    rate *= 3;
+  for (expected = rate * STEP / MS_SEC; draw (f) < expected; expected--)
+    {
+      unsigned i = (unsigned)ms_random_below (&f->random, f->s.routers);
+      const struct outage *o = outage_of (f, i, now);
+
+      if (!o || !o->killed)
+        send_request (f, i, (unsigned)ms_random_below (&f->random, 4), false,
+                      now);
+    }
+}
+
+/* Reports.  */
+
+/* Return the newest of REPORTS, made at TIMES, that is older than DELAY.  */
+static const struct ms_rollout_report *
+arrived_report (const struct ms_rollout_report reports[HISTORY],
+                const ms_time times[HISTORY], ms_time delay, ms_time now)
+{
+  unsigned best = HISTORY;
+
+  for (unsigned i = 0; i < HISTORY; i++)
+    if (times[i] && times[i] + delay <= now
+        && (best == HISTORY || times[i] > times[best]))
+      best = i;
+  return best < HISTORY && now - times[best] < MS_SEC ? &reports[best] : NULL;
+}
+
+/* Return whether routers I and J hear each other.  */
+static bool
+hears (const struct fleet *f, unsigned i, unsigned j, ms_time now)
+{
+  const struct outage *a = outage_of (f, i, now);
+  const struct outage *b = outage_of (f, j, now);
+
+  return a == b && !(a && a->killed);
+}
+
+static void
+sum_zone (struct fleet *f, unsigned zone, ms_time now)
+{
+  unsigned slot = (unsigned)(now / PERIOD % HISTORY);
+  struct ms_rollout_report *sum = &f->sums[zone][slot];
+
+  memset (sum, 0, sizeof *sum);
+  f->summed_at[zone][slot] = now;
+  for (unsigned i = zone; i < f->s.routers; i += ZONES)
+    {
+      const struct router *r = &f->routers[i];
+      const struct ms_rollout_report *report
+          = arrived_report (r->reports, r->reported_at, ZONE_DELAY, now);
+
+      if (report && hears (f, zone, i, now))
+        ms_rollouts_add_report (sum, report);
+    }
+}
+
+static void
+merge_reports (struct fleet *f, unsigned i, ms_time now)
+{
+  struct ms_rollouts *rollouts = f->routers[i].rollouts;
+
+  ms_rollouts_clear_others (rollouts);
+  for (unsigned j = 0; j < f->s.routers; j++)
+    {
+      const struct router *r = &f->routers[j];
+      const struct ms_rollout_report *report
+          = arrived_report (r->reports, r->reported_at, ZONE_DELAY, now);
+
+      if (j != i && report && hears (f, i, j, now)
+          && (!is_large (f) || zone_of (i) == zone_of (j)))
+        ms_rollouts_merge (rollouts, ((uint64_t)r->start << 32) + j, report,
+                           now);
+    }
+  for (unsigned zone = 0; is_large (f) && zone < ZONES; zone++)
+    {
+      const struct ms_rollout_report *sum
+          = arrived_report (f->sums[zone], f->summed_at[zone], SUM_DELAY, now);
+
+      if (zone != zone_of (i) && sum && sum->service
+          && hears (f, i, zone, now))
+        ms_rollouts_merge (rollouts, UINT64_MAX - zone, sum, now);
+    }
+}
+
+static unsigned
+running_old_elsewhere (const struct fleet *f, unsigned i, ms_time now)
+{
+  unsigned running = 0;
+
+  for (unsigned j = 0; j < f->s.routers; j++)
+    if (j != i && hears (f, i, j, now))
+      running += f->routers[j].running_old;
+  return running;
+}
+
+static void
+step_router (struct fleet *f, unsigned i, ms_time now)
+{
+  struct router *r = &f->routers[i];
+  ms_time phase = (ms_time)i * 7919 * STEP;
+  struct ms_rollout_report list[MS_ROLLOUTS];
+  unsigned slot;
+
+  if ((now + phase) % PERIOD == 0)
+    merge_reports (f, i, now);
+  if ((now + phase) % (PERIOD / 3) == 0)
+    ms_rollouts_set_endpoints (
+        r->rollouts, SERVICE,
+        now >= ORDER_AT + f->s.usable ? f->s.endpoints : 0,
+        f->state == MS_ROLLOUT_COMPLETED ? 0 : f->s.endpoints, r->running_old,
+        running_old_elsewhere (f, i, now));
+  ms_rollouts_tick (r->rollouts, now);
+  if ((now + phase) % PERIOD)
+    return;
+  slot = (unsigned)((now + phase) / PERIOD % HISTORY);
+  r->reported_at[slot] = 0;
+  if (ms_rollouts_report (r->rollouts, list, now))
+    {
+      r->reports[slot] = list[0];
+      r->reported_at[slot] = now;
+    }
+}
+
+/* The store.  */
+
+static void
+read_store (struct fleet *f, struct router *r, ms_time now)
+{
+  r->read_end = f->store_end;
+  ms_rollouts_learn_state (r->rollouts, SERVICE, NEW, f->state ? order.id : 0,
+                           f->state, f->state ? now - f->state_started : -1,
+                           now);
+}
+
+/* Router R writes what it has decided, on the condition that the store ends
+   where it has read to.  */
+static void
+write_store (struct fleet *f, struct router *r, ms_time now)
+{
+  struct ms_rollout_state state;
+
+  if (!ms_rollouts_unwritten (r->rollouts, now, &state))
+    return;
+  if (r->read_end != f->store_end)
+    {
+      f->conflicts++;
+      read_store (f, r, now);
+      return;
+    }
+  /* The rule that the conditional append is to keep.  */
+  assert_true (f->state < MS_ROLLOUT_COMPLETED);
+  f->state = state.phase;
+  f->state_started = state.started_at;
+  f->store_end++;
+  f->written_at = now;
+  if (state.phase == MS_ROLLOUT_COMPLETED)
+    for (unsigned i = 0; i < f->s.endpoints; i++)
+      f->aborted += f->endpoints[OLD][i].running;
+  if (state.phase >= MS_ROLLOUT_COMPLETED)
+    f->ended_at = now - ORDER_AT;
+  if (draw (f) >= f->s.lost_replies)
+    read_store (f, r, now);
+}
+
+/* The first router of each zone reads and writes the store; the others hear of
+   it NOTICE_TIME later.  */
+static void
+step_store (struct fleet *f, ms_time now)
+{
+  if (!is_store_up (f, now))
+    return;
+  for (unsigned i = 0; i < f->s.routers; i++)
+    {
+      struct router *r = &f->routers[i];
+      const struct outage *o = outage_of (f, i, now);
+      struct ms_rollout_order copy = order;
+
+      if (o || now % STORE_PERIOD || now < ORDER_AT
+          || (i >= ZONES && now < ORDER_AT + NOTICE_TIME))
+        continue;
+      copy.duration = f->s.duration;
+      ms_rollouts_put_order (r->rollouts, &copy, r->start == 1, now);
+      if (!r->knows_order || i < ZONES
+          || (now - f->written_at >= NOTICE_TIME
+              && r->read_end != f->store_end))
+        read_store (f, r, now);
+      r->knows_order = true;
+    }
+  for (unsigned i = 0; i < ZONES; i++)
+    if (now % STORE_PERIOD == i * STEP && !outage_of (f, i, now)
+        && f->routers[i].knows_order)
+      write_store (f, &f->routers[i], now);
+}
+
+static void
+step_outages (struct fleet *f, ms_time now)
+{
+  for (unsigned i = 0; i < f->s.routers; i++)
+    {
+      const struct outage *o = outage_of (f, i, now);
+
+      if (!o)
+        continue;
+      f->routers[i].out_until = now;
+      if (o->killed && now + STEP >= ORDER_AT + o->until)
+        start_router (f, i);
+    }
+}
+
+/* Run a rollout in SCENARIO and return what came of it.  */
+static struct fleet
+run_rollout (const struct scenario *scenario)
+{
+  struct fleet f = { .s = *scenario, .random = { scenario->seed + 1 } };
+
+  f.routers = ms_new_array (f.s.routers, sizeof *f.routers);
+  for (unsigned i = 0; i < f.s.routers; i++)
+    start_router (&f, i);
+  for (ms_time now = ORDER_AT - MS_SEC; now < END_AT; now += STEP)
+    {
+      step_outages (&f, now);
+      step_requests (&f, now);
+      for (unsigned zone = 0; zone < ZONES && now % PERIOD == 0; zone++)
+        sum_zone (&f, zone, now);
+      for (unsigned i = 0; i < f.s.routers; i++)
+        if (!outage_of (&f, i, now) || !outage_of (&f, i, now)->killed)
+          step_router (&f, i, now);
+      step_store (&f, now);
+      if (f.ended_at && now > ORDER_AT + f.ended_at + 6 * MS_SEC)
+        break;
+    }
+  for (unsigned i = 0; i < f.s.routers; i++)
+    ms_rollouts_destroy (f.routers[i].rollouts);
+  free (f.routers);
+  for (unsigned i = 0; i < WHEEL; i++)
+    while (f.ends[i])
+      {
+        struct run *next = f.ends[i]->next;
+
+        free (f.ends[i]);
+        f.ends[i] = next;
+      }
+  if (getenv ("ROLLOUT_TRACE"))
+    print_message ("%3u routers %5.0f/s: %s at %5.2f s, new %u of %u, bad %u, "
+                   "late %u, aborted %u\n",
+                   f.s.routers, f.s.rate, ms_rollout_phase_name (f.state),
+                   (double)f.ended_at / MS_SEC, f.sent_new, f.all, f.bad,
+                   f.late, f.aborted);
+  return f;
+}
+
+static const struct scenario usual = {
+  .routers = 9,
+  .rate = 200,
+  .duration = 12 * MS_SEC,
+  .endpoints = 20,
+  .usable = 1500 * MS_MSEC,
+  .latency = 80 * MS_MSEC,
+  .base_failed = 0.003,
+  .fault = { 0, 0, 0, 0, ALL, ALL, 0 },
+};
+
+static const struct
+{
+  unsigned routers;
+  double rate;
+} sizes[] = { { 9, 100 }, { 73, 300 }, { 295, 900 }, { 295, 60 } };
+
+#define SIZES (sizeof sizes / sizeof *sizes)
+
+/* Run SCENARIO with the routers and rate of size I.  */
+static struct fleet
+run_size (const struct scenario *scenario, unsigned i)
+{
+  struct scenario s = *scenario;
+
+  s.routers = sizes[i].routers;
+  s.rate = sizes[i].rate;
+  s.seed += i * 1000;
+  return run_rollout (&s);
+}
+
+/* The rules of EXPOSURE, for a bad version.  */
+static void
+check_exposure (const struct fleet *f)
+{
+  assert_true (f->sent_new <= SHARE * f->all + SLACK);
+  assert_int_equal (f->late, 0);
+}
+
+static void
+check_rolled_back (const struct fleet *f)
+{
+  check_exposure (f);
+  assert_int_equal (f->state, MS_ROLLOUT_ROLLED_BACK);
+  assert_int_equal (f->sent_old_after, 0);
+}
+
+/* COMPLETED within GRACE after the deadline, and no request was lost.  */
+static void
+check_completed (const struct fleet *f, ms_time grace)
+{
+  assert_int_equal (f->state, MS_ROLLOUT_COMPLETED);
+  assert_int_equal (f->aborted, 0);
+  assert_true (f->ended_at <= f->s.duration + grace);
+}
+
+/* Guards against good versions that are rolled back or end late, and requests
+   that the operators abort.  */
+static void
+test_good_version_is_completed (void **state)
+{
+  (void)state;
+  for (unsigned i = 0; i < SIZES; i++)
+    {
+      struct fleet f = run_size (&usual, i);
+
+      check_completed (&f, MS_SEC);
+      check_exposure (&f);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_good_version_is_completed),
+  };
+
+  return RUN (tests);
+}
