Rollouts: batches of evidence, load on the canary, completion after the whole fleet moved

Faults of all versions that began at once had scored against the ordered one, as estimates of the others' rate followed with a delay; both are now evaluated in batches of 0.3 s. A version that fails under load only was completed in the model (9 routers, 300 requests a second, 6 endpoints): the canary now gives its two endpoints the load of others until 50 answers came, and without that, completion waits until the whole fleet has moved for 0.7 s.

--- a/src/rollout/compare.c
+++ b/src/rollout/compare.c
@@ -32,16 +32,19 @@
 /* Counts of windows are in units of 1 / COUNT.  */
 #define COUNT 256
 
+/* What was added in this many steps, 0.3 s, is evaluated together.  Both
+   versions show a fault that begins meanwhile, so that it does not count
+   against one of them.  */
+#define BATCH_STEPS 3
+
 /* Each evaluation with answers of the others reduces the counts of a window by
-   these fractions: at ten a second, windows of 3.2 s and 0.4 s.  The short one
-   is for faults that begin at all versions at once.  */
-#define LONG_PART 32
-#define SHORT_PART 4
+   this fraction: windows of 3 s.  */
+#define WINDOW_PART 10
 
 /* Before the others have answered, one in this many answers is assumed to be
-   bad; for the short window, none in this many.  */
+   bad; in a batch, none in this many.  */
 #define PRIOR 64
-#define SHORT_PRIOR 8
+#define BATCH_PRIOR 2
 
 /* Fewer answers of the others on a route and zone than this are not relied on;
    those on the route, or else all, are used.  */
@@ -57,8 +60,6 @@
 {
   uint64_t answers;
   uint64_t bad;
-  uint64_t short_answers;
-  uint64_t short_bad;
 };
 
 /* Answers of one kind that were not evaluated yet.  */
@@ -68,6 +69,13 @@
   uint32_t bad;
 };
 
+/* What the others show on a route and zone, on a route, or on all.  */
+struct usual
+{
+  struct window window;
+  struct window batch;
+};
+
 struct stratum
 {
   uint64_t route;
@@ -89,6 +97,7 @@
   struct scope scopes[MAX_SCOPES]; /* The first one is of all routes.  */
   unsigned scopes_count;
   struct ms_rollout_evidence total;
+  unsigned steps;
 };
 
 int64_t
@@ -201,58 +210,75 @@
 
   if (!answers)
     return;
-  w->answers += answers - w->answers / LONG_PART;
-  w->bad += bad - w->bad / LONG_PART;
-  w->short_answers += answers - w->short_answers / SHORT_PART;
-  w->short_bad += bad - w->short_bad / SHORT_PART;
+  w->answers += answers - w->answers / WINDOW_PART;
+  w->bad += bad - w->bad / WINDOW_PART;
 }
 
 static void
-add_window (struct window *sum, const struct window *w)
+add_usual (struct usual *sum, const struct stratum *s,
+           enum ms_compare_kind kind)
 {
-  sum->answers += w->answers;
-  sum->bad += w->bad;
-  sum->short_answers += w->short_answers;
-  sum->short_bad += w->short_bad;
+  sum->window.answers += s->windows[kind].answers;
+  sum->window.bad += s->windows[kind].bad;
+  sum->batch.answers += (uint64_t)s->added[kind][1].answers * COUNT;
+  sum->batch.bad += (uint64_t)s->added[kind][1].bad * COUNT;
 }
 
-/* Return an upper estimate of the part of bad answers in W: that of the long
-   window with 1.5 standard deviations more, or that of the short one.  */
+/* Return an upper estimate of the part of bad answers in W: 1.5 standard
+   deviations above its mean.  */
 static int64_t
-bad_part (const struct window *w, enum ms_compare_kind kind)
+window_part (const struct window *w)
 {
   uint64_t bad = w->bad + square_root (w->bad * COUNT) * 3 / 2 + COUNT;
-  int64_t part = (int64_t)(bad * (uint64_t)ONE / (w->answers + PRIOR * COUNT));
-  int64_t short_part = (int64_t)(w->short_bad * (uint64_t)ONE
-                                 / (w->short_answers + SHORT_PRIOR * COUNT));
 
-  if (part < short_part)
-    part = short_part;
-  if (part < least_bad[kind])
-    part = least_bad[kind];
-  return part > MOST_BAD ? MOST_BAD : part;
+  return (int64_t)(bad * (uint64_t)ONE / (w->answers + PRIOR * COUNT));
+}
+
+static int64_t
+batch_part (const struct window *w)
+{
+  return (int64_t)(w->bad * (uint64_t)ONE
+                   / (w->answers + BATCH_PRIOR * COUNT));
+}
+
+static const struct window *
+first_reliable (const struct window *a, const struct window *b,
+                const struct window *c)
+{
+  if (a->answers >= MIN_ANSWERS * COUNT)
+    return a;
+  return b->answers >= MIN_ANSWERS * COUNT ? b : c;
 }
 
 /* Return the part of answers that a version as good as the others would answer
-   badly now, on the route and zone of S, or on all if S is NULL.  */
+   badly now, on the route and zone of S.  */
 static int64_t
 usual_part (const struct ms_compare *compare, const struct stratum *s,
             enum ms_compare_kind kind)
 {
-  struct window route = { 0 };
-  struct window all = { 0 };
+  struct usual own = { 0 };
+  struct usual route = { 0 };
+  struct usual all = { 0 };
+  int64_t part;
+  int64_t now;
 
-  if (s && s->windows[kind].answers >= MIN_ANSWERS * COUNT)
-    return bad_part (&s->windows[kind], kind);
+  add_usual (&own, s, kind);
   for (unsigned i = 0; i < compare->strata_count; i++)
     {
       const struct stratum *other = &compare->strata[i];
 
-      add_window (&all, &other->windows[kind]);
-      if (s && other->route == s->route)
-        add_window (&route, &other->windows[kind]);
+      add_usual (&all, other, kind);
+      if (other->route == s->route)
+        add_usual (&route, other, kind);
     }
-  return bad_part (route.answers >= MIN_ANSWERS * COUNT ? &route : &all, kind);
+  part
+      = window_part (first_reliable (&own.window, &route.window, &all.window));
+  now = batch_part (first_reliable (&own.batch, &route.batch, &all.batch));
+  if (part < now)
+    part = now;
+  if (part < least_bad[kind])
+    part = least_bad[kind];
+  return part > MOST_BAD ? MOST_BAD : part;
 }
 
 /* Add what SAMPLE says of a version that is to be worse than USUAL by each
@@ -306,13 +332,16 @@
       }
 }
 
-void
+bool
 ms_compare_step (struct ms_compare *compare)
 {
+  if (++compare->steps % BATCH_STEPS)
+    return false;
   step_kind (compare, MS_COMPARE_FAILED);
   step_kind (compare, MS_COMPARE_SLOW);
   for (unsigned i = 0; i < compare->strata_count; i++)
     memset (compare->strata[i].added, 0, sizeof compare->strata[i].added);
+  return true;
 }
 
 void
@@ -347,12 +376,12 @@
 
   for (unsigned kind = 0; kind < MS_COMPARE_KINDS; kind++)
     {
-      struct window all = { 0 };
+      struct usual all = { 0 };
 
       for (unsigned i = 0; i < compare->strata_count; i++)
-        add_window (&all, &compare->strata[i].windows[kind]);
-      if (all.answers)
-        part += all.bad * (uint64_t)ONE / all.answers;
+        add_usual (&all, &compare->strata[i], kind);
+      if (all.window.answers)
+        part += all.window.bad * (uint64_t)ONE / all.window.answers;
     }
   return count * part;
 }
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -285,8 +285,8 @@
   if (report->strata_count > MS_ROLLOUT_STRATA
       || report->suspects_count > MS_ROLLOUT_SUSPECTS
       || report->phase > MS_ROLLOUT_ROLLED_BACK || report->age > MAX_AGE
-      || report->routers > MAX_ROUTERS || report->sent[0] > MAX_COUNT
-      || report->sent[1] > MAX_COUNT)
+      || report->routers > MAX_ROUTERS || report->unmoved > report->routers
+      || report->sent[0] > MAX_COUNT || report->sent[1] > MAX_COUNT)
     return false;
   for (unsigned i = 0; i < report->strata_count; i++)
     {
@@ -563,7 +563,17 @@
 {
   for (const struct ms_rollout_source *s = evidence->sources; s;
        s = s->hh.next)
-    if (is_current (s, now) && (s->counted.unmoved || s->counted.running_old))
+    if (is_current (s, now) && s->counted.running_old)
+      return false;
+  return true;
+}
+
+bool
+ms_evidence_moved (const struct ms_evidence *evidence, ms_time now)
+{
+  for (const struct ms_rollout_source *s = evidence->sources; s;
+       s = s->hh.next)
+    if (is_current (s, now) && s->counted.unmoved)
       return false;
   return true;
 }
@@ -697,9 +707,9 @@
   enum spread spread;
 
   evidence->several = several;
-  update_paces (evidence, now);
   count_routers (evidence, now);
-  ms_compare_step (evidence->compare);
+  if (ms_compare_step (evidence->compare))
+    update_paces (evidence, now);
   for (kind = 0; kind < MS_COMPARE_KINDS; kind++)
     if (ms_compare_score (evidence->compare, kind) >= MS_COMPARE_BAD)
       break;
--- a/src/rollout/internal.h
+++ b/src/rollout/internal.h
@@ -35,8 +35,9 @@
 void ms_compare_add (struct ms_compare *compare,
                      const struct ms_rollout_evidence *added);
 
-/* Evaluate what was added since the last call, as of the same time.  */
-void ms_compare_step (struct ms_compare *compare);
+/* Call ten times a second.  Every third time, what was added is evaluated, as
+   of the same time, and true is returned.  */
+bool ms_compare_step (struct ms_compare *compare);
 
 /* Set the scores to 0.  */
 void ms_compare_reset (struct ms_compare *compare);
@@ -129,8 +130,9 @@
 /* Return the higher score.  */
 int64_t ms_evidence_score (const struct ms_evidence *evidence);
 
-/* Return whether no other router may send requests to other versions or has
+/* Return whether no other router may send requests to other versions, or has
    some in progress there, as far as they report.  */
+bool ms_evidence_moved (const struct ms_evidence *evidence, ms_time now);
 bool ms_evidence_drained (const struct ms_evidence *evidence, ms_time now);
 
 #endif
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -68,23 +68,45 @@
 /* A router that moves sends nothing to the others once it has not done so for
    CLOSE_TIME, or MAX_CLOSE_TIME after the move began: until then, endpoints
    of the version that were not in the canary are warming up.  */
-#define CLOSE_TIME (200 * MS_MSEC)
+#define CLOSE_TIME (100 * MS_MSEC)
 #define MAX_CLOSE_TIME (1 * MS_SEC)
 
-/* Before the order is completed, the version has run all requests for
-   MOVED_TIME and given MOVED_ANSWERS, or for MOVED_LONG_TIME.  If the canary
-   had less load on each endpoint than the others have, faults under load can
-   only appear now: then for UNLOADED_TIME and UNLOADED_ANSWERS.  */
+/* In fleets of up to this many routers, the reports of which need no zone
+   sums, a router without the budget moves too when the deadline is so near
+   that its requests can wait for it; in larger ones that is too late to be
+   completed in time.  */
+#define SMALL_FLEET 16
+
+/* Before the order is completed, the version has run all requests of this
+   router for MOVED_TIME and given MOVED_ANSWERS meanwhile.  If the canary had
+   less load on each endpoint than the others have, faults under load can only
+   appear now: then it has run all requests of the fleet for UNLOADED_TIME and
+   given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
 #define MOVED_TIME (300 * MS_MSEC)
 #define MOVED_ANSWERS 20
 #define UNLOADED_TIME (700 * MS_MSEC)
 #define UNLOADED_ANSWERS 40
 #define MOVED_LONG_TIME (5 * MS_SEC)
 
+/* An order that could not be completed by its deadline is late anyway.  Then
+   the version shows for longer that it stays good, with all requests of the
+   fleet, and scores are to be lower.  */
+#define LATE_MOVED_TIME (1 * MS_SEC)
+#define LATE_ANSWERS 60
+#define LATE_DOUBTFUL (MS_COMPARE_BAD / 5)
+
 /* The canary had load if LOADED_ANSWERS were given while each endpoint had at
-   least this part of the load of one of the others.  */
+   least LOADED_PERCENT of the load of one of the others.  While the canary is
+   raised and has had none, its rate gives each AIMED_PERCENT, if for this
+   MAX_RAISE of the exposure share is enough.  */
 #define LOADED_PERCENT 70
+#define AIMED_PERCENT 85
 #define LOADED_ANSWERS 50
+#define MAX_RAISE 3
+
+/* The canary is not raised in this time before the deadline, as the budget is
+   needed for the move.  */
+#define RAISE_TIME (1500 * MS_MSEC)
 
 /* The order ends if the version has no usable endpoint after the deadline and
    got no request for this long.  */
@@ -132,8 +154,11 @@
   ms_time stopped_at;
   ms_time moved_at;
   uint32_t moved_answers; /* Of the fleet when the move began.  */
-  bool closed;            /* While moving: nothing is sent to the others.  */
-  bool drained;           /* It is to be completed.  */
+  ms_time all_moved_at;   /* Since when no router may use the others; 0 if one
+                             may.  */
+  uint32_t all_moved_answers;
+  bool closed;  /* While moving: nothing is sent to the others.  */
+  bool drained; /* It is to be completed.  */
 
   enum ms_rollout_phase stored; /* What the store has.  */
   bool confirmed;
@@ -288,6 +313,7 @@
       o->moved_answers = ms_compare_total (o->evidence.compare)->answers[0];
     }
   o->closed = false;
+  o->all_moved_at = 0;
   o->drained = false;
   o->confirmed = false;
   o->phase = phase;
@@ -817,25 +843,40 @@
   const struct ms_rollout_evidence *total
       = ms_compare_total (o->evidence.compare);
   uint32_t bad = total->failed[0] + total->slow[0];
-  bool raised = total->answers[0] - bad >= FEW_GOOD
-                && total->answers[0] < MANY_ANSWERS && !is_doubtful (o);
+  int64_t loaded;
 
-  if (is_bounded (o, now))
-    o->canary_rate
-        = rollouts->share * (raised ? RAISED_PERCENT : FIRST_PERCENT) / 100;
-  else
-    o->canary_rate = UNIT * LATE_PERCENT / 100;
+  if (!is_bounded (o, now))
+    {
+      o->canary_rate = UNIT * LATE_PERCENT / 100;
+      return;
+    }
+  o->canary_rate = rollouts->share * FIRST_PERCENT / 100;
+  if (total->answers[0] - bad < FEW_GOOD || is_doubtful (o)
+      || deadline_of (o) - now < RAISE_TIME)
+    return;
+  if (total->answers[0] < MANY_ANSWERS)
+    o->canary_rate = rollouts->share * RAISED_PERCENT / 100;
+  if (o->loaded_answers >= LOADED_ANSWERS || !o->others)
+    return;
+  loaded = UNIT * MIN_CANARY * AIMED_PERCENT / 100 / o->others;
+  if (loaded > o->canary_rate && loaded <= rollouts->share * MAX_RAISE)
+    o->canary_rate = loaded;
 }
 
 /* Return whether this router can send all requests to the version until the
-   deadline within its budget.  */
+   deadline within its budget, or have them wait.  */
 static bool
 can_move (const struct ms_rollouts *rollouts, const struct order *o,
           ms_time now)
 {
   int64_t left = (deadline_of (o) - now) / MS_MSEC;
   int64_t requests = o->rate / 1000 * left;
-  int64_t cost = (UNIT - budget_rate (rollouts)) / 1024;
+  int64_t cost;
+
+  if (o->evidence.routers <= SMALL_FLEET
+      && left * MS_MSEC < MS_ROLLOUT_MAX_WAIT + CLOSE_TIME)
+    return true;
+  cost = (UNIT - budget_rate (rollouts)) / 1024;
 
   return o->budget + own_slack (rollouts, o)
          >= requests / 1024 * cost / (UNIT / 1024 / 1024);
@@ -863,15 +904,36 @@
 {
   const struct ms_rollout_evidence *total
       = ms_compare_total (o->evidence.compare);
-  uint32_t answers = total->answers[0] - o->moved_answers;
-  bool loaded = o->loaded_answers >= LOADED_ANSWERS;
-  ms_time moved = now - o->moved_at;
 
   if (is_doubtful (o))
     return false;
-  return moved >= MOVED_LONG_TIME
-         || (moved >= (loaded ? MOVED_TIME : UNLOADED_TIME)
-             && answers >= (loaded ? MOVED_ANSWERS : UNLOADED_ANSWERS));
+  if (now - o->all_moved_at >= MOVED_LONG_TIME)
+    return true;
+  if (!is_bounded (o, now))
+    return now - deadline_of (o) >= LATE_MOVED_TIME
+           && total->answers[0] - o->all_moved_answers >= LATE_ANSWERS
+           && ms_evidence_score (&o->evidence) <= LATE_DOUBTFUL;
+  if (o->loaded_answers >= LOADED_ANSWERS)
+    return now - o->moved_at >= MOVED_TIME
+           && total->answers[0] - o->moved_answers >= MOVED_ANSWERS;
+  return now - o->all_moved_at >= UNLOADED_TIME
+         && total->answers[0] - o->all_moved_answers >= UNLOADED_ANSWERS;
+}
+
+/* Note since when no router may use the other versions.  */
+static void
+update_all_moved (const struct ms_rollouts *rollouts, struct order *o,
+                  ms_time now)
+{
+  if (may_use_others (rollouts, o, now)
+      || !ms_evidence_moved (&o->evidence, now))
+    o->all_moved_at = 0;
+  else if (!o->all_moved_at)
+    {
+      o->all_moved_at = now;
+      o->all_moved_answers
+          = ms_compare_total (o->evidence.compare)->answers[0];
+    }
 }
 
 static void
@@ -884,9 +946,9 @@
           || (now - o->moved_at >= CLOSE_TIME
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
-  drained = !may_use_others (rollouts, o, now) && !o->running_here
-            && !o->running_elsewhere && ms_evidence_drained (&o->evidence, now)
-            && is_proven (o, now);
+  update_all_moved (rollouts, o, now);
+  drained = o->all_moved_at && !o->running_here && !o->running_elsewhere
+            && ms_evidence_drained (&o->evidence, now) && is_proven (o, now);
   if (drained == o->drained)
     return;
   o->drained = drained;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -458,12 +458,14 @@
   if ((now + phase) % PERIOD == 0)
     merge_reports (f, i, now);
   if ((now + phase) % (PERIOD / 3) == 0)
-    ms_rollouts_set_endpoints (
-        r->rollouts, SERVICE,
-        now >= ORDER_AT + f->s.usable ? f->s.endpoints : 0,
-        f->state == MS_ROLLOUT_COMPLETED ? 0 : f->s.endpoints, r->running_old,
-        running_old_elsewhere (f, i, now));
-  ms_rollouts_tick (r->rollouts, now);
+    {
+      ms_rollouts_set_endpoints (
+          r->rollouts, SERVICE,
+          now >= ORDER_AT + f->s.usable ? f->s.endpoints : 0,
+          f->state == MS_ROLLOUT_COMPLETED ? 0 : f->s.endpoints,
+          r->running_old, running_old_elsewhere (f, i, now));
+      ms_rollouts_tick (r->rollouts, now);
+    }
   if ((now + phase) % PERIOD)
     return;
   slot = (unsigned)((now + phase) / PERIOD % HISTORY);
@@ -674,11 +676,250 @@
     }
 }
 
+/* Guards against a bad version that gets more than its share, or that requests
+   reach after it should be known to be bad.  */
+static void
+test_bad_version_is_rolled_back (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  s.fault = (struct fault){ NEW, 0, 0.3, 0, ALL, ALL, 0 };
+  for (unsigned i = 0; i < SIZES; i++)
+    {
+      struct fleet f = run_size (&s, i);
+
+      check_rolled_back (&f);
+      assert_true (f.bad < BAD_ANSWERS);
+    }
+}
+
+/* Guards against versions whose first answers are good, up to the moment when
+   all requests go there.  */
+static void
+test_version_that_becomes_bad_later_is_rolled_back (void **state)
+{
+  static const double parts[] = { 0.25, 0.6, 0.9, 0.95 };
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof parts / sizeof *parts; i++)
+    for (unsigned size = i == 3; size < (i == 3 ? SIZES : 2); size++)
+      {
+        struct fleet f;
+
+        s.fault = (struct fault){
+          NEW, (ms_time)(parts[i] * 12 * MS_SEC), 0.3, 0, ALL, ALL, 0
+        };
+        s.seed = i;
+        f = run_size (&s, size);
+        check_rolled_back (&f);
+      }
+}
+
+/* Guards against a fault that the few requests of a canary do not cause.  */
+static void
+test_version_that_fails_under_load_is_rolled_back (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  /* 20 and 6 endpoints: with and without load on each of the canary.  */
+  for (unsigned i = 0; i < 4; i++)
+    {
+      struct fleet f;
+
+      s.endpoints = i % 2 ? 6 : 20;
+      s.rate = i < 2 ? 300 : 1200;
+      s.latency = s.endpoints * 5 / s.rate * MS_SEC;
+      s.routers = i < 2 ? 9 : 73;
+      s.fault = (struct fault){ NEW, 0, 0.4, 0, ALL, ALL, 4 };
+      s.seed = i;
+      f = run_rollout (&s);
+      check_rolled_back (&f);
+    }
+}
+
+/* Guards against a fault of one route that the others hide.  */
+static void
+test_version_that_is_bad_on_one_route_is_rolled_back (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  s.fault = (struct fault){ NEW, 0, 0.3, 0, 2, ALL, 0 };
+  for (unsigned i = 0; i < SIZES; i++)
+    {
+      struct fleet f = run_size (&s, i);
+
+      check_rolled_back (&f);
+    }
+}
+
+/* Guards against a version that answers correctly, but too late.  */
+static void
+test_slow_version_is_rolled_back (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < SIZES; i++)
+    {
+      struct fleet f;
+
+      s.fault = (struct fault){ NEW, 0, 0, i % 2 ? 0.25 : 1, ALL, ALL, 0 };
+      f = run_size (&s, i);
+      check_rolled_back (&f);
+    }
+}
+
+/* Guards against a good version that is blamed for a fault of the service, on
+   all routes or on one, by failures or slow answers.  */
+static void
+test_fault_of_all_versions_is_not_blamed_on_one (void **state)
+{
+  static const struct fault faults[] = {
+    { OLD | NEW, 5 * MS_SEC, 0.5, 0, ALL, ALL, 0 },
+    { OLD | NEW, 5 * MS_SEC, 0.2, 0.5, 1, ALL, 0 },
+    { OLD | NEW, 5 * MS_SEC, 0, 1, ALL, ALL, 0 },
+    { OLD | NEW, 0, 0.05, 0.05, ALL, ALL, 0 },
+    { OLD, 5 * MS_SEC, 0.5, 0.5, ALL, ALL, 0 },
+  };
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof faults / sizeof *faults; i++)
+    for (unsigned size = 0; size < 2; size++)
+      {
+        struct fleet f;
+
+        s.fault = faults[i];
+        s.seed = i;
+        f = run_size (&s, size);
+        check_completed (&f, 8 * MS_SEC);
+      }
+}
+
+/* Guards against a good version that is blamed for one bad endpoint.  */
+static void
+test_one_bad_endpoint_does_not_end_a_rollout (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    {
+      struct fleet f;
+
+      s.fault = (struct fault){ NEW, 0, i % 2 ? 1 : 0.3, 0, ALL, i % 6, 0 };
+      s.endpoints = 6;
+      s.seed = i;
+      f = run_size (&s, i % 2);
+      check_completed (&f, 8 * MS_SEC);
+    }
+}
+
+/* Guards against exposure that restarts, missing reports or late orders
+   add.  */
+static void
+test_exposure_with_routers_out_of_touch (void **state)
+{
+  static const struct outage outages[][3] = {
+    /* A third of the routers restarts every few seconds.  */
+    { { 2 * MS_SEC, 2200 * MS_MSEC, 0, 30, true },
+      { 5 * MS_SEC, 5200 * MS_MSEC, 0, 30, true },
+      { 11 * MS_SEC, 11200 * MS_MSEC, 0, 30, true } },
+    /* All are killed at once.  */
+    { { 4 * MS_SEC, 4500 * MS_MSEC, 0, MAX_ROUTERS, true } },
+    { { 11500 * MS_MSEC, 12 * MS_SEC, 0, MAX_ROUTERS, true } },
+    /* A part is cut off, at first or for most of the time.  */
+    { { 0, 3 * MS_SEC, 40, 33, false } },
+    { { MS_SEC, 11 * MS_SEC, 40, 33, false } },
+    { { 8 * MS_SEC, 14 * MS_SEC, 3, 33, false } },
+  };
+  struct scenario s = usual;
+
+  (void)state;
+  s.routers = 73;
+  s.rate = 300;
+  for (unsigned i = 0; i < 2 * sizeof outages / sizeof *outages; i++)
+    {
+      struct fleet f;
+
+      memcpy (s.outages, outages[i / 2], sizeof s.outages);
+      s.fault
+          = (struct fault){ NEW, i % 2 ? 11400 * MS_MSEC : 0, 0.3, 0, ALL, ALL,
+                            0 };
+      s.seed = i;
+      f = run_rollout (&s);
+      check_rolled_back (&f);
+      s.fault = usual.fault;
+      f = run_rollout (&s);
+      check_completed (&f, 15 * MS_SEC);
+    }
+}
+
+/* Guards against exposure when the requests of the last seconds are more than
+   those before promised.  */
+static void
+test_exposure_in_a_surge (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      struct fleet f;
+
+      s.surge_at = 9800 * MS_MSEC + i * 400 * MS_MSEC;
+      s.fault = (struct fault){ NEW, 11 * MS_SEC, 0.2, 0, ALL, ALL, 0 };
+      s.seed = i;
+      f = run_size (&s, i % 2);
+      check_rolled_back (&f);
+    }
+}
+
+/* Guards against decisions that wait for the store, two different final states
+   and a state that is never written.  */
+static void
+test_decisions_without_the_store (void **state)
+{
+  struct scenario s = usual;
+
+  (void)state;
+  for (unsigned i = 0; i < 8; i++)
+    {
+      struct fleet f;
+
+      s.store_from = i % 2 ? 2 * MS_SEC : 11 * MS_SEC;
+      s.store_until = i % 2 ? 9 * MS_SEC : 20 * MS_SEC;
+      s.lost_replies = i % 4 < 2 ? 0 : 0.7;
+      s.seed = i;
+      s.fault = i < 4 ? (struct fault){ NEW, 3 * MS_SEC, 0.3, 0, ALL, ALL, 0 }
+                      : usual.fault;
+      f = run_size (&s, i % 2);
+      if (i < 4)
+        check_rolled_back (&f);
+      else
+        check_completed (&f, i % 2 ? 2 * MS_SEC : 10 * MS_SEC);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_good_version_is_completed),
+    cmocka_unit_test (test_bad_version_is_rolled_back),
+    cmocka_unit_test (test_version_that_becomes_bad_later_is_rolled_back),
+    cmocka_unit_test (test_version_that_fails_under_load_is_rolled_back),
+    cmocka_unit_test (test_version_that_is_bad_on_one_route_is_rolled_back),
+    cmocka_unit_test (test_slow_version_is_rolled_back),
+    cmocka_unit_test (test_fault_of_all_versions_is_not_blamed_on_one),
+    cmocka_unit_test (test_one_bad_endpoint_does_not_end_a_rollout),
+    cmocka_unit_test (test_exposure_with_routers_out_of_touch),
+    cmocka_unit_test (test_exposure_in_a_surge),
+    cmocka_unit_test (test_decisions_without_the_store),
   };
 
   return RUN (tests);
