Rollouts: test program, error rates, one bad endpoint by a bound

Causes: each route and zone had its own upper estimate of the others' bad answers, high where they had one by chance; and bad answers that came by chance from one of two endpoints were taken for a fault of that endpoint. Estimates now start from that of the route and of all, one endpoint is blamed only where that is unlikely by chance (2^-12), and completion needs 150 answers and a low score.

A router that found an order in its final state had allowed streams to be resumed there, and none sent canary requests before its first evaluation.

--- a/src/rollout/compare.c
+++ b/src/rollout/compare.c
@@ -41,20 +41,30 @@
    this fraction: windows of 3 s.  */
 #define WINDOW_PART 10
 
-/* Before the others have answered, one in this many answers is assumed to be
-   bad; in a batch, none in this many.  */
+/* Before the others have answered, one in PRIOR answers is assumed to be bad.
+   What is known of all routes counts as much as PART_PRIOR answers on one, and
+   likewise what is known of a route for its zones.  In a batch, BATCH_PRIOR
+   good answers are assumed.  */
 #define PRIOR 64
+#define PART_PRIOR 16
 #define BATCH_PRIOR 2
 
-/* Fewer answers of the others on a route and zone than this are not relied on;
-   those on the route, or else all, are used.  */
+/* Fewer answers of the others on a route and zone in one batch than this are
+   not relied on; those on the route, or else all, are used.  Fewer than
+   BATCH_BAD bad ones are chance.  */
 #define MIN_ANSWERS 20
+#define BATCH_BAD 2
 
 /* Bounds on the part of bad answers that is assumed for a version as good as
    the others.  Slowness is noisier than failures are.  */
-static const int64_t least_bad[MS_COMPARE_KINDS] = { ONE / 500, ONE / 50 };
+static const int64_t least_bad[MS_COMPARE_KINDS] = { ONE / 500, ONE / 100 };
 #define MOST_BAD (9 * ONE / 10)
 
+/* What the others have shown since the order is assumed at least, up to this.
+   While all requests move, nothing newer is known of them, and a few seconds
+   without a failure say little.  */
+#define MOST_LASTING (ONE / 50)
+
 /* Answers of the other versions of late.  */
 struct window
 {
@@ -224,19 +234,42 @@
   sum->batch.bad += (uint64_t)s->added[kind][1].bad * COUNT;
 }
 
-/* Return an upper estimate of the part of bad answers in W: 1.5 standard
-   deviations above its mean.  */
+/* Return an upper estimate of the part of bad answers in W, if PRIOR answers
+   were as EXPECTED.  It is up to 1.5 standard deviations above the mean, but
+   not for a single bad answer, as the others then always have one on some
+   route and zone.  */
 static int64_t
-window_part (const struct window *w)
+window_part (const struct window *w, int64_t prior, int64_t expected)
 {
-  uint64_t bad = w->bad + square_root (w->bad * COUNT) * 3 / 2 + COUNT;
+  uint64_t deviation = square_root (w->bad * COUNT);
+  uint64_t bad
+      = w->bad + (deviation > COUNT ? (deviation - COUNT) * 3 / 2 : 0);
+
+  return (int64_t)((bad * (uint64_t)ONE + (uint64_t)(prior * expected) * COUNT)
+                   / (w->answers + (uint64_t)prior * COUNT));
+}
 
-  return (int64_t)(bad * (uint64_t)ONE / (w->answers + PRIOR * COUNT));
+/* Return the least part of bad answers that is assumed.  */
+static int64_t
+least_part (const struct ms_compare *compare, enum ms_compare_kind kind)
+{
+  const struct ms_rollout_evidence *total = &compare->total;
+  bool failed = kind == MS_COMPARE_FAILED;
+  uint64_t answers = failed ? total->answers[1] : total->timed[1];
+  uint64_t bad = failed ? total->failed[1] : total->slow[1];
+  int64_t part
+      = (int64_t)((bad + square_root (bad) + 1) * ONE / (answers + PRIOR));
+
+  if (part > MOST_LASTING)
+    part = MOST_LASTING;
+  return part > least_bad[kind] ? part : least_bad[kind];
 }
 
 static int64_t
 batch_part (const struct window *w)
 {
+  if (w->bad < BATCH_BAD * COUNT)
+    return 0;
   return (int64_t)(w->bad * (uint64_t)ONE
                    / (w->answers + BATCH_PRIOR * COUNT));
 }
@@ -259,6 +292,7 @@
   struct usual own = { 0 };
   struct usual route = { 0 };
   struct usual all = { 0 };
+  int64_t least = least_part (compare, kind);
   int64_t part;
   int64_t now;
 
@@ -271,13 +305,14 @@
       if (other->route == s->route)
         add_usual (&route, other, kind);
     }
-  part
-      = window_part (first_reliable (&own.window, &route.window, &all.window));
+  part = window_part (&all.window, PRIOR, ONE / PRIOR);
+  part = window_part (&route.window, PART_PRIOR, part);
+  part = window_part (&own.window, PART_PRIOR, part);
   now = batch_part (first_reliable (&own.batch, &route.batch, &all.batch));
   if (part < now)
     part = now;
-  if (part < least_bad[kind])
-    part = least_bad[kind];
+  if (part < least)
+    part = least;
   return part > MOST_BAD ? MOST_BAD : part;
 }
 
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -57,10 +57,11 @@
 /* After one endpoint was found to be bad alone, by at least this many.  */
 #define MIN_BAD_BESIDE_OUTLIER 4
 
-/* If its other endpoints have answered less than MIN_OTHER_ANSWERS, one
-   endpoint with ALONE_BAD bad answers is enough.  It must be well below 50,
-   from which on the time to stop counts.  */
-#define MIN_OTHER_ANSWERS 10
+/* Else only the one is bad, if it would have so many of the bad answers by
+   chance in less than one in 2^UNEVEN_BITS cases.  While that is not known,
+   ALONE_BAD bad answers are enough for the version to be bad: it must be well
+   below 50, from which on the time to stop counts.  */
+#define UNEVEN_BITS 12
 #define ALONE_BAD 25
 
 void
@@ -669,9 +670,36 @@
 {
   SEVERAL,
   ONE,
-  UNDECIDED /* Only one has answered often enough.  */
+  UNDECIDED /* The others have not answered often enough.  */
 };
 
+/* Return COUNT times the binary logarithm of (A * B) / (C * D).  */
+static int64_t
+log_ratio_times (uint32_t count, uint32_t a, uint64_t b, uint32_t c,
+                 uint64_t d)
+{
+  if (!count)
+    return 0;
+  return count * (ms_log2 (a) + ms_log2 (b) - ms_log2 (c) - ms_log2 (d));
+}
+
+/* Return whether a version that is equally bad at all endpoints is unlikely to
+   have only FEW bad answers of COUNT, and MANY of MANY_COUNT.  The bound is
+   Chernoff's for the binomial distribution.  */
+static bool
+is_uneven (uint32_t few, uint32_t count, uint32_t many, uint32_t many_count)
+{
+  uint32_t bad = few + many;
+  uint64_t all = (uint64_t)count + many_count;
+  int64_t bits;
+
+  if (!count || !many || (uint64_t)few * all >= (uint64_t)bad * count)
+    return false;
+  bits = log_ratio_times (few, few, all, bad, count)
+         + log_ratio_times (many, many, all, bad, many_count);
+  return bits >= UNEVEN_BITS * (int64_t)65536;
+}
+
 static enum spread
 spread_of_faults (const struct ms_evidence *evidence)
 {
@@ -686,18 +714,17 @@
 
   if (!evidence->several)
     return SEVERAL;
-  if (others < MIN_OTHER_ANSWERS)
-    return bad >= ALONE_BAD ? SEVERAL : UNDECIDED;
-  if (others_bad < MIN_OTHER_BAD
-      || (uint64_t)others_bad << 20
-             < EXCESS_FACTOR * ms_compare_expected (evidence->compare, others))
+  if (others_bad
+          >= (evidence->outlier ? MIN_BAD_BESIDE_OUTLIER : MIN_OTHER_BAD)
+      && (uint64_t)others_bad << 20
+             >= EXCESS_FACTOR * ms_compare_expected (evidence->compare, others)
+      && (evidence->outlier
+          || (uint64_t)others_bad * worst.answers * RATE_FACTOR
+                 >= (uint64_t)worst.bad * others))
+    return SEVERAL;
+  if (is_uneven (others_bad, others, worst.bad, worst.answers))
     return ONE;
-  if (evidence->outlier)
-    return others_bad >= MIN_BAD_BESIDE_OUTLIER ? SEVERAL : ONE;
-  return (uint64_t)others_bad * worst.answers * RATE_FACTOR
-                 >= (uint64_t)worst.bad * others
-             ? SEVERAL
-             : ONE;
+  return bad >= ALONE_BAD ? SEVERAL : UNDECIDED;
 }
 
 enum ms_compare_kind
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -18,7 +18,7 @@
 
 /* Part of the exposure share that is earned at most.  The rest is for requests
    that were counted here but reached no endpoint.  */
-#define BUDGET_PERCENT 90
+#define BUDGET_PERCENT 95
 
 /* Part of the exposure slack that the routers share for the move.  The rest is
    for the random parts of requests that they start with.  No router takes more
@@ -33,7 +33,7 @@
    before the deadline, and tell little more.  */
 #define FIRST_PERCENT 25
 #define RAISED_PERCENT 50
-#define FEW_GOOD 20
+#define FEW_GOOD 10
 #define MANY_ANSWERS 120
 
 /* Most credit that is kept, so that requests that found no endpoint are not
@@ -77,23 +77,26 @@
    completed in time.  */
 #define SMALL_FLEET 16
 
-/* Before the order is completed, the version has run all requests of this
-   router for MOVED_TIME and given MOVED_ANSWERS meanwhile.  If the canary had
-   less load on each endpoint than the others have, faults under load can only
-   appear now: then it has run all requests of the fleet for UNLOADED_TIME and
-   given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
+/* Before the order is completed, the version has given PROVEN_ANSWERS, run all
+   requests of this router for MOVED_TIME and given MOVED_ANSWERS meanwhile.
+   Of a version that answers one in 20 badly, 150 answers have one or no bad
+   one in 4 of 1000 cases; with two, the score is usually too high.  If the
+   canary had less load on each endpoint than the others have, faults under
+   load can only appear now: then it has run all requests of the fleet for
+   UNLOADED_TIME and given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
+#define PROVEN_ANSWERS 150
+#define PROVEN (MS_COMPARE_BAD / 8)
 #define MOVED_TIME (300 * MS_MSEC)
 #define MOVED_ANSWERS 20
 #define UNLOADED_TIME (700 * MS_MSEC)
 #define UNLOADED_ANSWERS 40
-#define MOVED_LONG_TIME (5 * MS_SEC)
+#define MOVED_LONG_TIME (10 * MS_SEC)
 
 /* An order that could not be completed by its deadline is late anyway.  Then
    the version shows for longer that it stays good, with all requests of the
-   fleet, and scores are to be lower.  */
+   fleet.  */
 #define LATE_MOVED_TIME (1 * MS_SEC)
-#define LATE_ANSWERS 60
-#define LATE_DOUBTFUL (MS_COMPARE_BAD / 5)
+#define LATE_ANSWERS 100
 
 /* The canary had load if LOADED_ANSWERS were given while each endpoint had at
    least LOADED_PERCENT of the load of one of the others.  While the canary is
@@ -101,7 +104,7 @@
    MAX_RAISE of the exposure share is enough.  */
 #define LOADED_PERCENT 70
 #define AIMED_PERCENT 85
-#define LOADED_ANSWERS 50
+#define LOADED_ANSWERS 30
 #define MAX_RAISE 3
 
 /* The canary is not raised in this time before the deadline, as the budget is
@@ -123,6 +126,9 @@
    than the order by this.  */
 #define MAX_AGE_ERROR (5 * MS_SEC)
 
+/* By this much, clocks of routers that wrote and read a state may differ.  */
+#define MAX_CLOCK_ERROR (500 * MS_MSEC)
+
 /* After the store may have lost records, an order of the same content is the
    same for this many evaluations, 10 s.  */
 #define RESTORE_STEPS 100
@@ -430,6 +436,7 @@
   if (rollouts->options.exposure_slack >= 1)
     o->credit = (int64_t)ms_random_below (&rollouts->random, (uint64_t)UNIT);
   o->budget = o->credit;
+  o->canary_rate = rollouts->share * FIRST_PERCENT / 100;
   ms_evidence_init (&o->evidence);
   if (former)
     {
@@ -905,14 +912,15 @@
   const struct ms_rollout_evidence *total
       = ms_compare_total (o->evidence.compare);
 
-  if (is_doubtful (o))
+  if (ms_evidence_score (&o->evidence) > PROVEN)
     return false;
   if (now - o->all_moved_at >= MOVED_LONG_TIME)
     return true;
+  if (total->answers[0] < PROVEN_ANSWERS)
+    return false;
   if (!is_bounded (o, now))
     return now - deadline_of (o) >= LATE_MOVED_TIME
-           && total->answers[0] - o->all_moved_answers >= LATE_ANSWERS
-           && ms_evidence_score (&o->evidence) <= LATE_DOUBTFUL;
+           && total->answers[0] - o->all_moved_answers >= LATE_ANSWERS;
   if (o->loaded_answers >= LOADED_ANSWERS)
     return now - o->moved_at >= MOVED_TIME
            && total->answers[0] - o->moved_answers >= MOVED_ANSWERS;
@@ -1160,11 +1168,14 @@
   o->none_since = 0;
   if (age > o->order.duration)
     age = o->order.duration;
-  if (!o->started)
-    start_order (o, age > 0 ? now - age : now, "store", now);
+  /* Believed to be older than it is, the order would not be bounded any more
+     before its deadline.  */
+  age = age > MAX_CLOCK_ERROR ? age - MAX_CLOCK_ERROR : 0;
   if (is_terminal (phase) && phase != o->phase)
     set_phase (o, phase, phase == phase_to_store (o) ? o->reason : "store",
                now);
+  if (!o->started)
+    start_order (o, now - age, "store", now);
   o->confirmed = phase_to_store (o) == phase;
 }
 
