platform: orders and states of rollouts, offsets of records

The operators' topic gets a record for each rollout, and the fleet a topic for their states; the adapter decodes orders, composes and decodes states, and computes the version of an order as that of an endpoint's entry. Records of reads carry their offset, which tells an order that was written again from the one before.

--- a/tests/fuzz/store.c
+++ b/tests/fuzz/store.c
@@ -1,5 +1,5 @@
 /* Fuzzes the decoders of what the store returns: pages of records, reads of
-   changes, and the two kinds of records in them.  */
+   changes, and the kinds of records in them.  */
 
 #include <stddef.h>
 #include <stdint.h>
@@ -13,10 +13,16 @@
 {
   struct ms_endpoint_entry entry;
   struct ms_routes *routes;
-  struct ms_str zone;
+  struct ms_str name = { "app", 3 };
+  struct plat_order order;
+  struct plat_rollout_state state;
+  char encoded[1024];
 
   (void)context;
-  plat_operator_key (record->key, &zone);
+  plat_operator_key (record->key, &name);
+  plat_decode_order (name, record->value, &order);
+  if (plat_decode_state (name, record->value, &state) == MS_OK)
+    plat_encode_state (encoded, sizeof encoded, &state);
   plat_decode_endpoint (record->key, record->value, &entry);
   if (plat_decode_routes (record->value, &routes) == MS_OK)
     ms_routes_destroy (routes);
@@ -26,7 +32,7 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   const struct ms_str text = { (const char *)data, size };
-  const struct plat_record record = { { "e1", 2 }, text, false };
+  const struct plat_record record = { { "e1", 2 }, text, false, 0 };
   char after[256];
   uint64_t next;
   uint64_t end;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "platform.h"
@@ -109,6 +110,7 @@
   char keys[4][16];
   char values[4][16];
   bool removed[4];
+  uint64_t offsets[4];
   unsigned count;
 };
 
@@ -119,6 +121,7 @@
 
   memcpy (r->keys[r->count], record->key.data, record->key.length);
   memcpy (r->values[r->count], record->value.data, record->value.length);
+  r->offsets[r->count] = record->offset;
   r->removed[r->count++] = record->removed;
 }
 
@@ -147,6 +150,8 @@
   assert_int_equal (received.count, 2);
   assert_string_equal (received.values[0], "1");
   assert_true (received.removed[1]);
+  assert_int_equal (received.offsets[0], 5);
+  assert_int_equal (received.offsets[1], 6);
   assert_int_equal (plat_decode_read ((struct ms_str){ body, length - 1 }, 5,
                                       take, &received, &next, &end),
                     MS_INVALID);
@@ -171,6 +176,29 @@
   assert_true (more);
   assert_string_equal (after, "config");
   assert_string_equal (received.values[0], "{}");
+  assert_int_equal (received.offsets[0], 4);
+}
+
+/* A store that does not state the offsets of records is read all the same.  */
+static void
+test_offset_of_a_record_may_be_missing (void **state)
+{
+  struct received received = { 0 };
+  char after[16];
+  uint64_t end;
+  bool more;
+
+  (void)state;
+  assert_int_equal (
+      plat_decode_newest (
+          ms_str ("{\"items\":[{\"key\":\"a\",\"value\":\"e30=\"},"
+                  "{\"key\":\"b\",\"value\":\"e30=\",\"offset\":-1}],"
+                  "\"end\":6}"),
+          take, &received, &end, &more, after, sizeof after),
+      MS_OK);
+  assert_int_equal (received.count, 2);
+  assert_int_equal (received.offsets[0], PLAT_NO_OFFSET);
+  assert_int_equal (received.offsets[1], PLAT_NO_OFFSET);
 }
 
 /* The expected output is at most the allowed output.  */
@@ -349,6 +377,182 @@
   assert_false (plat_offset_lost (ms_str (""), 9));
 }
 
+static enum ms_status
+decode_order (const char *text, struct plat_order *order)
+{
+  return plat_decode_order (ms_str ("app"), ms_str (text), order);
+}
+
+/* The version that an order names is the one that entries of its endpoints
+   state, else the fleet would find no endpoint of it.  */
+static void
+test_decodes_orders (void **state)
+{
+  struct ms_str name;
+  struct plat_order order;
+  struct ms_endpoint_entry entry;
+
+  (void)state;
+  assert_int_equal (plat_operator_key (ms_str ("rollout/app"), &name),
+                    PLAT_OPERATOR_ROLLOUT);
+  assert_true (ms_str_equal (name, ms_str ("app")));
+  assert_int_equal (plat_operator_key (ms_str ("rollout/"), &name),
+                    PLAT_OPERATOR_OTHER);
+  assert_int_equal (
+      decode_order ("{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":12}",
+                    &order),
+      MS_OK);
+  assert_int_equal (order.service_id, ms_id (ms_str ("app")));
+  assert_int_equal (order.duration, 12 * MS_SEC);
+  assert_string_equal (order.to.data, "v2");
+  assert_int_equal (
+      decode (
+          "{\"service\":\"app\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+          "\"slots\":8,\"cold_remaining_ms\":0,\"state\":\"ready\","
+          "\"version\":\"v2\"}",
+          &entry),
+      MS_OK);
+  assert_int_equal (order.version, entry.version);
+  assert_int_equal (
+      decode_order ("{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":1e-9}",
+                    &order),
+      MS_OK);
+  assert_true (order.duration > 0);
+}
+
+/* A record that is no order must not move a service, whatever it holds.  */
+static void
+test_rejects_invalid_orders (void **state)
+{
+  static const char *const invalid[] = {
+    "",
+    "{",
+    "[]",
+    "{}",
+    "{\"to\":\"v2\",\"duration_s\":12}",
+    "{\"service\":\"app\",\"duration_s\":12}",
+    "{\"service\":\"app\",\"to\":\"v2\"}",
+    "{\"service\":\"other\",\"to\":\"v2\",\"duration_s\":12}",
+    "{\"service\":7,\"to\":\"v2\",\"duration_s\":12}",
+    "{\"service\":\"app\",\"to\":2,\"duration_s\":12}",
+    "{\"service\":\"app\",\"to\":\"\",\"duration_s\":12}",
+    "{\"service\":\"app\",\"to\":[\"v2\"],\"duration_s\":12}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":\"12\"}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":true}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":0}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":-12}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":1e7}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"duration_s\":1e999}",
+  };
+  char name[100];
+  char text[300];
+  struct plat_order order;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof invalid / sizeof *invalid; i++)
+    assert_int_equal (decode_order (invalid[i], &order), MS_INVALID);
+  memset (name, 'n', sizeof name - 1);
+  name[sizeof name - 1] = '\0';
+  snprintf (text, sizeof text,
+            "{\"service\":\"app\",\"to\":\"%s\",\"duration_s\":12}", name);
+  assert_int_equal (decode_order (text, &order), MS_INVALID);
+  snprintf (text, sizeof text,
+            "{\"service\":\"%s\",\"to\":\"v2\",\"duration_s\":12}", name);
+  assert_int_equal (plat_decode_order (ms_str (name), ms_str (text), &order),
+                    MS_INVALID);
+}
+
+struct taken
+{
+  char key[32];
+  char value[256];
+};
+
+static void
+take_one (void *context, const struct plat_record *record)
+{
+  struct taken *t = context;
+
+  memcpy (t->key, record->key.data, record->key.length);
+  memcpy (t->value, record->value.data, record->value.length);
+}
+
+/* The operators and routers that start read what the fleet has written.  */
+static void
+test_state_is_read_as_it_was_written (void **state)
+{
+  struct plat_rollout_state written = {
+    .service = ms_name ("app"),
+    .to = ms_name ("v\"2"),
+    .phase = PLAT_ROLLOUT_ROLLED_BACK,
+    .started_ms = 1796000000123,
+    .order = 0xfedcba9876543210,
+    .offset = 0,
+    .era = 3,
+  };
+  struct plat_rollout_state read;
+  struct taken taken = { 0 };
+  struct ms_str service;
+  char body[512] = { 0 };
+  uint64_t next;
+  uint64_t end;
+  size_t length = plat_encode_state (body + 16, sizeof body - 16, &written);
+
+  (void)state;
+  assert_true (length > 0);
+  assert_int_equal (plat_decode_read ((struct ms_str){ body, 16 + length }, 0,
+                                      take_one, &taken, &next, &end),
+                    MS_OK);
+  assert_string_equal (taken.key, "rollout/app");
+  assert_non_null (strstr (taken.value, "\"state\":\"rolled_back\""));
+  assert_true (plat_rollout_key (ms_str (taken.key), &service));
+  assert_int_equal (plat_decode_state (service, ms_str (taken.value), &read),
+                    MS_OK);
+  assert_string_equal (read.to.data, "v\"2");
+  assert_int_equal (read.phase, PLAT_ROLLOUT_ROLLED_BACK);
+  assert_int_equal (read.started_ms, written.started_ms);
+  assert_int_equal (read.order, written.order);
+  assert_int_equal (read.offset, 0);
+  assert_int_equal (read.era, 3);
+  assert_int_equal (plat_encode_state (body, 20, &written), 0);
+}
+
+/* A state that cannot be read must not end an order.  */
+static void
+test_rejects_invalid_states (void **state)
+{
+  static const char *const invalid[] = {
+    "",
+    "[]",
+    "{\"service\":\"app\",\"to\":\"v2\"}",
+    "{\"service\":\"app\",\"state\":\"running\"}",
+    "{\"to\":\"v2\",\"state\":\"running\"}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"state\":\"sleeping\"}",
+    "{\"service\":\"app\",\"to\":\"v2\",\"state\":1}",
+    "{\"service\":\"other\",\"to\":\"v2\",\"state\":\"running\"}",
+  };
+  struct plat_rollout_state read;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof invalid / sizeof *invalid; i++)
+    assert_int_equal (
+        plat_decode_state (ms_str ("app"), ms_str (invalid[i]), &read),
+        MS_INVALID);
+  assert_int_equal (
+      plat_decode_state (
+          ms_str ("app"),
+          ms_str ("{\"service\":\"app\",\"to\":\"v2\",\"state\":"
+                  "\"completed\",\"started_ms\":-5,\"offset\":\"x\","
+                  "\"era\":1e300,\"order\":7}"),
+          &read),
+      MS_OK);
+  assert_int_equal (read.phase, PLAT_ROLLOUT_COMPLETED);
+  assert_int_equal (read.started_ms, 0);
+  assert_int_equal (read.offset, PLAT_NO_OFFSET);
+  assert_int_equal (read.era, 0);
+  assert_int_equal (read.order, 0);
+}
+
 int
 main (void)
 {
@@ -367,6 +571,11 @@
     cmocka_unit_test (test_decodes_pauses),
     cmocka_unit_test (test_decodes_rate_limits),
     cmocka_unit_test (test_loss_of_an_offset),
+    cmocka_unit_test (test_offset_of_a_record_may_be_missing),
+    cmocka_unit_test (test_decodes_orders),
+    cmocka_unit_test (test_rejects_invalid_orders),
+    cmocka_unit_test (test_state_is_read_as_it_was_written),
+    cmocka_unit_test (test_rejects_invalid_states),
   };
 
   return RUN (tests);
