Replica: report records that are written again, with their offsets

A record that is written again with the same value was not reported, so an order repeated after its end would not be seen. Replicas keep the offset at which each record was written, report a repeat to who asks for it, and relay both. Offsets of an older copy of the store are no repeats.

--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -36,6 +36,7 @@
   bool relayable;  /* It can be written as JSON text.  */
   uint64_t hash;   /* Of key and value.  */
   uint64_t offset; /* Its last change is before this offset.  */
+  uint64_t at;     /* Where it was written; MS_NO_OFFSET if not known.  */
   UT_hash_handle hh;
 };
 
@@ -158,6 +159,14 @@
   return r;
 }
 
+uint64_t
+ms_replica_offset (const struct ms_replica *replica, struct ms_str key)
+{
+  const struct record *r = find_record (replica->records, key);
+
+  return r ? r->at : MS_NO_OFFSET;
+}
+
 /* Return whether a record of KEY and VALUE can be relayed, which is written as
    JSON text: such that are not UTF-8, or have a NUL, no router can decode
    anyway.  */
@@ -178,11 +187,11 @@
   return text != NULL;
 }
 
-/* Set KEY to VALUE in *TABLE, changed before OFFSET.  Return whether the value
-   changed.  */
+/* Set KEY to VALUE in *TABLE, written at AT, which is before OFFSET.  Return
+   whether the value changed.  */
 static bool
 set_record (struct record **table, struct ms_str key, struct ms_str value,
-            uint64_t offset)
+            uint64_t at, uint64_t offset)
 {
   struct record *r = find_record (*table, key);
 
@@ -191,6 +200,7 @@
       if (r->missing)
         r->offset = offset;
       r->missing = false;
+      r->at = at;
       if (ms_str_equal ((struct ms_str){ r->value, r->value_length }, value))
         return false;
       free (r->value);
@@ -205,6 +215,7 @@
   r->value = ms_copy (value.data, value.length);
   r->value_length = value.length;
   r->offset = offset;
+  r->at = at;
   r->relayable = is_relayable (key, value);
   r->hash = ms_id_pair (ms_id (key), ms_id (value));
   return true;
@@ -222,17 +233,26 @@
   return (struct ms_str){ r->value, r->value_length };
 }
 
+/* Set KEY to VALUE, written at AT, which is before OFFSET, and report it.  */
 static void
 update_record (struct ms_replica *replica, struct ms_str key,
-               struct ms_str value, uint64_t offset)
+               struct ms_str value, uint64_t at, uint64_t offset)
 {
   struct record *r = find_record (replica->records, key);
   bool held = r && r->held;
+  uint64_t known_at = r ? r->at : MS_NO_OFFSET;
 
   if (held)
     r->held = false;
-  if (set_record (&replica->records, key, value, offset) || held)
+  /* A peer may know less than this router of where the record was written.  */
+  if (at == MS_NO_OFFSET && r && ms_str_equal (record_value (r), value))
+    at = known_at;
+  if (set_record (&replica->records, key, value, at, offset) || held)
     replica->options.changed (replica->options.context, key, value, false);
+  else if (replica->options.repeated && known_at != MS_NO_OFFSET
+           && at > known_at
+           && replica->options.repeated (replica->options.context, key, value))
+    find_record (replica->records, key)->offset = offset;
 }
 
 /* Report a record that was held.  */
@@ -272,6 +292,8 @@
 note_older_copy (struct ms_replica *replica, uint64_t end, uint64_t era,
                  ms_time sent_at, ms_time now)
 {
+  struct record *r, *next;
+
   ms_event (now, "store_lost_records",
             "topic=%s era=%llu end=%llu known_era=%llu known_end=%llu",
             replica->options.name, (unsigned long long)era,
@@ -285,6 +307,7 @@
       free (replica->removals[i].key);
       replica->removals[i] = (struct removal){ NULL, 0 };
     }
+  HASH_ITER (hh, replica->records, r, next) { r->at = MS_NO_OFFSET; }
 }
 
 /* Remember that R was removed before OFFSET.  */
@@ -325,15 +348,15 @@
 
 void
 ms_replica_change (struct ms_replica *replica, struct ms_str key,
-                   struct ms_str value, bool removed, ms_time sent_at,
-                   ms_time now)
+                   struct ms_str value, bool removed, uint64_t at,
+                   ms_time sent_at, ms_time now)
 {
   struct record *r;
 
   note_read (replica, sent_at);
   if (!removed)
     {
-      update_record (replica, key, value, OFFSET_PENDING);
+      update_record (replica, key, value, at, OFFSET_PENDING);
       return;
     }
   r = find_record (replica->records, key);
@@ -343,9 +366,9 @@
 
 void
 ms_replica_add (struct ms_replica *replica, struct ms_str key,
-                struct ms_str value)
+                struct ms_str value, uint64_t at)
 {
-  set_record (&replica->snapshot, key, value, 0);
+  set_record (&replica->snapshot, key, value, at, 0);
 }
 
 void
@@ -364,12 +387,13 @@
 
   if (!known && older_copy)
     {
-      set_record (&replica->records, record_key (r), record_value (r), end);
+      set_record (&replica->records, record_key (r), record_value (r), r->at,
+                  end);
       find_record (replica->records, record_key (r))->held = true;
     }
   else if (!known || !known->held
            || !ms_str_equal (record_value (known), record_value (r)))
-    update_record (replica, record_key (r), record_value (r), end);
+    update_record (replica, record_key (r), record_value (r), r->at, end);
 }
 
 /* Replace the records by those in *TABLE, a snapshot up to offset END of ERA
@@ -512,6 +536,23 @@
   return records;
 }
 
+/* Return where the same records were written, by key, as far as that is
+   known.  */
+static json_t *
+encode_offsets (const struct ms_replica *replica, uint64_t known)
+{
+  json_t *offsets = json_object ();
+  struct record *r, *next;
+
+  HASH_ITER (hh, replica->records, r, next)
+  {
+    if (!r->missing && r->relayable && r->offset > known
+        && r->at != MS_NO_OFFSET)
+      json_object_set_new (offsets, r->key, json_integer ((json_int_t)r->at));
+  }
+  return offsets;
+}
+
 /* Return the keys that were removed since the offset KNOWN and are not there
    again, or whose records cannot be relayed since.  */
 static json_t *
@@ -557,6 +598,10 @@
   if (known >= replica->next)
     return relay;
   if (!changes || !known || known < replica->changes_from)
+    known = 0;
+  if (replica->options.repeated)
+    json_object_set_new (relay, "offsets", encode_offsets (replica, known));
+  if (!known)
     {
       json_object_set_new (relay, "records", encode_records (replica, 0));
       return relay;
@@ -569,6 +614,17 @@
   return relay;
 }
 
+/* Return where the record of KEY in RELAY was written.  */
+static uint64_t
+relayed_offset (const json_t *relay, const char *key)
+{
+  const json_t *at = json_object_get (json_object_get (relay, "offsets"), key);
+
+  return json_is_integer (at) && json_integer_value (at) >= 0
+             ? (uint64_t)json_integer_value (at)
+             : MS_NO_OFFSET;
+}
+
 /* Apply the changes in RELAY, which was read at READ_AT and goes up to OFFSET.
    Return whether they lead to the records of the peer.  */
 static bool
@@ -589,7 +645,7 @@
     update_record (replica, ms_str (key),
                    (struct ms_str){ json_string_value (value),
                                     json_string_length (value) },
-                   offset);
+                   relayed_offset (relay, key), offset);
   }
   json_array_foreach (removed, i, value)
   {
@@ -625,7 +681,7 @@
     set_record (&table, ms_str (key),
                 (struct ms_str){ json_string_value (value),
                                  json_string_length (value) },
-                offset);
+                relayed_offset (relay, key), offset);
   }
   apply_snapshot (replica, &table, offset, era, read_at, now);
 }
--- a/src/fleet/replica.h
+++ b/src/fleet/replica.h
@@ -15,6 +15,10 @@
 
 struct ms_replica;
 
+/* Stands for the offset at which a record was written where that is not
+   known.  */
+#define MS_NO_OFFSET UINT64_MAX
+
 struct ms_replica_options
 {
   const char *name;
@@ -37,6 +41,11 @@
      deleted; VALUE is then empty.  */
   void (*changed) (void *context, struct ms_str key, struct ms_str value,
                    bool removed);
+
+  /* If not NULL, called when KEY was written again with the VALUE that it has,
+     which its offset tells.  Returns whether that matters to peers, which then
+     get it with the next relay.  */
+  bool (*repeated) (void *context, struct ms_str key, struct ms_str value);
   void *context;
 };
 
@@ -59,9 +68,14 @@
    yet.  */
 uint64_t ms_replica_next (const struct ms_replica *replica);
 
-/* Add a record to the snapshot that is being read.  */
+/* The offset at which the record of KEY was written, in the store's era;
+   MS_NO_OFFSET if that is not known.  */
+uint64_t ms_replica_offset (const struct ms_replica *replica,
+                            struct ms_str key);
+
+/* Add a record, written at offset AT, to the snapshot that is being read.  */
 void ms_replica_add (struct ms_replica *replica, struct ms_str key,
-                     struct ms_str value);
+                     struct ms_str value, uint64_t at);
 
 /* Forget the snapshot that is being read.  */
 void ms_replica_abandon (struct ms_replica *replica);
@@ -85,11 +99,11 @@
 void ms_replica_complete (struct ms_replica *replica, uint64_t end,
                           uint64_t era, ms_time sent_at, ms_time now);
 
-/* Apply a change that a read brought, which was sent at SENT_AT: KEY has VALUE
-   now, or was removed.  */
+/* Apply a change, written at offset AT, that a read brought, which was sent at
+   SENT_AT: KEY has VALUE now, or was removed.  */
 void ms_replica_change (struct ms_replica *replica, struct ms_str key,
-                        struct ms_str value, bool removed, ms_time sent_at,
-                        ms_time now);
+                        struct ms_str value, bool removed, uint64_t at,
+                        ms_time sent_at, ms_time now);
 
 /* A read of changes brought those up to the offset NEXT, and the topic ended
    at END at CONFIRMED_AT.  Unless the read stopped short of END, this confirms
@@ -108,7 +122,8 @@
 /* Return a JSON object for a peer's ms_replica_apply: the next offset and the
    age of the records, and if the peer lacks records, which it has up to the
    offset KNOWN, also records: with CHANGES those that have changed or gone
-   since and a checksum of all, if that is still known, otherwise all of them.
+   since and a checksum of all, if that is still known, otherwise all of them,
+   and the offsets at which they were written if the options have REPEATED.
    Records that are only kept count as gone, as whether to keep them depends on
    what the peer itself has missed.  The object also has the era, if known.
    NULL if nothing was read yet.  The caller owns the result.  */
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -75,6 +75,9 @@
         OPTIONAL_NUMBER_FIELD (response_ms),
         OPTIONAL_NUMBER_FIELD (zone_byte_tokens),
         NUMBER_FIELD (directory_ttl_s),
+        OPTIONAL_NUMBER_FIELD (exposure_share),
+        OPTIONAL_NUMBER_FIELD (exposure_slack),
+        OPTIONAL_NUMBER_FIELD (rollback_ms),
         CYAML_FIELD_END };
 
 static const cyaml_schema_value_t schema = { CYAML_VALUE_MAPPING (
@@ -137,6 +140,9 @@
     { "response_ms", s->response_ms, 0, 1e6 },
     { "zone_byte_tokens", s->zone_byte_tokens, 0, 1e3 },
     { "directory_ttl_s", s->directory_ttl_s, 0, 3600 },
+    { "exposure_share", s->exposure_share, 0, 1 },
+    { "exposure_slack", s->exposure_slack, 0, 1e6 },
+    { "rollback_ms", s->rollback_ms, 0, 1e6 },
   };
   enum ms_status status = MS_OK;
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -71,6 +71,14 @@
                               it is not set.  */
   double directory_ttl_s;  /* Longest time that callers may cache a response
                               of the directory.  */
+
+  /* Rollouts.  Of a service's requests between an order and its deadline, a
+     bad version may get exposure_share, plus exposure_slack requests; 0, or
+     not set, where rollouts are not in use.  */
+  double exposure_share;
+  double exposure_slack;
+  double rollback_ms; /* After the 50th bad answer, until no request reaches
+                         the version; 0, or not set, for the default.  */
 };
 
 /* Read and check the file at PATH into *RESULT, which the caller destroys.  On
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -72,7 +72,7 @@
   struct ms_topic *t = context;
 
   ms_replica_change (t->replica, record->key, record->value, record->removed,
-                     t->call_sent_at, ms_now (t->clock));
+                     record->offset, t->call_sent_at, ms_now (t->clock));
 }
 
 static void
@@ -81,7 +81,7 @@
   struct ms_topic *t = context;
 
   if (!record->removed)
-    ms_replica_add (t->replica, record->key, record->value);
+    ms_replica_add (t->replica, record->key, record->value, record->offset);
 }
 
 /* Note a successful read that was sent at SENT_AT.  */
--- a/tests/fuzz/relay.c
+++ b/tests/fuzz/relay.c
@@ -17,6 +17,15 @@
   *bytes += key.length + value.length + removed;
 }
 
+static bool
+on_repeat (void *context, struct ms_str key, struct ms_str value)
+{
+  size_t *bytes = context;
+
+  *bytes += key.length + value.length;
+  return true;
+}
+
 static void
 apply (struct ms_replica *replica, const char *text, size_t length,
        ms_time now)
@@ -35,14 +44,15 @@
                                               .outage = 10,
                                               .keep = 10,
                                               .changed = on_change,
+                                              .repeated = on_repeat,
                                               .context = &bytes };
   struct ms_replica *replica = ms_replica_create (&options);
   json_t *relay;
   char *text;
 
   apply (replica, (const char *)data, size, 100);
-  ms_replica_add (replica, ms_str ("a"), ms_str ("1"));
-  ms_replica_add (replica, ms_str ("b"), ms_str ("2"));
+  ms_replica_add (replica, ms_str ("a"), ms_str ("1"), 3);
+  ms_replica_add (replica, ms_str ("b"), ms_str ("2"), MS_NO_OFFSET);
   ms_replica_complete (replica, 5, 0, 200, 200);
   apply (replica, (const char *)data, size, 300);
   ms_replica_tick (replica, 400);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -74,7 +74,8 @@
 
       snprintf (key, sizeof key, "e%u", i);
       if (store->has[i])
-        ms_replica_add (r->replica, ms_str (key), ms_str ("ready"));
+        ms_replica_add (r->replica, ms_str (key), ms_str ("ready"),
+                        MS_NO_OFFSET);
     }
   ms_replica_complete (r->replica, store->end, store->era, sent_at,
                        sent_at + 5 * MS_MSEC);
@@ -271,7 +272,8 @@
   read_snapshot (&r, &older_copy, loss);
   for (unsigned i = 2; i < 4; i++)
     ms_replica_change (r.replica, i == 2 ? ms_str ("e2") : ms_str ("e3"),
-                       ms_str ("ready"), false, loss + MS_SEC, loss + MS_SEC);
+                       ms_str ("ready"), false, 8 + i, loss + MS_SEC,
+                       loss + MS_SEC);
   ms_replica_advance (r.replica, 10, 10, loss + MS_SEC);
   assert_true (r.listed[3]);
   ms_replica_tick (r.replica, loss + REWRITE);
@@ -326,6 +328,7 @@
 {
   struct ms_replica *replica;
   unsigned values[KEYS]; /* As the replica reported them.  */
+  unsigned repeats;      /* Reported so far.  */
 };
 
 static void
@@ -338,11 +341,24 @@
       = removed ? 0 : (unsigned)strtoul (value.data, NULL, 10);
 }
 
+static bool
+on_key_repeat (void *context, struct ms_str key, struct ms_str value)
+{
+  struct follower *f = context;
+
+  (void)key;
+  (void)value;
+  f->repeats++;
+  return true;
+}
+
 static void
 create_follower (struct follower *f)
 {
-  const struct ms_replica_options options
-      = { .name = "keys", .changed = on_key_change, .context = f };
+  const struct ms_replica_options options = { .name = "keys",
+                                              .changed = on_key_change,
+                                              .repeated = on_key_repeat,
+                                              .context = f };
 
   memset (f, 0, sizeof *f);
   f->replica = ms_replica_create (&options);
@@ -374,12 +390,13 @@
       snprintf (key, sizeof key, "k%u", i);
       snprintf (value, sizeof value, "%u", topic->values[i]);
       if (snapshot && topic->values[i])
-        ms_replica_add (f->replica, ms_str (key), ms_str (value));
+        ms_replica_add (f->replica, ms_str (key), ms_str (value),
+                        topic->offsets[i]);
       /* The store keeps only the newest change of a key.  */
       else if (!snapshot && topic->end && topic->offsets[i] >= from
                && topic->offsets[i] < next)
         ms_replica_change (f->replica, ms_str (key), ms_str (value),
-                           !topic->values[i], now, now);
+                           !topic->values[i], topic->offsets[i], now, now);
     }
   if (snapshot)
     ms_replica_complete (f->replica, topic->end, 0, now, now);
@@ -431,7 +448,7 @@
   read_topic (&f, &topic, KEYS, 1 * MS_SEC);
   topic.end = 5;
   write_key (&topic, 0, false);
-  ms_replica_add (f.replica, ms_str ("k0"), ms_str ("6"));
+  ms_replica_add (f.replica, ms_str ("k0"), ms_str ("6"), 5);
   ms_replica_complete (f.replica, topic.end, 0, 2 * MS_SEC, 2 * MS_SEC);
   expect_equal (&f, &topic);
   assert_int_equal (ms_replica_next (f.replica), topic.end);
@@ -605,13 +622,13 @@
       ms_replica_change (from.replica, i ? ms_str ("k2") : ms_str ("k1"),
                          i ? ms_str ("\xff\xfe")
                            : (struct ms_str){ "1\0002", 3 },
-                         false, now, now);
+                         false, topic.end + i, now, now);
       topic.values[i + 1] = 0;
     }
   topic.end += 2;
   write_key (&topic, 3, false);
-  ms_replica_change (from.replica, ms_str ("k3"), ms_str ("8"), false, now,
-                     now);
+  ms_replica_change (from.replica, ms_str ("k3"), ms_str ("8"), false,
+                     topic.offsets[3], now, now);
   topic.values[3] = 8;
   ms_replica_advance (from.replica, topic.end, topic.end, ++now);
   relay_changes (&to, &from, ++now);
@@ -621,6 +638,73 @@
   ms_replica_destroy (to.replica);
 }
 
+/* Write the value that KEY has again.  */
+static void
+repeat_key (struct topic *topic, unsigned key)
+{
+  topic->offsets[key] = topic->end++;
+}
+
+/* Guards against an order that is written again after its end and not noticed,
+   by a router that reads the store or by one that lives on relays.  */
+static void
+test_record_that_is_written_again_is_reported (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower from, to;
+  ms_time now = MS_SEC;
+
+  (void)state;
+  create_follower (&from);
+  create_follower (&to);
+  write_key (&topic, 0, false);
+  write_key (&topic, 1, false);
+  read_topic (&from, &topic, KEYS, now);
+  relay_changes (&to, &from, ++now);
+  assert_int_equal (ms_replica_offset (to.replica, ms_str ("k1")), 2);
+  repeat_key (&topic, 1);
+  read_topic (&from, &topic, KEYS, ++now);
+  relay_changes (&to, &from, ++now);
+  relay_changes (&to, &from, ++now);
+  assert_int_equal (from.repeats, 1);
+  assert_int_equal (to.repeats, 1);
+  assert_int_equal (ms_replica_offset (from.replica, ms_str ("k1")), 3);
+  assert_int_equal (ms_replica_offset (to.replica, ms_str ("k1")), 3);
+  /* A snapshot that brings it is as good.  */
+  repeat_key (&topic, 1);
+  ms_replica_add (from.replica, ms_str ("k0"), ms_str ("2"), topic.offsets[0]);
+  ms_replica_add (from.replica, ms_str ("k1"), ms_str ("3"), topic.offsets[1]);
+  ms_replica_complete (from.replica, topic.end, 0, now + 1, now + 2);
+  assert_int_equal (from.repeats, 2);
+  expect_equal (&from, &topic);
+  expect_equal (&to, &topic);
+  ms_replica_destroy (from.replica);
+  ms_replica_destroy (to.replica);
+}
+
+/* Guards against taking an order of a store that came back from an older copy,
+   which has other offsets, for one that was written again.  */
+static void
+test_offsets_of_an_older_copy_are_no_repeats (void **state)
+{
+  struct topic topic = { .end = 1 };
+  struct follower f;
+
+  (void)state;
+  create_follower (&f);
+  write_key (&topic, 0, false);
+  ms_replica_add (f.replica, ms_str ("k0"), ms_str ("2"), 1);
+  ms_replica_complete (f.replica, 2, 1, MS_SEC, MS_SEC);
+  ms_replica_add (f.replica, ms_str ("k0"), ms_str ("2"), 7);
+  ms_replica_complete (f.replica, 8, 2, 2 * MS_SEC, 2 * MS_SEC);
+  assert_int_equal (f.repeats, 0);
+  assert_int_equal (ms_replica_offset (f.replica, ms_str ("k0")), 7);
+  ms_replica_change (f.replica, ms_str ("k0"), ms_str ("2"), false, 8,
+                     3 * MS_SEC, 3 * MS_SEC);
+  assert_int_equal (f.repeats, 1);
+  ms_replica_destroy (f.replica);
+}
+
 int
 main (void)
 {
@@ -640,6 +724,8 @@
     cmocka_unit_test (test_gap_is_detected),
     cmocka_unit_test (test_replicas_agree_in_any_order),
     cmocka_unit_test (test_unreadable_record_is_relayed_as_removed),
+    cmocka_unit_test (test_record_that_is_written_again_is_reported),
+    cmocka_unit_test (test_offsets_of_an_older_copy_are_no_repeats),
   };
 
   return RUN (tests);
