Digests: reports of rollouts, by router and summed by zone

Evidence and phases of orders get fields at the end of the digest; older routers do not send them. Sums of a zone also count routers that are silent and earlier starts, and receivers never lower them, since the evidence of a source may only grow.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 LIBS = -lcivetweb -lhttp_parser $(shell pkg-config --libs $(MODULES)) -lm -pthread
 
 PROGRAMS = router config ctl replay
-GATEWAY_DIRS = wire route place admit fleet guard gateway
+GATEWAY_DIRS = wire route place admit rollout fleet guard gateway
 GATEWAY_SOURCES = $(foreach d,$(GATEWAY_DIRS),$(wildcard src/$(d)/*.c)) \
 	$(wildcard platform/*.c) src/config/yaml.c \
 	$(patsubst %,src/base/%.c,address alloc clock event file log random status \
@@ -31,7 +31,7 @@
 	-lm -pthread
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 CORE_DIRS = base rpc config view member fair dispatch guard once entry node journal \
-	http backing library wire route place admit fleet
+	http backing library wire route place admit rollout fleet
 CORE_SOURCES = $(foreach d,$(CORE_DIRS),$(wildcard src/$(d)/*.c)) \
 	$(wildcard platform/*.c)
 CORE_OBJECTS = $(CORE_SOURCES:%.c=$(BUILD)/%.o)
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -24,6 +24,9 @@
 #define DIGEST_DEMANDS 16
 #define DIGEST_STREAMS 512
 #define DIGEST_VERSIONS 32
+#define DIGEST_ROLLOUTS 8
+#define DIGEST_EVIDENCE 24
+#define DIGEST_SUSPECTS 24
 
 struct digest_load {
 	u_quad_t endpoint;
@@ -141,6 +144,59 @@
 };
 typedef struct digest_version digest_version;
 
+struct digest_evidence {
+	u_quad_t route;
+	u_quad_t zone;
+	u_int answers;
+	u_int failed;
+	u_int slow;
+	u_int other_answers;
+	u_int other_failed;
+	u_int other_slow;
+	u_int timed;
+	float log_ratio;
+};
+typedef struct digest_evidence digest_evidence;
+
+struct digest_suspect {
+	u_quad_t endpoint;
+	u_int answers;
+	u_int bad;
+};
+typedef struct digest_suspect digest_suspect;
+
+struct digest_rollout {
+	u_quad_t service;
+	u_quad_t order;
+	u_int software;
+	u_int age;
+	u_int phase;
+	bool_t confirmed;
+	u_int sent;
+	u_int other_sent;
+	u_int running_old;
+	struct {
+		u_int evidence_len;
+		digest_evidence *evidence_val;
+	} evidence;
+	struct {
+		u_int suspects_len;
+		digest_suspect *suspects_val;
+	} suspects;
+};
+typedef struct digest_rollout digest_rollout;
+
+struct digest_zone_rollouts {
+	u_quad_t zone;
+	u_quad_t author;
+	u_int sequence;
+	struct {
+		u_int rollouts_len;
+		digest_rollout *rollouts_val;
+	} rollouts;
+};
+typedef struct digest_zone_rollouts digest_zone_rollouts;
+
 struct fleet_digest {
 	digest_member self;
 	u_int sequence;
@@ -199,6 +255,14 @@
 		digest_version *versions_val;
 	} versions;
 	u_int known_for;
+	struct {
+		u_int rollouts_len;
+		digest_rollout *rollouts_val;
+	} rollouts;
+	struct {
+		u_int zone_rollouts_len;
+		digest_zone_rollouts *zone_rollouts_val;
+	} zone_rollouts;
 };
 typedef struct fleet_digest fleet_digest;
 
@@ -217,6 +281,10 @@
 extern  bool_t xdr_digest_flow (XDR *, digest_flow*);
 extern  bool_t xdr_digest_stream (XDR *, digest_stream*);
 extern  bool_t xdr_digest_version (XDR *, digest_version*);
+extern  bool_t xdr_digest_evidence (XDR *, digest_evidence*);
+extern  bool_t xdr_digest_suspect (XDR *, digest_suspect*);
+extern  bool_t xdr_digest_rollout (XDR *, digest_rollout*);
+extern  bool_t xdr_digest_zone_rollouts (XDR *, digest_zone_rollouts*);
 extern  bool_t xdr_fleet_digest (XDR *, fleet_digest*);
 
 #else /* K&R C */
@@ -232,6 +300,10 @@
 extern bool_t xdr_digest_flow ();
 extern bool_t xdr_digest_stream ();
 extern bool_t xdr_digest_version ();
+extern bool_t xdr_digest_evidence ();
+extern bool_t xdr_digest_suspect ();
+extern bool_t xdr_digest_rollout ();
+extern bool_t xdr_digest_zone_rollouts ();
 extern bool_t xdr_fleet_digest ();
 
 #endif /* K&R C */
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -12,6 +12,9 @@
 const DIGEST_DEMANDS = 16;
 const DIGEST_STREAMS = 512;
 const DIGEST_VERSIONS = 32;
+const DIGEST_ROLLOUTS = 8;
+const DIGEST_EVIDENCE = 24;
+const DIGEST_SUSPECTS = 24;
 
 /* Work that the sender has in progress at an endpoint.  */
 struct digest_load
@@ -134,6 +137,57 @@
   unsigned int age; /* Milliseconds since it was last listed.  */
 };
 
+/* Answers on one route and in one zone since the order or the sender's start,
+   of the ordered version and of the others.  */
+struct digest_evidence
+{
+  unsigned hyper route;
+  unsigned hyper zone;
+  unsigned int answers; /* That ran; FAILED and SLOW are part of them.  */
+  unsigned int failed;
+  unsigned int slow;
+  unsigned int other_answers;
+  unsigned int other_failed;
+  unsigned int other_slow;
+  unsigned int timed; /* Answers of the others that have a ratio.  */
+  float log_ratio;    /* Recent mean of its natural logarithm.  */
+};
+
+/* Bad answers of an endpoint of the ordered version.  */
+struct digest_suspect
+{
+  unsigned hyper endpoint;
+  unsigned int answers;
+  unsigned int bad;
+};
+
+/* What the sender knows of an order to move a service to another version.  */
+struct digest_rollout
+{
+  unsigned hyper service;
+  unsigned hyper order;
+  unsigned int software; /* Version that it names.  */
+  unsigned int age;     /* Milliseconds since the order; 2^32 - 1 if it is not
+                           known.  */
+  unsigned int phase;   /* enum ms_rollout_phase.  */
+  bool confirmed;       /* The store has that phase.  */
+  unsigned int sent;        /* Requests to the ordered version.  */
+  unsigned int other_sent;  /* To the others.  */
+  unsigned int running_old; /* Requests in progress at the others.  */
+  digest_evidence evidence<DIGEST_EVIDENCE>;
+  digest_suspect suspects<DIGEST_SUSPECTS>;
+};
+
+/* The same of a zone, added up over its routers and their earlier starts by
+   one of its readers.  */
+struct digest_zone_rollouts
+{
+  unsigned hyper zone;
+  unsigned hyper author;
+  unsigned int sequence; /* Of the author's digest.  */
+  digest_rollout rollouts<DIGEST_ROLLOUTS>;
+};
+
 struct fleet_digest
 {
   digest_member self;
@@ -160,4 +214,6 @@
   digest_version versions<DIGEST_VERSIONS>;
   unsigned int known_for; /* Milliseconds in which no other versions were
                              listed.  */
+  digest_rollout rollouts<DIGEST_ROLLOUTS>;
+  digest_zone_rollouts zone_rollouts<DIGEST_ZONES>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -308,6 +308,247 @@
 	return TRUE;
 }
 
+bool_t
+xdr_digest_evidence (XDR *xdrs, digest_evidence *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->route))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_failed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_slow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timed))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->answers);
+		IXDR_PUT_U_LONG(buf, objp->failed);
+		IXDR_PUT_U_LONG(buf, objp->slow);
+		IXDR_PUT_U_LONG(buf, objp->other_answers);
+		IXDR_PUT_U_LONG(buf, objp->other_failed);
+		IXDR_PUT_U_LONG(buf, objp->other_slow);
+		IXDR_PUT_U_LONG(buf, objp->timed);
+		}
+		 if (!xdr_float (xdrs, &objp->log_ratio))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->route))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->zone))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_failed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_slow))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timed))
+				 return FALSE;
+
+		} else {
+		objp->answers = IXDR_GET_U_LONG(buf);
+		objp->failed = IXDR_GET_U_LONG(buf);
+		objp->slow = IXDR_GET_U_LONG(buf);
+		objp->other_answers = IXDR_GET_U_LONG(buf);
+		objp->other_failed = IXDR_GET_U_LONG(buf);
+		objp->other_slow = IXDR_GET_U_LONG(buf);
+		objp->timed = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_float (xdrs, &objp->log_ratio))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slow))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->other_answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->other_failed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->other_slow))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timed))
+		 return FALSE;
+	 if (!xdr_float (xdrs, &objp->log_ratio))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_digest_suspect (XDR *xdrs, digest_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bad))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_digest_rollout (XDR *xdrs, digest_rollout *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->order))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->software))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->phase))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->confirmed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running_old))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->software);
+		IXDR_PUT_U_LONG(buf, objp->age);
+		IXDR_PUT_U_LONG(buf, objp->phase);
+		IXDR_PUT_BOOL(buf, objp->confirmed);
+		IXDR_PUT_U_LONG(buf, objp->sent);
+		IXDR_PUT_U_LONG(buf, objp->other_sent);
+		IXDR_PUT_U_LONG(buf, objp->running_old);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
+			sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, DIGEST_SUSPECTS,
+			sizeof (digest_suspect), (xdrproc_t) xdr_digest_suspect))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->order))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->software))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->phase))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->confirmed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->other_sent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running_old))
+				 return FALSE;
+
+		} else {
+		objp->software = IXDR_GET_U_LONG(buf);
+		objp->age = IXDR_GET_U_LONG(buf);
+		objp->phase = IXDR_GET_U_LONG(buf);
+		objp->confirmed = IXDR_GET_BOOL(buf);
+		objp->sent = IXDR_GET_U_LONG(buf);
+		objp->other_sent = IXDR_GET_U_LONG(buf);
+		objp->running_old = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
+			sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, DIGEST_SUSPECTS,
+			sizeof (digest_suspect), (xdrproc_t) xdr_digest_suspect))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->confirmed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->other_sent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running_old))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
+		sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, DIGEST_SUSPECTS,
+		sizeof (digest_suspect), (xdrproc_t) xdr_digest_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_digest_zone_rollouts (XDR *xdrs, digest_zone_rollouts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->author))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, DIGEST_ROLLOUTS,
+		sizeof (digest_rollout), (xdrproc_t) xdr_digest_rollout))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_digest (XDR *xdrs, fleet_digest *objp)
 {
@@ -379,6 +620,12 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->known_for))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, DIGEST_ROLLOUTS,
+			sizeof (digest_rollout), (xdrproc_t) xdr_digest_rollout))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
+			sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -445,6 +692,12 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->known_for))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, DIGEST_ROLLOUTS,
+			sizeof (digest_rollout), (xdrproc_t) xdr_digest_rollout))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
+			sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -502,5 +755,11 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->known_for))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, DIGEST_ROLLOUTS,
+		sizeof (digest_rollout), (xdrproc_t) xdr_digest_rollout))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
+		sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -60,6 +60,9 @@
   free (router->teams);
   free (router->rates);
   free (router->demands);
+  free (router->rollouts);
+  router->rollouts = NULL;
+  router->rollouts_count = 0;
   router->loads = NULL;
   router->loads_count = 0;
   router->teams = NULL;
@@ -70,6 +73,50 @@
   router->demands_count = 0;
 }
 
+/* Keep what ROUTER, which has started again, had reported of orders, since the
+   sums of its zone only grow.  */
+static void
+keep_rollouts (struct ms_fleet *fleet, struct ms_fleet_router *router,
+               ms_time now)
+{
+  if (router->zone != fleet->self.zone || !router->rollouts_count)
+    return;
+  if (!fleet->ended_rollouts)
+    fleet->ended_rollouts
+        = ms_new_array (MS_ROLLOUTS, sizeof *fleet->ended_rollouts);
+  for (unsigned i = 0; i < router->rollouts_count; i++)
+    {
+      struct ms_rollout_report *r = &router->rollouts[i];
+      unsigned j = 0;
+
+      r->running_old = 0;
+      /* An earlier order for the service is of no use any more.  */
+      while (j < fleet->ended_rollouts_count)
+        if (fleet->ended_rollouts[j].service == r->service
+            && fleet->ended_rollouts[j].order != r->order)
+          fleet->ended_rollouts[j]
+              = fleet->ended_rollouts[--fleet->ended_rollouts_count];
+        else
+          j++;
+      ms_rollout_reports_add (fleet->ended_rollouts,
+                              &fleet->ended_rollouts_count, r,
+                              router->heard ? now - router->heard : 0);
+    }
+  router->rollouts_count = 0;
+}
+
+/* Take what the digest D reports of orders to its sender, ROUTER.  */
+static void
+take_rollouts (struct ms_fleet_router *router, const struct fleet_digest *d)
+{
+  if (!d->rollouts.rollouts_len)
+    return;
+  router->rollouts
+      = ms_new_array (d->rollouts.rollouts_len, sizeof *router->rollouts);
+  router->rollouts_count = ms_rollout_list_read (
+      d->rollouts.rollouts_val, d->rollouts.rollouts_len, router->rollouts);
+}
+
 /* Move the arrays that the digest D has of its sender, ROUTER, to it.  */
 static void
 take_arrays (struct ms_fleet_router *router, struct fleet_digest *d)
@@ -86,6 +133,7 @@
   memset (&d->teams, 0, sizeof d->teams);
   memset (&d->rates, 0, sizeof d->rates);
   memset (&d->demands, 0, sizeof d->demands);
+  take_rollouts (router, d);
 }
 
 void
@@ -96,6 +144,7 @@
   for (unsigned i = 0; i < fleet->count; i++)
     free_arrays (&fleet->routers[i]);
   free (fleet->routers);
+  free (fleet->ended_rollouts);
   ms_zones_free (fleet);
   free (fleet);
 }
@@ -187,6 +236,7 @@
   router = find_or_add (fleet, id, now);
   if (!router || incarnation <= router->incarnation)
     return;
+  keep_rollouts (fleet, router, now);
   router->incarnation = incarnation;
   router->sequence = 0;
   router->zone = zone;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/str.h"
 #include "fleet/digest.h"
+#include "fleet/rollouts.h"
 
 /* Membership of the fleet: which routers exist, which of them are alive, and
    the load that they report.  Routers learn of each other from records in the
@@ -53,6 +54,8 @@
   unsigned rates_count;
   digest_demand *demands; /* Demand of its callers by service.  */
   unsigned demands_count;
+  struct ms_rollout_report *rollouts; /* What it reports of orders.  */
+  unsigned rollouts_count;
 };
 
 /* A router that was not heard for MS_ROUTER_SILENT_TIME gets no callers and no
@@ -126,6 +129,13 @@
   unsigned level;
   unsigned *capacities;
   unsigned capacities_count;
+  /* What its routers report of orders, added up; NULL if there was none.  It
+     may come without the rest, and stays until the order is replaced.  */
+  struct ms_rollout_report *rollouts;
+  unsigned rollouts_count;
+  uint64_t rollouts_author;
+  unsigned rollouts_sequence;
+  ms_time rollouts_heard;
 };
 
 /* Return whether the fleet is so large (more than 16 routers, heard or not)
@@ -146,17 +156,21 @@
   digest_zone zones[DIGEST_ZONES];
   digest_room rooms[DIGEST_ZONES];
   digest_flow flows[DIGEST_ZONES];
+  digest_zone_rollouts zone_rollouts[DIGEST_ZONES];
+  struct ms_rollout_list rollouts[DIGEST_ZONES];
 };
 void ms_fleet_put_zone_sums (const struct ms_fleet *fleet,
                              struct fleet_digest *digest,
                              struct ms_zone_list *list, ms_time now);
 
-/* The zone sums of this zone.  ZONE, ROOM and FLOW point to the arrays.  */
+/* The zone sums of this zone.  ZONE, ROOM, FLOW and ROLLOUTS point to the
+   arrays.  */
 struct ms_zone_sums
 {
   digest_zone zone;
   digest_room room;
   digest_flow flow;
+  digest_zone_rollouts rollouts;
   digest_load loads[DIGEST_LOADS];
   digest_load more_loads[DIGEST_MORE_LOADS];
   digest_team teams[DIGEST_TEAMS];
@@ -164,11 +178,13 @@
   u_int capacities[DIGEST_MEMBERS];
   digest_rate rates[DIGEST_RATES];
   digest_demand demands[DIGEST_DEMANDS];
+  struct ms_rollout_list rollout_list;
 };
 
-/* Fill SUMS with the zone sums of this zone, over its live routers.  OWN is
-   the digest of this router itself.  Entries beyond the sizes of the arrays
-   are left out.  */
+/* Fill SUMS with the zone sums of this zone, over its live routers; what they
+   report of orders also over those that are silent, and over earlier starts.
+   OWN is the digest of this router itself.  Entries beyond the sizes of the
+   arrays are left out.  */
 void ms_fleet_sum_zone (const struct ms_fleet *fleet,
                         const struct fleet_digest *own,
                         struct ms_zone_sums *sums, ms_time now);
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -115,10 +115,13 @@
   return reader ? reader : other;
 }
 
-/* Free the arrays of ZONE and set it to zero.  */
+/* Free the arrays of ZONE and set it to zero, but for what its routers report
+   of orders.  */
 static void
 clear_zone (struct ms_fleet_zone *zone)
 {
+  const struct ms_fleet_zone old = *zone;
+
   free (zone->loads);
   free (zone->more_loads);
   free (zone->teams);
@@ -126,14 +129,23 @@
   free (zone->demands);
   free (zone->ready);
   free (zone->capacities);
-  memset (zone, 0, sizeof *zone);
+  *zone = (struct ms_fleet_zone){
+    .rollouts = old.rollouts,
+    .rollouts_count = old.rollouts_count,
+    .rollouts_author = old.rollouts_author,
+    .rollouts_sequence = old.rollouts_sequence,
+    .rollouts_heard = old.rollouts_heard,
+  };
 }
 
 void
 ms_zones_free (struct ms_fleet *fleet)
 {
   for (unsigned i = 0; i < fleet->zones_count; i++)
-    clear_zone (&fleet->zones[i]);
+    {
+      clear_zone (&fleet->zones[i]);
+      free (fleet->zones[i].rollouts);
+    }
 }
 
 /* Return zone ID, which is added if it is unknown; NULL if the table is
@@ -216,6 +228,36 @@
                          now);
 }
 
+/* Update what is known of the orders of a zone from SUMS, as update_zone
+   does.  */
+static void
+update_rollouts (struct ms_fleet *fleet, const digest_zone_rollouts *sums,
+                 ms_time now)
+{
+  static struct ms_rollout_report reports[MS_ROLLOUTS];
+  struct ms_fleet_zone *zone;
+  unsigned count;
+
+  if (sums->zone == fleet->self.zone)
+    return;
+  zone = find_or_add_zone (fleet, sums->zone);
+  if (!zone
+      || (zone->rollouts && zone->rollouts_author == sums->author
+          && sums->sequence <= zone->rollouts_sequence
+          && now - zone->rollouts_heard < MS_ROUTER_SILENT_TIME))
+    return;
+  if (!zone->rollouts)
+    zone->rollouts = ms_new_array (MS_ROLLOUTS, sizeof *zone->rollouts);
+  zone->rollouts_author = sums->author;
+  zone->rollouts_sequence = sums->sequence;
+  zone->rollouts_heard = now;
+  count = ms_rollout_list_read (sums->rollouts.rollouts_val,
+                                sums->rollouts.rollouts_len, reports);
+  for (unsigned i = 0; i < count; i++)
+    ms_rollout_reports_update (zone->rollouts, &zone->rollouts_count,
+                               &reports[i]);
+}
+
 /* Return the room in DIGEST of its entry I of zones, NULL if it has none.  */
 static digest_room *
 zone_room (struct fleet_digest *digest, unsigned i)
@@ -243,6 +285,8 @@
   for (unsigned i = 0; i < digest->zones.zones_len; i++)
     update_zone (fleet, &digest->zones.zones_val[i], zone_room (digest, i),
                  zone_flow (digest, i), now);
+  for (unsigned i = 0; i < digest->zone_rollouts.zone_rollouts_len; i++)
+    update_rollouts (fleet, &digest->zone_rollouts.zone_rollouts_val[i], now);
 }
 
 const struct ms_fleet_zone *
@@ -252,6 +296,36 @@
   return fleet->zones;
 }
 
+/* Put what the COUNT ZONES report of orders into DIGEST.  */
+static void
+put_zone_rollouts (const struct ms_fleet_zone *zones, unsigned count,
+                   struct fleet_digest *digest, struct ms_zone_list *list,
+                   ms_time now)
+{
+  unsigned used = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      const struct ms_fleet_zone *z = &zones[i];
+
+      if (!z->rollouts_count
+          || now - z->rollouts_heard > MS_ROUTER_SILENT_TIME)
+        continue;
+      ms_rollout_list_fill (&list->rollouts[used], z->rollouts,
+                            z->rollouts_count, now - z->rollouts_heard);
+      list->zone_rollouts[used] = (digest_zone_rollouts){
+        .zone = z->id,
+        .author = z->rollouts_author,
+        .sequence = z->rollouts_sequence,
+        .rollouts
+        = { list->rollouts[used].count, list->rollouts[used].rollouts },
+      };
+      used++;
+    }
+  digest->zone_rollouts.zone_rollouts_val = list->zone_rollouts;
+  digest->zone_rollouts.zone_rollouts_len = used;
+}
+
 void
 ms_fleet_put_zone_sums (const struct ms_fleet *fleet,
                         struct fleet_digest *digest, struct ms_zone_list *list,
@@ -295,6 +369,7 @@
   digest->rooms.rooms_len = count;
   digest->flows.flows_val = list->flows;
   digest->flows.flows_len = count;
+  put_zone_rollouts (fleet->zones, zones_count, digest, list, now);
 }
 
 /* Return the mean of A and B, weighted by running requests; A if none run.  0
@@ -481,6 +556,43 @@
   sums->room.capacities.capacities_len = count + 1;
 }
 
+/* Fill in what SUMS has of orders.  OWN is the digest of this router.  */
+static void
+sum_rollouts (const struct ms_fleet *fleet, const struct fleet_digest *own,
+              struct ms_zone_sums *sums, ms_time now)
+{
+  static struct ms_rollout_report reports[MS_ROLLOUTS];
+  unsigned count = ms_rollout_list_read (own->rollouts.rollouts_val,
+                                         own->rollouts.rollouts_len, reports);
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      if (r->zone != fleet->self.zone)
+        continue;
+      for (unsigned j = 0; j < r->rollouts_count; j++)
+        {
+          struct ms_rollout_report report = r->rollouts[j];
+
+          /* One that has ended runs nothing any more.  */
+          if (!ms_fleet_alive (r, now))
+            report.running_old = 0;
+          ms_rollout_reports_add (reports, &count, &report,
+                                  r->heard ? now - r->heard : 0);
+        }
+    }
+  for (unsigned i = 0; i < fleet->ended_rollouts_count; i++)
+    ms_rollout_reports_add (reports, &count, &fleet->ended_rollouts[i], 0);
+  ms_rollout_list_fill (&sums->rollout_list, reports, count, 0);
+  sums->rollouts = (digest_zone_rollouts){
+    .zone = fleet->self.zone,
+    .author = fleet->self.id,
+    .sequence = fleet->sequence,
+    .rollouts = { sums->rollout_list.count, sums->rollout_list.rollouts },
+  };
+}
+
 void
 ms_fleet_sum_zone (const struct ms_fleet *fleet,
                    const struct fleet_digest *own, struct ms_zone_sums *sums,
@@ -539,6 +651,7 @@
   if (inverse > 0)
     sums->room.level
         = (unsigned)fmin (sums->room.routers / inverse, UINT32_MAX);
+  sum_rollouts (fleet, own, sums, now);
 }
 
 /* Return whether R, a router of another zone, is to be sent the zone sums of
