--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -149,11 +149,12 @@
 	u_quad_t zone;
 	u_int answers;
 	u_int failed;
+	u_int timed;
 	u_int slow;
 	u_int other_answers;
 	u_int other_failed;
+	u_int other_timed;
 	u_int other_slow;
-	u_int timed;
 	float log_ratio;
 };
 typedef struct digest_evidence digest_evidence;
@@ -175,6 +176,7 @@
 	u_int sent;
 	u_int other_sent;
 	u_int running_old;
+	u_int unmoved;
 	struct {
 		u_int evidence_len;
 		digest_evidence *evidence_val;
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -143,14 +143,16 @@
 {
   unsigned hyper route;
   unsigned hyper zone;
-  unsigned int answers; /* That ran; FAILED and SLOW are part of them.  */
+  unsigned int answers; /* That ran; FAILED and TIMED are part of them.  */
   unsigned int failed;
+  unsigned int timed; /* Have a ratio; SLOW is part of them.  */
   unsigned int slow;
   unsigned int other_answers;
   unsigned int other_failed;
+  unsigned int other_timed;
   unsigned int other_slow;
-  unsigned int timed; /* Answers of the others that have a ratio.  */
-  float log_ratio;    /* Recent mean of its natural logarithm.  */
+  float log_ratio; /* Recent mean of the natural logarithm of the ratios of the
+                      others.  */
 };
 
 /* Bad answers of an endpoint of the ordered version.  */
@@ -174,12 +176,12 @@
   unsigned int sent;        /* Requests to the ordered version.  */
   unsigned int other_sent;  /* To the others.  */
   unsigned int running_old; /* Requests in progress at the others.  */
+  unsigned int unmoved;     /* Routers that may still send requests there.  */
   digest_evidence evidence<DIGEST_EVIDENCE>;
   digest_suspect suspects<DIGEST_SUSPECTS>;
 };
 
-/* The same of a zone, added up over its routers and their earlier starts by
-   one of its readers.  */
+/* The same of a zone, added up over its routers by one of its readers.  */
 struct digest_zone_rollouts
 {
   unsigned hyper zone;
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -319,31 +319,34 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->zone))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->answers))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->other_answers))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->other_failed))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->other_slow))
+			 if (!xdr_u_int (xdrs, &objp->other_timed))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->timed))
+			 if (!xdr_u_int (xdrs, &objp->other_slow))
 				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->answers);
 		IXDR_PUT_U_LONG(buf, objp->failed);
+		IXDR_PUT_U_LONG(buf, objp->timed);
 		IXDR_PUT_U_LONG(buf, objp->slow);
 		IXDR_PUT_U_LONG(buf, objp->other_answers);
 		IXDR_PUT_U_LONG(buf, objp->other_failed);
+		IXDR_PUT_U_LONG(buf, objp->other_timed);
 		IXDR_PUT_U_LONG(buf, objp->other_slow);
-		IXDR_PUT_U_LONG(buf, objp->timed);
 		}
 		 if (!xdr_float (xdrs, &objp->log_ratio))
 			 return FALSE;
@@ -353,31 +356,34 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->zone))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->answers))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->other_answers))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->other_failed))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->other_slow))
+			 if (!xdr_u_int (xdrs, &objp->other_timed))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->timed))
+			 if (!xdr_u_int (xdrs, &objp->other_slow))
 				 return FALSE;
 
 		} else {
 		objp->answers = IXDR_GET_U_LONG(buf);
 		objp->failed = IXDR_GET_U_LONG(buf);
+		objp->timed = IXDR_GET_U_LONG(buf);
 		objp->slow = IXDR_GET_U_LONG(buf);
 		objp->other_answers = IXDR_GET_U_LONG(buf);
 		objp->other_failed = IXDR_GET_U_LONG(buf);
+		objp->other_timed = IXDR_GET_U_LONG(buf);
 		objp->other_slow = IXDR_GET_U_LONG(buf);
-		objp->timed = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_float (xdrs, &objp->log_ratio))
 			 return FALSE;
@@ -392,15 +398,17 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->failed))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timed))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slow))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->other_answers))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->other_failed))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->other_slow))
+	 if (!xdr_u_int (xdrs, &objp->other_timed))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->timed))
+	 if (!xdr_u_int (xdrs, &objp->other_slow))
 		 return FALSE;
 	 if (!xdr_float (xdrs, &objp->log_ratio))
 		 return FALSE;
@@ -432,7 +440,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->order))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->software))
 				 return FALSE;
@@ -448,6 +456,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running_old))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unmoved))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->software);
@@ -457,6 +467,7 @@
 		IXDR_PUT_U_LONG(buf, objp->sent);
 		IXDR_PUT_U_LONG(buf, objp->other_sent);
 		IXDR_PUT_U_LONG(buf, objp->running_old);
+		IXDR_PUT_U_LONG(buf, objp->unmoved);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
 			sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
@@ -470,7 +481,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->order))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->software))
 				 return FALSE;
@@ -486,6 +497,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running_old))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unmoved))
+				 return FALSE;
 
 		} else {
 		objp->software = IXDR_GET_U_LONG(buf);
@@ -495,6 +508,7 @@
 		objp->sent = IXDR_GET_U_LONG(buf);
 		objp->other_sent = IXDR_GET_U_LONG(buf);
 		objp->running_old = IXDR_GET_U_LONG(buf);
+		objp->unmoved = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
 			sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
@@ -523,6 +537,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running_old))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unmoved))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
 		sizeof (digest_evidence), (xdrproc_t) xdr_digest_evidence))
 		 return FALSE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -73,38 +73,6 @@
   router->demands_count = 0;
 }
 
-/* Keep what ROUTER, which has started again, had reported of orders, since the
-   sums of its zone only grow.  */
-static void
-keep_rollouts (struct ms_fleet *fleet, struct ms_fleet_router *router,
-               ms_time now)
-{
-  if (router->zone != fleet->self.zone || !router->rollouts_count)
-    return;
-  if (!fleet->ended_rollouts)
-    fleet->ended_rollouts
-        = ms_new_array (MS_ROLLOUTS, sizeof *fleet->ended_rollouts);
-  for (unsigned i = 0; i < router->rollouts_count; i++)
-    {
-      struct ms_rollout_report *r = &router->rollouts[i];
-      unsigned j = 0;
-
-      r->running_old = 0;
-      /* An earlier order for the service is of no use any more.  */
-      while (j < fleet->ended_rollouts_count)
-        if (fleet->ended_rollouts[j].service == r->service
-            && fleet->ended_rollouts[j].order != r->order)
-          fleet->ended_rollouts[j]
-              = fleet->ended_rollouts[--fleet->ended_rollouts_count];
-        else
-          j++;
-      ms_rollout_reports_add (fleet->ended_rollouts,
-                              &fleet->ended_rollouts_count, r,
-                              router->heard ? now - router->heard : 0);
-    }
-  router->rollouts_count = 0;
-}
-
 /* Take what the digest D reports of orders to its sender, ROUTER.  */
 static void
 take_rollouts (struct ms_fleet_router *router, const struct fleet_digest *d)
@@ -144,7 +112,6 @@
   for (unsigned i = 0; i < fleet->count; i++)
     free_arrays (&fleet->routers[i]);
   free (fleet->routers);
-  free (fleet->ended_rollouts);
   ms_zones_free (fleet);
   free (fleet);
 }
@@ -236,7 +203,7 @@
   router = find_or_add (fleet, id, now);
   if (!router || incarnation <= router->incarnation)
     return;
-  keep_rollouts (fleet, router, now);
+  router->rollouts_count = 0;
   router->incarnation = incarnation;
   router->sequence = 0;
   router->zone = zone;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -130,7 +130,7 @@
   unsigned *capacities;
   unsigned capacities_count;
   /* What its routers report of orders, added up; NULL if there was none.  It
-     may come without the rest, and stays until the order is replaced.  */
+     may come without the rest.  */
   struct ms_rollout_report *rollouts;
   unsigned rollouts_count;
   uint64_t rollouts_author;
@@ -182,9 +182,9 @@
 };
 
 /* Fill SUMS with the zone sums of this zone, over its live routers; what they
-   report of orders also over those that are silent, and over earlier starts.
-   OWN is the digest of this router itself.  Entries beyond the sizes of the
-   arrays are left out.  */
+   report of orders also over those that are silent, since they may go on.  OWN
+   is the digest of this router itself.  Entries beyond the sizes of the arrays
+   are left out.  */
 void ms_fleet_sum_zone (const struct ms_fleet *fleet,
                         const struct fleet_digest *own,
                         struct ms_zone_sums *sums, ms_time now);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -35,10 +35,6 @@
   unsigned next_member; /* Next router to mention in a digest, modulo count. */
   struct ms_fleet_zone zones[DIGEST_ZONES];
   unsigned zones_count;
-  /* What earlier starts of this zone's routers had reported of orders; NULL if
-     there was none.  */
-  struct ms_rollout_report *ended_rollouts;
-  unsigned ended_rollouts_count;
 };
 
 /* Return how many other routers of ZONE come before its router ID in the order
--- a/src/fleet/rollouts.h
+++ b/src/fleet/rollouts.h
@@ -22,8 +22,8 @@
                            unsigned count, ms_time elapsed);
 
 /* Decode COUNT ROLLOUTS of a digest into REPORTS, which has space for
-   MS_ROLLOUTS.  Numbers that contradict each other are bounded, reports of an
-   unknown phase left out.  Return the number of reports.  */
+   MS_ROLLOUTS; ms_rollouts_merge checks their values.  Return the number of
+   reports.  */
 unsigned ms_rollout_list_read (const digest_rollout *rollouts, unsigned count,
                                struct ms_rollout_report *reports);
 
@@ -34,12 +34,4 @@
                              const struct ms_rollout_report *report,
                              ms_time elapsed);
 
-/* Replace what is known of a source, the *COUNT REPORTS, by UPDATE, a report
-   of it.  Its counts only grow: sums over fewer routers, such as those of an
-   author that has just started, do not lower them.  An earlier order for the
-   service is dropped.  */
-void ms_rollout_reports_update (struct ms_rollout_report *reports,
-                                unsigned *count,
-                                const struct ms_rollout_report *update);
-
 #endif
--- a/src/fleet/zones.c
+++ b/src/fleet/zones.c
@@ -234,9 +234,7 @@
 update_rollouts (struct ms_fleet *fleet, const digest_zone_rollouts *sums,
                  ms_time now)
 {
-  static struct ms_rollout_report reports[MS_ROLLOUTS];
   struct ms_fleet_zone *zone;
-  unsigned count;
 
   if (sums->zone == fleet->self.zone)
     return;
@@ -251,11 +249,9 @@
   zone->rollouts_author = sums->author;
   zone->rollouts_sequence = sums->sequence;
   zone->rollouts_heard = now;
-  count = ms_rollout_list_read (sums->rollouts.rollouts_val,
-                                sums->rollouts.rollouts_len, reports);
-  for (unsigned i = 0; i < count; i++)
-    ms_rollout_reports_update (zone->rollouts, &zone->rollouts_count,
-                               &reports[i]);
+  zone->rollouts_count
+      = ms_rollout_list_read (sums->rollouts.rollouts_val,
+                              sums->rollouts.rollouts_len, zone->rollouts);
 }
 
 /* Return the room in DIGEST of its entry I of zones, NULL if it has none.  */
@@ -575,15 +571,13 @@
         {
           struct ms_rollout_report report = r->rollouts[j];
 
-          /* One that has ended runs nothing any more.  */
+          /* Whether it still runs is not known.  */
           if (!ms_fleet_alive (r, now))
-            report.running_old = 0;
+            report.running_old = report.unmoved = 0;
           ms_rollout_reports_add (reports, &count, &report,
                                   r->heard ? now - r->heard : 0);
         }
     }
-  for (unsigned i = 0; i < fleet->ended_rollouts_count; i++)
-    ms_rollout_reports_add (reports, &count, &fleet->ended_rollouts[i], 0);
   ms_rollout_list_fill (&sums->rollout_list, reports, count, 0);
   sums->rollouts = (digest_zone_rollouts){
     .zone = fleet->self.zone,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -454,6 +454,171 @@
   ms_fleet_destroy (fleet);
 }
 
+/* Let FLEET receive a digest of router ID in zone A that reports an order with
+   SENT requests, AGE and one failure on ROUTE.  */
+static void
+receive_rollout (struct ms_fleet *fleet, uint64_t id, uint64_t incarnation,
+                 unsigned sequence, uint32_t sent, uint64_t route, ms_time age,
+                 ms_time now)
+{
+  static struct ms_rollout_list list;
+  struct ms_rollout_report report = {
+    .service = 50,
+    .order = 60,
+    .version = 70,
+    .age = age,
+    .phase = MS_ROLLOUT_CANARY,
+    .sent = { sent, 10 * sent },
+    .running_old = 2,
+    .unmoved = 1,
+    .strata_count = 1,
+    .strata
+    = { { route, ZONE_A, { 3, 30 }, { 1, 0 }, { 2, 20 }, { 1, 0 }, 0.5F } },
+    .suspects_count = 1,
+    .suspects = { { 80, 3, 1 } },
+  };
+  struct fleet_digest sent_digest = { 0 };
+  struct fleet_digest received;
+  char data[4096];
+  unsigned length;
+
+  ms_rollout_list_fill (&list, &report, 1, 0);
+  sent_digest.self
+      = (digest_member){ id, incarnation, ZONE_A, FIRST_IP + (u_int)id };
+  sent_digest.sequence = sequence;
+  sent_digest.rollouts.rollouts_val = list.rollouts;
+  sent_digest.rollouts.rollouts_len = list.count;
+  length = ms_digest_encode (&sent_digest, data, sizeof data);
+  assert_true (length > 0);
+  assert_true (ms_digest_decode (data, length, &received));
+  assert_true (ms_fleet_receive (fleet, &received, now));
+  ms_digest_free (&received);
+}
+
+/* Send the sums of orders of the zone of FROM, or those that it has of other
+   zones, to TO.  Return the number of zones sent.  */
+static unsigned
+send_rollouts (struct ms_fleet *from, struct ms_fleet *to, bool of_others,
+               ms_time now)
+{
+  static struct ms_zone_sums sums;
+  static struct ms_zone_list list;
+  static char data[65000];
+  struct fleet_digest digest = { 0 };
+  struct fleet_digest received;
+  digest_member members[DIGEST_MEMBERS];
+  unsigned length;
+  unsigned count;
+
+  ms_fleet_fill_digest (from, &digest, members, now);
+  if (of_others)
+    ms_fleet_put_zone_sums (from, &digest, &list, now);
+  else
+    {
+      ms_fleet_sum_zone (from, &digest, &sums, now);
+      digest.zone_rollouts.zone_rollouts_val = &sums.rollouts;
+      digest.zone_rollouts.zone_rollouts_len = 1;
+    }
+  count = digest.zone_rollouts.zone_rollouts_len;
+  length = ms_digest_encode (&digest, data, sizeof data);
+  assert_true (length > 0);
+  assert_true (ms_digest_decode (data, length, &received));
+  ms_fleet_receive (to, &received, now);
+  ms_digest_free (&received);
+  return count;
+}
+
+/* Guards against a fleet of several zones whose routers compare versions by
+   the answers of their own zone only: what routers report of an order is added
+   up by zone, and passed on within the others.  One that is silent still
+   counts with its answers, not with what it runs.  */
+static void
+test_zone_sums_have_reports_of_rollouts (void **state)
+{
+  struct ms_fleet *from = create_fleet ();
+  struct ms_fleet *reader
+      = ms_fleet_create (200, 1, ZONE_B, parse_ip ("10.0.0.200"), 1, 0);
+  struct ms_fleet *other
+      = ms_fleet_create (201, 1, ZONE_B, parse_ip ("10.0.0.201"), 1, 0);
+  const struct ms_fleet_zone *zone;
+  const struct ms_rollout_report *r;
+  ms_time now = 10 * MS_SEC;
+  unsigned count;
+
+  (void)state;
+  receive_rollout (from, 1, 5, 1, 4, 90, MS_SEC, now - 2 * MS_SEC);
+  receive_rollout (from, 2, 5, 1, 5, 91, 2 * MS_SEC, now);
+  receive_rollout (from, 3, 5, 1, 6, 90, -1, now);
+  /* It has started again.  */
+  receive_rollout (from, 3, 6, 1, 1, 90, -1, now);
+  assert_int_equal (send_rollouts (from, reader, false, now), 1);
+  assert_int_equal (send_rollouts (reader, other, true, now + MS_SEC / 2), 1);
+  zone = ms_fleet_zones (other, &count);
+  assert_int_equal (count, 1);
+  assert_int_equal (zone->id, ZONE_A);
+  assert_int_equal (zone->rollouts_count, 1);
+  r = zone->rollouts;
+  assert_int_equal (r->service, 50);
+  assert_int_equal (r->order, 60);
+  assert_int_equal (r->version, 70);
+  assert_int_equal (r->age, 3 * MS_SEC + MS_SEC / 2);
+  assert_int_equal (r->phase, MS_ROLLOUT_CANARY);
+  assert_int_equal (r->sent[0], 10);
+  assert_int_equal (r->sent[1], 100);
+  assert_int_equal (r->running_old, 4);
+  assert_int_equal (r->unmoved, 2);
+  assert_int_equal (r->strata_count, 2);
+  assert_int_equal (r->strata[0].answers[0], 6);
+  assert_int_equal (r->strata[0].timed[1], 40);
+  assert_int_equal (r->suspects[0].answers, 9);
+  ms_fleet_destroy (from);
+  ms_fleet_destroy (reader);
+  ms_fleet_destroy (other);
+}
+
+/* Routers of the version before do not send rollouts; without an order, new
+   ones send two empty lists.  */
+static void
+test_digest_without_rollouts_is_read (void **state)
+{
+  struct fleet_digest sent = { .known_for = 4321 };
+  struct fleet_digest received;
+  char data[1024];
+  unsigned length = ms_digest_encode (&sent, data, sizeof data);
+
+  (void)state;
+  assert_true (ms_digest_decode (data, length - 8, &received));
+  assert_int_equal (received.known_for, 4321);
+  assert_int_equal (received.rollouts.rollouts_len, 0);
+  assert_int_equal (received.zone_rollouts.zone_rollouts_len, 0);
+  ms_digest_free (&received);
+}
+
+/* A report that contradicts itself is not passed on to other zones, where it
+   would hide the sound ones of its zone.  */
+static void
+test_absurd_reports_of_rollouts_are_not_added (void **state)
+{
+  struct ms_rollout_report reports[MS_ROLLOUTS];
+  struct ms_rollout_report sound = { .service = 50,
+                                     .order = 60,
+                                     .phase = MS_ROLLOUT_CANARY,
+                                     .sent = { 4, 40 },
+                                     .strata_count = 1,
+                                     .strata = { { .answers = { 4, 40 } } } };
+  struct ms_rollout_report absurd = sound;
+  unsigned count = 0;
+
+  (void)state;
+  absurd.strata[0].failed[0] = 5;
+  ms_rollout_reports_add (reports, &count, &absurd, 0);
+  assert_int_equal (count, 0);
+  ms_rollout_reports_add (reports, &count, &sound, 0);
+  ms_rollout_reports_add (reports, &count, &absurd, 0);
+  assert_int_equal (count, 1);
+  assert_int_equal (reports[0].strata[0].answers[0], 4);
+}
+
 static void
 test_malformed_digest_is_rejected (void **state)
 {
@@ -537,6 +702,9 @@
     cmocka_unit_test (test_zone_sums_hold_all_endpoints),
     cmocka_unit_test (test_zone_sums_name_all_routers),
     cmocka_unit_test (test_quiet_digests_name_one_other),
+    cmocka_unit_test (test_zone_sums_have_reports_of_rollouts),
+    cmocka_unit_test (test_digest_without_rollouts_is_read),
+    cmocka_unit_test (test_absurd_reports_of_rollouts_are_not_added),
     cmocka_unit_test (test_malformed_digest_is_rejected),
     cmocka_unit_test (test_gone_routers_keep_neither_share_nor_room),
     cmocka_unit_test (test_only_gone_routers_are_removed),
