Placement: versions of rollouts, endpoints of a canary, usual times

An offer names versions that it excludes, and whether only the endpoints of a canary are meant; these are marked when the caller says, by turns of zones. A version may be held. The prediction for the comparison of versions leaves out what an endpoint is slower than usual, and shared parts that it was never sent.

--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -29,11 +29,11 @@
    what endpoints run on average.  */
 #define IDLE_FRACTION 0.5
 
-/* Return whether the operators and the endpoint itself let E have requests. */
-static bool
-is_in_service (const struct ms_place *place, const struct ms_endpoint_state *e)
+bool
+ms_place_in_service (const struct ms_place *place,
+                     const struct ms_endpoint_state *e)
 {
-  return e->listed && !ms_place_is_leaving (e)
+  return e->listed && !e->held && !ms_place_is_leaving (e)
          && !ms_place_zone_evacuated (place, e->entry.zone);
 }
 
@@ -43,7 +43,7 @@
 is_available (const struct ms_place *place, const struct ms_endpoint_state *e,
               ms_time now)
 {
-  return is_in_service (place, e) && now >= e->down_until
+  return ms_place_in_service (place, e) && now >= e->down_until
          && now >= e->paused_until && (!e->failures || !e->probing);
 }
 
@@ -59,7 +59,7 @@
                        ms_time placed_at, ms_time now)
 {
   ms_cold_forget (e, placed_at);
-  if (!is_in_service (place, e) || now < e->paused_until
+  if (!ms_place_in_service (place, e) || now < e->paused_until
       || !ms_cold_allows (place, e, now))
     return false;
   ms_cold_record (e, now);
@@ -70,8 +70,13 @@
 static bool
 is_candidate (const struct ms_offer *offer, const struct ms_endpoint_state *e)
 {
-  return e->entry.service == offer->service
-         && (!offer->version || e->entry.version == offer->version);
+  if (e->entry.service != offer->service)
+    return false;
+  for (unsigned i = 0; i < MS_MAX_EXCEPT; i++)
+    if (offer->except[i] && e->entry.version == offer->except[i])
+      return false;
+  return (!offer->version || e->entry.version == offer->version)
+         && (!offer->canary || e->in_canary);
 }
 
 static bool
@@ -179,13 +184,13 @@
   return shared < offer->prompt_tokens ? offer->prompt_tokens - shared : 1;
 }
 
-/* Predict the time until E would send the first token of a request with
-   UNCACHED tokens to prefill, or the response if E runs no model.  A model
-   endpoint prefills in turn what all routers have sent it; a plain one is
-   slower once its slots are full.  */
-static ms_time
-expected_time (const struct ms_place *place, const struct ms_endpoint_state *e,
-               const struct ms_service_entry *service, uint32_t uncached)
+/* Predict the time until E, if it were as fast as usual, would send the first
+   token of a request with UNCACHED tokens to prefill, or the response if E
+   runs no model.  A model endpoint prefills in turn what all routers have sent
+   it; a plain one is slower once its slots are full.  */
+static double
+usual_time (const struct ms_place *place, const struct ms_endpoint_state *e,
+            const struct ms_service_entry *service, uint32_t uncached)
 {
   const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
@@ -200,7 +205,7 @@
   else
     ms = ms_speed_response_ms (place, service->id)
          * (running < slots ? 1.0 : 1.0 + (running - slots + 1.0) / slots);
-  return (ms_time)(ms * e->slowness * MS_MSEC);
+  return ms * MS_MSEC;
 }
 
 /* Return whether E has free capacity for the request: a plain endpoint a slot
@@ -239,13 +244,23 @@
          const struct ms_service_entry *service, const struct ms_offer *offer,
          const struct homes *homes, ms_time now, struct ms_fit *f)
 {
+  bool fresh = offer->fresh && e->entry.version == offer->fresh;
+  uint32_t missing = 0;
+  double usual;
+
   f->home = e == homes->first ? 1 : e == homes->second ? 2 : 0;
-  f->duplicate = f->home ? 0 : missing_shared_tokens (place, e, offer, now);
+  if (!f->home || fresh)
+    missing = missing_shared_tokens (place, e, offer, now);
+  f->duplicate = f->home ? 0 : missing;
   f->uncached = unshared_tokens (offer) + f->duplicate;
   f->crossing = e->entry.zone == place->options.zone
                     ? 0
                     : crossing_tokens (place, offer);
-  f->expected = expected_time (place, e, service, f->uncached);
+  usual = usual_time (place, e, service, f->uncached);
+  f->expected = (ms_time)(usual * e->slowness);
+  if (f->home && missing)
+    usual = usual_time (place, e, service, f->uncached + missing);
+  f->usual = (ms_time)usual;
 }
 
 /* Return whether E is so lightly loaded that it may prefill shared parts that
@@ -297,7 +312,7 @@
 
       if (!is_candidate (offer, e))
         continue;
-      if (now < e->paused_until && is_in_service (place, e)
+      if (now < e->paused_until && ms_place_in_service (place, e)
           && e->paused_until < resume_at)
         resume_at = e->paused_until;
       if (was_tried (offer, e) || !ms_place_may_send (place, e, now))
--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -12,6 +12,10 @@
    because the delay from send to arrival varies.  */
 #define COLD_WINDOW (1100 * MS_MSEC)
 
+/* How long an endpoint may still be slower than usual after it was cold, or
+   was first listed: its caches fill.  */
+#define WARM_UP_TIME (1 * MS_SEC)
+
 /* Sends that are remembered for each endpoint.  More sends could not be
    counted, so a router sends no more than this in a window.  */
 #define COLD_SENDS_SIZE                                                       \
@@ -64,6 +68,15 @@
   return recent < quota && recent < COLD_SENDS_SIZE;
 }
 
+bool
+ms_place_is_warming (const struct ms_place *place,
+                     const struct ms_endpoint_state *endpoint, ms_time now)
+{
+  return now < endpoint->cold_until + WARM_UP_TIME
+         || now < endpoint->started_at + WARM_UP_TIME
+         || now < place->all_cold_until;
+}
+
 void
 ms_cold_record (struct ms_endpoint_state *endpoint, ms_time now)
 {
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -106,6 +106,10 @@
 /* Return whether ZONE is evacuated, so that it gets no new work.  */
 bool ms_place_zone_evacuated (const struct ms_place *place, uint64_t zone);
 
+/* Return whether the operators and the endpoint itself let E have requests. */
+bool ms_place_in_service (const struct ms_place *place,
+                          const struct ms_endpoint_state *e);
+
 /* Return whether this router may send a request to ENDPOINT now without
    exceeding its share of the rate limit for cold endpoints; true for a warm
    endpoint.  */
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -245,6 +245,21 @@
   e->pace_measured_at = now;
 }
 
+double
+ms_place_usual_pace (const struct ms_place *place,
+                     const struct ms_endpoint_state *e)
+{
+  const struct ms_place_speed *speed = &place->options.speed;
+  const struct ms_service_entry *service
+      = place->routes ? ms_routes_service (place->routes, e->entry.service)
+                      : NULL;
+  unsigned running = e->own.running + e->others.running;
+
+  if (!service || !service->model || !service->tokens_per_event)
+    return 0;
+  return (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
+}
+
 /* E has answered: clear its failures to be reached, if any.  */
 static void
 note_reached (struct ms_endpoint_state *e, ms_time now)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -144,6 +144,8 @@
     e = add_endpoint (place, id);
   if (e->entry.born != entry->born)
     reset_history (e);
+  if (!e->started_at || e->entry.born != entry->born)
+    e->started_at = now;
   /* An entry that an older copy of the store has.  */
   if (e->entry.leaving && !entry->leaving && entry->born
       && e->entry.born == entry->born)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -64,11 +64,14 @@
   uint64_t id; /* ms_id of the name in the entry.  */
   struct ms_endpoint_entry entry;
   bool listed;           /* The endpoint list names it.  */
+  bool held;             /* Not to be used yet, whatever else is known.  */
+  bool in_canary;        /* Among those to which offers with CANARY go.  */
   bool known_leaving;    /* By an answer or an earlier entry.  */
   unsigned references;   /* Attempts and connections that point to it.  */
   struct ms_load own;    /* Sent by this router.  Here and in others, pace and
                             limit stay 0; they are fields below.  */
   struct ms_load others; /* Reported by the other routers, in total.  */
+  ms_time started_at; /* When its start was first listed, to this router.  */
   ms_time cold_until;
   ms_time cold_sends[8]; /* Ring of the times of the last sends; 0 if there
                             were fewer.  */
@@ -99,6 +102,9 @@
   void *attachment;    /* Owned by the gateway: its connection pool.  */
 };
 
+/* Versions that an offer can exclude.  */
+#define MS_MAX_EXCEPT 3
+
 /* A request to be placed.  The arrays are borrowed for the call.  */
 struct ms_offer
 {
@@ -113,6 +119,11 @@
   struct ms_endpoint_state *const *tried; /* Endpoints not to try again.  */
   bool alone; /* It may crash its endpoint: prefer the least busy one.  */
   uint32_t version; /* Only endpoints of this version; 0 for any.  */
+  bool canary;      /* Of these, only those that are in_canary.  */
+  uint32_t except[MS_MAX_EXCEPT]; /* No endpoints of these versions; 0 for
+                                     none.  */
+  uint32_t fresh; /* A version whose endpoints may lack shared parts that
+                     others have; 0 for none.  */
 };
 
 enum ms_place_result
@@ -141,6 +152,9 @@
                         second, 0 if neither.  */
   ms_time expected;  /* Time from the send to the first token, or to the
                         response of an endpoint that runs no model.  */
+  ms_time usual;     /* The same at an endpoint as fast as usual, to compare
+                        versions by.  One of the offer's FRESH version is taken
+                        to hold only the parts that this router has sent it.  */
 };
 
 struct ms_choice
@@ -312,6 +326,47 @@
 /* Whether ENDPOINT is about to end, by its entry or by what it said.  */
 bool ms_place_is_leaving (const struct ms_endpoint_state *endpoint);
 
+/* Whether ENDPOINT counts as cold or was first listed lately, so that it may
+   still be slower than it will be.  */
+bool ms_place_is_warming (const struct ms_place *place,
+                          const struct ms_endpoint_state *endpoint,
+                          ms_time now);
+
+/* Return the microseconds for each token that a model endpoint as fast as
+   usual takes with the requests that ENDPOINT runs; 0 if that runs no model.
+ */
+double ms_place_usual_pace (const struct ms_place *place,
+                            const struct ms_endpoint_state *endpoint);
+
+/* Which endpoints of a version a canary uses: by turns of their zones those
+   with the lowest MARK, the same ones at all routers that mark alike.  */
+struct ms_canary
+{
+  uint64_t service;
+  uint32_t version;
+  unsigned size; /* How many of the usable ones; 0 for all.  */
+  /* Returns the mark of the endpoint or zone ID.  */
+  uint64_t (*mark) (const void *context, uint64_t service, uint64_t id);
+  const void *context;
+};
+
+/* Set in_canary of the endpoints of CANARY's version.  */
+void ms_place_set_canary (struct ms_place *place,
+                          const struct ms_canary *canary, ms_time now);
+
+/* Endpoints of a version of a service, and of its other versions.  */
+struct ms_version_use
+{
+  unsigned usable;            /* Of the version.  */
+  unsigned others;            /* Listed, of the other versions.  */
+  unsigned running_here;      /* Requests of this router at the others, */
+  unsigned running_elsewhere; /* and of the other routers.  */
+};
+
+struct ms_version_use ms_place_version_use (const struct ms_place *place,
+                                            uint64_t service, uint32_t version,
+                                            ms_time now);
+
 /* Evacuate ZONE if OUT, so that its endpoints get no new work; otherwise use
    it again and treat its endpoints as cold for the cold time of their service.
    At most 16 zones can be evacuated at once; the evacuation of a further one
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -747,6 +747,201 @@
                < 0.6 * use_of_busy_endpoints (12, 5, 0));
 }
 
+/* Guards against requests at a version that the fleet keeps them from, at one
+   that is held, or outside of the endpoints that a canary uses.  */
+static void
+test_offers_keep_to_their_versions (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_offer offer = long_prompt ();
+  struct ms_choice choice;
+  ms_time now = MS_SEC;
+
+  (void)state;
+  for (unsigned i = 0; i < 12; i++)
+    {
+      struct ms_endpoint_state *e
+          = put_endpoint (place, i, MODEL, ZONE_A, 0, 0);
+
+      e->entry.version = 1 + i % 3;
+      e->in_canary = i == 4;
+      e->held = i % 3 == 2;
+    }
+  for (unsigned i = 0; i < 40; i++)
+    {
+      struct ms_load load;
+
+      offer.except[2] = 1 + i % 2;
+      ms_place_choose (place, &offer, now, &choice);
+      assert_int_equal (choice.usable, 4);
+      assert_int_equal (choice.endpoint->entry.version, 2 - i % 2);
+      ms_place_sent (place, &offer, &choice, &load, now);
+    }
+  offer.except[0] = 2;
+  offer.except[2] = 1;
+  ms_place_choose (place, &offer, now, &choice);
+  assert_int_equal (choice.result, MS_PLACE_NONE);
+  memset (offer.except, 0, sizeof offer.except);
+  offer.version = 2;
+  offer.canary = true;
+  ms_place_choose (place, &offer, now, &choice);
+  assert_int_equal (choice.usable, 1);
+  assert_string_equal (choice.endpoint->entry.id.data, "e4");
+  offer.canary = false;
+  offer.version = 3;
+  ms_place_choose (place, &offer, now, &choice);
+  assert_int_equal (choice.result, MS_PLACE_NONE);
+  ms_place_destroy (place);
+}
+
+/* Guards against a good version that looks slow since its endpoints have to
+   read shared parts for the first time, and against a slow one that looks good
+   since routers know it to be slow.  */
+static void
+test_usual_time_is_of_an_endpoint_with_an_empty_cache (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_offer offer = long_prompt ();
+  struct ms_choice assumed, fresh, sent;
+  struct ms_load load;
+  struct ms_endpoint_state *e = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+
+  (void)state;
+  e->entry.version = 2;
+  ms_place_choose (place, &offer, MS_SEC, &assumed);
+  offer.fresh = 2;
+  ms_place_choose (place, &offer, MS_SEC, &fresh);
+  /* 5500 tokens of shared parts at 100 a ms.  */
+  assert_int_equal (fresh.fit.usual, assumed.fit.usual + 55 * MS_MSEC);
+  assert_int_equal (fresh.fit.expected, assumed.fit.expected);
+  ms_place_sent (place, &offer, &fresh, &load, MS_SEC);
+  ms_place_ended (place, e, &load, MS_END_GOOD, MS_SEC);
+  ms_place_choose (place, &offer, 2 * MS_SEC, &sent);
+  assert_int_equal (sent.fit.usual, assumed.fit.usual);
+  e->slowness = 3;
+  ms_place_choose (place, &offer, 2 * MS_SEC, &sent);
+  assert_int_equal (sent.fit.usual, assumed.fit.usual);
+  assert_int_equal (sent.fit.expected, 3 * assumed.fit.expected);
+  ms_place_destroy (place);
+}
+
+static uint64_t
+mark (const void *context, uint64_t service, uint64_t id)
+{
+  return ms_id_pair (service + *(const uint64_t *)context, id);
+}
+
+/* Return which endpoints, as bits, of version 2 a canary of SIZE uses, at a
+   router that learns of them in an order that depends on FIRST.  Those with
+   bits in DOWN are not usable.  */
+static unsigned
+canary_of (unsigned size, unsigned first, unsigned down)
+{
+  static const uint64_t order = 77;
+  const struct ms_canary canary = { .service = MODEL,
+                                    .version = 2,
+                                    .size = size,
+                                    .mark = mark,
+                                    .context = &order };
+  struct ms_place *place = create_place ();
+  unsigned used = 0;
+
+  for (unsigned i = 0; i < 24; i++)
+    {
+      unsigned n = (first + i) % 24;
+      struct ms_endpoint_state *e
+          = put_endpoint (place, n, MODEL, n % 4 < 2 ? ZONE_A : ZONE_B, 0, 0);
+
+      e->entry.version = 1 + n % 2;
+      e->entry.leaving = down >> n & 1;
+      e->in_canary = true;
+    }
+  ms_place_set_canary (place, &canary, MS_SEC);
+  for (unsigned n = 0; n < 24; n++)
+    {
+      char name[8];
+
+      snprintf (name, sizeof name, "e%u", n);
+      if (ms_place_find (place, ms_id (ms_str (name)))->in_canary && n % 2)
+        used |= 1u << n;
+    }
+  ms_place_destroy (place);
+  return used;
+}
+
+/* Guards against routers that each use other endpoints for the canary, so that
+   none has the load under which a fault shows, and against one zone that has
+   all of them.  */
+static void
+test_routers_use_the_same_endpoints_for_a_canary (void **state)
+{
+  /* Endpoints of version 2 are 1, 3 and so on; those of zone B 3, 7...  */
+  const unsigned zone_b = 0x888888;
+  const unsigned all = 0xaaaaaa;
+  unsigned four = canary_of (4, 0, 0);
+  unsigned one = 1u << __builtin_ctz (four);
+
+  (void)state;
+  assert_int_equal (__builtin_popcount (four), 4);
+  assert_int_equal (__builtin_popcount (four & zone_b), 2);
+  assert_int_equal (canary_of (4, 13, 0), four);
+  assert_int_equal (__builtin_popcount (canary_of (4, 0, one)), 4);
+  /* Only the one that has gone is replaced.  */
+  assert_int_equal (__builtin_popcount (canary_of (4, 0, one) & four), 3);
+  assert_int_equal (canary_of (0, 0, one), all);
+  assert_int_equal (canary_of (40, 0, one), all & ~one);
+}
+
+static void
+test_use_of_versions_is_counted (void **state)
+{
+  struct ms_place *place = create_place ();
+  const struct ms_load others = { .running = 5 };
+  struct ms_version_use use;
+
+  (void)state;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      struct ms_endpoint_state *e
+          = put_endpoint (place, i, MODEL, ZONE_A, 0, 0);
+
+      e->entry.version = 1 + i % 2;
+      e->own.running = i;
+      ms_place_add_others (place, e->id, &others);
+    }
+  ms_place_find (place, ms_id (ms_str ("e1")))->entry.leaving = true;
+  ms_place_hold (ms_place_find (place, ms_id (ms_str ("e2"))));
+  ms_place_remove (place, ms_id (ms_str ("e2")));
+  use = ms_place_version_use (place, MODEL, 2, MS_SEC);
+  assert_int_equal (use.usable, 2);
+  assert_int_equal (use.others, 2);
+  /* One that the list lacks may still run requests.  */
+  assert_int_equal (use.running_here, 6);
+  assert_int_equal (use.running_elsewhere, 15);
+  ms_place_destroy (place);
+}
+
+/* An endpoint that is cold, or has just started, must not make its version
+   look slow.  */
+static void
+test_endpoint_is_warming_for_a_while (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e
+      = put_endpoint (place, 1, MODEL, ZONE_A, 2 * MS_SEC, MS_SEC);
+
+  (void)state;
+  assert_true (ms_place_is_warming (place, e, MS_SEC));
+  assert_true (ms_place_is_warming (place, e, 3 * MS_SEC + MS_SEC / 2));
+  assert_false (ms_place_is_warming (place, e, 4 * MS_SEC));
+  put_endpoint (place, 1, MODEL, ZONE_A, 0, 5 * MS_SEC);
+  assert_false (ms_place_is_warming (place, e, 5 * MS_SEC));
+  e->entry.born = 7;
+  put_endpoint (place, 1, MODEL, ZONE_A, 0, 6 * MS_SEC);
+  assert_true (ms_place_is_warming (place, e, 6 * MS_SEC));
+  ms_place_destroy (place);
+}
+
 int
 main (void)
 {
@@ -778,6 +973,11 @@
     cmocka_unit_test (test_slow_endpoint_is_tried_again),
     cmocka_unit_test (test_request_with_a_version_goes_to_that_version_only),
     cmocka_unit_test (test_endpoints_that_failed_unseen_are_little_capacity),
+    cmocka_unit_test (test_offers_keep_to_their_versions),
+    cmocka_unit_test (test_usual_time_is_of_an_endpoint_with_an_empty_cache),
+    cmocka_unit_test (test_routers_use_the_same_endpoints_for_a_canary),
+    cmocka_unit_test (test_use_of_versions_is_counted),
+    cmocka_unit_test (test_endpoint_is_warming_for_a_while),
   };
 
   return RUN (tests);
