--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -176,6 +176,7 @@
 	u_int sent;
 	u_int other_sent;
 	u_int running_old;
+	u_int routers;
 	u_int unmoved;
 	struct {
 		u_int evidence_len;
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -176,7 +176,9 @@
   unsigned int sent;        /* Requests to the ordered version.  */
   unsigned int other_sent;  /* To the others.  */
   unsigned int running_old; /* Requests in progress at the others.  */
-  unsigned int unmoved;     /* Routers that may still send requests there.  */
+  unsigned int routers;     /* That this is of.  */
+  unsigned int unmoved;     /* Those of them that may still send requests to
+                               the others.  */
   digest_evidence evidence<DIGEST_EVIDENCE>;
   digest_suspect suspects<DIGEST_SUSPECTS>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -440,7 +440,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->order))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->software))
 				 return FALSE;
@@ -456,6 +456,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running_old))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->routers))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->unmoved))
 				 return FALSE;
 
@@ -467,6 +469,7 @@
 		IXDR_PUT_U_LONG(buf, objp->sent);
 		IXDR_PUT_U_LONG(buf, objp->other_sent);
 		IXDR_PUT_U_LONG(buf, objp->running_old);
+		IXDR_PUT_U_LONG(buf, objp->routers);
 		IXDR_PUT_U_LONG(buf, objp->unmoved);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
@@ -481,7 +484,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->order))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->software))
 				 return FALSE;
@@ -497,6 +500,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running_old))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->routers))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->unmoved))
 				 return FALSE;
 
@@ -508,6 +513,7 @@
 		objp->sent = IXDR_GET_U_LONG(buf);
 		objp->other_sent = IXDR_GET_U_LONG(buf);
 		objp->running_old = IXDR_GET_U_LONG(buf);
+		objp->routers = IXDR_GET_U_LONG(buf);
 		objp->unmoved = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
@@ -537,6 +543,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running_old))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->routers))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->unmoved))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, DIGEST_EVIDENCE,
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -59,6 +59,7 @@
         .sent = r->sent[0],
         .other_sent = r->sent[1],
         .running_old = r->running_old,
+        .routers = r->routers,
         .unmoved = r->unmoved,
         .evidence = { r->strata_count, list->evidence[i] },
         .suspects = { r->suspects_count, list->suspects[i] },
@@ -108,6 +109,7 @@
       r->sent[0] = in->sent;
       r->sent[1] = in->other_sent;
       r->running_old = in->running_old;
+      r->routers = in->routers;
       r->unmoved = in->unmoved;
       r->strata_count = least (in->evidence.evidence_len, MS_ROLLOUT_STRATA);
       for (unsigned j = 0; j < r->strata_count; j++)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -470,6 +470,7 @@
     .phase = MS_ROLLOUT_CANARY,
     .sent = { sent, 10 * sent },
     .running_old = 2,
+    .routers = 1,
     .unmoved = 1,
     .strata_count = 1,
     .strata
@@ -566,6 +567,7 @@
   assert_int_equal (r->sent[0], 10);
   assert_int_equal (r->sent[1], 100);
   assert_int_equal (r->running_old, 4);
+  assert_int_equal (r->routers, 3);
   assert_int_equal (r->unmoved, 2);
   assert_int_equal (r->strata_count, 2);
   assert_int_equal (r->strata[0].answers[0], 6);
