Gateway: rollouts by the operators' orders

Orders are fed to the decisions, endpoints counted and marked, evidence noted from answers and exchanged in digests, states written to the store by the first reader of each zone. Versions that a service did not have are held where the settings bound exposure.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -59,7 +59,6 @@
   offer->tried = r->tried;
   offer->tried_count = r->tried_count;
   offer->alone = r->trial;
-  offer->version = r->version;
 }
 
 /* Append a header to OUT of SIZE bytes, of which *USED are filled.  *USED is
@@ -171,6 +170,13 @@
       ms_request_retry (r, false, "endpoint_unavailable");
       return;
     }
+  if (!ms_request_version_allowed (r, r->sent_version))
+    {
+      ms_metric_rollout_withdrawn ();
+      ms_request_end_attempt (r, MS_END_CANCELLED);
+      ms_request_retry (r, false, "version_withdrawn");
+      return;
+    }
   length = compose_head (r, head, sizeof head);
   if (!length)
     {
@@ -180,6 +186,7 @@
     }
   buffers[0] = uv_buf_init (head, (unsigned)length);
   buffers[1] = uv_buf_init ((char *)body.data, (unsigned)body.length);
+  ms_request_note_sent (r);
   r->sent = true;
   r->sent_at = now;
   r->list_age = now - ms_topic_read_at (r->gw->endpoint_topic);
@@ -211,6 +218,8 @@
   r->endpoint = r->choice.endpoint;
   r->sent = false;
   r->response_started = false;
+  r->began_at = 0;
+  r->paced_events = 0;
   r->response_status = 0;
   r->unsent_length = 0;
   /* The endpoint's load includes the request from now on, also while the
@@ -240,8 +249,18 @@
 
   if (!check_may_send (r, r->gw->now))
     return true;
+  if (r->version && !ms_request_version_allowed (r, r->version))
+    {
+      ms_request_give_up (r, "version_stopped");
+      return true;
+    }
   fill_offer (r, &offer);
-  ms_place_choose (r->gw->place, &offer, r->gw->now, &r->choice);
+  if (ms_request_choose (r, &offer))
+    {
+      r->waiter.give_up_at = r->gw->now + MS_ROLLOUT_MAX_WAIT;
+      ms_waiting_add (r->gw->waiting, &r->waiter);
+      return false;
+    }
   if (r->choice.result == MS_PLACED)
     {
       start_attempt (r, &offer);
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -1,5 +1,6 @@
 #include "base/event.h"
 #include "gateway/gateway.h"
+#include "gateway/rollouts.h"
 
 /* Follows the topics of the store that hold the operators' configuration and
    the list of endpoints, applies each change, and tells whether the copy of
@@ -93,6 +94,7 @@
   ms_event (gw->now, "configuration", "version=%llu routes=%u teams=%u",
             (unsigned long long)routes->version, routes->routes_count,
             routes->teams_count);
+  ms_rollout_driver_configure (gw->rollout_driver);
 }
 
 static void
@@ -100,24 +102,42 @@
                     bool removed)
 {
   struct ms_gateway *gw = context;
-  struct ms_str zone;
+  struct ms_str name;
 
-  switch (plat_operator_key (key, &zone))
+  switch (plat_operator_key (key, &name))
     {
     case PLAT_OPERATOR_CONFIG:
       if (!removed)
         apply_config (gw, value);
       break;
     case PLAT_OPERATOR_EVACUATION:
-      ms_place_evacuate (gw->place, ms_id (zone), !removed, gw->now);
-      ms_event (gw->now, "zone", "zone=%.*s in_service=%d", (int)zone.length,
-                zone.data, removed);
+      ms_place_evacuate (gw->place, ms_id (name), !removed, gw->now);
+      ms_event (gw->now, "zone", "zone=%.*s in_service=%d", (int)name.length,
+                name.data, removed);
+      break;
+    case PLAT_OPERATOR_ROLLOUT:
+      ms_rollout_driver_change (gw->rollout_driver, name, value, removed);
       break;
     case PLAT_OPERATOR_OTHER:
       break;
     }
 }
 
+/* A record was written again with the value that it has, which means something
+   for orders of rollouts only.  */
+static bool
+on_operator_repeat (void *context, struct ms_str key, struct ms_str value)
+{
+  struct ms_gateway *gw = context;
+  struct ms_str service;
+
+  (void)value;
+  if (plat_operator_key (key, &service) != PLAT_OPERATOR_ROLLOUT)
+    return false;
+  ms_rollout_driver_repeat (gw->rollout_driver, service);
+  return true;
+}
+
 static void
 on_endpoint_change (void *context, struct ms_str key, struct ms_str value,
                     bool removed)
@@ -132,6 +152,7 @@
       ms_event (gw->now, "endpoint_gone", "endpoint=%.*s", (int)key.length,
                 key.data);
       ms_place_remove (gw->place, ms_id (key));
+      ms_rollout_driver_note_endpoint (gw->rollout_driver, NULL);
       return;
     }
   if (plat_decode_endpoint (key, value, &entry) != MS_OK)
@@ -139,6 +160,7 @@
       ms_event (gw->now, "endpoint_skipped", "error=\"%s\"",
                 ms_last_message ());
       ms_place_remove (gw->place, ms_id (key));
+      ms_rollout_driver_note_endpoint (gw->rollout_driver, NULL);
       return;
     }
   if (!known || known->entry.leaving != entry.leaving
@@ -146,7 +168,8 @@
     ms_event (gw->now, "endpoint", "endpoint=%s leaving=%d cold_ms=%lld",
               entry.id.data, entry.leaving,
               (long long)(entry.cold_for / MS_MSEC));
-  ms_place_put (gw->place, &entry, gw->now);
+  ms_rollout_driver_note_endpoint (gw->rollout_driver,
+                                   ms_place_put (gw->place, &entry, gw->now));
 }
 
 /* Return the max_age of a topic whose changes must be obeyed in BOUND_MS.  */
@@ -176,6 +199,7 @@
       .name = PLAT_TOPIC_OPERATOR,
       .rewrite = REWRITE_TIME,
       .changed = on_operator_change,
+      .repeated = on_operator_repeat,
       .context = gw,
     },
     .wait_ms
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "guard/parts.h"
 #include "place/place.h"
 #include "platform.h"
+#include "rollout/rollout.h"
 #include "route/route.h"
 
 /* State of one gateway process, which is one router of the fleet.  A single
@@ -37,6 +38,7 @@
 struct ms_waiting;
 struct ms_caller;
 struct ms_peers;
+struct ms_rollout_driver;
 
 struct ms_gateway
 {
@@ -73,6 +75,8 @@
   struct ms_pressure *pressure;
   struct ms_fleet *fleet;
   struct ms_peers *peers;
+  struct ms_rollouts *rollouts;
+  struct ms_rollout_driver *rollout_driver;
 
   struct ms_request *requests; /* In progress, oldest first.  */
   struct ms_waiting *waiting;  /* Requests that wait for capacity.  */
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -39,8 +39,10 @@
      fingerprint as the last.  */
   uint64_t guarded[MS_MAX_PARTS];
   unsigned guarded_count;
-  bool trial;  /* The trial of a part that may crash endpoints.  */
-  double cost; /* In cost units, for the shares of teams.  */
+  bool trial;   /* The trial of a part that may crash endpoints.  */
+  bool suspect; /* It may crash endpoints: its answers say nothing of a
+                   version.  */
+  double cost;  /* In cost units, for the shares of teams.  */
 
   ms_time arrived;
   ms_time first_byte_target; /* Time from arrival until a response should
@@ -70,9 +72,13 @@
   ms_time sent_at;              /* When this attempt was sent.  */
   ms_time list_age;             /* Age of the endpoint list at that time.  */
   ms_time last_event_at;        /* When events were last passed on.  */
-  bool sent;                    /* This attempt was sent.  */
-  bool response_started;        /* Part of this attempt's response was passed
-                                   on; buffered parts do not count.  */
+  ms_time
+      began_at; /* When the first part of its response was; 0 if it was not.
+                 */
+  unsigned paced_events; /* Events since then.  */
+  bool sent;             /* This attempt was sent.  */
+  bool response_started; /* Part of this attempt's response was passed
+                            on; buffered parts do not count.  */
 
   /* The endpoint's response to the current attempt.  */
   const struct ms_head *response_head;
@@ -99,7 +105,9 @@
      the one that the caller names; 0 if there is none.  */
   uint64_t stream;
   uint32_t version; /* That began the stream; 0 until an event is passed on. */
-  uint32_t sent_version; /* Of the endpoint when it was sent there.  */
+  uint32_t sent_version;   /* Of the endpoint when it was sent there.  */
+  uint32_t failed_version; /* Of the endpoint that last failed to answer it; 0
+                              if none did.  */
   struct ms_request *prev, *next;
 };
 
@@ -141,6 +149,27 @@
    one, or give up the request.  */
 void ms_request_attempt_not_run (struct ms_request *request, unsigned status);
 
+/* Versions in rollouts (version.c).  */
+
+/* Choose an endpoint among those of the versions that the request may be sent
+   to, and fill its choice and OFFER.  Return whether it is to wait instead,
+   for the deadline of a rollout.  */
+bool ms_request_choose (struct ms_request *request, struct ms_offer *offer);
+
+/* Whether the request may be sent to an endpoint of VERSION now.  */
+bool ms_request_version_allowed (const struct ms_request *request,
+                                 uint32_t version);
+
+/* The request is sent to an endpoint of its sent_version.  */
+void ms_request_note_sent (struct ms_request *request);
+
+/* The first part of a stream was received.  */
+void ms_request_note_began (struct ms_request *request);
+
+/* The current attempt, which was sent, ends with END: say what that tells of
+   its version.  */
+void ms_request_note_end (struct ms_request *request, enum ms_place_end end);
+
 /* When a refused caller should retry, counted from now; LATE_BY is the time by
    which the fastest endpoint would have missed the first-byte target.  */
 ms_time ms_gateway_retry_after (struct ms_gateway *gw, ms_time late_by);
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -17,6 +17,7 @@
 #include "gateway/pages.h"
 #include "gateway/peers.h"
 #include "gateway/request.h"
+#include "gateway/rollouts.h"
 #include "gateway/shares.h"
 
 /* Environment variable that holds the path of the settings file.  */
@@ -140,6 +141,7 @@
   direct = gw->relay_failed || ms_fleet_reads_store (gw->fleet, now);
   ms_topic_tick (gw->operator_topic, direct, now);
   ms_topic_tick (gw->endpoint_topic, direct, now);
+  ms_rollout_driver_tick (gw->rollout_driver, now);
   ms_peers_tick (gw->peers, now);
   ms_gateway_update_shares (gw, now);
   ms_place_tick (gw->place, now);
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -17,6 +17,10 @@
 static unsigned long long result_counts[MS_RESULTS];
 static unsigned long long attempts_count;
 static unsigned long long retries_count;
+static unsigned long long rollout_sent_counts[2]; /* Index 1: ordered.  */
+static unsigned long long rollout_withdrawn_count;
+static unsigned long long rollout_changes_count;
+static unsigned long long rollout_writes_count;
 static struct histogram histograms[MS_LATENCIES];
 
 static const char *const result_names[MS_RESULTS]
@@ -42,6 +46,30 @@
   retries_count++;
 }
 
+void
+ms_metric_rollout_sent (bool ordered)
+{
+  rollout_sent_counts[ordered]++;
+}
+
+void
+ms_metric_rollout_withdrawn (void)
+{
+  rollout_withdrawn_count++;
+}
+
+void
+ms_metric_rollout_change (void)
+{
+  rollout_changes_count++;
+}
+
+void
+ms_metric_rollout_write (void)
+{
+  rollout_writes_count++;
+}
+
 void
 ms_metric_latency (enum ms_latency_metric latency, ms_time took)
 {
@@ -121,6 +149,17 @@
   append (&out, "monsoonspur_routers_alive %u\n", gauges->routers);
   append (&out, "monsoonspur_routers_sharing %u\n", gauges->sharers);
   append (&out, "monsoonspur_suspect_parts %u\n", gauges->suspect_parts);
+  append (&out, "monsoonspur_rollouts_running %u\n", gauges->rollouts);
+  append (&out, "monsoonspur_rollout_sent_total{version=\"ordered\"} %llu\n",
+          rollout_sent_counts[true]);
+  append (&out, "monsoonspur_rollout_sent_total{version=\"others\"} %llu\n",
+          rollout_sent_counts[false]);
+  append (&out, "monsoonspur_rollout_withdrawn_total %llu\n",
+          rollout_withdrawn_count);
+  append (&out, "monsoonspur_rollout_changes_total %llu\n",
+          rollout_changes_count);
+  append (&out, "monsoonspur_rollout_writes_total %llu\n",
+          rollout_writes_count);
   append (&out, "monsoonspur_config_version %llu\n", gauges->config_version);
   append (&out, "monsoonspur_config_age_seconds %.3f\n", gauges->config_age_s);
   append (&out, "monsoonspur_endpoints_age_seconds %.3f\n",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_METRICS_H
 #define GATEWAY_METRICS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "base/clock.h"
@@ -40,6 +41,18 @@
    to the caller.  */
 void ms_metric_retry (void);
 
+/* Count a request that is sent for a service with an order of a rollout: to an
+   endpoint of the version that it names if ORDERED.  */
+void ms_metric_rollout_sent (bool ordered);
+
+/* Count an attempt that was not sent since a rollout no longer allowed it when
+   the connection was made.  */
+void ms_metric_rollout_withdrawn (void);
+
+/* Count a change of a rollout's phase, or a state written to the store.  */
+void ms_metric_rollout_change (void);
+void ms_metric_rollout_write (void);
+
 /* Add TOOK to the histogram of LATENCY.  */
 void ms_metric_latency (enum ms_latency_metric latency, ms_time took);
 
@@ -53,6 +66,7 @@
   unsigned sharers;   /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
   unsigned suspect_parts; /* Of prompts, under trial or in quarantine.  */
+  unsigned rollouts;      /* Orders that have not ended.  */
   double config_age_s;    /* Since the read that confirmed it.  */
   double endpoints_age_s; /* Likewise, of the list of endpoints.  */
   double share_level;     /* Rate at which a team is admitted at most, in cost
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -83,6 +83,8 @@
 
   if (!e)
     return;
+  if (r->sent)
+    ms_request_note_end (r, end);
   r->endpoint = NULL;
   if (r->upstream)
     ms_upstream_release (r->upstream);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -11,6 +11,7 @@
 #include "gateway/metrics.h"
 #include "gateway/peers.h"
 #include "gateway/relay.h"
+#include "gateway/rollouts.h"
 #include "gateway/socket.h"
 
 #define MAX_HEAD_BYTES 8192 /* Of a request.  */
@@ -168,6 +169,7 @@
     .endpoints = ms_place_count (gw->place),
     .routers = ms_fleet_alive_count (gw->fleet, gw->now),
     .sharers = ms_peers_sharers (gw->peers),
+    .rollouts = ms_rollout_driver_running (gw->rollout_driver),
     .suspect_parts = ms_part_guard_count (gw->part_guard, gw->now),
     .config_version = gw->routes ? gw->routes->version : 0,
     .config_age_s
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -11,6 +11,7 @@
 #include "base/event.h"
 #include "gateway/members.h"
 #include "gateway/relay.h"
+#include "gateway/rollouts.h"
 #include "gateway/stream_log.h"
 #include "place/flow.h"
 
@@ -110,6 +111,7 @@
   ms_share_set_others_level (gw->share, level, level_count);
   ms_place_clear_others (gw->place);
   ms_share_clear_others (gw->share);
+  ms_rollouts_clear_others (gw->rollouts);
   for (unsigned i = 0; i < count; i++)
     {
       const struct ms_fleet_router *r = &routers[i];
@@ -117,7 +119,13 @@
       if (large && r->zone != gw->zone)
         continue;
       if (ms_fleet_alive (r, gw->now))
-        add_reported (gw, r->loads, r->loads_count, r->teams, r->teams_count);
+        {
+          add_reported (gw, r->loads, r->loads_count, r->teams,
+                        r->teams_count);
+          ms_rollout_driver_merge (
+              gw->rollout_driver, ms_id_pair (r->id, r->incarnation),
+              r->rollouts, r->rollouts_count, gw->now - r->heard, gw->now);
+        }
       if (r->heard && gw->now - r->heard <= MS_FLOW_REPORT_TIME)
         ms_flow_add_others (gw->place, r->rates, r->rates_count, r->demands,
                             r->demands_count, r->heard);
@@ -135,6 +143,10 @@
       if (gw->now - z->heard <= MS_FLOW_REPORT_TIME)
         ms_flow_add_others (gw->place, z->rates, z->rates_count, z->demands,
                             z->demands_count, z->heard);
+      if (gw->now - z->rollouts_heard <= MS_ROUTER_SILENT_TIME)
+        ms_rollout_driver_merge (gw->rollout_driver, z->id, z->rollouts,
+                                 z->rollouts_count,
+                                 gw->now - z->rollouts_heard, gw->now);
     }
   if (alive != p->alive || sharers != p->sharers)
     ms_event (gw->now, "routers", "alive=%u sharers=%u", alive, sharers);
@@ -317,8 +329,8 @@
 /* Encode DIGEST once and send it to COUNT RECIPIENTS, without the flows of
    zones if it is too large with them.  */
 static void
-send_to_recipients (struct ms_peers *p, struct fleet_digest *digest,
-                    const struct in_addr *recipients, unsigned count)
+send_without_rollouts (struct ms_peers *p, struct fleet_digest *digest,
+                       const struct in_addr *recipients, unsigned count)
 {
   static char data[DIGEST_BYTES];
   unsigned length = ms_digest_encode (digest, data, sizeof data);
@@ -345,6 +357,32 @@
     }
 }
 
+/* Send DIGEST to COUNT RECIPIENTS.  If it is too large with what zones report
+   of rollouts, that goes in digests of its own, one for each zone.  */
+static void
+send_to_recipients (struct ms_peers *p, struct fleet_digest *digest,
+                    const struct in_addr *recipients, unsigned count)
+{
+  u_int zones_count = digest->zone_rollouts.zone_rollouts_len;
+
+  if (zones_count
+      && xdr_sizeof ((xdrproc_t)xdr_fleet_digest, digest) > DIGEST_BYTES)
+    digest->zone_rollouts.zone_rollouts_len = 0;
+  send_without_rollouts (p, digest, recipients, count);
+  if (digest->zone_rollouts.zone_rollouts_len == zones_count)
+    return;
+  for (unsigned i = 0; i < zones_count; i++)
+    {
+      struct fleet_digest notice = { 0 };
+
+      ms_fleet_fill_notice (p->gw->fleet, &notice);
+      notice.zone_rollouts.zone_rollouts_val
+          = &digest->zone_rollouts.zone_rollouts_val[i];
+      notice.zone_rollouts.zone_rollouts_len = 1;
+      send_without_rollouts (p, &notice, recipients, count);
+    }
+}
+
 /* Send the zone sums of this zone to those routers of other zones that read
    the store.  DIGEST is that of this router itself; its loads and teams are
    replaced by the sums.  */
@@ -367,6 +405,10 @@
   digest->rooms.rooms_len = 1;
   digest->flows.flows_val = &sums.flow;
   digest->flows.flows_len = 1;
+  digest->rollouts.rollouts_len = 0;
+  digest->zone_rollouts.zone_rollouts_val = &sums.rollouts;
+  digest->zone_rollouts.zone_rollouts_len
+      = sums.rollouts.rollouts.rollouts_len ? 1 : 0;
   digest->streams.streams_len = collect_streams (
       p->gw, MS_STREAM_OWN | MS_STREAM_ZONE, digest->streams.streams_val, now);
   send_to_recipients (p, digest, recipients, count);
@@ -405,7 +447,8 @@
   digest_demand demands[DIGEST_DEMANDS];
   digest_stream streams[DIGEST_STREAMS];
   digest_version versions[DIGEST_VERSIONS];
-  struct ms_zone_list zones;
+  static struct ms_zone_list zones;
+  static struct ms_rollout_list rollouts;
   struct fleet_digest digest = { 0 };
   bool zone_reader
       = ms_fleet_large (gw->fleet, now) && ms_fleet_sums_zone (gw->fleet, now);
@@ -441,6 +484,9 @@
       gw, zone_reader ? MS_STREAM_OWN | MS_STREAM_OTHER : MS_STREAM_OWN,
       streams, now);
   collect_versions (gw, &digest, versions, now);
+  ms_rollout_driver_report (gw->rollout_driver, &rollouts, now);
+  digest.rollouts.rollouts_val = rollouts.rollouts;
+  digest.rollouts.rollouts_len = rollouts.count;
   if (zone_reader)
     ms_fleet_put_zone_sums (gw->fleet, &digest, &zones, now);
   send_to_recipients (p, &digest, recipients, count);
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -1,6 +1,7 @@
 #include "base/event.h"
 #include "gateway/gateway.h"
 #include "gateway/request.h"
+#include "gateway/rollouts.h"
 
 static struct ms_place_options
 place_options (const struct ms_gateway *gw)
@@ -63,6 +64,7 @@
   gw->fleet = ms_fleet_create (gw->id, gw->incarnation, gw->zone,
                                gw->caller_address.sin_addr, gw->incarnation,
                                gw->now);
+  gw->rollout_driver = ms_rollout_driver_create (gw);
 }
 
 void
@@ -90,5 +92,6 @@
   budget = budget_options (gw);
   ms_place_set_options (gw->place, &place);
   ms_budget_set_options (gw->budget, &budget);
+  ms_rollout_driver_reload (gw->rollout_driver);
   ms_event (gw->now, "reload", "settings=%s", gw->settings_path);
 }
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -315,6 +315,7 @@
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "quarantined");
       return NULL;
     }
+  r->suspect = verdict == MS_SUSPECT || r->trial;
   if (!may_still_serve (r))
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -104,6 +104,7 @@
   if (r->response_started)
     return;
   r->response_started = true;
+  r->began_at = r->gw->now;
   if (!r->first_byte_at)
     r->first_byte_at = r->gw->now;
   ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
@@ -111,6 +112,8 @@
   if (r->response_status < 300)
     ms_part_guard_began (r->gw->part_guard, r->guarded, r->guarded_count,
                          r->gw->now);
+  if (r->stream_response)
+    ms_request_note_began (r);
 }
 
 /* Pass on the complete events in the buffer and keep the incomplete rest: a
@@ -125,8 +128,11 @@
   if (!length)
     return;
   if (r->response_started)
-    ms_place_note_pace (r->gw->place, r->endpoint, count,
-                        r->gw->now - r->last_event_at, r->gw->now);
+    {
+      ms_place_note_pace (r->gw->place, r->endpoint, count,
+                          r->gw->now - r->last_event_at, r->gw->now);
+      r->paced_events += count;
+    }
   if (!r->response_started)
     {
       r->version = r->sent_version;
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -246,18 +246,21 @@
 }
 
 double
-ms_place_usual_pace (const struct ms_place *place,
-                     const struct ms_endpoint_state *e)
+ms_place_pace_ratio (const struct ms_place *place,
+                     const struct ms_endpoint_state *e, unsigned count,
+                     ms_time took)
 {
   const struct ms_place_speed *speed = &place->options.speed;
   const struct ms_service_entry *service
       = place->routes ? ms_routes_service (place->routes, e->entry.service)
                       : NULL;
   unsigned running = e->own.running + e->others.running;
+  double usual
+      = (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
 
-  if (!service || !service->model || !service->tokens_per_event)
+  if (!service || !service->model || !service->tokens_per_event || !count)
     return 0;
-  return (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
+  return (double)took / ((double)count * service->tokens_per_event) / usual;
 }
 
 /* E has answered: clear its failures to be reached, if any.  */
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -332,11 +332,12 @@
                           const struct ms_endpoint_state *endpoint,
                           ms_time now);
 
-/* Return the microseconds for each token that a model endpoint as fast as
-   usual takes with the requests that ENDPOINT runs; 0 if that runs no model.
- */
-double ms_place_usual_pace (const struct ms_place *place,
-                            const struct ms_endpoint_state *endpoint);
+/* Return the ratio of the time for each token in COUNT events that ENDPOINT
+   sent, TOOK apart in all, to that of an endpoint as fast as usual with the
+   same requests; 0 if ENDPOINT runs no model or there was no event.  */
+double ms_place_pace_ratio (const struct ms_place *place,
+                            const struct ms_endpoint_state *endpoint,
+                            unsigned count, ms_time took);
 
 /* Which endpoints of a version a canary uses: by turns of their zones those
    with the lowest MARK, the same ones at all routers that mark alike.  */
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -6,9 +6,9 @@
                one; 410 if the record at N was dropped or is beyond the end
    GET  /log-newest?topic=T
                the newest value of each key of T, in JSON
-   POST /log-append?topic=T
+   POST /log-append?topic=T&at=N
                appends the records of the body, each behind its length in
-               4 bytes
+               4 bytes; with at, only if T ends at offset N, else 412
 
    Other parameters, such as part, are ignored.  All answers have the header
    Store-Era, a number that rises when the store comes back from a copy.  Tests
@@ -274,17 +274,21 @@
 handle_log_append (struct mg_connection *connection, void *context)
 {
   char name[64];
+  char expected[24];
   long long length = mg_get_request_info (connection)->content_length;
   char *body = standin_read_body (connection, MAX_BODY_BYTES);
   struct topic *t;
   long long at = 0;
+  bool conflict;
   int result;
 
   (void)context;
   query_value (connection, "topic", name, sizeof name);
+  query_value (connection, "at", expected, sizeof expected);
   pthread_mutex_lock (&topics_lock);
   t = find_topic (name);
-  while (!is_down && at + 4 <= length)
+  conflict = *expected && strtoul (expected, NULL, 10) != t->end;
+  while (!is_down && !conflict && at + 4 <= length)
     {
       size_t record_length = 0;
 
@@ -294,7 +298,11 @@
       at += 4 + (long long)record_length;
     }
   pthread_cond_broadcast (&changed);
-  result = send_response (connection, is_down ? 503 : 200, "{}", 2);
+  result = send_response (connection,
+                          is_down    ? 503
+                          : conflict ? 412
+                                     : 200,
+                          "{}", 2);
   pthread_mutex_unlock (&topics_lock);
   free (body);
   return result;
