--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -13,6 +13,10 @@
    only if that was late by this factor.  */
 #define LATE_RATIO 3
 
+/* Added to measured and predicted times: delays of this process and of the
+   network, which say nothing of an endpoint that answers in a millisecond.  */
+#define MEASURING_TIME (3 * MS_MSEC)
+
 /* Events of a stream from which its pace is known.  */
 #define MIN_PACED_EVENTS 4
 
@@ -136,8 +140,10 @@
 static double
 ratio_of (const struct ms_request *r, ms_time took)
 {
-  return r->choice.fit.usual > 0 ? (double)took / (double)r->choice.fit.usual
-                                 : 0;
+  if (r->choice.fit.usual <= 0)
+    return 0;
+  return (double)(took + MEASURING_TIME)
+         / (double)(r->choice.fit.usual + MEASURING_TIME);
 }
 
 void
