--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -13,6 +13,10 @@
 /* Time between two counts of the endpoints of services with an order.  */
 #define COUNT_PERIOD (50 * MS_MSEC)
 
+/* Duration of orders that were removed before this router knew them: their age
+   is known up to this.  */
+#define MAX_AGE (24 * 3600 * MS_SEC)
+
 /* An order that the operators' records have, or had.  */
 struct entry
 {
@@ -520,6 +524,61 @@
          && s.phase == MS_ROLLOUT_UNKNOWN && s.order.id != id;
 }
 
+/* Whether REPORT tells of an order that was rolled back and removed before
+   this router knew it: E is what it knows of the service, or NULL.  */
+static bool
+is_withdrawn (const struct ms_rollout_driver *d, const struct entry *e,
+              const struct ms_rollout_report *report, ms_time now)
+{
+  struct ms_rollout_state s;
+
+  if (!report->confirmed || report->phase != MS_ROLLOUT_ROLLED_BACK)
+    return false;
+  if (!e)
+    return true;
+  if (e->in_records || e->changed || e->order.version == report->version)
+    return false;
+  /* Of two removed orders, the later one counts.  */
+  return !ms_rollouts_state (d->gw->rollouts, e->service, now, &s)
+         || (s.started_at && report->age >= 0
+             && now - report->age > s.started_at);
+}
+
+/* Let the rollouts exclude the version of ORDER, which was rolled back under
+   ID and removed, while its endpoints are listed.  */
+static void
+exclude_version (struct ms_rollout_driver *d, const struct plat_order *order,
+                 uint64_t id, ms_time age, ms_time now)
+{
+  struct entry *e = find_or_add_entry (d, order->service_id);
+
+  e->order = *order;
+  e->put = true;
+  put_order (d, e, id ? id : 1, false, now);
+  ms_rollouts_learn_state (d->gw->rollouts, e->service, e->order.version, id,
+                           MS_ROLLOUT_ROLLED_BACK, age, now);
+  ms_rollouts_remove_order (d->gw->rollouts, e->service, now);
+}
+
+/* The same for that of REPORT.  */
+static void
+exclude_reported (struct ms_rollout_driver *d,
+                  const struct ms_rollout_report *report, ms_time now)
+{
+  const struct ms_service_entry *service
+      = d->gw->routes ? ms_routes_service (d->gw->routes, report->service)
+                      : NULL;
+  struct plat_order order = { .service_id = report->service,
+                              .version = report->version,
+                              .duration = MAX_AGE };
+
+  if (!service)
+    return;
+  order.service = service->name;
+  order.to = ms_name ("-");
+  exclude_version (d, &order, report->order, report->age, now);
+}
+
 void
 ms_rollout_driver_merge (struct ms_rollout_driver *d, uint64_t source,
                          const struct ms_rollout_report *reports,
@@ -530,10 +589,12 @@
       struct ms_rollout_report report = reports[i];
       const struct entry *e = find_entry (d, report.service);
 
-      if (!e || !e->put)
-        continue;
       if (report.age >= 0)
         report.age += elapsed;
+      if (is_withdrawn (d, e, &report, now))
+        exclude_reported (d, &report, now);
+      if (!e || !e->put)
+        continue;
       if (may_have_id (d, e, report.version, report.order, now))
         put_order (d, e, report.order, false, now);
       ms_rollouts_merge (d->gw->rollouts, source, &report, now);
@@ -560,28 +621,19 @@
   return age > 0 ? age : 0;
 }
 
-/* The operators have removed the order of STATE, which was rolled back: its
-   version stays excluded while its endpoints are listed.  */
+/* The operators have removed the order of STATE, which was rolled back.  */
 static void
-exclude_version (struct ms_rollout_driver *d,
-                 const struct plat_rollout_state *state, ms_time now)
-{
-  uint64_t service = ms_id (ms_str (state->service.data));
-  struct entry *e = find_or_add_entry (d, service);
-
-  e->order = (struct plat_order){
-    .service = state->service,
-    .to = state->to,
-    .service_id = service,
-    .version = plat_version_hash (service, state->to.data),
-    .duration = 1,
-  };
-  e->put = true;
-  put_order (d, e, state->order ? state->order : 1, false, now);
-  ms_rollouts_learn_state (d->gw->rollouts, service, e->order.version,
-                           state->order, MS_ROLLOUT_ROLLED_BACK,
-                           age_of (state), now);
-  ms_rollouts_remove_order (d->gw->rollouts, service, now);
+exclude_stored (struct ms_rollout_driver *d,
+                const struct plat_rollout_state *state, ms_time now)
+{
+  struct plat_order order
+      = { .service = state->service,
+          .to = state->to,
+          .service_id = ms_id (ms_str (state->service.data)),
+          .duration = MAX_AGE };
+
+  order.version = plat_version_hash (order.service_id, state->to.data);
+  exclude_version (d, &order, state->order, age_of (state), now);
 }
 
 void
@@ -595,7 +647,7 @@
   uint32_t version = plat_version_hash (service, state->to.data);
 
   if (!e && at_start && state->phase == PLAT_ROLLOUT_ROLLED_BACK)
-    exclude_version (d, state, now);
+    exclude_stored (d, state, now);
   if (!e || !e->put)
     return;
   e->learned = true;
--- a/tests/rollouts.sh
+++ b/tests/rollouts.sh
@@ -124,13 +124,15 @@
   for engine in "$@"; do
     [ ! -e "$DIR/engine$engine.pid" ] || stop "engine$engine" KILL
     start "engine$engine" "$BUILD/standin-engine" \
-      --address="$(engine_address "$engine")" --name="e$engine-$version"
+      --address="$(engine_address "$engine")" --name="e$engine-$version" \
+      --keep-alive
   done
   for engine in "$@"; do
     await 10 engine_get "$engine" total
   done
 }
 # put_engines VERSION STATE ENGINE...: write their entries; STATE may be gone.
+# Later versions were started later.
 put_engines ()
 {
   version=$1
@@ -139,17 +141,30 @@
   for engine in "$@"; do
     entry="{\"service\":\"app\",\"address\":\"$(engine_address "$engine")\",\
 \"zone\":\"a\",\"slots\":8,\"state\":\"$entry_state\",\"cold_remaining_ms\":0,\
-\"sequence\":1,\"version\":\"$version\"}"
+\"sequence\":1,\"version\":\"$version\",\"born\":$((1000 + ${version#v}))}"
     [ "$entry_state" != gone ] || entry=
     store_put keyed.servers "e$engine-$version" "$entry"
   done
 }
 
-# start_gateways: start all and wait until they serve.
+# restart_gateway NUMBER: kill it if it runs, keep its log and start it.
+restart_gateway ()
+{
+  if [ -e "$DIR/gateway$1.pid" ]; then
+    stop "gateway$1" KILL
+    cat "$DIR/gateway$1.log" >>"$DIR/gateway$1.before"
+  fi
+  start_gateway "$1"
+}
+
+# start_gateways: start all, again if they run, and wait until they serve.
 start_gateways ()
 {
   for n in 1 2 3; do
-    start_gateway $n
+    [ ! -e "$DIR/gateway$n.pid" ] || stop gateway$n KILL
+  done
+  for n in 1 2 3; do
+    restart_gateway $n
   done
   for n in 1 2 3; do
     await 20 ready $n || exit 1
@@ -160,7 +175,7 @@
 until store_port_is_free; do
   BASE=$((BASE + 100))
 done
-rm -f "$DIR"/engine*.pid
+rm -f "$DIR"/engine*.pid "$DIR"/gateway*.pid
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store_url)/log-newest?topic=keyed.op&part=0" || exit 1
 publish_config 1 '"k1"'
@@ -235,6 +250,8 @@
 # An order that is repeated.
 bad_version v7 'kind=none' 0 1
 await 4 state_is v7 running
+# Until all gateways know it.
+sleep 1
 order v7 6
 await 20 state_is v7 completed
 is "$(grep -c 'event=rollout .* to=v7 phase=canary reason=order' "$DIR/gateway1.log")" 1 \
@@ -287,8 +304,7 @@
 await 4 state_is v10 rolled_back && stay_out 2 3
 verdict "an order that is removed is rolled back" $?
 # A gateway that starts now knows of it by the state only.
-stop gateway3 KILL
-start_gateway 3
+restart_gateway 3
 await 20 ready 3
 sleep 1
 stay_out 2 3
@@ -301,10 +317,6 @@
 order v11 8
 await 4 state_is v11 running
 sleep 1
-for n in 1 2 3; do
-  stop gateway$n KILL
-done
-before=$(sum total 2 3)
 start_gateways
 await 20 state_is v11 completed
 verdict "an order is completed though all gateways were killed" $?
--- a/tests/standins/common/serve.c
+++ b/tests/standins/common/serve.c
@@ -7,12 +7,21 @@
 
 #include "base/alloc.h"
 
+bool standin_keep_alive;
+
 int
 standin_serve (const char *address, const char *threads,
                const struct standin_handler *handlers, size_t count)
 {
-  const char *options[]
-      = { "listening_ports", address, "num_threads", threads, NULL };
+  const char *options[] = { "listening_ports",
+                            address,
+                            "num_threads",
+                            threads,
+                            standin_keep_alive ? "enable_keep_alive" : NULL,
+                            "yes",
+                            "keep_alive_timeout_ms",
+                            "30000",
+                            NULL };
   struct mg_context *server;
   sigset_t signals;
   int caught;
--- a/tests/standins/common/serve.h
+++ b/tests/standins/common/serve.h
@@ -3,6 +3,7 @@
 
 #include <civetweb.h>
 #include <jansson.h>
+#include <stdbool.h>
 #include <stddef.h>
 
 /* The HTTP server that all stand-ins share.  */
@@ -14,6 +15,10 @@
   mg_request_handler handle;
 };
 
+/* Whether connections are kept open after an answer.  If not, they are closed
+   without a word, and a request that comes meanwhile is lost.  */
+extern bool standin_keep_alive;
+
 /* Serve COUNT HANDLERS on ADDRESS, "IP:PORT", with THREADS threads (a decimal
    number) until SIGTERM or SIGINT, which end the process with status 0 without
    waiting for open requests.  Returns only if the server cannot be started,
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -587,6 +587,9 @@
     case 'a':
       *(const char **)state->input = arg;
       return 0;
+    case 'k':
+      standin_keep_alive = true;
+      return 0;
     case 'm':
       is_mortal = true;
       return 0;
@@ -622,6 +625,7 @@
 {
   static const struct argp_option options[]
       = { { "address", 'a', "IP:PORT", 0, "Address to listen on", 0 },
+          { "keep-alive", 'k', NULL, 0, "Keep connections open", 0 },
           { "mortal", 'm', NULL, 0, "Exit on a part that crashes endpoints",
             0 },
           { "name", 'n', "ID", 0, "Name of the endpoint", 0 },
