--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -60,6 +60,9 @@
   free (router->teams);
   free (router->rates);
   free (router->demands);
+  free (router->rollouts);
+  router->rollouts = NULL;
+  router->rollouts_count = 0;
   router->loads = NULL;
   router->loads_count = 0;
   router->teams = NULL;
@@ -70,6 +73,18 @@
   router->demands_count = 0;
 }
 
+/* Take what the digest D reports of orders to its sender, ROUTER.  */
+static void
+take_rollouts (struct ms_fleet_router *router, const struct fleet_digest *d)
+{
+  if (!d->rollouts.rollouts_len)
+    return;
+  router->rollouts
+      = ms_new_array (d->rollouts.rollouts_len, sizeof *router->rollouts);
+  router->rollouts_count = ms_rollout_list_read (
+      d->rollouts.rollouts_val, d->rollouts.rollouts_len, router->rollouts);
+}
+
 /* Move the arrays that the digest D has of its sender, ROUTER, to it.  */
 static void
 take_arrays (struct ms_fleet_router *router, struct fleet_digest *d)
@@ -86,6 +101,7 @@
   memset (&d->teams, 0, sizeof d->teams);
   memset (&d->rates, 0, sizeof d->rates);
   memset (&d->demands, 0, sizeof d->demands);
+  take_rollouts (router, d);
 }
 
 void
@@ -187,6 +203,7 @@
   router = find_or_add (fleet, id, now);
   if (!router || incarnation <= router->incarnation)
     return;
+  router->rollouts_count = 0;
   router->incarnation = incarnation;
   router->sequence = 0;
   router->zone = zone;
