--- a/src/rollout/compare.c
+++ b/src/rollout/compare.c
@@ -30,13 +30,17 @@
 #define MAX_SCOPES MS_EVIDENCE_ROUTES
 
 /* Counts of windows are in units of 1 / COUNT.  */
-#define COUNT 256
+#define COUNT ((uint64_t)256)
 
 /* What was added in this many steps, 0.3 s, is evaluated together.  Both
    versions show a fault that begins meanwhile, so that it does not count
    against one of them.  */
 #define BATCH_STEPS 3
 
+/* More answers on a route and zone in one batch count as this many, so that no
+   report makes the arithmetic overflow.  */
+#define MAX_BATCH ((uint64_t)1 << 20)
+
 /* Each evaluation with answers of the others reduces the counts of a window by
    this fraction: windows of 3 s.  */
 #define WINDOW_PART 10
@@ -192,6 +196,19 @@
   return s;
 }
 
+/* Add ANSWERS, of which BAD are bad, to SAMPLE.  */
+static void
+add_sample (struct sample *sample, uint32_t answers, uint32_t bad)
+{
+  uint64_t sum = (uint64_t)sample->answers + answers;
+  uint64_t bad_sum = (uint64_t)sample->bad + bad;
+
+  for (; sum > MAX_BATCH; sum /= 2)
+    bad_sum /= 2;
+  sample->answers = (uint32_t)sum;
+  sample->bad = (uint32_t)bad_sum;
+}
+
 void
 ms_compare_add (struct ms_compare *compare,
                 const struct ms_rollout_evidence *added)
@@ -201,10 +218,10 @@
 
   for (unsigned i = 0; i < 2; i++)
     {
-      s->added[MS_COMPARE_FAILED][i].answers += added->answers[i];
-      s->added[MS_COMPARE_FAILED][i].bad += added->failed[i];
-      s->added[MS_COMPARE_SLOW][i].answers += added->timed[i];
-      s->added[MS_COMPARE_SLOW][i].bad += added->slow[i];
+      add_sample (&s->added[MS_COMPARE_FAILED][i], added->answers[i],
+                  added->failed[i]);
+      add_sample (&s->added[MS_COMPARE_SLOW][i], added->timed[i],
+                  added->slow[i]);
       total->answers[i] += added->answers[i];
       total->failed[i] += added->failed[i];
       total->timed[i] += added->timed[i];
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -26,9 +26,9 @@
 
 /* Bounds on plausible reports.  */
 #define MAX_ROUTERS 10000
-#define MAX_COUNT ((uint32_t)1 << 26)
+#define MAX_COUNT ((uint32_t)1 << 28)
 #define MAX_LOG_RATIO 20.0F
-#define MAX_AGE (24 * 3600 * MS_SEC)
+#define MAX_AGE (86400 * MS_SEC)
 
 /* The answers to requests that were sent before the order, or that have begun
    and ended, are beyond those that were sent for it.  */
@@ -436,7 +436,9 @@
       = (int64_t)(a * 65536) * count_a + (int64_t)(b * 65536) * count_b;
   int64_t count = (int64_t)count_a + count_b;
 
-  return count ? (float)(sum / count) / 65536 : 0;
+  if (count)
+    sum /= count;
+  return (float)sum / 65536;
 }
 
 static void
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -147,29 +147,28 @@
   uint64_t service;
   struct ms_rollout_order order;
   uint64_t former_id; /* Of the same order, before it was written again.  */
-  bool appeared;
-  bool removed; /* The operators' records do not have it any more.  */
   ms_time seen_at;
-  bool started;
   ms_time started_at;
   ms_time earliest_start; /* Bound on STARTED_AT, which others may know
                              better.  */
+  bool appeared;
+  bool started;
+  bool removed; /* The operators' records do not have it any more.  */
 
+  bool closed;    /* While moving: nothing is sent to the others.  */
+  bool drained;   /* It is to be completed.  */
+  bool confirmed; /* The store has the phase.  */
   enum ms_rollout_phase phase;
+  enum ms_rollout_phase stored;
+  unsigned restored_steps; /* Until the store's loss of records is over.  */
+  ms_time none_since; /* Since when the store is known to have no state.  */
   const char *reason;
   ms_time stopped_at;
   ms_time moved_at;
-  uint32_t moved_answers; /* Of the fleet when the move began.  */
-  ms_time all_moved_at;   /* Since when no router may use the others; 0 if one
-                             may.  */
-  uint32_t all_moved_answers;
-  bool closed;  /* While moving: nothing is sent to the others.  */
-  bool drained; /* It is to be completed.  */
-
-  enum ms_rollout_phase stored; /* What the store has.  */
-  bool confirmed;
-  ms_time none_since; /* Since when the store is known to have no state.  */
-  unsigned restored_steps; /* Until its loss of records is over.  */
+  ms_time all_moved_at;       /* Since when no router may use the others; 0 if
+                                 one may.  */
+  uint32_t moved_answers;     /* Of the fleet at MOVED_AT, */
+  uint32_t all_moved_answers; /* and at ALL_MOVED_AT.  */
 
   /* Versions of earlier orders that were not completed.  */
   uint32_t excluded[MS_ROLLOUT_EXCLUDED - 1];
@@ -177,21 +176,20 @@
 
   int64_t credit;
   int64_t budget;
-  int64_t canary_rate; /* Earned credit for each request.  */
-  unsigned requests;   /* Since the last evaluation, */
-  int64_t rate;        /* and for each second on average, in UNIT.  */
+  int64_t canary_rate;     /* Earned credit for each request.  */
+  int64_t rate;            /* Requests per second on average, in UNIT.  */
+  unsigned requests;       /* Since the last evaluation.  */
+  uint32_t sent_ordered;   /* By any router of the fleet, */
+  ms_time sent_ordered_at; /* last at this time.  */
   ms_time sent_other_at;
-  ms_time sent_ordered_at; /* By any router of the fleet, */
-  uint32_t sent_ordered;   /* this many.  */
 
   unsigned ordered, others;
+  unsigned running_here, running_elsewhere;
   bool endpoints_known;
   bool had_others;
-  unsigned running_here, running_elsewhere;
-  ms_time listed_at; /* Excluded endpoints were listed.  */
-
   uint32_t loaded_answers;
   uint32_t seen_answers; /* At the last evaluation.  */
+  ms_time listed_at;     /* Excluded endpoints were listed.  */
   ms_time stepped_at;
   struct ms_evidence evidence;
   UT_hash_handle hh;
@@ -640,7 +638,7 @@
 {
   struct order *o = find_order (rollouts, service);
 
-  if (!o)
+  if (!o || is_terminal (o->phase))
     return;
   ms_evidence_sent (&o->evidence, version != o->order.version);
   if (version == o->order.version)
@@ -668,7 +666,7 @@
   struct order *o = find_order (rollouts, answer->service);
 
   (void)now;
-  if (o && !is_excluded (o, answer->version))
+  if (o && !is_terminal (o->phase) && !is_excluded (o, answer->version))
     ms_evidence_note (&o->evidence, answer->version != o->order.version,
                       answer);
 }
@@ -998,7 +996,7 @@
   uint32_t answers = ms_compare_total (o->evidence.compare)->answers[0];
 
   if (o->phase == MS_ROLLOUT_CANARY
-      && canary_percent (o) >= LOADED_PERCENT * MIN_CANARY)
+      && canary_percent (o) >= (int64_t)LOADED_PERCENT * MIN_CANARY)
     o->loaded_answers += answers - o->seen_answers;
   o->seen_answers = answers;
 }
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -43,12 +43,12 @@
 struct fault
 {
   unsigned versions;
-  ms_time from;
-  double failed;    /* Part of the answers.  */
-  double slow;      /* The same, that take SLOW_FACTOR times as long.  */
-  unsigned route;   /* ALL for every route.  */
-  unsigned index;   /* Of the endpoint; ALL for every one.  */
   unsigned running; /* Only with this many requests at the endpoint.  */
+  ms_time from;
+  double failed;  /* Part of the answers.  */
+  double slow;    /* The same, that take SLOW_FACTOR times as long.  */
+  unsigned route; /* ALL for every route.  */
+  unsigned index; /* Of the endpoint; ALL for every one.  */
 };
 
 #define SLOW_FACTOR 5
@@ -354,11 +354,13 @@
   if (f->s.surge_at && now >= ORDER_AT + f->s.surge_at
       && now < ORDER_AT + f->s.surge_at + 2 * MS_SEC)
     rate *= 3;
-  for (expected = rate * STEP / MS_SEC; draw (f) < expected; expected--)
+  expected = rate * STEP / MS_SEC;
+  while (draw (f) < expected)
     {
       unsigned i = (unsigned)ms_random_below (&f->random, f->s.routers);
       const struct outage *o = outage_of (f, i, now);
 
+      expected--;
       if (!o || !o->killed)
         send_request (f, i, (unsigned)ms_random_below (&f->random, 4), false,
                       now);
@@ -615,7 +617,7 @@
   .usable = 1500 * MS_MSEC,
   .latency = 80 * MS_MSEC,
   .base_failed = 0.003,
-  .fault = { 0, 0, 0, 0, ALL, ALL, 0 },
+  .fault = { 0, 0, 0, 0, 0, ALL, ALL },
 };
 
 static const struct
@@ -634,7 +636,7 @@
 
   s.routers = sizes[i].routers;
   s.rate = sizes[i].rate;
-  s.seed += i * 1000;
+  s.seed += (uint64_t)i * 1000;
   return run_rollout (&s);
 }
 
@@ -714,7 +716,7 @@
   struct scenario s = usual;
 
   (void)state;
-  s.fault = (struct fault){ NEW, 0, 0.3, 0, ALL, ALL, 0 };
+  s.fault = (struct fault){ NEW, 0, 0, 0.3, 0, ALL, ALL };
   for (unsigned i = 0; i < SIZES; i++)
     {
       struct fleet f = run_size (&s, i);
@@ -738,9 +740,9 @@
       {
         struct fleet f;
 
-        s.fault = (struct fault){
-          NEW, (ms_time)(parts[i] * 12 * MS_SEC), 0.3, 0, ALL, ALL, 0
-        };
+        s.fault = (struct fault){ NEW, 0, (ms_time)(parts[i] * 12 * MS_SEC),
+                                  0.3, 0, ALL,
+                                  ALL };
         s.seed = i;
         f = run_size (&s, size);
         check_rolled_back (&f);
@@ -763,7 +765,7 @@
       s.rate = i < 2 ? 300 : 1200;
       s.latency = s.endpoints * 5 / s.rate * MS_SEC;
       s.routers = i < 2 ? 9 : 73;
-      s.fault = (struct fault){ NEW, 0, 0.4, 0, ALL, ALL, 4 };
+      s.fault = (struct fault){ NEW, 4, 0, 0.4, 0, ALL, ALL };
       s.seed = i;
       f = run_rollout (&s);
       check_rolled_back (&f);
@@ -777,7 +779,7 @@
   struct scenario s = usual;
 
   (void)state;
-  s.fault = (struct fault){ NEW, 0, 0.3, 0, 2, ALL, 0 };
+  s.fault = (struct fault){ NEW, 0, 0, 0.3, 0, 2, ALL };
   for (unsigned i = 0; i < SIZES; i++)
     {
       struct fleet f = run_size (&s, i);
@@ -797,7 +799,7 @@
     {
       struct fleet f;
 
-      s.fault = (struct fault){ NEW, 0, 0, i % 2 ? 0.25 : 1, ALL, ALL, 0 };
+      s.fault = (struct fault){ NEW, 0, 0, 0, i % 2 ? 0.25 : 1, ALL, ALL };
       f = run_size (&s, i);
       check_rolled_back (&f);
     }
@@ -809,11 +811,11 @@
 test_fault_of_all_versions_is_not_blamed_on_one (void **state)
 {
   static const struct fault faults[] = {
-    { OLD | NEW, 5 * MS_SEC, 0.5, 0, ALL, ALL, 0 },
-    { OLD | NEW, 5 * MS_SEC, 0.2, 0.5, 1, ALL, 0 },
-    { OLD | NEW, 5 * MS_SEC, 0, 1, ALL, ALL, 0 },
-    { OLD | NEW, 0, 0.05, 0.05, ALL, ALL, 0 },
-    { OLD, 5 * MS_SEC, 0.5, 0.5, ALL, ALL, 0 },
+    { OLD | NEW, 0, 5 * MS_SEC, 0.5, 0, ALL, ALL },
+    { OLD | NEW, 0, 5 * MS_SEC, 0.2, 0.5, 1, ALL },
+    { OLD | NEW, 0, 5 * MS_SEC, 0, 1, ALL, ALL },
+    { OLD | NEW, 0, 0, 0.05, 0.05, ALL, ALL },
+    { OLD, 0, 5 * MS_SEC, 0.5, 0.5, ALL, ALL },
   };
   struct scenario s = usual;
 
@@ -841,7 +843,7 @@
     {
       struct fleet f;
 
-      s.fault = (struct fault){ NEW, 0, i % 2 ? 1 : 0.3, 0, ALL, i % 6, 0 };
+      s.fault = (struct fault){ NEW, 0, 0, i % 2 ? 1 : 0.3, 0, ALL, i % 6 };
       s.endpoints = 6;
       s.seed = i;
       f = run_size (&s, i % 2);
@@ -877,9 +879,8 @@
       struct fleet f;
 
       memcpy (s.outages, outages[i / 2], sizeof s.outages);
-      s.fault
-          = (struct fault){ NEW, i % 2 ? 11400 * MS_MSEC : 0, 0.3, 0, ALL, ALL,
-                            0 };
+      s.fault = (struct fault){ NEW, 0,  i % 2 ? 11400 * MS_MSEC : 0, 0.3, 0,
+                                ALL, ALL };
       s.seed = i;
       f = run_rollout (&s);
       check_rolled_back (&f);
@@ -901,8 +902,8 @@
     {
       struct fleet f;
 
-      s.surge_at = 9800 * MS_MSEC + i * 400 * MS_MSEC;
-      s.fault = (struct fault){ NEW, 11 * MS_SEC, 0.2, 0, ALL, ALL, 0 };
+      s.surge_at = 9800 * MS_MSEC + (ms_time)i * 400 * MS_MSEC;
+      s.fault = (struct fault){ NEW, 0, 11 * MS_SEC, 0.2, 0, ALL, ALL };
       s.seed = i;
       f = run_size (&s, i % 2);
       check_rolled_back (&f);
@@ -925,7 +926,7 @@
       s.store_until = i % 2 ? 9 * MS_SEC : 20 * MS_SEC;
       s.lost_replies = i % 4 < 2 ? 0 : 0.7;
       s.seed = i;
-      s.fault = i < 4 ? (struct fault){ NEW, 3 * MS_SEC, 0.3, 0, ALL, ALL, 0 }
+      s.fault = i < 4 ? (struct fault){ NEW, 0, 3 * MS_SEC, 0.3, 0, ALL, ALL }
                       : usual.fault;
       f = run_size (&s, i % 2);
       if (i < 4)
