Shares: the configured capacity stands for completions until these are known

Callers saw FAIR broken in the first six seconds of 82 routers before 60 endpoints: one team got 1.95 M of 4.74 M tokens while another got 7.43 M. Cause, by the share events of all routers: nothing was known of what endpoints complete, so all that found a slot began; then completions, which lag behind by the run time, were taken for the capacity, and with all endpoints full the level fell to 70 to 105 k cost units a second for two seconds while 0.9 to 1.5 M completed. limits.tokens_per_second was decoded but not used: it now stands for completions, less the longer these were measured (time constant 4 s), and bounds what is admitted meanwhile to twice of it. Without it nothing changes. test_level_at_a_start_follows_the_configured_capacity fails without the capacity and passes with it.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -27,6 +27,12 @@
    little, unlike the rate at which requests complete.  */
 #define RUN_TIME_CONSTANT (4 * MS_SEC)
 
+/* Until completions have been seen for some time, all teams together are
+   admitted at no more than the configured capacity times this.  Requests take
+   seconds to complete, so that without it endpoints are filled beyond what
+   they can run in time, and next to nothing is admitted afterwards.  */
+#define START_RATE_FACTOR 2.0
+
 /* If more than this fraction of the demand of teams below the level finds no
    free capacity, capacity counts as scarce whatever its used fraction is: the
    use is taken to be above TARGET_USE by at least the unplaced fraction, so
@@ -85,6 +91,8 @@
   double mean_answered;
   double run_s;
   ms_time answered_since; /* When a request first completed; 0 before.  */
+  double capacity; /* Of all endpoints as configured, in cost units per second;
+                      0 if it is not.  */
   /* Of the last computation of own_level.  */
   double used_fraction;
   double unplaced_fraction;
@@ -340,26 +348,47 @@
                      : 0;
 }
 
+/* Return how far what was measured of completions may be relied on, 0 to 1.
+   Before, the configured capacity stands for it, if there is one.  */
+static double
+measured_weight (const struct ms_share *share, ms_time now)
+{
+  if (share->capacity <= 0)
+    return 1;
+  if (!share->answered_since)
+    return 0;
+  return -expm1 (-(double)(now - share->answered_since) / RUN_TIME_CONSTANT);
+}
+
 /* Return the rate at which all teams together may be admitted, in cost units
    per second; HUGE_VAL if there is no need for a limit, or nothing is known of
    what endpoints can do.  */
 static double
 admitted_rate (const struct ms_share *share, const struct summary *summary,
-               const struct ms_share_usage *usage)
+               const struct ms_share_usage *usage, ms_time now)
 {
   double use = usage->used_fraction;
   double running = usage->running_cost;
-  double completed;
+  double weight = measured_weight (share, now);
+  double completed = 0;
+  double factor;
 
-  if (use < IDLE_USE || share->run_s <= 0)
+  if (use < IDLE_USE || (share->run_s <= 0 && weight > 0))
     return HUGE_VAL;
   /* As endpoints fill up, completions lag behind what is running; what is over
      the target does not complete sooner.  */
-  completed = fmax (summary->answered,
-                    running * fmin (1, TARGET_USE / use) / share->run_s);
+  if (share->run_s > 0)
+    completed = fmax (summary->answered,
+                      running * fmin (1, TARGET_USE / use) / share->run_s);
+  completed = weight * completed + (1 - weight) * share->capacity;
   if (summary->unplaced_fraction > SCARCE_UNPLACED_FRACTION)
     use = fmax (use, TARGET_USE + summary->unplaced_fraction);
-  return completed * pow (TARGET_USE / use, USE_EXPONENT);
+  factor = pow (TARGET_USE / use, USE_EXPONENT);
+  if (factor > START_RATE_FACTOR)
+    factor = START_RATE_FACTOR / (1 - weight) < factor
+                 ? START_RATE_FACTOR / (1 - weight)
+                 : factor;
+  return completed * factor;
 }
 
 /* Remove the teams whose IDLE_TEAM_TIMEOUT is over.  */
@@ -418,11 +447,17 @@
   share->used_fraction = usage->used_fraction;
   share->unplaced_fraction = summary.unplaced_fraction;
   share->answered = summary.answered;
-  share->own_level
-      = max_min_level (share, admitted_rate (share, &summary, usage), now);
+  share->own_level = max_min_level (
+      share, admitted_rate (share, &summary, usage, now), now);
   share->level = agreed_level (share);
 }
 
+void
+ms_share_set_capacity (struct ms_share *share, double capacity)
+{
+  share->capacity = capacity > 0 ? capacity : 0;
+}
+
 void
 ms_share_set_others_level (struct ms_share *share, double level,
                            unsigned count)
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -80,6 +80,11 @@
 void ms_share_set_others_level (struct ms_share *share, double level,
                                 unsigned count);
 
+/* Set what all endpoints together complete according to the configuration, in
+   cost units per second; 0 if it does not say.  It is used until completions
+   were measured for a few seconds.  */
+void ms_share_set_capacity (struct ms_share *share, double capacity);
+
 /* Return whether ms_share_tick is due: the level is recomputed ten times a
    second.  */
 bool ms_share_is_due (const struct ms_share *share, ms_time now);
--- a/src/gateway/shares.c
+++ b/src/gateway/shares.c
@@ -55,6 +55,8 @@
   /* The tokens stand for the cost, which they understate: a generated token
      costs more than one cost unit.  */
   usage = (struct ms_share_usage){ use.fraction, use.tokens };
+  if (gw->routes)
+    ms_share_set_capacity (gw->share, gw->routes->limits.tokens_per_second);
   ms_share_tick (gw->share, &usage, now);
   ms_place_set_share (gw->place, ms_share_fraction (gw->share, now));
   log_shares (gw, now);
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -96,8 +96,9 @@
   uint64_t max_body_bytes;
   ms_time head_timeout;     /* For a request's head to arrive.  */
   ms_time idle_timeout;     /* For a connection without a request.  */
-  double tokens_per_second; /* Capacity of all endpoints together; 0 if not
-                               configured.  Decoded, but not used.  */
+  double tokens_per_second; /* Capacity of all endpoints together, where a
+                               generated token counts twice; 0 if not
+                               configured.  */
 };
 
 /* A configuration.  Owns its arrays and strings.  */
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -477,6 +477,45 @@
   ms_share_destroy (share);
 }
 
+/* Guards against a level that falls to a small part of what endpoints complete
+   while the first requests of a fleet still run: use and completions as logged
+   at such a start, with the demand of two large and six small teams.  */
+static void
+test_level_at_a_start_follows_the_configured_capacity (void **state)
+{
+  static const double demands[]
+      = { 1240000, 790000, 100000, 100000, 100000, 100000, 100000, 100000 };
+  const double capacity = 2400000;
+  struct ms_share *share = ms_share_create ();
+
+  (void)state;
+  ms_share_set_capacity (share, capacity);
+  for (ms_time now = TICK; now < 2400 * MS_MSEC; now += TICK)
+    {
+      double seconds = (double)now / MS_SEC;
+      double answered = fmax (0, 360000 * (seconds - 0.5));
+      const struct ms_share_usage usage
+          = { fmin (1.05, 0.6 * seconds), fmin (1, seconds) * 2900000 };
+      double admitted = 0;
+
+      ms_share_clear_others (share);
+      for (unsigned i = 0; i < 8; i++)
+        {
+          const struct ms_team_rates rates
+              = { i + 1, demands[i], 0, answered * demands[i] / 2630000 };
+
+          ms_share_add_others (share, &rates);
+        }
+      ms_share_tick (share, &usage, now);
+      for (unsigned i = 0; i < 8; i++)
+        admitted += ms_share_level (share) > 0
+                        ? fmin (demands[i], ms_share_level (share))
+                        : demands[i];
+      assert_true (admitted >= capacity / 2);
+    }
+  ms_share_destroy (share);
+}
+
 int
 main (void)
 {
@@ -491,6 +530,7 @@
     cmocka_unit_test (test_routers_agree_on_the_level),
     cmocka_unit_test (test_rest_of_an_admitted_request_is_charged),
     cmocka_unit_test (test_idle_teams_are_removed),
+    cmocka_unit_test (test_level_at_a_start_follows_the_configured_capacity),
   };
 
   return RUN (tests);
