--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -15,7 +15,7 @@
 
 /* Duration of orders that were removed before this router knew them: their age
    is known up to this.  */
-#define MAX_AGE (24 * 3600 * MS_SEC)
+#define MAX_AGE (86400 * MS_SEC)
 
 /* An order that the operators' records have, or had.  */
 struct entry
--- a/src/gateway/time.c
+++ b/src/gateway/time.c
@@ -36,7 +36,7 @@
 static void
 check_delay (struct ms_gateway *gw, ms_time before)
 {
-  if (!before || gw->now - before <= 2 * MS_TICK_MS * MS_MSEC)
+  if (!before || gw->now - before <= (ms_time)MS_TICK_MS * 2 * MS_MSEC)
     return;
   gw->delayed_at = gw->now;
   gw->delayed_for = gw->now - before;
