Rollouts: one bad endpoint among reports, silent routers, faults after the move

Endpoints that are bad anywhere are now reported by all, one is blamed after a second, and what others still report of it is discounted.

test_rollout: 24 of 24 pass.

--- a/src/rollout/compare.c
+++ b/src/rollout/compare.c
@@ -53,6 +53,12 @@
 #define PART_PRIOR 16
 #define BATCH_PRIOR 2
 
+/* When the others get no more requests, their last two batches or so stand for
+   a batch.  As these say less of the present, the part of bad answers that is
+   assumed is raised by 1 / UNCERTAIN_PART of it.  */
+#define LAST_PART 2
+#define UNCERTAIN_PART 4
+
 /* Fewer answers of the others on a route and zone in one batch than this are
    not relied on; those on the route, or else all, are used.  Fewer than
    BATCH_BAD bad ones are chance.  */
@@ -88,6 +94,7 @@
 {
   struct window window;
   struct window batch;
+  struct window last;
 };
 
 struct stratum
@@ -95,6 +102,7 @@
   uint64_t route;
   uint64_t zone;
   struct window windows[MS_COMPARE_KINDS];
+  struct window last[MS_COMPARE_KINDS]; /* The same of the last batches.  */
   struct sample added[MS_COMPARE_KINDS][2];
 };
 
@@ -112,6 +120,7 @@
   unsigned scopes_count;
   struct ms_rollout_evidence total;
   unsigned steps;
+  uint32_t discount; /* Bad answers that do not count.  */
 };
 
 int64_t
@@ -229,16 +238,40 @@
     }
 }
 
+void
+ms_compare_discount (struct ms_compare *compare, uint32_t bad)
+{
+  compare->discount += bad;
+}
+
+/* Remove the answers that do not count.  */
+static void
+apply_discount (struct ms_compare *compare)
+{
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    for (unsigned kind = 0; kind < MS_COMPARE_KINDS; kind++)
+      {
+        struct sample *sample = &compare->strata[i].added[kind][0];
+        uint32_t removed = sample->bad < compare->discount ? sample->bad
+                                                           : compare->discount;
+
+        sample->bad -= removed;
+        sample->answers -= removed;
+        compare->discount -= removed;
+      }
+  compare->discount = 0;
+}
+
 static void
-update_window (struct window *w, const struct sample *added)
+update_window (struct window *w, const struct sample *added, unsigned part)
 {
   uint64_t answers = (uint64_t)added->answers * COUNT;
   uint64_t bad = (uint64_t)added->bad * COUNT;
 
   if (!answers)
     return;
-  w->answers += answers - w->answers / WINDOW_PART;
-  w->bad += bad - w->bad / WINDOW_PART;
+  w->answers += answers - w->answers / part;
+  w->bad += bad - w->bad / part;
 }
 
 static void
@@ -247,6 +280,8 @@
 {
   sum->window.answers += s->windows[kind].answers;
   sum->window.bad += s->windows[kind].bad;
+  sum->last.answers += s->last[kind].answers;
+  sum->last.bad += s->last[kind].bad;
   sum->batch.answers += (uint64_t)s->added[kind][1].answers * COUNT;
   sum->batch.bad += (uint64_t)s->added[kind][1].bad * COUNT;
 }
@@ -325,9 +360,14 @@
   part = window_part (&all.window, PRIOR, ONE / PRIOR);
   part = window_part (&route.window, PART_PRIOR, part);
   part = window_part (&own.window, PART_PRIOR, part);
-  now = batch_part (first_reliable (&own.batch, &route.batch, &all.batch));
+  if (all.batch.answers >= MIN_ANSWERS * COUNT)
+    now = batch_part (first_reliable (&own.batch, &route.batch, &all.batch));
+  else
+    now = batch_part (first_reliable (&own.last, &route.last, &all.last));
   if (part < now)
     part = now;
+  if (all.batch.answers < MIN_ANSWERS * COUNT)
+    part += part / UNCERTAIN_PART;
   if (part < least)
     part = least;
   return part > MOST_BAD ? MOST_BAD : part;
@@ -355,8 +395,12 @@
 step_kind (struct ms_compare *compare, enum ms_compare_kind kind)
 {
   for (unsigned i = 0; i < compare->strata_count; i++)
-    update_window (&compare->strata[i].windows[kind],
-                   &compare->strata[i].added[kind][1]);
+    {
+      struct stratum *s = &compare->strata[i];
+
+      update_window (&s->windows[kind], &s->added[kind][1], WINDOW_PART);
+      update_window (&s->last[kind], &s->added[kind][1], LAST_PART);
+    }
   for (unsigned i = 0; i < compare->strata_count; i++)
     {
       struct stratum *s = &compare->strata[i];
@@ -389,6 +433,7 @@
 {
   if (++compare->steps % BATCH_STEPS)
     return false;
+  apply_discount (compare);
   step_kind (compare, MS_COMPARE_FAILED);
   step_kind (compare, MS_COMPARE_SLOW);
   for (unsigned i = 0; i < compare->strata_count; i++)
@@ -401,6 +446,9 @@
 {
   for (unsigned i = 0; i < compare->scopes_count; i++)
     memset (compare->scopes[i].sums, 0, sizeof compare->scopes[i].sums);
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    for (unsigned kind = 0; kind < MS_COMPARE_KINDS; kind++)
+      compare->strata[i].added[kind][0] = (struct sample){ 0 };
 }
 
 int64_t
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -46,6 +46,7 @@
 /* What a source that was not merged has reported of its requests in progress
    is true for this long.  */
 #define REPORT_TIME (1 * MS_SEC)
+#define SILENT_TIME (5 * MS_SEC)
 
 /* If one endpoint has many bad answers, the version is bad only if its other
    endpoints have at least this many, at least 1 / RATE_FACTOR of the one's
@@ -62,6 +63,10 @@
    ALONE_BAD bad answers are enough for the version to be bad: it must be well
    below 50, from which on the time to stop counts.  */
 #define UNEVEN_BITS 12
+
+/* For this long the one is to look bad alone, as other routers report how
+   often an endpoint answered them after they hear of its first bad answer.  */
+#define ONE_TIME (1 * MS_SEC)
 #define ALONE_BAD 25
 
 void
@@ -224,29 +229,45 @@
   ms_compare_add (evidence->compare, &added);
 }
 
-/* Put the endpoints with the most bad answers into REPORT.  */
+static uint32_t
+bad_in_fleet (const struct ms_evidence *evidence, uint64_t endpoint)
+{
+  for (unsigned i = 0; i < evidence->suspects.count; i++)
+    if (evidence->suspects.list[i].endpoint == endpoint)
+      return evidence->suspects.list[i].bad;
+  return 0;
+}
+
+/* Put this router's answers of the endpoints with the most bad answers in the
+   fleet into REPORT.  Its good ones tell how often they answered.  */
 static void
-report_suspects (const struct ms_suspects *suspects,
+report_suspects (const struct ms_evidence *evidence,
                  struct ms_rollout_report *report)
 {
+  uint32_t bad[MS_ROLLOUT_SUSPECTS];
   unsigned count = 0;
 
-  for (unsigned i = 0; i < suspects->count; i++)
+  for (unsigned i = 0; i < evidence->own_suspects.count; i++)
     {
-      const struct ms_rollout_suspect *s = &suspects->list[i];
+      const struct ms_rollout_suspect *s = &evidence->own_suspects.list[i];
+      uint32_t fleet_bad = bad_in_fleet (evidence, s->endpoint);
       unsigned j;
 
-      if (!s->bad)
+      if (!fleet_bad)
         continue;
       if (count < MS_ROLLOUT_SUSPECTS)
         j = count++;
-      else if (s->bad > report->suspects[count - 1].bad)
+      else if (fleet_bad > bad[count - 1])
         j = count - 1;
       else
         continue;
-      for (; j && report->suspects[j - 1].bad < s->bad; j--)
-        report->suspects[j] = report->suspects[j - 1];
+      for (; j && bad[j - 1] < fleet_bad; j--)
+        {
+          report->suspects[j] = report->suspects[j - 1];
+          bad[j] = bad[j - 1];
+        }
       report->suspects[j] = *s;
+      bad[j] = fleet_bad;
     }
   report->suspects_count = count;
 }
@@ -264,7 +285,7 @@
       report->strata[i].log_ratio
           = (float)((double)evidence->own_log_ratios[i] * (LN2 / 65536));
     }
-  report_suspects (&evidence->own_suspects, report);
+  report_suspects (evidence, report);
 }
 
 static bool
@@ -418,6 +439,9 @@
   added.answers = raise_count (&c->answers, s->answers);
   added.bad = raise_count (&c->bad, s->bad);
   add_suspect (&evidence->suspects, &added);
+  /* Its router may not know yet that the endpoint alone is bad.  */
+  if (evidence->several && added.endpoint == evidence->outlier)
+    ms_compare_discount (evidence->compare, added.bad);
 }
 
 /* Return A + B, or the largest value if that is less.  */
@@ -555,28 +579,39 @@
   counted->unmoved = report->unmoved;
 }
 
+/* Return whether what SOURCE reported last may still be true: if PATIENT, also
+   if it has fallen silent, as its requests may go on.  */
+static bool
+may_be_true (const struct ms_rollout_source *source, bool patient, ms_time now)
+{
+  return source->merged
+         || now - source->heard_at < (patient ? SILENT_TIME : REPORT_TIME);
+}
+
 static bool
 is_current (const struct ms_rollout_source *source, ms_time now)
 {
-  return source->merged || now - source->heard_at < REPORT_TIME;
+  return may_be_true (source, false, now);
 }
 
 bool
-ms_evidence_drained (const struct ms_evidence *evidence, ms_time now)
+ms_evidence_drained (const struct ms_evidence *evidence, bool patient,
+                     ms_time now)
 {
   for (const struct ms_rollout_source *s = evidence->sources; s;
        s = s->hh.next)
-    if (is_current (s, now) && s->counted.running_old)
+    if (may_be_true (s, patient, now) && s->counted.running_old)
       return false;
   return true;
 }
 
 bool
-ms_evidence_moved (const struct ms_evidence *evidence, ms_time now)
+ms_evidence_moved (const struct ms_evidence *evidence, bool patient,
+                   ms_time now)
 {
   for (const struct ms_rollout_source *s = evidence->sources; s;
        s = s->hh.next)
-    if (is_current (s, now) && s->counted.unmoved)
+    if (may_be_true (s, patient, now) && s->counted.unmoved)
       return false;
   return true;
 }
@@ -742,13 +777,16 @@
   for (kind = 0; kind < MS_COMPARE_KINDS; kind++)
     if (ms_compare_score (evidence->compare, kind) >= MS_COMPARE_BAD)
       break;
-  if (kind == MS_COMPARE_KINDS)
-    return kind;
-  spread = spread_of_faults (evidence);
+  spread = kind < MS_COMPARE_KINDS ? spread_of_faults (evidence) : UNDECIDED;
   if (spread == SEVERAL)
     return kind;
-  if (spread == ONE)
+  if (spread != ONE)
+    evidence->one_since = 0;
+  else if (!evidence->one_since)
+    evidence->one_since = now;
+  else if (now - evidence->one_since >= ONE_TIME)
     {
+      evidence->one_since = 0;
       evidence->outlier = worst_endpoint (evidence).endpoint;
       ms_compare_reset (evidence->compare);
     }
--- a/src/rollout/internal.h
+++ b/src/rollout/internal.h
@@ -39,7 +39,12 @@
    of the same time, and true is returned.  */
 bool ms_compare_step (struct ms_compare *compare);
 
-/* Set the scores to 0.  */
+/* BAD of the bad answers of the ordered version that were added since the last
+   evaluation do not count.  */
+void ms_compare_discount (struct ms_compare *compare, uint32_t bad);
+
+/* Set the scores to 0 and forget what was not evaluated of the ordered
+   version.  */
 void ms_compare_reset (struct ms_compare *compare);
 
 int64_t ms_compare_score (const struct ms_compare *compare,
@@ -87,6 +92,8 @@
   struct ms_rollout_source *sources;
   struct ms_suspects suspects; /* Of the fleet.  */
   bool several;           /* Endpoints of the ordered version are usable.  */
+  ms_time one_since;      /* Since when one of them looks bad alone; 0 if none
+                             does.  */
   uint64_t outlier;       /* The one of them that is bad; 0 if none.  */
   uint32_t total_sent[2]; /* By the fleet.  */
   unsigned routers; /* The most that have reported at a time, and this one.  */
@@ -131,8 +138,11 @@
 int64_t ms_evidence_score (const struct ms_evidence *evidence);
 
 /* Return whether no other router may send requests to other versions, or has
-   some in progress there, as far as they report.  */
-bool ms_evidence_moved (const struct ms_evidence *evidence, ms_time now);
-bool ms_evidence_drained (const struct ms_evidence *evidence, ms_time now);
+   some in progress there, as far as they report; if PATIENT, also those that
+   have fallen silent in the last seconds.  */
+bool ms_evidence_moved (const struct ms_evidence *evidence, bool patient,
+                        ms_time now);
+bool ms_evidence_drained (const struct ms_evidence *evidence, bool patient,
+                          ms_time now);
 
 #endif
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -63,7 +63,7 @@
 /* The order ends OVERDUE_TIME after its deadline, as rolled back if a score is
    above this fraction.  */
 #define OVERDUE_TIME (15 * MS_SEC)
-#define DUBIOUS (MS_COMPARE_BAD / 2)
+#define DUBIOUS (MS_COMPARE_BAD / 3)
 
 /* A router that moves sends nothing to the others once it has not done so for
    CLOSE_TIME, or MAX_CLOSE_TIME after the move began: until then, endpoints
@@ -157,6 +157,7 @@
 
   bool closed;    /* While moving: nothing is sent to the others.  */
   bool drained;   /* It is to be completed.  */
+  bool overdue;   /* Whatever still runs at the others.  */
   bool confirmed; /* The store has the phase.  */
   enum ms_rollout_phase phase;
   enum ms_rollout_phase stored;
@@ -319,6 +320,7 @@
   o->closed = false;
   o->all_moved_at = 0;
   o->drained = false;
+  o->overdue = false;
   o->confirmed = false;
   o->phase = phase;
   o->reason = reason;
@@ -932,7 +934,7 @@
                   ms_time now)
 {
   if (may_use_others (rollouts, o, now)
-      || !ms_evidence_moved (&o->evidence, now))
+      || !ms_evidence_moved (&o->evidence, !is_bounded (o, now), now))
     o->all_moved_at = 0;
   else if (!o->all_moved_at)
     {
@@ -953,8 +955,11 @@
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
   update_all_moved (rollouts, o, now);
-  drained = o->all_moved_at && !o->running_here && !o->running_elsewhere
-            && ms_evidence_drained (&o->evidence, now) && is_proven (o, now);
+  drained
+      = o->overdue
+        || (o->all_moved_at && !o->running_here && !o->running_elsewhere
+            && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now)
+            && is_proven (o, now));
   if (drained == o->drained)
     return;
   o->drained = drained;
@@ -967,10 +972,13 @@
 {
   if (is_bounded (o, now) || now < deadline_of (o) + OVERDUE_TIME)
     return;
+  if (o->drained)
+    return;
   if (!o->ordered || ms_evidence_score (&o->evidence) > DUBIOUS)
     set_phase (o, MS_ROLLOUT_STOPPED, "overdue", now);
-  else if (o->phase == MS_ROLLOUT_MOVING && !o->drained)
+  else if (o->phase == MS_ROLLOUT_MOVING)
     {
+      o->overdue = true;
       o->drained = true;
       o->reason = "overdue";
     }
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -21,6 +21,7 @@
 #define ROLLBACK_TIME (5 * MS_SEC)
 #define BAD_ANSWERS 50 /* After this many, ROLLBACK_TIME begins.  */
 
+#define DURATION (12 * MS_SEC) /* Of orders.  */
 #define STEP (10 * MS_MSEC)
 #define MAX_ROUTERS 295
 #define MAX_ENDPOINTS 64 /* Of each version.  */
@@ -612,7 +613,7 @@
 static const struct scenario usual = {
   .routers = 9,
   .rate = 200,
-  .duration = 12 * MS_SEC,
+  .duration = DURATION,
   .endpoints = 20,
   .usable = 1500 * MS_MSEC,
   .latency = 80 * MS_MSEC,
@@ -740,9 +741,9 @@
       {
         struct fleet f;
 
-        s.fault = (struct fault){ NEW, 0, (ms_time)(parts[i] * 12 * MS_SEC),
-                                  0.3, 0, ALL,
-                                  ALL };
+        s.fault
+            = (struct fault){ NEW, 0,  (ms_time)(parts[i] * DURATION), 0.3, 0,
+                              ALL, ALL };
         s.seed = i;
         f = run_size (&s, size);
         check_rolled_back (&f);
@@ -939,13 +940,13 @@
 /* One router, without the model.  */
 
 static struct ms_rollouts *
-create (bool appeared, ms_time now)
+create (bool appeared, ms_time duration, ms_time now)
 {
   struct ms_rollout_options o = options (3);
   struct ms_rollouts *rollouts = ms_rollouts_create (&o);
   struct ms_rollout_order copy = order;
 
-  copy.duration = 12 * MS_SEC;
+  copy.duration = duration;
   ms_rollouts_put_order (rollouts, &copy, appeared, now);
   ms_rollouts_set_endpoints (rollouts, SERVICE, 4, 4, 0, 0);
   return rollouts;
@@ -954,7 +955,7 @@
 static void
 put (struct ms_rollouts *rollouts, uint32_t version, uint64_t id, ms_time now)
 {
-  const struct ms_rollout_order o = { SERVICE, version, 12 * MS_SEC, id };
+  const struct ms_rollout_order o = { SERVICE, version, DURATION, id };
 
   ms_rollouts_put_order (rollouts, &o, true, now);
   ms_rollouts_set_endpoints (rollouts, SERVICE, 4, 4, 0, 0);
@@ -1035,7 +1036,7 @@
 static void
 test_repeated_order_continues (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 5 * MS_SEC;
 
   (void)state;
@@ -1053,7 +1054,7 @@
 static void
 test_order_written_again_after_its_end_is_new (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 4 * MS_SEC;
 
@@ -1081,7 +1082,7 @@
 static void
 test_replaced_order_ends (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
 
   (void)state;
@@ -1106,7 +1107,7 @@
 static void
 test_removed_order_is_rolled_back (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
   unsigned count;
 
@@ -1132,7 +1133,7 @@
 static void
 test_order_without_endpoints_is_rolled_back (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = MS_SEC;
 
   (void)state;
@@ -1154,7 +1155,7 @@
 static void
 test_first_final_state_of_the_store_wins (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 2 * MS_SEC;
 
@@ -1173,7 +1174,7 @@
   /* Others hear of it before they read it.  */
   ms_rollouts_report (r, list, now);
   ms_rollouts_destroy (r);
-  r = create (true, MS_SEC);
+  r = create (true, DURATION, MS_SEC);
   ms_rollouts_merge (r, 1, &list[0], now);
   check_phase (r, MS_ROLLOUT_COMPLETED, "peer", now);
   check_unwritten (r, MS_ROLLOUT_NONE, now);
@@ -1186,8 +1187,8 @@
 test_router_that_starts_waits_for_the_state (void **state)
 {
   struct ms_rollout_report list[MS_ROLLOUTS];
-  struct ms_rollouts *peer = create (true, MS_SEC);
-  struct ms_rollouts *r = create (false, 6 * MS_SEC);
+  struct ms_rollouts *peer = create (true, DURATION, MS_SEC);
+  struct ms_rollouts *r = create (false, DURATION, 6 * MS_SEC);
   ms_time now = 6 * MS_SEC;
 
   (void)state;
@@ -1201,21 +1202,21 @@
   assert_int_equal (state_of (r, now).started_at, MS_SEC);
   ms_rollouts_destroy (r);
   /* From the store, whose clock may be another.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, NEW, order.id, MS_ROLLOUT_CANARY,
                            4 * MS_SEC, now);
   check_phase (r, MS_ROLLOUT_CANARY, "store", now);
   assert_in_range (state_of (r, now).started_at, now - 4 * MS_SEC,
                    now - 3 * MS_SEC);
   ms_rollouts_destroy (r);
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, NEW, order.id, MS_ROLLOUT_ROLLED_BACK,
                            4 * MS_SEC, now);
   assert_true (excludes_new (r, now));
   assert_false (ms_rollouts_allows (r, SERVICE, NEW, now));
   ms_rollouts_destroy (r);
   /* If nobody knows, it begins now.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, 0, 0, MS_ROLLOUT_NONE, -1, now);
   now = pass (r, now, 2 * MS_SEC);
   check_phase (r, MS_ROLLOUT_UNKNOWN, "order", now);
@@ -1223,7 +1224,7 @@
   check_phase (r, MS_ROLLOUT_CANARY, "order", now);
   ms_rollouts_destroy (r);
   /* Without another version there is no choice.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_set_endpoints (r, SERVICE, 4, 0, 0, 0);
   assert_false (excludes_new (r, now));
   ms_rollouts_destroy (r);
@@ -1234,7 +1235,7 @@
 static void
 test_restored_store_gets_the_states_again (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
 
   (void)state;
@@ -1280,7 +1281,7 @@
 static void
 test_absurd_reports_are_ignored (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 2 * MS_SEC;
   struct ms_rollout_report reports[9];
 
@@ -1329,7 +1330,7 @@
 static void
 test_answers_in_sums_count_once (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 2 * MS_SEC;
   struct ms_rollout_report sums[]
       = { report_of (1000, 0), report_of (900, 0), report_of (950, 0) };
@@ -1354,8 +1355,8 @@
 static void
 test_score_is_the_same_on_all_processors (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
-  struct ms_rollouts *peer = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+  struct ms_rollouts *peer = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 2 * MS_SEC;
 
@@ -1414,10 +1415,9 @@
       for (unsigned run = 0; run < 100; run++)
         {
           struct fleet f = { .random = { i * 1000 + run } };
-          struct ms_rollouts *r = create (true, MS_SEC);
+          struct ms_rollouts *r = create (true, 1000 * MS_SEC, MS_SEC);
           ms_time now = MS_SEC;
 
-          ms_rollouts_set_endpoints (r, SERVICE, 4, 4, 1, 0);
           for (unsigned n = 0; n < cases[i].answers; n += 4)
             {
               for (unsigned k = 0; k < 44; k++)
