Rollouts: a router that starts while others have stopped resumes no streams

It took the age from the report before the phase, and so believed it had used the version. Reports of ended orders have no evidence any more.

--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -56,8 +56,8 @@
 #define ENOUGH_TIMED 10
 #define LATE_TIME (2 * MS_SEC)
 
-/* While a score is above this fraction of the one of a bad version, nothing
-   is moved or completed.  */
+/* While a score is above this fraction of the one of a bad version, no move
+   begins and the canary is not raised.  */
 #define DOUBTFUL (MS_COMPARE_BAD / 3)
 
 /* The order ends OVERDUE_TIME after its deadline, as rolled back if a score is
@@ -77,13 +77,14 @@
    completed in time.  */
 #define SMALL_FLEET 16
 
-/* Before the order is completed, the version has given PROVEN_ANSWERS, run all
-   requests of this router for MOVED_TIME and given MOVED_ANSWERS meanwhile.
-   Of a version that answers one in 20 badly, 150 answers have one or no bad
-   one in 4 of 1000 cases; with two, the score is usually too high.  If the
-   canary had less load on each endpoint than the others have, faults under
-   load can only appear now: then it has run all requests of the fleet for
-   UNLOADED_TIME and given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
+/* Before the order is completed, no score is above PROVEN, and the version has
+   given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
+   given MOVED_ANSWERS meanwhile. Of a version that answers one in 20 badly,
+   150 answers have one or no bad one in 4 of 1000 cases; with two, a score is
+   usually too high.  If the canary had less load on each endpoint than the
+   others have, faults under load can only appear now: then it has run all
+   requests of the fleet for UNLOADED_TIME and given UNLOADED_ANSWERS, or for
+   MOVED_LONG_TIME.  */
 #define PROVEN_ANSWERS 150
 #define PROVEN (MS_COMPARE_BAD / 8)
 #define MOVED_TIME (300 * MS_MSEC)
@@ -702,7 +703,8 @@
   report->running_old = o->running_here;
   report->routers = 1;
   report->unmoved = may_use_others (rollouts, o, now);
-  ms_evidence_report (&o->evidence, report);
+  if (!is_terminal (o->phase))
+    ms_evidence_report (&o->evidence, report);
 }
 
 unsigned
@@ -756,8 +758,6 @@
 {
   enum ms_rollout_phase phase = report->phase;
 
-  if (is_terminal (o->phase))
-    return;
   if (is_terminal (phase) && report->confirmed)
     {
       set_phase (o, phase, "peer", now);
@@ -775,12 +775,15 @@
 {
   struct order *o = find_order (rollouts, report->service);
 
-  if (!o || !has_id (o, report->order) || report->version != o->order.version
+  if (!o || is_terminal (o->phase) || !has_id (o, report->order)
+      || report->version != o->order.version
       || !ms_evidence_is_plausible (report))
     return;
+  /* The phase comes first: a router that does not know the age yet has not
+     used the version.  */
+  merge_phase (o, report, now);
   merge_age (o, report->age, now);
   ms_evidence_merge (&o->evidence, source, report, now);
-  merge_phase (o, report, now);
 }
 
 void
@@ -1016,10 +1019,12 @@
 
   update_rate (o, now);
   o->stepped_at = now;
-  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
-  count_loaded_answers (o);
   if (o->restored_steps)
     o->restored_steps--;
+  if (is_terminal (o->phase))
+    return;
+  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
+  count_loaded_answers (o);
   if (o->phase == MS_ROLLOUT_UNKNOWN && o->none_since
       && now - o->none_since >= UNKNOWN_TIME)
     start_order (o, now, "order", now);
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -159,7 +159,8 @@
                       others.  */
 };
 
-/* Bad answers of one endpoint of the ordered version.  */
+/* Answers of one endpoint of the ordered version, and the bad ones among them.
+   Endpoints are reported that have bad ones at any router.  */
 struct ms_rollout_suspect
 {
   uint64_t endpoint;
@@ -202,7 +203,8 @@
    whoever added them up; counts of a router only grow.  What a source has
    counted stays for as long as the order lives; the rest of its report counts
    if it was merged since the last call of ms_rollouts_clear_others, or within
-   the last second.  Reports that contradict themselves are ignored.  */
+   the last second.  A report may leave out strata and suspects that have not
+   changed.  Reports that contradict themselves are ignored.  */
 void ms_rollouts_clear_others (struct ms_rollouts *rollouts);
 void ms_rollouts_merge (struct ms_rollouts *rollouts, uint64_t source,
                         const struct ms_rollout_report *report, ms_time now);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1215,6 +1215,13 @@
   assert_true (excludes_new (r, now));
   assert_false (ms_rollouts_allows (r, SERVICE, NEW, now));
   ms_rollouts_destroy (r);
+  ms_rollouts_remove_order (peer, SERVICE, now);
+  ms_rollouts_report (peer, list, now);
+  r = create (false, DURATION, now);
+  ms_rollouts_merge (r, 1, &list[0], now);
+  check_phase (r, MS_ROLLOUT_STOPPED, "peer", now);
+  assert_false (ms_rollouts_allows (r, SERVICE, NEW, now));
+  ms_rollouts_destroy (r);
   /* If nobody knows, it begins now.  */
   r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, 0, 0, MS_ROLLOUT_NONE, -1, now);
