--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -56,14 +56,14 @@
 #define ENOUGH_TIMED 10
 #define LATE_TIME (2 * MS_SEC)
 
-/* While a score is above this fraction of the one of a bad version, nothing
-   is moved or completed.  */
+/* While a score is above this fraction of the one of a bad version, no move
+   begins and the canary is not raised.  */
 #define DOUBTFUL (MS_COMPARE_BAD / 3)
 
 /* The order ends OVERDUE_TIME after its deadline, as rolled back if a score is
    above this fraction.  */
 #define OVERDUE_TIME (15 * MS_SEC)
-#define DUBIOUS (MS_COMPARE_BAD / 2)
+#define DUBIOUS (MS_COMPARE_BAD / 3)
 
 /* A router that moves sends nothing to the others once it has not done so for
    CLOSE_TIME, or MAX_CLOSE_TIME after the move began: until then, endpoints
@@ -77,13 +77,14 @@
    completed in time.  */
 #define SMALL_FLEET 16
 
-/* Before the order is completed, the version has given PROVEN_ANSWERS, run all
-   requests of this router for MOVED_TIME and given MOVED_ANSWERS meanwhile.
-   Of a version that answers one in 20 badly, 150 answers have one or no bad
-   one in 4 of 1000 cases; with two, the score is usually too high.  If the
-   canary had less load on each endpoint than the others have, faults under
-   load can only appear now: then it has run all requests of the fleet for
-   UNLOADED_TIME and given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
+/* Before the order is completed, no score is above PROVEN, and the version has
+   given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
+   given MOVED_ANSWERS meanwhile. Of a version that answers one in 20 badly,
+   150 answers have one or no bad one in 4 of 1000 cases; with two, a score is
+   usually too high.  If the canary had less load on each endpoint than the
+   others have, faults under load can only appear now: then it has run all
+   requests of the fleet for UNLOADED_TIME and given UNLOADED_ANSWERS, or for
+   MOVED_LONG_TIME.  */
 #define PROVEN_ANSWERS 150
 #define PROVEN (MS_COMPARE_BAD / 8)
 #define MOVED_TIME (300 * MS_MSEC)
@@ -147,29 +148,29 @@
   uint64_t service;
   struct ms_rollout_order order;
   uint64_t former_id; /* Of the same order, before it was written again.  */
-  bool appeared;
-  bool removed; /* The operators' records do not have it any more.  */
   ms_time seen_at;
-  bool started;
   ms_time started_at;
   ms_time earliest_start; /* Bound on STARTED_AT, which others may know
                              better.  */
+  bool appeared;
+  bool started;
+  bool removed; /* The operators' records do not have it any more.  */
 
+  bool closed;    /* While moving: nothing is sent to the others.  */
+  bool drained;   /* It is to be completed.  */
+  bool overdue;   /* Whatever still runs at the others.  */
+  bool confirmed; /* The store has the phase.  */
   enum ms_rollout_phase phase;
+  enum ms_rollout_phase stored;
+  unsigned restored_steps; /* Until the store's loss of records is over.  */
+  ms_time none_since; /* Since when the store is known to have no state.  */
   const char *reason;
   ms_time stopped_at;
   ms_time moved_at;
-  uint32_t moved_answers; /* Of the fleet when the move began.  */
-  ms_time all_moved_at;   /* Since when no router may use the others; 0 if one
-                             may.  */
-  uint32_t all_moved_answers;
-  bool closed;  /* While moving: nothing is sent to the others.  */
-  bool drained; /* It is to be completed.  */
-
-  enum ms_rollout_phase stored; /* What the store has.  */
-  bool confirmed;
-  ms_time none_since; /* Since when the store is known to have no state.  */
-  unsigned restored_steps; /* Until its loss of records is over.  */
+  ms_time all_moved_at;       /* Since when no router may use the others; 0 if
+                                 one may.  */
+  uint32_t moved_answers;     /* Of the fleet at MOVED_AT, */
+  uint32_t all_moved_answers; /* and at ALL_MOVED_AT.  */
 
   /* Versions of earlier orders that were not completed.  */
   uint32_t excluded[MS_ROLLOUT_EXCLUDED - 1];
@@ -177,21 +178,20 @@
 
   int64_t credit;
   int64_t budget;
-  int64_t canary_rate; /* Earned credit for each request.  */
-  unsigned requests;   /* Since the last evaluation, */
-  int64_t rate;        /* and for each second on average, in UNIT.  */
+  int64_t canary_rate;     /* Earned credit for each request.  */
+  int64_t rate;            /* Requests per second on average, in UNIT.  */
+  unsigned requests;       /* Since the last evaluation.  */
+  uint32_t sent_ordered;   /* By any router of the fleet, */
+  ms_time sent_ordered_at; /* last at this time.  */
   ms_time sent_other_at;
-  ms_time sent_ordered_at; /* By any router of the fleet, */
-  uint32_t sent_ordered;   /* this many.  */
 
   unsigned ordered, others;
+  unsigned running_here, running_elsewhere;
   bool endpoints_known;
   bool had_others;
-  unsigned running_here, running_elsewhere;
-  ms_time listed_at; /* Excluded endpoints were listed.  */
-
   uint32_t loaded_answers;
   uint32_t seen_answers; /* At the last evaluation.  */
+  ms_time listed_at;     /* Excluded endpoints were listed.  */
   ms_time stepped_at;
   struct ms_evidence evidence;
   UT_hash_handle hh;
@@ -321,6 +321,7 @@
   o->closed = false;
   o->all_moved_at = 0;
   o->drained = false;
+  o->overdue = false;
   o->confirmed = false;
   o->phase = phase;
   o->reason = reason;
@@ -640,7 +641,7 @@
 {
   struct order *o = find_order (rollouts, service);
 
-  if (!o)
+  if (!o || is_terminal (o->phase))
     return;
   ms_evidence_sent (&o->evidence, version != o->order.version);
   if (version == o->order.version)
@@ -668,7 +669,7 @@
   struct order *o = find_order (rollouts, answer->service);
 
   (void)now;
-  if (o && !is_excluded (o, answer->version))
+  if (o && !is_terminal (o->phase) && !is_excluded (o, answer->version))
     ms_evidence_note (&o->evidence, answer->version != o->order.version,
                       answer);
 }
@@ -702,7 +703,8 @@
   report->running_old = o->running_here;
   report->routers = 1;
   report->unmoved = may_use_others (rollouts, o, now);
-  ms_evidence_report (&o->evidence, report);
+  if (!is_terminal (o->phase))
+    ms_evidence_report (&o->evidence, report);
 }
 
 unsigned
@@ -756,8 +758,6 @@
 {
   enum ms_rollout_phase phase = report->phase;
 
-  if (is_terminal (o->phase))
-    return;
   if (is_terminal (phase) && report->confirmed)
     {
       set_phase (o, phase, "peer", now);
@@ -775,12 +775,15 @@
 {
   struct order *o = find_order (rollouts, report->service);
 
-  if (!o || !has_id (o, report->order) || report->version != o->order.version
+  if (!o || is_terminal (o->phase) || !has_id (o, report->order)
+      || report->version != o->order.version
       || !ms_evidence_is_plausible (report))
     return;
+  /* The phase comes first: a router that does not know the age yet has not
+     used the version.  */
+  merge_phase (o, report, now);
   merge_age (o, report->age, now);
   ms_evidence_merge (&o->evidence, source, report, now);
-  merge_phase (o, report, now);
 }
 
 void
@@ -934,7 +937,7 @@
                   ms_time now)
 {
   if (may_use_others (rollouts, o, now)
-      || !ms_evidence_moved (&o->evidence, now))
+      || !ms_evidence_moved (&o->evidence, !is_bounded (o, now), now))
     o->all_moved_at = 0;
   else if (!o->all_moved_at)
     {
@@ -955,8 +958,11 @@
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
   update_all_moved (rollouts, o, now);
-  drained = o->all_moved_at && !o->running_here && !o->running_elsewhere
-            && ms_evidence_drained (&o->evidence, now) && is_proven (o, now);
+  drained
+      = o->overdue
+        || (o->all_moved_at && !o->running_here && !o->running_elsewhere
+            && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now)
+            && is_proven (o, now));
   if (drained == o->drained)
     return;
   o->drained = drained;
@@ -969,10 +975,13 @@
 {
   if (is_bounded (o, now) || now < deadline_of (o) + OVERDUE_TIME)
     return;
+  if (o->drained)
+    return;
   if (!o->ordered || ms_evidence_score (&o->evidence) > DUBIOUS)
     set_phase (o, MS_ROLLOUT_STOPPED, "overdue", now);
-  else if (o->phase == MS_ROLLOUT_MOVING && !o->drained)
+  else if (o->phase == MS_ROLLOUT_MOVING)
     {
+      o->overdue = true;
       o->drained = true;
       o->reason = "overdue";
     }
@@ -998,7 +1007,7 @@
   uint32_t answers = ms_compare_total (o->evidence.compare)->answers[0];
 
   if (o->phase == MS_ROLLOUT_CANARY
-      && canary_percent (o) >= LOADED_PERCENT * MIN_CANARY)
+      && canary_percent (o) >= (int64_t)LOADED_PERCENT * MIN_CANARY)
     o->loaded_answers += answers - o->seen_answers;
   o->seen_answers = answers;
 }
@@ -1010,10 +1019,12 @@
 
   update_rate (o, now);
   o->stepped_at = now;
-  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
-  count_loaded_answers (o);
   if (o->restored_steps)
     o->restored_steps--;
+  if (is_terminal (o->phase))
+    return;
+  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
+  count_loaded_answers (o);
   if (o->phase == MS_ROLLOUT_UNKNOWN && o->none_since
       && now - o->none_since >= UNKNOWN_TIME)
     start_order (o, now, "order", now);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -21,6 +21,7 @@
 #define ROLLBACK_TIME (5 * MS_SEC)
 #define BAD_ANSWERS 50 /* After this many, ROLLBACK_TIME begins.  */
 
+#define DURATION (12 * MS_SEC) /* Of orders.  */
 #define STEP (10 * MS_MSEC)
 #define MAX_ROUTERS 295
 #define MAX_ENDPOINTS 64 /* Of each version.  */
@@ -43,12 +44,12 @@
 struct fault
 {
   unsigned versions;
-  ms_time from;
-  double failed;    /* Part of the answers.  */
-  double slow;      /* The same, that take SLOW_FACTOR times as long.  */
-  unsigned route;   /* ALL for every route.  */
-  unsigned index;   /* Of the endpoint; ALL for every one.  */
   unsigned running; /* Only with this many requests at the endpoint.  */
+  ms_time from;
+  double failed;  /* Part of the answers.  */
+  double slow;    /* The same, that take SLOW_FACTOR times as long.  */
+  unsigned route; /* ALL for every route.  */
+  unsigned index; /* Of the endpoint; ALL for every one.  */
 };
 
 #define SLOW_FACTOR 5
@@ -354,11 +355,13 @@
   if (f->s.surge_at && now >= ORDER_AT + f->s.surge_at
       && now < ORDER_AT + f->s.surge_at + 2 * MS_SEC)
     rate *= 3;
-  for (expected = rate * STEP / MS_SEC; draw (f) < expected; expected--)
+  expected = rate * STEP / MS_SEC;
+  while (draw (f) < expected)
     {
       unsigned i = (unsigned)ms_random_below (&f->random, f->s.routers);
       const struct outage *o = outage_of (f, i, now);
 
+      expected--;
       if (!o || !o->killed)
         send_request (f, i, (unsigned)ms_random_below (&f->random, 4), false,
                       now);
@@ -610,12 +613,12 @@
 static const struct scenario usual = {
   .routers = 9,
   .rate = 200,
-  .duration = 12 * MS_SEC,
+  .duration = DURATION,
   .endpoints = 20,
   .usable = 1500 * MS_MSEC,
   .latency = 80 * MS_MSEC,
   .base_failed = 0.003,
-  .fault = { 0, 0, 0, 0, ALL, ALL, 0 },
+  .fault = { 0, 0, 0, 0, 0, ALL, ALL },
 };
 
 static const struct
@@ -634,7 +637,7 @@
 
   s.routers = sizes[i].routers;
   s.rate = sizes[i].rate;
-  s.seed += i * 1000;
+  s.seed += (uint64_t)i * 1000;
   return run_rollout (&s);
 }
 
@@ -714,7 +717,7 @@
   struct scenario s = usual;
 
   (void)state;
-  s.fault = (struct fault){ NEW, 0, 0.3, 0, ALL, ALL, 0 };
+  s.fault = (struct fault){ NEW, 0, 0, 0.3, 0, ALL, ALL };
   for (unsigned i = 0; i < SIZES; i++)
     {
       struct fleet f = run_size (&s, i);
@@ -738,9 +741,9 @@
       {
         struct fleet f;
 
-        s.fault = (struct fault){
-          NEW, (ms_time)(parts[i] * 12 * MS_SEC), 0.3, 0, ALL, ALL, 0
-        };
+        s.fault
+            = (struct fault){ NEW, 0,  (ms_time)(parts[i] * DURATION), 0.3, 0,
+                              ALL, ALL };
         s.seed = i;
         f = run_size (&s, size);
         check_rolled_back (&f);
@@ -763,7 +766,7 @@
       s.rate = i < 2 ? 300 : 1200;
       s.latency = s.endpoints * 5 / s.rate * MS_SEC;
       s.routers = i < 2 ? 9 : 73;
-      s.fault = (struct fault){ NEW, 0, 0.4, 0, ALL, ALL, 4 };
+      s.fault = (struct fault){ NEW, 4, 0, 0.4, 0, ALL, ALL };
       s.seed = i;
       f = run_rollout (&s);
       check_rolled_back (&f);
@@ -777,7 +780,7 @@
   struct scenario s = usual;
 
   (void)state;
-  s.fault = (struct fault){ NEW, 0, 0.3, 0, 2, ALL, 0 };
+  s.fault = (struct fault){ NEW, 0, 0, 0.3, 0, 2, ALL };
   for (unsigned i = 0; i < SIZES; i++)
     {
       struct fleet f = run_size (&s, i);
@@ -797,7 +800,7 @@
     {
       struct fleet f;
 
-      s.fault = (struct fault){ NEW, 0, 0, i % 2 ? 0.25 : 1, ALL, ALL, 0 };
+      s.fault = (struct fault){ NEW, 0, 0, 0, i % 2 ? 0.25 : 1, ALL, ALL };
       f = run_size (&s, i);
       check_rolled_back (&f);
     }
@@ -809,11 +812,11 @@
 test_fault_of_all_versions_is_not_blamed_on_one (void **state)
 {
   static const struct fault faults[] = {
-    { OLD | NEW, 5 * MS_SEC, 0.5, 0, ALL, ALL, 0 },
-    { OLD | NEW, 5 * MS_SEC, 0.2, 0.5, 1, ALL, 0 },
-    { OLD | NEW, 5 * MS_SEC, 0, 1, ALL, ALL, 0 },
-    { OLD | NEW, 0, 0.05, 0.05, ALL, ALL, 0 },
-    { OLD, 5 * MS_SEC, 0.5, 0.5, ALL, ALL, 0 },
+    { OLD | NEW, 0, 5 * MS_SEC, 0.5, 0, ALL, ALL },
+    { OLD | NEW, 0, 5 * MS_SEC, 0.2, 0.5, 1, ALL },
+    { OLD | NEW, 0, 5 * MS_SEC, 0, 1, ALL, ALL },
+    { OLD | NEW, 0, 0, 0.05, 0.05, ALL, ALL },
+    { OLD, 0, 5 * MS_SEC, 0.5, 0.5, ALL, ALL },
   };
   struct scenario s = usual;
 
@@ -841,7 +844,7 @@
     {
       struct fleet f;
 
-      s.fault = (struct fault){ NEW, 0, i % 2 ? 1 : 0.3, 0, ALL, i % 6, 0 };
+      s.fault = (struct fault){ NEW, 0, 0, i % 2 ? 1 : 0.3, 0, ALL, i % 6 };
       s.endpoints = 6;
       s.seed = i;
       f = run_size (&s, i % 2);
@@ -877,9 +880,8 @@
       struct fleet f;
 
       memcpy (s.outages, outages[i / 2], sizeof s.outages);
-      s.fault
-          = (struct fault){ NEW, i % 2 ? 11400 * MS_MSEC : 0, 0.3, 0, ALL, ALL,
-                            0 };
+      s.fault = (struct fault){ NEW, 0,  i % 2 ? 11400 * MS_MSEC : 0, 0.3, 0,
+                                ALL, ALL };
       s.seed = i;
       f = run_rollout (&s);
       check_rolled_back (&f);
@@ -901,8 +903,8 @@
     {
       struct fleet f;
 
-      s.surge_at = 9800 * MS_MSEC + i * 400 * MS_MSEC;
-      s.fault = (struct fault){ NEW, 11 * MS_SEC, 0.2, 0, ALL, ALL, 0 };
+      s.surge_at = 9800 * MS_MSEC + (ms_time)i * 400 * MS_MSEC;
+      s.fault = (struct fault){ NEW, 0, 11 * MS_SEC, 0.2, 0, ALL, ALL };
       s.seed = i;
       f = run_size (&s, i % 2);
       check_rolled_back (&f);
@@ -925,7 +927,7 @@
       s.store_until = i % 2 ? 9 * MS_SEC : 20 * MS_SEC;
       s.lost_replies = i % 4 < 2 ? 0 : 0.7;
       s.seed = i;
-      s.fault = i < 4 ? (struct fault){ NEW, 3 * MS_SEC, 0.3, 0, ALL, ALL, 0 }
+      s.fault = i < 4 ? (struct fault){ NEW, 0, 3 * MS_SEC, 0.3, 0, ALL, ALL }
                       : usual.fault;
       f = run_size (&s, i % 2);
       if (i < 4)
@@ -938,13 +940,13 @@
 /* One router, without the model.  */
 
 static struct ms_rollouts *
-create (bool appeared, ms_time now)
+create (bool appeared, ms_time duration, ms_time now)
 {
   struct ms_rollout_options o = options (3);
   struct ms_rollouts *rollouts = ms_rollouts_create (&o);
   struct ms_rollout_order copy = order;
 
-  copy.duration = 12 * MS_SEC;
+  copy.duration = duration;
   ms_rollouts_put_order (rollouts, &copy, appeared, now);
   ms_rollouts_set_endpoints (rollouts, SERVICE, 4, 4, 0, 0);
   return rollouts;
@@ -953,7 +955,7 @@
 static void
 put (struct ms_rollouts *rollouts, uint32_t version, uint64_t id, ms_time now)
 {
-  const struct ms_rollout_order o = { SERVICE, version, 12 * MS_SEC, id };
+  const struct ms_rollout_order o = { SERVICE, version, DURATION, id };
 
   ms_rollouts_put_order (rollouts, &o, true, now);
   ms_rollouts_set_endpoints (rollouts, SERVICE, 4, 4, 0, 0);
@@ -1034,7 +1036,7 @@
 static void
 test_repeated_order_continues (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 5 * MS_SEC;
 
   (void)state;
@@ -1052,7 +1054,7 @@
 static void
 test_order_written_again_after_its_end_is_new (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 4 * MS_SEC;
 
@@ -1080,7 +1082,7 @@
 static void
 test_replaced_order_ends (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
 
   (void)state;
@@ -1105,7 +1107,7 @@
 static void
 test_removed_order_is_rolled_back (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
   unsigned count;
 
@@ -1131,7 +1133,7 @@
 static void
 test_order_without_endpoints_is_rolled_back (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = MS_SEC;
 
   (void)state;
@@ -1153,7 +1155,7 @@
 static void
 test_first_final_state_of_the_store_wins (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 2 * MS_SEC;
 
@@ -1172,7 +1174,7 @@
   /* Others hear of it before they read it.  */
   ms_rollouts_report (r, list, now);
   ms_rollouts_destroy (r);
-  r = create (true, MS_SEC);
+  r = create (true, DURATION, MS_SEC);
   ms_rollouts_merge (r, 1, &list[0], now);
   check_phase (r, MS_ROLLOUT_COMPLETED, "peer", now);
   check_unwritten (r, MS_ROLLOUT_NONE, now);
@@ -1185,8 +1187,8 @@
 test_router_that_starts_waits_for_the_state (void **state)
 {
   struct ms_rollout_report list[MS_ROLLOUTS];
-  struct ms_rollouts *peer = create (true, MS_SEC);
-  struct ms_rollouts *r = create (false, 6 * MS_SEC);
+  struct ms_rollouts *peer = create (true, DURATION, MS_SEC);
+  struct ms_rollouts *r = create (false, DURATION, 6 * MS_SEC);
   ms_time now = 6 * MS_SEC;
 
   (void)state;
@@ -1200,21 +1202,28 @@
   assert_int_equal (state_of (r, now).started_at, MS_SEC);
   ms_rollouts_destroy (r);
   /* From the store, whose clock may be another.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, NEW, order.id, MS_ROLLOUT_CANARY,
                            4 * MS_SEC, now);
   check_phase (r, MS_ROLLOUT_CANARY, "store", now);
   assert_in_range (state_of (r, now).started_at, now - 4 * MS_SEC,
                    now - 3 * MS_SEC);
   ms_rollouts_destroy (r);
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, NEW, order.id, MS_ROLLOUT_ROLLED_BACK,
                            4 * MS_SEC, now);
   assert_true (excludes_new (r, now));
   assert_false (ms_rollouts_allows (r, SERVICE, NEW, now));
   ms_rollouts_destroy (r);
+  ms_rollouts_remove_order (peer, SERVICE, now);
+  ms_rollouts_report (peer, list, now);
+  r = create (false, DURATION, now);
+  ms_rollouts_merge (r, 1, &list[0], now);
+  check_phase (r, MS_ROLLOUT_STOPPED, "peer", now);
+  assert_false (ms_rollouts_allows (r, SERVICE, NEW, now));
+  ms_rollouts_destroy (r);
   /* If nobody knows, it begins now.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_learn_state (r, SERVICE, 0, 0, MS_ROLLOUT_NONE, -1, now);
   now = pass (r, now, 2 * MS_SEC);
   check_phase (r, MS_ROLLOUT_UNKNOWN, "order", now);
@@ -1222,7 +1231,7 @@
   check_phase (r, MS_ROLLOUT_CANARY, "order", now);
   ms_rollouts_destroy (r);
   /* Without another version there is no choice.  */
-  r = create (false, now);
+  r = create (false, DURATION, now);
   ms_rollouts_set_endpoints (r, SERVICE, 4, 0, 0, 0);
   assert_false (excludes_new (r, now));
   ms_rollouts_destroy (r);
@@ -1233,7 +1242,7 @@
 static void
 test_restored_store_gets_the_states_again (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 4 * MS_SEC;
 
   (void)state;
@@ -1279,7 +1288,7 @@
 static void
 test_absurd_reports_are_ignored (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 2 * MS_SEC;
   struct ms_rollout_report reports[9];
 
@@ -1328,7 +1337,7 @@
 static void
 test_answers_in_sums_count_once (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
   ms_time now = 2 * MS_SEC;
   struct ms_rollout_report sums[]
       = { report_of (1000, 0), report_of (900, 0), report_of (950, 0) };
@@ -1353,8 +1362,8 @@
 static void
 test_score_is_the_same_on_all_processors (void **state)
 {
-  struct ms_rollouts *r = create (true, MS_SEC);
-  struct ms_rollouts *peer = create (true, MS_SEC);
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+  struct ms_rollouts *peer = create (true, DURATION, MS_SEC);
   struct ms_rollout_report list[MS_ROLLOUTS];
   ms_time now = 2 * MS_SEC;
 
@@ -1413,10 +1422,9 @@
       for (unsigned run = 0; run < 100; run++)
         {
           struct fleet f = { .random = { i * 1000 + run } };
-          struct ms_rollouts *r = create (true, MS_SEC);
+          struct ms_rollouts *r = create (true, 1000 * MS_SEC, MS_SEC);
           ms_time now = MS_SEC;
 
-          ms_rollouts_set_endpoints (r, SERVICE, 4, 4, 1, 0);
           for (unsigned n = 0; n < cases[i].answers; n += 4)
             {
               for (unsigned k = 0; k < 44; k++)
