--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -56,14 +56,14 @@
 #define ENOUGH_TIMED 10
 #define LATE_TIME (2 * MS_SEC)
 
-/* While a score is above this fraction of the one of a bad version, nothing
-   is moved or completed.  */
+/* While a score is above this fraction of the one of a bad version, no move
+   begins and the canary is not raised.  */
 #define DOUBTFUL (MS_COMPARE_BAD / 3)
 
 /* The order ends OVERDUE_TIME after its deadline, as rolled back if a score is
    above this fraction.  */
 #define OVERDUE_TIME (15 * MS_SEC)
-#define DUBIOUS (MS_COMPARE_BAD / 2)
+#define DUBIOUS (MS_COMPARE_BAD / 3)
 
 /* A router that moves sends nothing to the others once it has not done so for
    CLOSE_TIME, or MAX_CLOSE_TIME after the move began: until then, endpoints
@@ -77,13 +77,14 @@
    completed in time.  */
 #define SMALL_FLEET 16
 
-/* Before the order is completed, the version has given PROVEN_ANSWERS, run all
-   requests of this router for MOVED_TIME and given MOVED_ANSWERS meanwhile.
-   Of a version that answers one in 20 badly, 150 answers have one or no bad
-   one in 4 of 1000 cases; with two, the score is usually too high.  If the
-   canary had less load on each endpoint than the others have, faults under
-   load can only appear now: then it has run all requests of the fleet for
-   UNLOADED_TIME and given UNLOADED_ANSWERS, or for MOVED_LONG_TIME.  */
+/* Before the order is completed, no score is above PROVEN, and the version has
+   given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
+   given MOVED_ANSWERS meanwhile. Of a version that answers one in 20 badly,
+   150 answers have one or no bad one in 4 of 1000 cases; with two, a score is
+   usually too high.  If the canary had less load on each endpoint than the
+   others have, faults under load can only appear now: then it has run all
+   requests of the fleet for UNLOADED_TIME and given UNLOADED_ANSWERS, or for
+   MOVED_LONG_TIME.  */
 #define PROVEN_ANSWERS 150
 #define PROVEN (MS_COMPARE_BAD / 8)
 #define MOVED_TIME (300 * MS_MSEC)
@@ -157,6 +158,7 @@
 
   bool closed;    /* While moving: nothing is sent to the others.  */
   bool drained;   /* It is to be completed.  */
+  bool overdue;   /* Whatever still runs at the others.  */
   bool confirmed; /* The store has the phase.  */
   enum ms_rollout_phase phase;
   enum ms_rollout_phase stored;
@@ -319,6 +321,7 @@
   o->closed = false;
   o->all_moved_at = 0;
   o->drained = false;
+  o->overdue = false;
   o->confirmed = false;
   o->phase = phase;
   o->reason = reason;
@@ -700,7 +703,8 @@
   report->running_old = o->running_here;
   report->routers = 1;
   report->unmoved = may_use_others (rollouts, o, now);
-  ms_evidence_report (&o->evidence, report);
+  if (!is_terminal (o->phase))
+    ms_evidence_report (&o->evidence, report);
 }
 
 unsigned
@@ -754,8 +758,6 @@
 {
   enum ms_rollout_phase phase = report->phase;
 
-  if (is_terminal (o->phase))
-    return;
   if (is_terminal (phase) && report->confirmed)
     {
       set_phase (o, phase, "peer", now);
@@ -773,12 +775,15 @@
 {
   struct order *o = find_order (rollouts, report->service);
 
-  if (!o || !has_id (o, report->order) || report->version != o->order.version
+  if (!o || is_terminal (o->phase) || !has_id (o, report->order)
+      || report->version != o->order.version
       || !ms_evidence_is_plausible (report))
     return;
+  /* The phase comes first: a router that does not know the age yet has not
+     used the version.  */
+  merge_phase (o, report, now);
   merge_age (o, report->age, now);
   ms_evidence_merge (&o->evidence, source, report, now);
-  merge_phase (o, report, now);
 }
 
 void
@@ -932,7 +937,7 @@
                   ms_time now)
 {
   if (may_use_others (rollouts, o, now)
-      || !ms_evidence_moved (&o->evidence, now))
+      || !ms_evidence_moved (&o->evidence, !is_bounded (o, now), now))
     o->all_moved_at = 0;
   else if (!o->all_moved_at)
     {
@@ -953,8 +958,11 @@
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
   update_all_moved (rollouts, o, now);
-  drained = o->all_moved_at && !o->running_here && !o->running_elsewhere
-            && ms_evidence_drained (&o->evidence, now) && is_proven (o, now);
+  drained
+      = o->overdue
+        || (o->all_moved_at && !o->running_here && !o->running_elsewhere
+            && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now)
+            && is_proven (o, now));
   if (drained == o->drained)
     return;
   o->drained = drained;
@@ -967,10 +975,13 @@
 {
   if (is_bounded (o, now) || now < deadline_of (o) + OVERDUE_TIME)
     return;
+  if (o->drained)
+    return;
   if (!o->ordered || ms_evidence_score (&o->evidence) > DUBIOUS)
     set_phase (o, MS_ROLLOUT_STOPPED, "overdue", now);
-  else if (o->phase == MS_ROLLOUT_MOVING && !o->drained)
+  else if (o->phase == MS_ROLLOUT_MOVING)
     {
+      o->overdue = true;
       o->drained = true;
       o->reason = "overdue";
     }
@@ -1008,10 +1019,12 @@
 
   update_rate (o, now);
   o->stepped_at = now;
-  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
-  count_loaded_answers (o);
   if (o->restored_steps)
     o->restored_steps--;
+  if (is_terminal (o->phase))
+    return;
+  fault = ms_evidence_step (&o->evidence, o->ordered > 1, now);
+  count_loaded_answers (o);
   if (o->phase == MS_ROLLOUT_UNKNOWN && o->none_since
       && now - o->none_since >= UNKNOWN_TIME)
     start_order (o, now, "order", now);
