Rollouts: destroy the driver; test_gone leaves nothing behind

test_gone left 111,936 bytes under the address sanitizer once rollouts were merged: nothing destroyed a gateway's rollout driver, and the fixture left idle connections to endpoints. build-asan/test_gone: 13 of 13, no leak.

--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -104,6 +104,25 @@
   return d;
 }
 
+void
+ms_rollout_driver_destroy (struct ms_rollout_driver *d)
+{
+  struct entry *entry, *next;
+
+  if (!d)
+    return;
+  HASH_ITER (hh, d->entries, entry, next)
+  {
+    HASH_DEL (d->entries, entry);
+    free (entry);
+  }
+  ms_rollouts_destroy (d->gw->rollouts);
+  d->gw->rollouts = NULL;
+  ms_versions_destroy (d->versions);
+  ms_rollout_states_destroy (d->states);
+  free (d);
+}
+
 static void
 set_held (void *context, struct ms_endpoint_state *e)
 {
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -14,6 +14,9 @@
 
 struct ms_rollout_driver *ms_rollout_driver_create (struct ms_gateway *gw);
 
+/* Free DRIVER, which may be NULL, and the rollouts of its gateway.  */
+void ms_rollout_driver_destroy (struct ms_rollout_driver *driver);
+
 /* Apply changed settings.  */
 void ms_rollout_driver_reload (struct ms_rollout_driver *driver);
 
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -15,6 +15,7 @@
 #include "base/alloc.h"
 #include "gateway/caller.h"
 #include "gateway/request.h"
+#include "gateway/rollouts.h"
 #include "gateway/upstream.h"
 #include "platform.h"
 
@@ -120,14 +121,23 @@
   return f;
 }
 
-/* Close the connections of callers, whose requests end by that, so that
-   nothing is left that refers to the gateway.  */
 static void
-end_callers (struct fixture *f)
+unlist (void *context, struct ms_endpoint_state *endpoint)
+{
+  (void)context;
+  endpoint->listed = false;
+}
+
+/* Close the connections of callers, whose requests end by that, and idle ones
+   to endpoints, so that nothing is left that refers to the gateway.  */
+static void
+end_connections (struct fixture *f)
 {
   while (f->gw->requests)
     ms_request_caller_gone (f->gw->requests);
   ms_callers_close_idle (f->gw);
+  ms_place_each (f->gw->place, unlist, NULL);
+  ms_upstreams_sweep (f->gw, f->gw->now);
 }
 
 static void
@@ -143,7 +153,8 @@
 {
   struct ms_gateway *gw = f->gw;
 
-  end_callers (f);
+  end_connections (f);
+  ms_rollout_driver_destroy (gw->rollout_driver);
   ms_topic_destroy (gw->operator_topic);
   ms_topic_destroy (gw->endpoint_topic);
   uv_walk (&gw->loop, close_handle, NULL);
