--- a/tests/rollouts.sh
+++ b/tests/rollouts.sh
@@ -67,7 +67,7 @@
 load ()
 {
   i=0
-  while [ ! -e "$DIR/no_load" ]; do
+  while [ -d "$DIR" ] && [ ! -e "$DIR/no_load" ]; do
     i=$((i + 1))
     for path in a b; do
       curl --silent --noproxy '*' --max-time 20 -H 'Host: h' \
