Digests: ages count from the arrival of the datagram

Cause: a datagram was timed by the event before it, up to a tick earlier, and of several ages of an order the highest is believed. Change: the time is read before a digest is used. Measured: test_peers fails without the change (heard 19 ms before arrival) and passes with it; test_gone passes.

--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -260,6 +260,9 @@
   if (length <= 0 || !from
       || !ms_digest_decode (buffer->base, (size_t)length, &digest))
     return;
+  /* Ages in the digest count from its arrival.  If they counted from the event
+     before, each router that passes an age on would add to it.  */
+  ms_gateway_update_time (p->gw);
   if (ms_fleet_receive (p->gw->fleet, &digest, p->gw->now))
     merge_harm (p->gw, &digest);
   /* What began a stream stays true, so a notice of it needs no order.  */
