Rollouts: errors of relayed ages do not add up

Change: a router reports the age as it learned it at first; what others report only corrects its own decisions. Measured: with 20 ms of error per relay, test_errors_of_relayed_ages_do_not_add_up fails without the change; with it the order starts at most 60 ms early at routers that learned the age from others.

--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -152,6 +152,9 @@
   ms_time started_at;
   ms_time earliest_start; /* Bound on STARTED_AT, which others may know
                              better.  */
+  ms_time origin_at; /* As this router learned at first, which it reports.  If
+                        it reported what others have corrected, errors of
+                        relayed ages would add up.  */
   bool appeared;
   bool started;
   bool removed; /* The operators' records do not have it any more.  */
@@ -333,6 +336,7 @@
 {
   o->started = true;
   o->started_at = at;
+  o->origin_at = at;
   o->earliest_start = at - MAX_NOTICE_DELAY;
   if (o->phase == MS_ROLLOUT_UNKNOWN)
     set_phase (o, MS_ROLLOUT_CANARY, reason, now);
@@ -697,7 +701,7 @@
   report->service = o->service;
   report->order = o->order.id;
   report->version = o->order.version;
-  report->age = o->started ? now - o->started_at : -1;
+  report->age = o->started ? now - o->origin_at : -1;
   report->phase = o->phase;
   report->confirmed = o->confirmed;
   report->running_old = o->running_here;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1181,6 +1181,44 @@
   ms_rollouts_destroy (r);
 }
 
+/* Guards against an order that ages faster than time passes, as routers pass
+   on ages with an error which adds up from one to the next, also in sums of
+   zones: its deadline is then taken for passed.  */
+static void
+test_errors_of_relayed_ages_do_not_add_up (void **state)
+{
+  const ms_time error = 20 * MS_MSEC;
+  struct ms_rollouts *r[4];
+  struct ms_rollout_report list[4][MS_ROLLOUTS];
+  ms_time now = 2 * MS_SEC;
+
+  (void)state;
+  /* The last two start later, and learn the age from others.  */
+  for (unsigned i = 0; i < 4; i++)
+    r[i] = create (i < 2, DURATION, MS_SEC + (ms_time)i * 100 * MS_MSEC);
+  for (; now < 10 * MS_SEC; now += 150 * MS_MSEC)
+    {
+      for (unsigned i = 0; i < 4; i++)
+        ms_rollouts_report (r[i], list[i], now);
+      for (unsigned i = 0; i < 4; i++)
+        {
+          struct ms_rollout_report sum = { 0 };
+
+          for (unsigned j = 0; j < 4; j++)
+            if (j != i)
+              ms_rollouts_add_report (&sum, &list[j][0]);
+          sum.age += error;
+          ms_rollouts_merge (r[i], 9, &sum, now);
+        }
+    }
+  for (unsigned i = 0; i < 4; i++)
+    {
+      assert_in_range (state_of (r[i], now).started_at, MS_SEC - 3 * error,
+                       MS_SEC);
+      ms_rollouts_destroy (r[i]);
+    }
+}
+
 /* Guards against routers that start in the middle of a rollout and use the
    version before they know whether it may be used.  */
 static void
@@ -1469,6 +1507,7 @@
     cmocka_unit_test (test_order_without_endpoints_is_rolled_back),
     cmocka_unit_test (test_first_final_state_of_the_store_wins),
     cmocka_unit_test (test_router_that_starts_waits_for_the_state),
+    cmocka_unit_test (test_errors_of_relayed_ages_do_not_add_up),
     cmocka_unit_test (test_restored_store_gets_the_states_again),
     cmocka_unit_test (test_absurd_reports_are_ignored),
     cmocka_unit_test (test_answers_in_sums_count_once),
