Soak: orders to move a service to good and bad versions

The soak plays orders beside its other faults and checks EXPOSURE and ROUTE from the runs and bad answers that its endpoints write down. An order's knowledge that all gateways and the store have lost at once is not asked for.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,6 +13,7 @@
 
 #include "base/random.h"
 #include "fleet.h"
+#include "rollouts.h"
 
 #define MAX_REQUESTS 8192 /* Of each caller.  */
 #define MAX_PAUSE_MS 20   /* Between two requests of a caller.  */
@@ -30,6 +31,7 @@
 
 /* Time that an endpoint spends on a request that is no stream.  */
 #define RUN_MS 200
+#define MOVED_RUN_MS 20 /* Of ROUTE_MOVED.  */
 
 /* The routes of the configuration that fleet.c publishes.  */
 enum route
@@ -37,10 +39,12 @@
   ROUTE_ONCE,
   ROUTE_ANY,
   ROUTE_EVENTS,
+  ROUTE_MOVED, /* To the service that has orders.  */
   ROUTES
 };
 
-static const char *const route_names[ROUTES] = { "once", "any", "events" };
+static const char *const route_names[ROUTES]
+    = { "once", "any", "events", "moved" };
 
 struct request
 {
@@ -162,7 +166,8 @@
               events);
   else
     snprintf (url + length, sizeof url - length, "/%s/slow?ms=%d&q=%s",
-              route_names[r->route], RUN_MS, r->id);
+              route_names[r->route],
+              r->route == ROUTE_MOVED ? MOVED_RUN_MS : RUN_MS, r->id);
   curl_easy_reset (curl);
   curl_easy_setopt (curl, CURLOPT_URL, url);
   curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
@@ -199,10 +204,13 @@
       long long valid = valid_at_ms;
 
       snprintf (r->id, sizeof r->id, "r%u-%u", c->index, c->requests_count);
-      r->route = (enum route)ms_random_below (&c->random, ROUTES);
+      r->route = (enum route)ms_random_below (&c->random, ROUTE_MOVED);
+      if (c->index >= CALLERS - MOVED_CALLERS)
+        r->route = ROUTE_MOVED;
       r->gateway = c->gateway;
       r->second_key = ms_random_below (&c->random, 4) == 0;
-      r->harmful = ms_random_below (&c->random, HARMFUL_SHARE) == 0;
+      r->harmful = ms_random_below (&c->random, HARMFUL_SHARE) == 0
+                   && r->route != ROUTE_MOVED;
       r->after_revocation = r->second_key && revoked
                             && fleet_now_ms () > revoked + REVOCATION_MS;
       r->sent_at = fleet_now_ms ();
@@ -229,7 +237,7 @@
       struct caller *c = &callers[i];
 
       c->index = i;
-      c->random.state = seed * CALLERS + i;
+      c->random.state = seed * (CALLERS - MOVED_CALLERS) + i;
       c->gateway = i % GATEWAYS;
       c->curl = curl_easy_init ();
       c->requests = calloc (MAX_REQUESTS, sizeof *c->requests);
@@ -351,7 +359,14 @@
 
       if (count < MAX_RUNS)
         times[count++] = at;
+      if (strcmp (id, "bad") == 0)
+        {
+          rollouts_take_bad (instance->version, at);
+          continue;
+        }
       HASH_FIND_STR (table, id, r);
+      if (r && instance->version)
+        rollouts_take_run (instance->version, r->gateway, at, r->sent_at);
       if (r && r->harmful && crashes_count < MAX_CRASHES)
         crashes[crashes_count++] = (struct crash){ at, r->gateway };
       if (r)
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -9,7 +9,8 @@
    answer for callers_check.  Non-idempotent requests get a new connection
    each, other requests reuse connections.  */
 
-#define CALLERS 24
+#define CALLERS 32
+#define MOVED_CALLERS 8 /* Of the service that has orders; the last ones.  */
 
 /* Start all callers; SEED determines their requests.  Exits the process on a
    failure.  */
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -19,8 +19,8 @@
 #define STORE_PORT 0
 #define CALLER_PORT 1
 #define ENGINE_PORT 20
-#define ENGINE_LINK_PORT 30
-#define STORE_LINK_PORT 40
+#define ENGINE_LINK_PORT 35
+#define STORE_LINK_PORT 50
 #define PORTS_USED 60
 
 #define MAX_START_POLLS 200 /* START_POLL_MS apart.  */
@@ -28,7 +28,6 @@
 #define MAX_INSTANCES 512
 #define CRASH_STATUS 42 /* Of an engine that a request has crashed.  */
 #define CRASH_BACK_MS 1000
-#define ALL_ENGINES (ENGINES + RELEASED)
 
 struct process
 {
@@ -39,6 +38,7 @@
 static struct fleet_options options;
 static struct process store;
 static struct process gateways[GATEWAYS];
+static long long gateway_starts[GATEWAYS];
 /* What the store's list says of an engine, or nothing.  */
 enum engine_state
 {
@@ -62,6 +62,7 @@
 static unsigned heartbeats;
 /* Calls of fleet_heartbeat that still write again what the store has lost.  */
 static unsigned rewrites_left;
+static char order[128]; /* The newest one; empty before the first.  */
 static bool second_key_valid;
 static struct proxy *engine_links[ALL_ENGINES];
 static struct proxy *store_links[GATEWAYS];
@@ -129,12 +130,22 @@
   p->pid = 0;
 }
 
+/* The body of the latest answer, as far as there is room.  */
+static char answer[65536];
+static size_t answer_length;
+
 static size_t
-discard (char *data, size_t size, size_t count, void *context)
+append_answer (char *data, size_t size, size_t count, void *context)
 {
-  (void)data;
+  size_t length = size * count;
+
   (void)context;
-  return size * count;
+  if (answer_length + length <= sizeof answer)
+    {
+      memcpy (answer + answer_length, data, length);
+      answer_length += length;
+    }
+  return length;
 }
 
 /* Returns the HTTP status, or 0 without an answer.  */
@@ -144,12 +155,13 @@
   CURL *curl = curl_easy_init ();
   long status = 0;
 
+  answer_length = 0;
   curl_easy_setopt (curl, CURLOPT_URL, url);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method);
   curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, 5000L);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, discard);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_answer);
   if (body)
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
   if (curl_easy_perform (curl) == CURLE_OK)
@@ -182,16 +194,20 @@
 {
   const struct engine *e = &engines[i];
   long long cold_ms = e->instance->cold_until_ms - fleet_now_ms ();
-  char body[256] = "";
+  char body[320] = "";
+  char version[32] = "";
 
+  if (e->instance->version)
+    snprintf (version, sizeof version, ",\"version\":\"v%u\"",
+              e->instance->version);
   if (e->state != ENGINE_UNLISTED)
     snprintf (body, sizeof body,
-              "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\","
+              "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
               "\"zone\":\"a\",\"slots\":32,\"state\":\"%s\","
-              "\"cold_remaining_ms\":%lld,\"sequence\":%u}",
-              options.base + ENGINE_LINK_PORT + i,
+              "\"cold_remaining_ms\":%lld,\"sequence\":%u%s}",
+              i < MOVED ? "app" : "moved", options.base + ENGINE_LINK_PORT + i,
               e->state == ENGINE_READY ? "ready" : "draining",
-              cold_ms > 0 ? cold_ms : 0, heartbeats);
+              cold_ms > 0 ? cold_ms : 0, heartbeats, version);
   put_store (body, "put?topic=keyed.servers&key=e%u-%u", i, e->starts);
 }
 
@@ -271,8 +287,10 @@
            "strict_revocation: true\nrevocation_ms: %d\n"
            "retry_budget_ratio: 0.2\nretry_window_s: 10\n"
            "retry_budget_slack: 58\ncold_burst_factor: 1.5\ncold_slack: 5\n"
-           "directory_ttl_s: 2\n",
-           CONFIG_APPLY_MS, REVOCATION_MS);
+           "directory_ttl_s: 2\nexposure_share: %g\nexposure_slack: %d\n"
+           "rollback_ms: %d\n",
+           CONFIG_APPLY_MS, REVOCATION_MS, EXPOSURE_SHARE, EXPOSURE_SLACK,
+           ROLLBACK_MS);
   if (fclose (file))
     err (EXIT_FAILURE, "%s", path);
 }
@@ -289,6 +307,7 @@
   snprintf (log, sizeof log, "gateway%u", i);
   write_settings (i, path);
   start_process (&gateways[i], log, arguments);
+  gateway_starts[i] = fleet_now_ms ();
 }
 
 bool
@@ -367,15 +386,108 @@
 {
   unsigned i = heartbeats++ % ALL_ENGINES;
 
-  if (engines[i].state != ENGINE_UNLISTED || rewrites_left)
+  if (engines[i].instance
+      && (engines[i].state != ENGINE_UNLISTED || rewrites_left))
     publish_engine (i);
   if (!rewrites_left)
     return;
   /* An older copy may list the start before.  */
   put_store ("", "put?topic=keyed.servers&key=e%u-%u", i,
              engines[i].starts - 1);
-  if (rewrites_left-- == ALL_ENGINES)
-    fleet_publish_config (second_key_valid);
+  if (rewrites_left-- != ALL_ENGINES)
+    return;
+  fleet_publish_config (second_key_valid);
+  if (order[0])
+    put_store (order, "put?topic=keyed.op&key=rollout/moved");
+}
+
+void
+fleet_start_pair (unsigned pair, unsigned version, const char *bad)
+{
+  char url[128];
+
+  for (unsigned i = MOVED + pair * PAIR; i < MOVED + (pair + 1) * PAIR; i++)
+    {
+      start_engine (i, 0);
+      engines[i].instance->version = version;
+      await_engine (i);
+      snprintf (url, sizeof url, "http://127.0.0.1:%u/bad?%s",
+                options.base + ENGINE_PORT + i, bad);
+      http_call ("PUT", url, "");
+    }
+}
+
+void
+fleet_list_pair (unsigned pair)
+{
+  for (unsigned i = MOVED + pair * PAIR; i < MOVED + (pair + 1) * PAIR; i++)
+    set_engine_state (i, ENGINE_READY);
+}
+
+void
+fleet_end_pair (unsigned pair)
+{
+  for (unsigned i = MOVED + pair * PAIR; i < MOVED + (pair + 1) * PAIR; i++)
+    {
+      set_engine_state (i, ENGINE_UNLISTED);
+      send_signal (&engines[i].process, SIGKILL);
+      reap (&engines[i].process);
+    }
+}
+
+void
+fleet_order (unsigned version, unsigned duration_s)
+{
+  snprintf (order, sizeof order,
+            "{\"service\":\"moved\",\"to\":\"v%u\",\"duration_s\":%u}",
+            version, duration_s);
+  put_store (order, "put?topic=keyed.op&key=rollout/moved");
+}
+
+static void
+take_state (void *context, const struct plat_record *record)
+{
+  struct ms_str service;
+
+  if (plat_rollout_key (record->key, &service))
+    plat_decode_state (service, record->value, context);
+}
+
+bool
+fleet_order_state (unsigned version, enum plat_rollout_phase *phase)
+{
+  struct plat_rollout_state state = { 0 };
+  char url[128], to[32], after[64];
+  uint64_t end;
+  bool more;
+  long status;
+
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%u/log-newest?topic=keyed.status&part=0",
+            options.base + STORE_PORT);
+  status = http_call ("GET", url, NULL);
+  /* 404: nothing was written yet.  */
+  if (status != 404
+      && (status != 200
+          || plat_decode_newest ((struct ms_str){ answer, answer_length },
+                                 take_state, &state, &end, &more, after,
+                                 sizeof after)
+                 != MS_OK))
+    return false;
+  snprintf (to, sizeof to, "v%u", version);
+  *phase = strcmp (state.to.data, to) == 0 ? state.phase : PLAT_ROLLOUT_STATES;
+  return true;
+}
+
+long long
+fleet_oldest_start (void)
+{
+  long long oldest = gateway_starts[0];
+
+  for (unsigned i = 1; i < GATEWAYS; i++)
+    if (gateway_starts[i] < oldest)
+      oldest = gateway_starts[i];
+  return oldest;
 }
 
 const struct fleet_instance *
@@ -438,11 +550,15 @@
       "{\"name\":\"any\",\"hostname\":\"h\",\"path_prefix\":\"/any/\","
       "\"route_kind\":\"idempotent\",\"timeout_ms\":3000,"
       "\"target_latency_ms\":500,\"service\":\"app\",\"max_attempts\":2},"
+      "{\"name\":\"moved\",\"hostname\":\"h\",\"path_prefix\":\"/moved/\","
+      "\"route_kind\":\"idempotent\",\"timeout_ms\":3000,"
+      "\"target_latency_ms\":500,\"service\":\"moved\",\"max_attempts\":2},"
       "{\"name\":\"events\",\"hostname\":\"h\",\"path_prefix\":\"/events/\","
       "\"route_kind\":\"streaming\",\"timeout_ms\":6000,"
       "\"target_latency_ms\":500,\"service\":\"app\",\"max_attempts\":2,"
       "\"resumable\":true}],"
-      "\"services\":[{\"name\":\"app\",\"cold_per_s\":%d}],"
+      "\"services\":[{\"name\":\"app\",\"cold_per_s\":%d},"
+      "{\"name\":\"moved\"}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
       "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"%s]}]}",
@@ -526,9 +642,13 @@
     {
       engine_links[i] = proxy_create (options.base + ENGINE_LINK_PORT + i,
                                       options.base + ENGINE_PORT + i);
+      if (i >= MOVED)
+        continue;
       start_engine (i, 0);
       set_engine_state (i, ENGINE_READY);
     }
+  fleet_start_pair (0, 1, "kind=none");
+  fleet_list_pair (0);
   for (unsigned i = 0; i < GATEWAYS; i++)
     {
       store_links[i] = proxy_create (options.base + STORE_LINK_PORT + i,
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 
 #include "base/clock.h"
+#include "platform.h"
 #include "proxy.h"
 
 /* Runs the system under test as processes on loopback: real gateways, a
@@ -19,6 +20,17 @@
   3 /* Further engines, which are released one after the other;               \
        they have the numbers from ENGINES on.  */
 
+/* Two pairs of engines of a service of its own, "moved", which has orders to
+   move to another version; faults do not act on them.  */
+#define MOVED (ENGINES + RELEASED) /* The first one.  */
+#define PAIR 2
+#define ALL_ENGINES (MOVED + 2 * PAIR)
+
+/* The gateways' settings for orders.  */
+#define EXPOSURE_SHARE 0.1
+#define EXPOSURE_SLACK 50
+#define ROLLBACK_MS 2000
+
 /* Time from the store's acknowledgement that an engine leaves until it must
    get no more requests, the default of the gateways' setting drain_timeout_ms.
  */
@@ -87,9 +99,31 @@
 
 /* Let the next engine write its entry in the store again; call it every
    HEARTBEAT_STEP_MS.  */
-#define HEARTBEAT_STEP_MS 150
+#define HEARTBEAT_STEP_MS 100
 void fleet_heartbeat (void);
 
+/* Start the engines of PAIR (0 or 1) as ones of VERSION, which answer badly as
+   the query BAD of PUT /bad says.  */
+void fleet_start_pair (unsigned pair, unsigned version, const char *bad);
+
+/* Write the entries of PAIR.  */
+void fleet_list_pair (unsigned pair);
+
+/* Remove the entries of PAIR and kill its engines.  */
+void fleet_end_pair (unsigned pair);
+
+/* Write the order to move the service to VERSION within DURATION_S.  */
+void fleet_order (unsigned version, unsigned duration_s);
+
+/* Set PHASE to that which the store has for the order to VERSION,
+   PLAT_ROLLOUT_STATES if it has none.  Return false if the store does not
+   answer.  */
+bool fleet_order_state (unsigned version, enum plat_rollout_phase *phase);
+
+/* Return the time of the earliest start of a gateway, of the latest starts of
+   each.  */
+long long fleet_oldest_start (void);
+
 /* One start of an engine.  Times are those of fleet_now_ms.  */
 struct fleet_instance
 {
@@ -99,6 +133,7 @@
                               not leave.  */
   long long said_ms;       /* From when on its answers said so; 0 if they did
                               not.  */
+  unsigned version;        /* Of an engine of the service "moved"; else 0.  */
 };
 
 /* Return all starts of engines so far, and their number in COUNT.  */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "callers.h"
 #include "fleet.h"
+#include "rollouts.h"
 
 #define STEP_MS 50 /* Interval at which due faults start and end.  */
 #define MIN_FAULT_MS 200
@@ -489,7 +490,9 @@
   fleet_start (&a.fleet);
   callers_start (a.seed);
   start = fleet_now_ms ();
-  while (advance_faults (fleet_now_ms () - start))
+  rollouts_start (a.seed, start + RELEASE_PHASES * a.seconds * 1000LL);
+  /* Without short-circuit evaluation: both go on.  */
+  while (advance_faults (fleet_now_ms () - start) | rollouts_step ())
     {
       breaches += fleet_count_died ();
       fleet_restart_crashed ();
@@ -500,6 +503,7 @@
   breaches += !all_gateways_recover ();
   callers_stop ();
   breaches += callers_check (in_touch);
+  breaches += rollouts_check (in_touch);
   callers_print_counts ();
   fleet_stop ();
   printf ("seed %llu: %u breaches\n", (unsigned long long)a.seed, breaches);
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -34,7 +34,8 @@
    were.  PUT /limit?to=N makes all answers name the limit N of requests per
    second, until PUT /limit?to=-1; the stand-in takes more all the same.  With
    --runs=FILE each run is appended to FILE before it begins: ID and the time
-   in milliseconds of the monotonic clock.
+   in milliseconds of the monotonic clock; and "bad" and the time before each
+   bad answer of the following kind.
 
    PUT /bad?kind=KIND&percent=N&path=TEXT&after_ms=M makes the stand-in one of
    a bad version: from M ms on, N of 100 requests whose path contains TEXT get
@@ -188,6 +189,19 @@
   return count;
 }
 
+/* Log a bad answer, which is sent next.  */
+static void
+record_bad (void)
+{
+  pthread_mutex_lock (&runs_lock);
+  if (runs_file)
+    {
+      fprintf (runs_file, "bad %lld\n", now_ms ());
+      fflush (runs_file);
+    }
+  pthread_mutex_unlock (&runs_lock);
+}
+
 /* Whether the request for PATH, which was run, is to be answered badly: copies
    the kind to KIND.  */
 static bool
@@ -416,6 +430,7 @@
     {
       if (strcmp (kind, "fail") == 0)
         {
+          record_bad ();
           send_head (connection, 500,
                      "X-Response-Signature: s\r\n"
                      "Content-Length: 3\r\n\r\nbad");
@@ -423,6 +438,7 @@
           return 1;
         }
       pause_ms (SLOW_MS);
+      record_bad ();
     }
   if (is_mortal
       && strstr (header_value (connection, "X-Prompt-Prefix"), "dead:1,"))
