explain: the rollout that a request met

monsoonspur-ctl explain said nothing of rollouts. The line of a request's end now has its service and the version that it was sent to, and explain prints the rollout of that service as the router saw it then, whether the request was sent to the ordered version, and what version_withdrawn and version_stopped mean.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -50,6 +50,11 @@
   { "timeout", "its deadline or its route's timeout passed" },
   { "deadline", "its deadline or its route's timeout passed" },
   { "caller_gone", "its caller disconnected" },
+  { "version_withdrawn",
+    "a rollout withdrew the version of its endpoint before it was sent" },
+  { "version_stopped",
+    "refused, not run: its stream began at a version that a "
+    "rollout has stopped, and may go on only there" },
 };
 
 /* Events about the router's own state or its knowledge of the fleet.  */
@@ -64,6 +69,10 @@
                                               "configuration",
                                               "endpoint_gone",
                                               "zone",
+                                              "rollout",
+                                              "rollout_order",
+                                              "rollout_removed",
+                                              "version",
                                               "reload",
                                               "callers_turned_away" };
 
@@ -230,6 +239,51 @@
             first, expected, uncached);
 }
 
+/* Print the rollout of the service of END, as its router saw it then, and
+   whether the request was sent to the ordered version.  */
+static void
+print_rollout (const struct log *log, const struct line *end)
+{
+  const struct line *phase = NULL;
+  const struct line *order = NULL;
+  char service[FIELD_BYTES];
+  char version[FIELD_BYTES];
+  char value[FIELD_BYTES];
+  char to[FIELD_BYTES];
+  char reason[FIELD_BYTES];
+
+  get_field (end, "service", service);
+  for (size_t i = 0; i < log->count && service[0]; i++)
+    {
+      const struct line *line = &log->lines[i];
+
+      if (line->time > end->time || !same_router (line, end))
+        continue;
+      get_field (line, "service", value);
+      if (strcmp (value, service) != 0)
+        continue;
+      get_field (line, "event", value);
+      if (strcmp (value, "rollout") == 0)
+        phase = line;
+      else if (strcmp (value, "rollout_order") == 0)
+        order = line;
+    }
+  if (!phase || !order)
+    return;
+  get_field (phase, "to", to);
+  get_field (phase, "phase", value);
+  get_field (phase, "reason", reason);
+  printf ("rollout of %s to %s: phase %s (%s) since %.1f s before; ", service,
+          to, value, reason, end->time - phase->time);
+  get_field (end, "version", version);
+  get_field (order, "version", value);
+  if (!version[0] || strcmp (version, "0") == 0)
+    printf ("it was sent to no version\n");
+  else
+    printf ("it was sent to %s version\n",
+            strcmp (version, value) == 0 ? "that" : "another");
+}
+
 static bool
 is_context (const char *event)
 {
@@ -315,6 +369,7 @@
   if (end)
     {
       print_outcome (end);
+      print_rollout (&log, end);
       print_similar_requests (&log, end, "team");
       print_similar_requests (&log, end, "endpoint");
       print_context (&log, end);
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -53,6 +53,9 @@
 {
   ms_time now = r->gw->now;
 
+  const struct ms_service_entry *service
+      = r->gw->routes ? ms_routes_service (r->gw->routes, r->service) : NULL;
+
   record_end (r, status, outcome);
 
   ms_event (
@@ -60,7 +63,7 @@
       "id=%s route=%s team=%.*s outcome=%s status=%u endpoint=%s "
       "attempts=%u waited_ms=%.1f expected_ms=%.1f first_ms=%.1f "
       "total_ms=%.1f prompt=%u output=%u uncached=%u bytes=%llu config=%llu "
-      "list_ms=%lld takes_up=%d",
+      "list_ms=%lld takes_up=%d service=%s version=%x",
       r->request_id, r->route.name.data, (int)r->team_name.length,
       r->team_name.data, outcome, status,
       r->last_endpoint.length ? r->last_endpoint.data : "-", r->attempts,
@@ -73,7 +76,9 @@
       r->prompt.max_output, r->choice.fit.uncached,
       (unsigned long long)r->bytes_forwarded,
       (unsigned long long)r->config_version,
-      (long long)(r->list_age / MS_MSEC), r->takes_up);
+      (long long)(r->list_age / MS_MSEC), r->takes_up,
+      service ? service->name.data : "-",
+      r->first_sent_at ? r->sent_version : 0);
 }
 
 void
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -67,6 +67,12 @@
 9.1 g2 time=55.000000 event=pressure high=1 busy=0.97 requests=9 sockets=20
 9.2 g1 time=101.200000 event=request id=a1 route=r team=t1 outcome=leaving status=503 endpoint=- attempts=0 first_ms=-1.0 expected_ms=0.0 uncached=0
 9.2 g1 time=101.300000 event=request id=a2 route=r team=t1 outcome=answered status=200 endpoint=e1 attempts=1 first_ms=900.0 expected_ms=100.0 uncached=512
+9.3 g3 time=10.000000 event=rollout_order service=s to=v2 duration_ms=6000 appeared=1 offset=3 order=1 version=abc
+9.3 g3 time=10.020000 event=rollout service=s to=v2 phase=canary reason=order confirmed=0
+9.3 g3 time=12.500000 event=request id=a4 route=r team=t1 outcome=answered status=500 endpoint=e1 attempts=1 service=s version=abc
+9.3 g3 time=12.600000 event=request id=a5 route=r team=t1 outcome=answered status=200 endpoint=e2 attempts=1 service=s version=def
+9.3 g3 time=12.700000 event=rollout service=s to=v2 phase=stopped reason=failures confirmed=0
+9.3 g3 time=12.900000 event=request id=a6 route=r team=t1 outcome=version_stopped status=503 endpoint=- attempts=0 service=s version=0
 a line of something else
 END
 explain ()
@@ -85,6 +91,16 @@
 expect "explain: a request that is not in the log" 1 'no end of request a3' explain a3
 expect "explain: a log file that does not exist" 1 'nowhere' \
   "$BUILD/monsoonspur-ctl" --log=nowhere explain a1
+expect "explain: a request that a canary sent to the new version" 0 \
+  'rollout of s to v2: phase canary (order) since 2.5 s before; it was sent to that version' \
+  explain a4
+expect "explain: a request beside a canary" 0 'it was sent to another version' \
+  explain a5
+expect "explain: a stream that a rollout stopped" 0 \
+  'phase stopped (failures) since 0.2 s before; it was sent to no version' \
+  explain a6
+expect "explain: what a stopped version means" 0 \
+  'its stream began at a version' explain a6
 if explain a1 | grep -q 'g2 '; then
   failed=$((failed + 1))
   echo "FAILED explain: events of another gateway are printed"
