Process tests: forget the ids of processes that were stopped

stop and stop_all sent SIGKILL to the ids of processes that had ended long before. Callers of rollouts.sh start some hundred processes a second, ids are given out again after 32768, and a stopped engine is stopped again when it is replaced: another process of this or another test was killed. Seen: engine 0 of rollouts.sh gone in the middle of a check ("nothing runs at old endpoints" FAILED as it did not answer), and "engine 1 ended by signal 9" in a soak beside it. A probable cause of failures seen once in a while in gateway.sh.

--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -57,12 +57,23 @@
 }
 
 # stop NAME [SIGNAL]: send SIGNAL, TERM by default, to a started process and
-# wait for its end.  Returns its exit status.
+# wait for its end.  Returns its exit status.  Does nothing if it was stopped
+# before, and forgets its process id, which others soon have: callers start some
+# hundred processes a second.
 stop ()
 {
+  [ -e "$DIR/$1.pid" ] || return 0
   stopped=$(pid_of "$1")
   kill "-${2:-TERM}" "$stopped" 2>/dev/null
   wait "$stopped" 2>/dev/null
+  stop_status=$?
+  rm -f "$DIR/$1.pid"
+  running_pids=
+  for pid in $PIDS; do
+    [ "$pid" = "$stopped" ] || running_pids="$running_pids $pid"
+  done
+  PIDS=$running_pids
+  return $stop_status
 }
 
 stop_all ()
