Gateway: no attempt starts for a caller that has left

After the event loop did not run for a while, its tick and the events of endpoints come before those of callers that left meanwhile: requests that waited for capacity, and those that an endpoint refused, were sent for callers that had closed their connections. The kernel is now asked for the caller's connection before each attempt (one getsockopt).

Connections to endpoints were closed in order when the gateway's process ended, so an endpoint that notices only when it writes took one more event for wanted. They are now reset by the kernel (SO_LINGER 0).

tests/test_gone.c: 3 new tests, each failed before (13 of 16 passed); 16 of 16 pass.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -122,12 +122,19 @@
   return used;
 }
 
-/* Whether R may be sent at NOW: its key cannot have been revoked unseen, its
-   time is not over, and no part of its prompt has come under suspicion since
-   it was admitted.  If not, R is ended and freed.  */
+/* Whether R may be sent at NOW: its caller still waits, its key cannot have
+   been revoked unseen, its time is not over, and no part of its prompt has
+   come under suspicion since it was admitted.  If not, R is ended and freed.
+   The kernel is asked whether the caller has disconnected: after the loop did
+   not run for a while, ticks and other connections come before its event.  */
 static bool
 check_may_send (struct ms_request *r, ms_time now)
 {
+  if (ms_caller_has_closed (r->caller))
+    {
+      ms_request_caller_gone (r);
+      return false;
+    }
   if (r->keyed && !ms_gateway_keys_fresh (r->gw, now))
     {
       ms_request_give_up (r, "configuration_old");
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -371,3 +371,13 @@
   if (uv_tcp_close_reset (&s->tcp, on_closed))
     uv_close ((uv_handle_t *)&s->tcp, on_closed);
 }
+
+void
+ms_socket_reset_at_exit (struct ms_socket *s)
+{
+  static const struct linger none = { .l_onoff = 1, .l_linger = 0 };
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -98,6 +98,10 @@
    event follows.  */
 void ms_socket_reset (struct ms_socket *socket);
 
+/* Make the kernel reset the connection, too, when the process ends without
+   closing it.  */
+void ms_socket_reset_at_exit (struct ms_socket *socket);
+
 /* Number of open sockets in the process, without listeners.  */
 unsigned ms_socket_open_count (void);
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -237,6 +237,9 @@
       return;
     }
   u->state = BUSY;
+  /* An endpoint that notices a closed connection only when it writes takes one
+     more event for wanted unless it is a reset that it meets.  */
+  ms_socket_reset_at_exit (u->socket);
   if (u->request)
     ms_request_upstream_connected (u->request);
 }
--- a/tests/test_gone.c
+++ b/tests/test_gone.c
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -16,6 +17,10 @@
 /* More than a gateway reads ahead of a caller whose request is in progress. */
 #define FILLER_BYTES 300000
 
+static const char not_run[]
+    = "HTTP/1.1 503 -\r\nX-Request-Attempt-Id: t\r\nX-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+
 /* Send a request for PATH and return the endpoint's side of its run.  */
 static int
 start_run (struct fixture *f, int caller, const char *path)
@@ -180,6 +185,105 @@
   check_left_unread (true);
 }
 
+/* List an endpoint ID at the fixture's address.  */
+static void
+put_endpoint (struct fixture *f, const char *id)
+{
+  struct ms_endpoint_entry entry = { .slots = 1000, .version = 1 };
+  socklen_t length = sizeof entry.address;
+
+  assert_int_equal (
+      getsockname (f->listener, (struct sockaddr *)&entry.address, &length),
+      0);
+  entry.id = ms_name (id);
+  entry.service = ms_id (ms_str ("app"));
+  ms_place_put (f->gw->place, &entry, f->gw->now);
+}
+
+/* After the loop did not run for a while its tick comes before the callers'
+   events, so a waiting request was sent for a caller that had left.  */
+static void
+test_waiting_request_is_not_sent_for_a_caller_that_left (void **state)
+{
+  struct fixture *f = fixture_create (MEMORY_MB);
+  int caller = fixture_connect_caller (f);
+
+  (void)state;
+  ms_place_remove (f->gw->place, ms_id (ms_str ("e0")));
+  fixture_send_request (caller, "/events/x", DEADLINE_MS);
+  for (unsigned i = 0; i < FIXTURE_WAIT_MS && !f->gw->requests; i++)
+    fixture_tick (f);
+  assert_int_equal (f->gw->requests_count, 1);
+  put_endpoint (f, "e0");
+  close (caller);
+  fixture_tick (f);
+  assert_int_equal (accept (f->listener, NULL, NULL), -1);
+  assert_int_equal (f->gw->requests_count, 0);
+  fixture_destroy (f);
+}
+
+/* An endpoint's refusal may come before the caller's event, so the request was
+   sent to another endpoint.  */
+static void
+test_request_is_not_repeated_for_a_caller_that_left (void **state)
+{
+  struct fixture *f = fixture_create (MEMORY_MB);
+  int caller = fixture_connect_caller (f);
+  int run;
+
+  (void)state;
+  put_endpoint (f, "e1");
+  run = start_run (f, caller, "/any/x");
+  send (run, not_run, sizeof not_run - 1, MSG_NOSIGNAL);
+  close (caller);
+  fixture_step (f);
+  assert_int_equal (accept (f->listener, NULL, NULL), -1);
+  fixture_step (f);
+  assert_int_equal (f->gw->requests_count, 0);
+  close (run);
+  fixture_destroy (f);
+}
+
+/* The socket of this process whose other side is FD; -1 if there is none.  */
+static int
+find_other_side (int fd)
+{
+  struct sockaddr_in address, peer;
+  socklen_t length = sizeof address;
+
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &length), 0);
+  for (int other = 3; other < 1024; other++)
+    {
+      length = sizeof peer;
+      if (other != fd
+          && getpeername (other, (struct sockaddr *)&peer, &length) == 0
+          && peer.sin_port == address.sin_port)
+        return other;
+    }
+  return -1;
+}
+
+/* An endpoint that notices a closed connection only when it writes takes one
+   more event for wanted if the end is an orderly one, as it was when the
+   gateway's process ended: only a reset fails the first write.  */
+static void
+test_run_is_reset_when_the_process_ends (void **state)
+{
+  struct fixture *f = fixture_create (MEMORY_MB);
+  int caller = fixture_connect_caller (f);
+  int run = start_run (f, caller, "/events/x");
+  struct linger linger = { 0, 1 };
+  socklen_t length = sizeof linger;
+
+  (void)state;
+  getsockopt (find_other_side (run), SOL_SOCKET, SO_LINGER, &linger, &length);
+  assert_true (linger.l_onoff);
+  assert_int_equal (linger.l_linger, 0);
+  close (run);
+  close (caller);
+  fixture_destroy (f);
+}
+
 /* After the deadline an endpoint that writes rarely takes the next event
    for wanted if the connection is still open, and notices only at the one
    after that.  */
@@ -230,9 +334,6 @@
 static void
 test_non_idempotent_request_gets_a_late_refusal (void **state)
 {
-  static const char refusal[]
-      = "HTTP/1.1 503 -\r\nX-Request-Attempt-Id: t\r\nX-Not-Executed: 1\r\n"
-        "Content-Length: 0\r\n\r\n";
   struct fixture *f = fixture_create (MEMORY_MB);
   int caller = fixture_connect_caller (f);
   int run = start_run (f, caller, "/once/x");
@@ -241,7 +342,7 @@
   (void)state;
   fixture_advance (f, DEADLINE_MS + 30);
   assert_true (fixture_stays_open (f, run));
-  fixture_send (f, run, refusal, sizeof refusal - 1);
+  fixture_send (f, run, not_run, sizeof not_run - 1);
   assert_true (fixture_receive (f, caller, answer, sizeof answer));
   assert_non_null (strstr (answer, "HTTP/1.1 503 "));
   close (run);
@@ -356,6 +457,9 @@
     cmocka_unit_test (test_run_ends_while_the_endpoint_reads_nothing),
     cmocka_unit_test (test_waiting_request_ends_with_its_caller),
     cmocka_unit_test (test_no_run_for_a_caller_that_left_while_unread),
+    cmocka_unit_test (test_waiting_request_is_not_sent_for_a_caller_that_left),
+    cmocka_unit_test (test_request_is_not_repeated_for_a_caller_that_left),
+    cmocka_unit_test (test_run_is_reset_when_the_process_ends),
     cmocka_unit_test (test_stream_ends_at_its_deadline),
     cmocka_unit_test (test_unanswered_request_ends_at_its_deadline),
     cmocka_unit_test (test_non_idempotent_request_gets_a_late_refusal),
