Sockets: a side that reads slowly is no longer taken for one that vanished

TCP_USER_TIMEOUT also ends a connection whose other side acknowledges every probe of its closed window: a caller at 20 KB/s was cut off after 2.4 s, and an endpoint slow to read a request counted as crashed. A watch of TCP_INFO replaces it: the other side has vanished if sent data or a probe is not acknowledged for 2 s. Connections that were written to and are not known to be acknowledged are checked twice a second. Closed connections whose other side takes nothing are reset after 10 s. Keepalive gets one probe: with TCP_USER_TIMEOUT one was all it had.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,8 @@
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 # Tests of a gateway within their own process.
-GATEWAY_TESTS = $(BUILD)/test_listen $(BUILD)/test_gone $(BUILD)/test_peers
+GATEWAY_TESTS = $(BUILD)/test_listen $(BUILD)/test_gone $(BUILD)/test_peers \
+	$(BUILD)/test_socket
 
 $(GATEWAY_TESTS): $(BUILD)/test_%: $(BUILD)/tests/test_%.o \
 	$(BUILD)/tests/support/gateway_fixture.o $(GATEWAY_PARTS) $(CORE)
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -19,6 +19,7 @@
 #include "gateway/request.h"
 #include "gateway/rollouts.h"
 #include "gateway/shares.h"
+#include "gateway/socket.h"
 
 /* Environment variable that holds the path of the settings file.  */
 #define SETTINGS_VARIABLE "MONSOONSPUR_CONFIG"
@@ -151,6 +152,7 @@
       gw->swept_at = now;
       ms_upstreams_sweep (gw, now);
       ms_callers_sweep (gw, now);
+      ms_sockets_sweep (now);
       ms_guard_tick (gw->guard, now);
       ms_part_guard_tick (gw->part_guard, now);
       ms_streams_tick (gw->streams, now);
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -1,11 +1,14 @@
 #include "gateway/socket.h"
 
 #include <netinet/in.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include "base/alloc.h"
 #include "base/log.h"
@@ -15,6 +18,10 @@
 /* The kernel measures the age of data in ticks of up to 10 ms.  */
 #define MIN_DATA_AGE_MS 20
 
+/* Each check asks the kernel once or twice for each connection that was
+   written to.  */
+#define CHECK_PERIOD (500 * MS_MSEC)
+
 struct ms_socket
 {
   uv_tcp_t tcp;
@@ -22,8 +29,14 @@
   void *owner;         /* NULL once the owner closed the socket.  */
   size_t queued_bytes; /* Written by the owner, not yet sent.  */
   bool reading;
-  bool closing; /* Closed, or to be closed once the queue is sent.  */
+  bool closing;     /* Closed, or to be closed once the queue is sent.  */
+  bool unconfirmed; /* Written to, and not known to be acknowledged.  */
+  struct ms_ack_watch watch;
+  size_t left;        /* Bytes not acknowledged at the last check of a closed
+                         connection...  */
+  ms_time left_since; /* ...and since when; 0 before the first check.  */
   uv_connect_t connect;
+  struct ms_socket *prev, *next;
 };
 
 /* Data that the kernel did not take at once.  */
@@ -36,6 +49,8 @@
 };
 
 static unsigned open_count;
+static struct ms_socket *sockets; /* All that are open.  */
+static ms_time checked_at;        /* Time of the last check of them.  */
 
 /* Shared by all sockets: a callback consumes or copies what was read.  */
 static char read_buffer[READ_BUFFER_BYTES];
@@ -49,8 +64,11 @@
 static void
 on_closed (uv_handle_t *handle)
 {
+  struct ms_socket *s = handle->data;
+
   open_count--;
-  free (handle->data);
+  DL_DELETE (sockets, s);
+  free (s);
 }
 
 static struct ms_socket *
@@ -65,6 +83,7 @@
       return NULL;
     }
   open_count++;
+  DL_APPEND (sockets, s);
   s->tcp.data = s;
   s->events = events;
   s->owner = owner;
@@ -112,10 +131,9 @@
   s->reading = false;
 }
 
-/* Make the kernel detect hosts that vanish without closing: by keepalive
-   probes on an idle connection and by a time limit for unacknowledged data.
-   Accepted connections inherit these options from their listener.  Also
-   disable Nagle's algorithm.  */
+/* Make the kernel detect hosts that vanish without closing an idle connection,
+   by keepalive probes.  Accepted connections inherit these options from their
+   listener.  Also disable Nagle's algorithm.  */
 static void
 set_socket_options (uv_tcp_t *tcp)
 {
@@ -123,7 +141,6 @@
   static const int idle = MS_KEEPALIVE_IDLE_S;
   static const int interval = MS_KEEPALIVE_INTERVAL_S;
   static const int probes = MS_KEEPALIVE_PROBES;
-  static const unsigned unacked = MS_UNACKED_LIMIT_MS;
   uv_os_fd_t fd;
 
   if (uv_fileno ((uv_handle_t *)tcp, &fd))
@@ -132,9 +149,7 @@
       || setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle)
       || setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
                      sizeof interval)
-      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes)
-      || setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
-                     sizeof unacked))
+      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes))
     ms_log (MS_WARN, "socket",
             "cannot set keepalive options: a connection whose other end has "
             "vanished will not be detected");
@@ -235,6 +250,19 @@
   return MS_OK;
 }
 
+/* Close the socket of S, whose queue is empty.  What the kernel has not sent
+   yet is discarded like a queue if the other side takes nothing.  */
+static void
+close_sent (struct ms_socket *s)
+{
+  static const unsigned limit_ms = MS_LINGER_LIMIT / MS_MSEC;
+  uv_os_fd_t fd;
+
+  if (s->unconfirmed && uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+  uv_close ((uv_handle_t *)&s->tcp, on_closed);
+}
+
 static void
 on_written (uv_write_t *request, int error)
 {
@@ -246,7 +274,7 @@
   if (!s->owner)
     {
       if (!s->queued_bytes && !uv_is_closing ((uv_handle_t *)&s->tcp))
-        uv_close ((uv_handle_t *)&s->tcp, on_closed);
+        close_sent (s);
       return;
     }
   if (error)
@@ -297,6 +325,7 @@
     total += buffers[i].len;
   if (!total)
     return;
+  s->unconfirmed = true;
   if (!s->queued_bytes)
     sent = uv_try_write ((uv_stream_t *)&s->tcp, buffers, count);
   if (sent < 0)
@@ -356,7 +385,7 @@
   s->closing = true;
   ms_socket_pause (s);
   if (!s->queued_bytes)
-    uv_close ((uv_handle_t *)&s->tcp, on_closed);
+    close_sent (s);
 }
 
 void
@@ -381,3 +410,69 @@
   if (uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0)
     setsockopt (fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
 }
+
+bool
+ms_ack_watch_update (struct ms_ack_watch *watch,
+                     const struct ms_ack_state *state, ms_time now)
+{
+  if (!state->unanswered)
+    {
+      watch->since = 0;
+      return false;
+    }
+  if (!watch->since)
+    watch->since = now;
+  if (watch->since < now - state->age)
+    watch->since = now - state->age;
+  return now - watch->since >= MS_UNACKED_LIMIT;
+}
+
+/* Whether S, which is closed, has waited too long at NOW for its other side to
+   take a part of the LEFT bytes.  */
+static bool
+lingers (struct ms_socket *s, size_t left, ms_time now)
+{
+  if (!s->left_since || left != s->left)
+    s->left_since = now;
+  s->left = left;
+  return now - s->left_since >= MS_LINGER_LIMIT;
+}
+
+static void
+check_socket (struct ms_socket *s, ms_time now)
+{
+  struct tcp_info info;
+  struct ms_ack_state state;
+  uv_os_fd_t fd;
+  int left = 0;
+
+  if (!s->unconfirmed || uv_is_closing ((uv_handle_t *)&s->tcp)
+      || uv_fileno ((uv_handle_t *)&s->tcp, &fd) || !read_tcp_info (s, &info)
+      || ioctl (fd, SIOCOUTQ, &left))
+    return;
+  state.unanswered = info.tcpi_unacked || info.tcpi_probes;
+  state.age = info.tcpi_last_ack_recv * MS_MSEC;
+  s->unconfirmed = left || s->queued_bytes;
+  if (!s->unconfirmed)
+    state.unanswered = false;
+  if (ms_ack_watch_update (&s->watch, &state, now))
+    {
+      if (s->owner)
+        s->events->ended (s->owner, false);
+      else
+        ms_socket_reset (s);
+    }
+  else if (s->closing && lingers (s, s->queued_bytes + (size_t)left, now))
+    ms_socket_reset (s);
+}
+
+void
+ms_sockets_sweep (ms_time now)
+{
+  struct ms_socket *s, *next;
+
+  if (now >= checked_at && now - checked_at < CHECK_PERIOD)
+    return;
+  checked_at = now;
+  DL_FOREACH_SAFE (sockets, s, next) { check_socket (s, now); }
+}
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -32,14 +32,47 @@
   void (*drained) (void *owner);
 };
 
-/* Detection of hosts that vanish without closing the connection: keepalive
-   probes after IDLE_S of silence, INTERVAL_S apart, give up after PROBES
-   without an answer; sent data must be acknowledged within UNACKED_LIMIT_MS.
- */
+/* Detection of hosts that vanish without closing the connection: a keepalive
+   probe after IDLE_S of silence, which has INTERVAL_S for an answer, and
+   ms_sockets_sweep for sent data.  TCP_USER_TIMEOUT is not used, as it also
+   ends a connection whose other side acknowledges everything and only reads
+   slowly.  */
 #define MS_KEEPALIVE_IDLE_S 1
 #define MS_KEEPALIVE_INTERVAL_S 1
-#define MS_KEEPALIVE_PROBES 2
-#define MS_UNACKED_LIMIT_MS 2000
+#define MS_KEEPALIVE_PROBES 1
+
+/* The other side has vanished if what was sent to it, or a probe of its closed
+   window, is not acknowledged for this time.  The kernel probes a window that
+   stays closed at doubling intervals, so that this time may begin as much
+   later as the window was closed before.  */
+#define MS_UNACKED_LIMIT (2 * MS_SEC)
+
+/* A closed connection is reset, and what is queued discarded, when the other
+   side has taken nothing for this time.  */
+#define MS_LINGER_LIMIT (10 * MS_SEC)
+
+/* What the kernel says of data on its way to the other side.  */
+struct ms_ack_state
+{
+  bool unanswered; /* Data or a probe was sent that is not acknowledged.  */
+  ms_time age;     /* Of the newest acknowledgement.  */
+};
+
+/* Since when something is unanswered; 0 if nothing is.  */
+struct ms_ack_watch
+{
+  ms_time since;
+};
+
+/* Return whether, as of STATE at NOW, the other side has vanished.  Call it
+   several times a second while something may be unanswered.  */
+bool ms_ack_watch_update (struct ms_ack_watch *watch,
+                          const struct ms_ack_state *state, ms_time now);
+
+/* End connections whose other side has vanished, with an ended event, and
+   closed ones whose other side has taken nothing for MS_LINGER_LIMIT.  Call it
+   several times a second with the current time NOW.  */
+void ms_sockets_sweep (ms_time now);
 
 /* Accept the next connection of LISTENER and start to read.  NULL on
    failure.  */
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -16,6 +16,7 @@
 #include "gateway/caller.h"
 #include "gateway/request.h"
 #include "gateway/rollouts.h"
+#include "gateway/socket.h"
 #include "gateway/upstream.h"
 #include "platform.h"
 
@@ -202,6 +203,7 @@
   ms_requests_tick (f->gw, now);
   ms_upstreams_sweep (f->gw, now);
   ms_callers_sweep (f->gw, now);
+  ms_sockets_sweep (now);
   fixture_step (f);
 }
 
