Soak: a check of GONE

Four callers of streams disconnect early or let their time pass. The endpoint stand-in also writes the end of each run; half a second after their callers left at most a quarter of the runs may go on, counted for both kinds of leaving, and at most three requests may begin later.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,6 +13,7 @@
 
 #include "base/random.h"
 #include "fleet.h"
+#include "gone.h"
 
 #define MAX_REQUESTS 8192 /* Of each caller.  */
 #define MAX_PAUSE_MS 20   /* Between two requests of a caller.  */
@@ -356,7 +357,8 @@
         crashes[crashes_count++] = (struct crash){ at, r->gateway };
       if (r)
         r->runs++;
-      else if (strncmp (id, "try", 3) != 0)
+      else if (strncmp (id, "try", 3) != 0
+               && strncmp (id, GONE_ID, strlen (GONE_ID)) != 0)
         {
           printf ("UNASKED %s\n", id);
           breaches++;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "callers.h"
 #include "fleet.h"
+#include "gone.h"
 
 #define STEP_MS 50 /* Interval at which due faults start and end.  */
 #define MIN_FAULT_MS 200
@@ -46,6 +47,10 @@
 /* A gateway is in touch once it has been undisturbed for this time.  */
 #define STABLE_WINDOW_MS 3000
 
+/* After a fault of its process a gateway runs undisturbed from this time on.
+ */
+#define RESTART_MS 1000
+
 /* Time after the last fault within which all gateways must serve again, each
    with PROBES_IN_A_ROW answers.  */
 #define RECOVERY_MS 12000
@@ -408,6 +413,22 @@
   return true;
 }
 
+/* For gone_check.  */
+static bool
+is_running (unsigned gateway, long long at_ms)
+{
+  for (unsigned i = 0; i < faults_count; i++)
+    {
+      const struct fault *f = &faults[i];
+
+      if ((f->kind <= GATEWAY_TERM || f->kind == HERD_KILL)
+          && disturbs (f, gateway) && f->started_at <= at_ms
+          && at_ms < f->ended_at + RESTART_MS)
+        return false;
+    }
+  return true;
+}
+
 /* Whether all gateways serve again within RECOVERY_MS; prints the first that
    does not.  */
 static bool
@@ -488,6 +509,7 @@
   add_store_losses (&random, a.seconds);
   fleet_start (&a.fleet);
   callers_start (a.seed);
+  gone_start (a.seed);
   start = fleet_now_ms ();
   while (advance_faults (fleet_now_ms () - start))
     {
@@ -499,7 +521,9 @@
     }
   breaches += !all_gateways_recover ();
   callers_stop ();
+  gone_stop ();
   breaches += callers_check (in_touch);
+  breaches += gone_check (is_running);
   callers_print_counts ();
   fleet_stop ();
   printf ("seed %llu: %u breaches\n", (unsigned long long)a.seed, breaches);
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -34,7 +34,8 @@
    were.  PUT /limit?to=N makes all answers name the limit N of requests per
    second, until PUT /limit?to=-1; the stand-in takes more all the same.  With
    --runs=FILE each run is appended to FILE before it begins: ID and the time
-   in milliseconds of the monotonic clock.
+   in milliseconds of the monotonic clock; its end follows in FILE.ends: ID and
+   the times of begin and end.
 
    PUT /bad?kind=KIND&percent=N&path=TEXT&after_ms=M makes the stand-in one of
    a bad version: from M ms on, N of 100 requests whose path contains TEXT get
@@ -78,6 +79,7 @@
 static atomic_uint turned_away;
 static atomic_long named_limit = -1; /* Below 0: none.  */
 static FILE *runs_file;
+static FILE *ends_file;
 static bool is_mortal;
 
 /* How long a slow answer of a bad version takes.  */
@@ -478,14 +480,26 @@
   return 1;
 }
 
+static void
+record_end (const char *id, long long began)
+{
+  pthread_mutex_lock (&runs_lock);
+  fprintf (ends_file, "%s %lld %lld\n", id, began, now_ms ());
+  fflush (ends_file);
+  pthread_mutex_unlock (&runs_lock);
+}
+
 static int
 handle_request (struct mg_connection *connection, void *context)
 {
+  long long began = now_ms ();
   int result;
 
   running++;
   result = run_request (connection, context);
   running--;
+  if (ends_file)
+    record_end (header_value (connection, "X-Request-Attempt-Id"), began);
   return result;
 }
 
@@ -582,6 +596,8 @@
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
+  char path[512];
+
   switch (key)
     {
     case 'a':
@@ -600,6 +616,10 @@
       runs_file = fopen (arg, "a");
       if (!runs_file)
         argp_failure (state, EXIT_FAILURE, errno, "%s", arg);
+      snprintf (path, sizeof path, "%s.ends", arg);
+      ends_file = fopen (path, "a");
+      if (!ends_file)
+        argp_failure (state, EXIT_FAILURE, errno, "%s", path);
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
