gateway.sh: wait until the gateway knows that the other endpoint drains

Cause: the check "an endpoint that said in an answer that it leaves gets no more requests" took six requests in a row at engine 0 for a sign that the gateway had read that engine 1 drains. They also ran there by choice: in a kept log the entry arrived 47 ms behind the request that was to be refused, which engine 1 had answered. The gateway had sent nothing to engine 0 after its answer. Change: the script first waits for the gateway's log line of the entry. What is checked stays the same.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -416,6 +416,8 @@
   is "$status" 503 && is "$(run_count $id)" 0
 }
 list_engine 1 draining
+# Requests that all run on engine 0 do not show that the gateway knows of it.
+await 5 grep -q 'event=endpoint endpoint=e1 leaving=1' "$DIR/gateway1.log"
 await 5 all_run_on 0
 leave_engine 0 1
 runs_on 0
