States of rollouts name the versions that earlier orders have excluded

The state of an order replaces that of the order before, so after a restart of all routers nobody knew that an earlier version was rolled back.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -487,6 +487,8 @@
     .phase = PLAT_ROLLOUT_ROLLED_BACK,
     .started_ms = 1796000000123,
     .order = 0xfedcba9876543210,
+    .excluded = { ms_name ("v\"1"), ms_name ("v0") },
+    .excluded_count = 2,
   };
   struct plat_rollout_state read;
   struct taken taken = { 0 };
@@ -510,6 +512,9 @@
   assert_int_equal (read.phase, PLAT_ROLLOUT_ROLLED_BACK);
   assert_int_equal (read.started_ms, written.started_ms);
   assert_int_equal (read.order, written.order);
+  assert_int_equal (read.excluded_count, 2);
+  assert_string_equal (read.excluded[0].data, "v\"1");
+  assert_string_equal (read.excluded[1].data, "v0");
   assert_int_equal (plat_encode_state (body, 20, &written), 0);
 }
 
@@ -534,13 +539,16 @@
     assert_int_equal (
         plat_decode_state (ms_str ("app"), ms_str (invalid[i]), &read),
         MS_INVALID);
-  assert_int_equal (
-      plat_decode_state (
-          ms_str ("app"),
-          ms_str ("{\"service\":\"app\",\"to\":\"v2\",\"state\":"
-                  "\"completed\",\"started_ms\":-5,\"order\":7}"),
-          &read),
-      MS_OK);
+  assert_int_equal (plat_decode_state (
+                        ms_str ("app"),
+                        ms_str ("{\"service\":\"app\",\"to\":\"v2\",\"state\":"
+                                "\"completed\",\"started_ms\":-5,\"order\":7,"
+                                "\"excluded\":[1,\"\",\"a\",{},\"b\",\"c\"]}"),
+                        &read),
+                    MS_OK);
+  assert_int_equal (read.excluded_count, 2);
+  assert_string_equal (read.excluded[0].data, "a");
+  assert_string_equal (read.excluded[1].data, "b");
   assert_int_equal (read.phase, PLAT_ROLLOUT_COMPLETED);
   assert_int_equal (read.started_ms, 0);
   assert_int_equal (read.order, 0);
