Use of the capacity: without endpoints that a rollout does not use

New endpoints outside a canary, or of a stopped version, run nothing, but counted as free capacity for the teams' shares: more was admitted than the others could run. They count with what still runs there.

--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -365,7 +365,8 @@
 }
 
 /* Return the requests that may run at the model endpoint E at once: where it
-   names a limit of requests per second, as many as run when that is used.  */
+   names a limit of requests per second, as many as run when that is used;
+   where a rollout sends it no more, as many as still run.  */
 static double
 running_limit (const struct ms_place *place, const struct ms_endpoint_state *e,
                const struct ms_service_entry *service, ms_time now)
@@ -418,6 +419,16 @@
   double limits;  /* Requests that may run at once.  */
 };
 
+/* The same, for the use of the capacity: where a rollout sends no more
+   requests, only those that still run.  */
+static double
+used_limit (const struct ms_place *place, const struct ms_endpoint_state *e,
+            const struct ms_service_entry *service, ms_time now)
+{
+  return e->unused ? (double)e->own.running + e->others.running
+                   : running_limit (place, e, service, now);
+}
+
 struct ms_place_use
 ms_place_use (const struct ms_place *place, ms_time now)
 {
@@ -433,7 +444,7 @@
       if (!service)
         continue;
       all.running += e->own.running + e->others.running;
-      all.limits += running_limit (place, e, service, now);
+      all.limits += used_limit (place, e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
     }
   for (unsigned i = 0; i < place->count; i++)
@@ -441,7 +452,7 @@
       const struct ms_endpoint_state *e = place->endpoints[i];
       const struct ms_service_entry *service = available_model (place, e, now);
       double running = e->own.running + e->others.running;
-      double limit = service ? running_limit (place, e, service, now) : 0;
+      double limit = service ? used_limit (place, e, service, now) : 0;
 
       if (running * all.limits < IDLE_FRACTION * all.running * limit)
         continue;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -72,6 +72,7 @@
   bool listed;           /* The endpoint list names it.  */
   bool held;             /* Not to be used yet, whatever else is known.  */
   bool in_canary;        /* Among those to which offers with CANARY go.  */
+  bool unused;           /* A rollout sends no new request to it.  */
   bool known_leaving;    /* By an answer or an earlier entry.  */
   unsigned references;   /* Attempts and connections that point to it.  */
   struct ms_load own;    /* Sent by this router.  Here and in others, pace and
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -732,6 +732,27 @@
   return fraction;
 }
 
+/* Guards against new endpoints that a rollout does not use yet: they made the
+   others look less used, so that more was admitted than those could run.  */
+static void
+test_endpoints_that_a_rollout_does_not_use_are_no_capacity (void **state)
+{
+  struct ms_place *place = create_place ();
+  const struct ms_load load = { .running = 20 };
+  double before;
+
+  (void)state;
+  for (unsigned i = 0; i < 4; i++)
+    ms_place_add_others (
+        place, put_endpoint (place, i, MODEL, ZONE_A, 0, 0)->id, &load);
+  before = ms_place_use (place, MS_SEC).fraction;
+  assert_true (before > 0 && before < 0.9);
+  for (unsigned i = 4; i < 8; i++)
+    put_endpoint (place, i, MODEL, ZONE_A, 0, 0)->unused = true;
+  assert_true (ms_place_use (place, MS_SEC).fraction >= before);
+  ms_place_destroy (place);
+}
+
 /* Guards against failed endpoints, at which hardly anything runs, that make
    the others look less used than they are.  */
 static void
@@ -972,6 +993,8 @@
     cmocka_unit_test (test_response_time_of_plain_service_is_learned),
     cmocka_unit_test (test_slow_endpoint_is_tried_again),
     cmocka_unit_test (test_request_with_a_version_goes_to_that_version_only),
+    cmocka_unit_test (
+        test_endpoints_that_a_rollout_does_not_use_are_no_capacity),
     cmocka_unit_test (test_endpoints_that_failed_unseen_are_little_capacity),
     cmocka_unit_test (test_offers_keep_to_their_versions),
     cmocka_unit_test (test_usual_time_is_of_an_endpoint_with_an_empty_cache),
