Rollouts: earlier versions stay excluded after a restart, crashes, unused endpoints

The state record names such versions; a router that starts reads them before it uses endpoints of a second version. They are not excluded if the service has no other endpoints. - Failures by crashes are held until it is known whether a request that ends endpoints of two versions caused them. - Endpoints to which a rollout sends nothing are marked for the use of the capacity.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -334,6 +334,7 @@
 note_death (struct ms_request *r, uint64_t endpoint, uint64_t start)
 {
   struct ms_gateway *gw = r->gw;
+  uint64_t crash_start = start;
   char parts[MS_MAX_PARTS * 20];
   unsigned deaths
       = ms_guard_death (gw->guard, r->fingerprint, endpoint, gw->now);
@@ -344,6 +345,14 @@
     start = ms_id_pair (start, (uint64_t)gw->now);
   ms_part_guard_died (gw->part_guard, r->guarded, r->guarded_count, start,
                       gw->now);
+  /* A request that ends endpoints of two versions is harmful itself.  */
+  if (r->crash_start && r->crash_version != r->sent_version)
+    {
+      ms_crashes_drop (gw->crashes, r->crash_start, gw->now);
+      ms_crashes_drop (gw->crashes, crash_start, gw->now);
+    }
+  r->crash_start = crash_start;
+  r->crash_version = r->sent_version;
   write_parts (r, parts, sizeof parts);
   ms_event (gw->now, "endpoint_broke", "id=%s endpoint=%s deaths=%u parts=%s",
             r->request_id, r->last_endpoint.data, deaths, parts);
@@ -358,6 +367,7 @@
   uint64_t endpoint = r->endpoint->id;
   uint64_t start = ms_id_pair (endpoint, (uint64_t)r->endpoint->entry.born);
 
+  r->crashed = error == MS_UPSTREAM_BROKEN;
   r->upstream = NULL;
   if (!r->sent)
     {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/settings.h"
 #include "gateway/socket.h"
 #include "gateway/topic.h"
+#include "guard/crashes.h"
 #include "guard/guard.h"
 #include "guard/parts.h"
 #include "place/place.h"
@@ -69,6 +70,7 @@
   struct ms_place *place;
   struct ms_guard *guard;
   struct ms_part_guard *part_guard;
+  struct ms_crashes *crashes;
   struct ms_streams *streams;
   struct ms_budget *budget;
   struct ms_share *share;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -108,6 +108,10 @@
   uint32_t sent_version;   /* Of the endpoint when it was sent there.  */
   uint32_t failed_version; /* Of the endpoint that last failed to answer it; 0
                               if none did.  */
+  bool crashed; /* The connection of the attempt that ends has broken.  */
+  uint64_t crash_start; /* Stands for the start of the endpoint that last broke
+                           off before it answered; 0 if none did.  */
+  uint32_t crash_version; /* Of that endpoint.  */
   struct ms_request *prev, *next;
 };
 
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -79,6 +79,7 @@
       &place, ms_place_policy (placement ? placement : "prefix"));
   gw->guard = ms_guard_create ();
   gw->part_guard = ms_part_guard_create (&parts);
+  gw->crashes = ms_crashes_create ();
   gw->streams = ms_streams_create (gw->settings->first_start, gw->now);
   gw->share = ms_share_create ();
   gw->pressure = ms_pressure_create ();
--- a/src/gateway/rollout_states.c
+++ b/src/gateway/rollout_states.c
@@ -150,7 +150,7 @@
              const struct plat_order *order)
 {
   ms_time now = s->gw->now;
-  const struct plat_rollout_state encoded = {
+  struct plat_rollout_state encoded = {
     .service = order->service,
     .to = order->to,
     .phase = state->phase == MS_ROLLOUT_COMPLETED ? PLAT_ROLLOUT_COMPLETED
@@ -163,8 +163,10 @@
           : 0,
     .order = state->order.id,
   };
-  size_t length = plat_encode_state (s->record, sizeof s->record, &encoded);
+  size_t length;
 
+  ms_rollout_driver_fill_excluded (s->gw->rollout_driver, &encoded);
+  length = plat_encode_state (s->record, sizeof s->record, &encoded);
   s->written = *state;
   plat_append_at_path (s->path, sizeof s->path, PLAT_TOPIC_STATUS, s->end);
   ms_exchange_call (s->exchange, &s->store, "POST", s->path,
@@ -197,6 +199,12 @@
              && ms_replica_loaded (ms_topic_replica (s->gw->operator_topic)));
 }
 
+bool
+ms_rollout_states_were_read (const struct ms_rollout_states *s)
+{
+  return s->read;
+}
+
 void
 ms_rollout_states_tick (struct ms_rollout_states *s, ms_time now)
 {
--- a/src/gateway/rollout_states.h
+++ b/src/gateway/rollout_states.h
@@ -13,6 +13,9 @@
 struct ms_rollout_states *ms_rollout_states_create (struct ms_gateway *gw);
 void ms_rollout_states_destroy (struct ms_rollout_states *states);
 
+/* Whether the states were read since the start.  */
+bool ms_rollout_states_were_read (const struct ms_rollout_states *states);
+
 /* Read or write states if that is due.  Call on every tick.  */
 void ms_rollout_states_tick (struct ms_rollout_states *states, ms_time now);
 
--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -36,6 +36,15 @@
   ms_time changed_at;
   bool skip_logged;
 
+  /* Versions that earlier orders have not completed, as the store has them or
+     this router saw, the latest one first; their hashes; and whether the
+     service has listed endpoints of others.  */
+  struct ms_name excluded[PLAT_ROLLOUT_EXCLUDED];
+  uint32_t excluded_hashes[PLAT_ROLLOUT_EXCLUDED];
+  bool has_others;
+  bool started_later; /* They were read when this router started: no stream
+                         there is to go on.  */
+
   enum ms_rollout_phase logged_phase;
   const char *logged_reason;
   UT_hash_handle hh;
@@ -211,12 +220,61 @@
   ms_rollouts_remove_order (d->gw->rollouts, e->service, d->gw->now);
 }
 
+static bool
+is_excluded (const struct entry *e, uint32_t version)
+{
+  for (unsigned i = 0; i < PLAT_ROLLOUT_EXCLUDED; i++)
+    if (version && e->excluded_hashes[i] == version)
+      return true;
+  return false;
+}
+
+/* Put the version TO of SERVICE first among those that E excludes.  */
+static void
+exclude_name (struct entry *e, const struct ms_name *to)
+{
+  uint32_t version = plat_version_hash (e->service, to->data);
+
+  if (is_excluded (e, version))
+    return;
+  for (unsigned i = PLAT_ROLLOUT_EXCLUDED - 1; i > 0; i--)
+    {
+      e->excluded[i] = e->excluded[i - 1];
+      e->excluded_hashes[i] = e->excluded_hashes[i - 1];
+    }
+  e->excluded[0] = *to;
+  e->excluded_hashes[0] = version;
+}
+
+/* An order names VERSION: E excludes it no longer.  */
+static void
+admit_version (struct entry *e, uint32_t version)
+{
+  for (unsigned i = 0; i < PLAT_ROLLOUT_EXCLUDED; i++)
+    if (e->excluded_hashes[i] == version)
+      e->excluded_hashes[i] = 0;
+}
+
+/* The order of E is replaced: exclude its version if that was bad.  */
+static void
+exclude_former (struct ms_rollout_driver *d, struct entry *e)
+{
+  struct ms_rollout_state s;
+
+  if (e->put && ms_rollouts_state (d->gw->rollouts, e->service, d->gw->now, &s)
+      && (s.phase == MS_ROLLOUT_STOPPED || s.phase == MS_ROLLOUT_ROLLED_BACK)
+      && s.order.version == e->order.version)
+    exclude_name (e, &e->order.to);
+}
+
 static void
 apply_order (struct ms_rollout_driver *d, struct entry *e)
 {
   uint64_t offset = record_offset (d, e->next.service.data);
   uint64_t id = identity (&e->next, offset);
 
+  exclude_former (d, e);
+  admit_version (e, e->next.version);
   e->order = e->next;
   e->offset_known = offset != MS_NO_OFFSET;
   e->put = true;
@@ -361,10 +419,14 @@
     if (e->put)
       ms_versions_note_order (d->versions, e->service, e->order.version);
   }
-  ms_versions_update (
-      d->versions,
-      ms_replica_settling (replica, now) ? 0 : ms_replica_read_at (replica),
-      now);
+  /* Until the states were read, a version may be one that an earlier order has
+     excluded.  */
+  ms_versions_update (d->versions,
+                      ms_replica_settling (replica, now)
+                              || !ms_rollout_states_were_read (d->states)
+                          ? 0
+                          : ms_replica_read_at (replica),
+                      now);
   ms_place_each (d->gw->place, set_held, d);
 }
 
@@ -374,6 +436,63 @@
   return ms_rollouts_mark (context, service, id);
 }
 
+/* An entry, and the phase of its order.  */
+struct entry_phase
+{
+  struct entry *entry;
+  enum ms_rollout_phase phase;
+};
+
+static void
+note_others (void *context, struct ms_endpoint_state *endpoint)
+{
+  struct entry *e = ((const struct entry_phase *)context)->entry;
+
+  if (endpoint->entry.service == e->service && endpoint->listed
+      && !is_excluded (e, endpoint->entry.version))
+    e->has_others = true;
+}
+
+/* Mark ENDPOINT if the order sends no new requests to it: then it is no
+   capacity for the teams' shares.  */
+static void
+set_unused (void *context, struct ms_endpoint_state *endpoint)
+{
+  const struct entry_phase *p = context;
+  const struct entry *e = p->entry;
+
+  if (endpoint->entry.service != e->service)
+    return;
+  if (endpoint->entry.version != e->order.version)
+    endpoint->unused
+        = p->phase == MS_ROLLOUT_COMPLETED
+          || (e->has_others && is_excluded (e, endpoint->entry.version));
+  else if (p->phase == MS_ROLLOUT_CANARY)
+    endpoint->unused = !endpoint->in_canary;
+  else
+    endpoint->unused
+        = p->phase == MS_ROLLOUT_STOPPED || p->phase == MS_ROLLOUT_ROLLED_BACK;
+}
+
+/* Find out which endpoints of the services with orders may be used.  */
+static void
+mark_endpoints (struct ms_rollout_driver *d, ms_time now)
+{
+  struct ms_rollout_state s;
+  struct entry *e, *next;
+
+  HASH_ITER (hh, d->entries, e, next)
+  {
+    struct entry_phase p = { e, MS_ROLLOUT_NONE };
+
+    if (ms_rollouts_state (d->gw->rollouts, e->service, now, &s))
+      p.phase = s.phase;
+    e->has_others = false;
+    ms_place_each (d->gw->place, note_others, &p);
+    ms_place_each (d->gw->place, set_unused, &p);
+  }
+}
+
 /* Tell the rollouts of the endpoints of services with an order, and mark those
    of canaries.  */
 static void
@@ -403,6 +522,7 @@
       canary.size = ms_rollouts_canary_size (rollouts, e->service, use.usable);
       ms_place_set_canary (d->gw->place, &canary, now);
     }
+  mark_endpoints (d, now);
 }
 
 /* Log the changes of phases.  */
@@ -448,9 +568,13 @@
 
   HASH_ITER (hh, d->entries, e, next)
   {
+    struct entry_phase gone = { e, MS_ROLLOUT_NONE };
+
     if (e->in_records || e->changed
         || ms_rollouts_state (d->gw->rollouts, e->service, now, &s))
       continue;
+    e->has_others = false;
+    ms_place_each (d->gw->place, set_unused, &gone);
     HASH_DEL (d->entries, e);
     free (e);
   }
@@ -483,10 +607,21 @@
   }
 }
 
+/* Count the failures by crashes that no request has turned out to cause.  */
+static void
+note_crashes (struct ms_rollout_driver *d, ms_time now)
+{
+  struct ms_rollout_answer answer;
+
+  while (ms_crashes_release (d->gw->crashes, &answer, now))
+    ms_rollouts_note (d->gw->rollouts, &answer, now);
+}
+
 void
 ms_rollout_driver_tick (struct ms_rollout_driver *d, ms_time now)
 {
   check_era (d, now);
+  note_crashes (d, now);
   apply_changes (d);
   update_held (d, now);
   if (!d->entries)
@@ -628,6 +763,63 @@
   return e && e->put ? &e->order : NULL;
 }
 
+struct ms_rollout_choice
+ms_rollout_driver_choose (const struct ms_rollout_driver *d, uint64_t service,
+                          bool again, ms_time now)
+{
+  struct ms_rollout_choice choice
+      = ms_rollouts_choose (d->gw->rollouts, service, again, now);
+  const struct entry *e = find_entry (d, service);
+
+  if (!e || !e->has_others)
+    return choice;
+  /* The first place is that of the ordered version.  */
+  for (unsigned i = 0; i < PLAT_ROLLOUT_EXCLUDED; i++)
+    for (unsigned j = 1; e->excluded_hashes[i] && j < MS_ROLLOUT_EXCLUDED; j++)
+      if (!choice.except[j] || choice.except[j] == e->excluded_hashes[i])
+        {
+          choice.except[j] = e->excluded_hashes[i];
+          break;
+        }
+  return choice;
+}
+
+bool
+ms_rollout_driver_allows (const struct ms_rollout_driver *d, uint64_t service,
+                          uint32_t version, ms_time now)
+{
+  const struct entry *e = find_entry (d, service);
+
+  return ms_rollouts_allows (d->gw->rollouts, service, version, now)
+         && !(e && e->has_others && e->started_later
+              && is_excluded (e, version));
+}
+
+void
+ms_rollout_driver_fill_excluded (const struct ms_rollout_driver *d,
+                                 struct plat_rollout_state *state)
+{
+  const struct entry *e = find_entry (d, ms_id (ms_str (state->service.data)));
+
+  state->excluded_count = 0;
+  for (unsigned i = 0; e && i < PLAT_ROLLOUT_EXCLUDED; i++)
+    if (e->excluded_hashes[i])
+      state->excluded[state->excluded_count++] = e->excluded[i];
+}
+
+/* Take over what STATE, of the service of E, says of versions that earlier
+   orders have not completed.  */
+static void
+learn_excluded (struct entry *e, const struct plat_rollout_state *state)
+{
+  for (unsigned i = state->excluded_count; i-- > 0;)
+    exclude_name (e, &state->excluded[i]);
+  if (state->phase == PLAT_ROLLOUT_ROLLED_BACK)
+    exclude_name (e, &state->to);
+  e->started_later = true;
+  admit_version (e, e->order.version);
+}
+
 /* Return the time since the order of STATE began, below 0 if it is not
    stated.  Clocks may differ.  */
 static ms_time
@@ -670,6 +862,8 @@
   if (!e || !e->put)
     return;
   e->learned = true;
+  if (at_start)
+    learn_excluded (e, state);
   if (may_have_id (d, e, version, state->order, now))
     put_order (d, e, state->order, false, now);
   ms_rollouts_learn_state (d->gw->rollouts, service, version, state->order,
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -60,6 +60,20 @@
 ms_rollout_driver_order (const struct ms_rollout_driver *driver,
                          uint64_t service);
 
+/* As ms_rollouts_choose and ms_rollouts_allows; also without the versions that
+   earlier orders have not completed by what the store has, while endpoints of
+   others are listed.  */
+struct ms_rollout_choice
+ms_rollout_driver_choose (const struct ms_rollout_driver *driver,
+                          uint64_t service, bool again, ms_time now);
+bool ms_rollout_driver_allows (const struct ms_rollout_driver *driver,
+                               uint64_t service, uint32_t version,
+                               ms_time now);
+
+/* Set the excluded versions of STATE, which is to be written.  */
+void ms_rollout_driver_fill_excluded (const struct ms_rollout_driver *driver,
+                                      struct plat_rollout_state *state);
+
 /* The store has STATE for an order of SERVICE, as was read.  AT_START says
    that this router reads the states for the first time.  */
 void ms_rollout_driver_learn (struct ms_rollout_driver *driver,
--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -2,6 +2,7 @@
 
 #include "gateway/internal.h"
 #include "gateway/metrics.h"
+#include "gateway/rollouts.h"
 
 /* Which versions of its service a request is sent to while that is moved to
    another one, and what its answer says of the version that gave it.  */
@@ -27,8 +28,10 @@
   struct ms_rollout_choice choice;
 
   if (r->version)
-    return ms_rollouts_allows (gw->rollouts, r->service, version, gw->now);
-  choice = ms_rollouts_choose (gw->rollouts, r->service, r->attempts, gw->now);
+    return ms_rollout_driver_allows (gw->rollout_driver, r->service, version,
+                                     gw->now);
+  choice = ms_rollout_driver_choose (gw->rollout_driver, r->service,
+                                     r->attempts, gw->now);
   for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
     if (choice.except[i] && version == choice.except[i])
       return false;
@@ -82,7 +85,8 @@
       ms_place_choose (gw->place, offer, gw->now, &r->choice);
       return false;
     }
-  choice = ms_rollouts_choose (gw->rollouts, r->service, r->attempts, gw->now);
+  choice = ms_rollout_driver_choose (gw->rollout_driver, r->service,
+                                     r->attempts, gw->now);
   if (choice.wait)
     {
       r->choice = (struct ms_choice){ .result = MS_PLACE_FULL };
@@ -131,7 +135,12 @@
     r->failed_version = r->sent_version;
   /* After this process did not run for a while, answers came late, or their
      endpoints gave them up.  */
-  if (!r->suspect && r->gw->stalled_at < r->sent_at)
+  if (r->suspect || r->gw->stalled_at >= r->sent_at)
+    return;
+  if (!failed || !r->crashed
+      || !ms_crashes_hold (r->gw->crashes,
+                           ms_id_pair (e->id, (uint64_t)e->entry.born),
+                           &answer, r->gw->now))
     ms_rollouts_note (r->gw->rollouts, &answer, r->gw->now);
 }
 
--- a/tests/rollouts.sh
+++ b/tests/rollouts.sh
@@ -124,7 +124,7 @@
   version=$1
   shift
   for engine in "$@"; do
-    [ ! -e "$DIR/engine$engine.pid" ] || stop "engine$engine" KILL
+    stop "engine$engine" KILL
     start "engine$engine" "$BUILD/standin-engine" \
       --address="$(engine_address "$engine")" --name="e$engine-$version" \
       --keep-alive
@@ -152,8 +152,8 @@
 # restart_gateway NUMBER: kill it if it runs, keep its log and start it.
 restart_gateway ()
 {
-  if [ -e "$DIR/gateway$1.pid" ]; then
-    stop "gateway$1" KILL
+  stop "gateway$1" KILL
+  if [ -e "$DIR/gateway$1.log" ]; then
     cat "$DIR/gateway$1.log" >>"$DIR/gateway$1.before"
   fi
   start_gateway "$1"
@@ -163,7 +163,7 @@
 start_gateways ()
 {
   for n in 1 2 3; do
-    [ ! -e "$DIR/gateway$n.pid" ] || stop gateway$n KILL
+    stop gateway$n KILL
   done
   for n in 1 2 3; do
     restart_gateway $n
@@ -177,7 +177,7 @@
 until store_port_is_free; do
   BASE=$((BASE + 100))
 done
-rm -f "$DIR"/engine*.pid "$DIR"/gateway*.pid
+rm -f "$DIR"/engine*.pid "$DIR"/gateway*.pid "$DIR"/gateway*.log
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store_url)/log-newest?topic=keyed.op&part=0" || exit 1
 publish_config 1 '"k1"'
@@ -343,6 +343,17 @@
 order v12 6
 await 10 state_is v12 rolled_back && stay_out 0 1
 verdict "a state that the store has lost is written again" $?
+
+# All gateways are killed during an order for another version while the version
+# of the order before, which was rolled back, is still listed.
+replace_engines v13 4 5
+put_engines v13 ready 4 5
+order v13 30
+await 4 state_is v13 running
+exposed=$(sum total 0 1)
+start_gateways
+grows total 2 3 && is "$(sum total 0 1)" "$exposed"
+verdict "gateways that start keep from a version that an earlier order excluded" $?
 stop_load
 
 if [ -n "${alone:-}" ]; then
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -164,6 +164,7 @@
   ms_place_destroy (gw->place);
   ms_guard_destroy (gw->guard);
   ms_part_guard_destroy (gw->part_guard);
+  ms_crashes_destroy (gw->crashes);
   ms_streams_destroy (gw->streams);
   ms_share_destroy (gw->share);
   ms_pressure_destroy (gw->pressure);
