--- a/Makefile
+++ b/Makefile
@@ -176,8 +176,9 @@
 	BUILD=$(BUILD) sh tests/bench/bench.sh
 
 # Measures how the cost of decisions grows with the fleet; not a test.
-slopes: $(BUILD)/bench-slopes
+slopes: $(BUILD)/bench-slopes $(BUILD)/bench-rollouts
 	$(BUILD)/bench-slopes
+	$(BUILD)/bench-rollouts
 	$(BUILD)/bench-slopes --csv >$(BUILD)/slopes.csv
 
 JOBS = $(shell nproc)
