--- a/src/gateway/rollouts.c
+++ b/src/gateway/rollouts.c
@@ -858,12 +858,17 @@
   uint32_t version = plat_version_hash (service, state->to.data);
 
   if (!e && at_start && state->phase == PLAT_ROLLOUT_ROLLED_BACK)
-    exclude_stored (d, state, now);
+    {
+      exclude_stored (d, state, now);
+      learn_excluded (find_entry (d, service), state);
+      return;
+    }
+  /* Its order may still wait for the configuration.  */
+  if (e && at_start)
+    learn_excluded (e, state);
   if (!e || !e->put)
     return;
   e->learned = true;
-  if (at_start)
-    learn_excluded (e, state);
   if (may_have_id (d, e, version, state->order, now))
     put_order (d, e, state->order, false, now);
   ms_rollouts_learn_state (d->gw->rollouts, service, version, state->order,
--- a/tests/soak/rollouts.c
+++ b/tests/soak/rollouts.c
@@ -10,6 +10,7 @@
 #define MAX_ORDERS 64
 #define MAX_ROLLOUT_RUNS 65536
 #define DURATION_S 4
+#define DURATION_MS (DURATION_S * 1000LL)
 #define FIRST_ORDER_MS 1000
 #define PAUSE_MS 500     /* Between the end of an order and the next.  */
 #define LINGER_MS 5000   /* From "rolled_back" to the end of its engines.  */
@@ -38,15 +39,15 @@
 /* Times are those of fleet_now_ms, 0 if it has not happened.  */
 struct order
 {
-  unsigned kind;
   long long sent_at;
   long long written_at;
   long long state_at; /* When the store had a state that is final.  */
-  enum plat_rollout_phase phase;
-  unsigned bad;
-  long long bad_at; /* When there were MAX_BAD bad answers.  */
+  long long bad_at;   /* When there were MAX_BAD bad answers.  */
   struct restart restarts[MAX_RESTARTS];
   unsigned restarts_count;
+  unsigned kind;
+  unsigned bad; /* Bad answers.  */
+  enum plat_rollout_phase phase;
 };
 
 struct run
@@ -151,7 +152,7 @@
   if (o->state_at && o->phase == PLAT_ROLLOUT_COMPLETED)
     finish_order (serving_pair);
   else if (o->state_at ? now > o->state_at + LINGER_MS
-                       : now > o->written_at + DURATION_S * 1000 + OVERDUE_MS)
+                       : now > o->written_at + DURATION_MS + OVERDUE_MS)
     finish_order (!serving_pair);
   return true;
 }
@@ -203,7 +204,7 @@
   static const char *const states[]
       = { "running", "completed", "rolled_back" };
   const struct order *o = &orders[version - 2];
-  long long deadline = o->written_at + DURATION_S * 1000;
+  long long deadline = o->written_at + DURATION_MS;
   unsigned all = 0, exposed = 0, exposed_in_touch = 0;
   unsigned early = 0, late = 0, revived = 0;
   unsigned allowed;
