Gateway: endpoints are read on while there is room for slow callers

Reading from an endpoint stopped at 128 KiB for each caller, whatever memory was free, so endpoints aborted answers that slow callers could still have read. Now it stops for lack of room only: 20 % of memory_mb for all responses together, 128 KiB a caller once 15 % are taken. If that lasts a second, or all is taken, the caller that would take longest to read what waits for it is ended (src/admit/room). While room is scarce, whole responses are held back to 16 KiB only. Metrics and the events room and no_room.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -9,6 +9,7 @@
 
 #include "base/alloc.h"
 #include "base/event.h"
+#include "gateway/metrics.h"
 #include "gateway/request.h"
 #include "gateway/socket.h"
 
@@ -33,9 +34,13 @@
    received after the end of that request.  */
 #define MAX_PENDING_BYTES 65536
 
-/* Reading from the endpoint stops while this much of its response waits for a
-   slow caller.  */
-#define MAX_QUEUED_BYTES 131072
+/* The rate at which callers read is measured over this time, and the newest
+   measurement counts with RATE_WEIGHT.  */
+#define RATE_PERIOD (500 * MS_MSEC)
+#define RATE_WEIGHT 0.5
+
+/* A larger output buffer is not kept.  */
+#define MAX_KEPT_BYTES 65536
 
 /* Bounds on open sockets, in percent of the file descriptors that the settings
    allow.  Above the first, idle connections are closed in the order in which
@@ -66,6 +71,10 @@
   struct ms_request *request; /* In progress; NULL if none.  */
   ms_time timed_from;         /* Start of the idle time or of the request.  */
   ms_time sent_at; /* When the first byte of the request arrived, or later.  */
+  uint64_t written; /* Bytes given to the socket...  */
+  uint64_t taken;   /* ...and taken from it, at rated_at.  */
+  double rate;      /* Bytes per second that it took of late.  */
+  ms_time rated_at;
   unsigned refuse_status; /* Error for this request; 0 if valid.  */
   bool complete;          /* Set to false only and never read.  */
   bool keep_alive;
@@ -348,7 +357,7 @@
   struct ms_caller *c = ms_new (sizeof *c);
 
   c->gw = gw;
-  c->timed_from = gw->now;
+  c->timed_from = c->rated_at = gw->now;
   return c;
 }
 
@@ -466,6 +475,126 @@
     refuse_and_close (c, HTTP_STATUS_REQUEST_TIMEOUT);
 }
 
+/* Tell the room what responses take now.  */
+static void
+update_room (struct ms_gateway *gw)
+{
+  ms_room_update (gw->room, ms_sockets_queued_accepted () + gw->held_back,
+                  gw->now);
+}
+
+/* Measure how fast C takes what was written to it.  */
+static void
+measure_rate (struct ms_caller *c, ms_time now)
+{
+  uint64_t taken;
+
+  if (c->closed || now - c->rated_at < RATE_PERIOD)
+    return;
+  taken = c->written - ms_socket_queued (c->socket);
+  c->rate
+      += RATE_WEIGHT
+         * ((double)(taken - c->taken) * MS_SEC / (double)(now - c->rated_at)
+            - c->rate);
+  c->taken = taken;
+  c->rated_at = now;
+}
+
+static struct ms_room_caller
+describe_for_room (const struct ms_caller *c)
+{
+  return (struct ms_room_caller){
+    .queued = ms_socket_queued (c->socket),
+    .rate = c->rate,
+    .may_repeat = !c->request || ms_request_may_repeat (c->request),
+  };
+}
+
+/* The caller that is ended first to make room; NULL if nothing waits for
+   any.  */
+static struct ms_caller *
+find_slowest (const struct ms_gateway *gw)
+{
+  struct ms_caller *c;
+  struct ms_caller *slowest = NULL;
+  struct ms_room_caller worst;
+
+  DL_FOREACH (gw->callers, c)
+  {
+    struct ms_room_caller candidate;
+
+    if (c->closed || !ms_socket_queued (c->socket))
+      continue;
+    candidate = describe_for_room (c);
+    if (slowest && !ms_room_ends_first (&candidate, &worst))
+      continue;
+    slowest = c;
+    worst = candidate;
+  }
+  return slowest;
+}
+
+/* End callers until there is room again, as far as that helps: the memory is
+   freed after the sweep.  */
+static void
+make_room (struct ms_gateway *gw)
+{
+  size_t held = ms_sockets_queued_accepted () + gw->held_back;
+
+  while (ms_room_must_end (gw->room))
+    {
+      struct ms_caller *c = find_slowest (gw);
+      size_t freed;
+
+      if (c)
+        {
+          freed = ms_socket_queued (c->socket);
+          ms_event (gw->now, "no_room", "queued=%zu rate=%.0f held=%zu", freed,
+                    c->rate, held);
+          if (c->request)
+            ms_request_no_room (c->request);
+          else
+            close_caller (c, true);
+        }
+      else
+        {
+          freed = ms_sockets_reset_closed ();
+          if (!freed)
+            return;
+          ms_event (gw->now, "no_room", "queued=%zu closed=1 held=%zu", freed,
+                    held);
+        }
+      ms_metric_room_ended ();
+      held -= freed < held ? freed : held;
+      ms_room_update (gw->room, held, gw->now);
+    }
+}
+
+/* Keep what responses take within the room, and resume endpoints that were
+   stopped while it was scarce.  */
+static void
+sweep_room (struct ms_gateway *gw, ms_time now)
+{
+  struct ms_caller *c, *next;
+
+  update_room (gw);
+  if (ms_room_scarce (gw->room) != gw->room_scarce)
+    {
+      gw->room_scarce = !gw->room_scarce;
+      ms_event (now, "room", "scarce=%d held=%zu requests=%u", gw->room_scarce,
+                ms_sockets_queued_accepted () + gw->held_back,
+                gw->requests_count);
+    }
+  DL_FOREACH_SAFE (gw->callers, c, next) { measure_rate (c, now); }
+  make_room (gw);
+  DL_FOREACH_SAFE (gw->callers, c, next)
+  {
+    if (c->request && !c->closed
+        && ms_room_may_read (gw->room, ms_socket_queued (c->socket)))
+      ms_request_caller_drained (c->request);
+  }
+}
+
 void
 ms_callers_sweep (struct ms_gateway *gw, ms_time now)
 {
@@ -477,6 +606,7 @@
   gw->rejected_connections = 0;
   DL_FOREACH_SAFE (gw->callers, c, next) { check_timeout (c, now); }
   DL_FOREACH_SAFE (gw->callers, c, next) { check_hung_up (c); }
+  sweep_room (gw, now);
   evict_idle (gw);
 }
 
@@ -600,9 +730,13 @@
     {
       buffer = uv_buf_init (c->out.data, (unsigned)c->out.length);
       ms_socket_write (c->socket, &buffer, 1);
+      c->written += c->out.length;
       c->out.length = 0;
+      if (c->out.capacity > MAX_KEPT_BYTES)
+        buffer_free (&c->out);
     }
-  return ms_socket_queued (c->socket) < MAX_QUEUED_BYTES;
+  update_room (c->gw);
+  return ms_room_may_read (c->gw->room, ms_socket_queued (c->socket));
 }
 
 /* The response is complete: start the next request, or close.  */
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -20,10 +20,10 @@
 
 /* Close connections that were idle for too long, refuse requests that arrive
    too slowly, end those of callers that have disconnected while their
-   connection is not read, and close more idle connections while too many
-   sockets are open.
-   Called by each sweep of all connections, several times a second, with the
-   current time NOW.  */
+   connection is not read, close more idle connections while too many sockets
+   are open, and end callers that read slowly if there is no room for what
+   waits for them. Called by each sweep of all connections, several times a
+   second, with the current time NOW.  */
 void ms_callers_sweep (struct ms_gateway *gw, ms_time now);
 
 /* Close idle connections after SIGTERM.  Return how many stay open because of
@@ -66,8 +66,8 @@
 void ms_caller_append_body (struct ms_caller *caller, const char *data,
                             size_t length);
 
-/* Write what was appended so far to the connection.  Return false if the
-   caller reads too slowly and the endpoint should be paused;
+/* Write what was appended so far to the connection.  Return false if there is
+   no room for more of the response and the endpoint should be paused;
    ms_request_caller_drained is called when it may be resumed.  */
 bool ms_caller_flush (struct ms_caller *caller);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include "admit/budget.h"
 #include "admit/pressure.h"
+#include "admit/room.h"
 #include "admit/share.h"
 #include "base/clock.h"
 #include "base/random.h"
@@ -73,6 +74,7 @@
   struct ms_budget *budget;
   struct ms_share *share;
   struct ms_pressure *pressure;
+  struct ms_room *room;
   struct ms_fleet *fleet;
   struct ms_peers *peers;
   struct ms_rollouts *rollouts;
@@ -87,6 +89,9 @@
   unsigned requests_count;   /* Length of REQUESTS.  */
   struct ms_caller *callers; /* Open connections, oldest first.  */
   size_t body_bytes;         /* Total size of request bodies in memory.  */
+  size_t held_back;          /* Memory for parts of responses that are not
+                                passed on yet.  */
+  bool room_scarce;          /* As logged last.  */
   ms_time now;               /* Last reading of CLOCK.  */
   ms_time last_tick;         /* Start of the last tick.  */
   ms_time stalled_at;        /* When the process ran again after the last time
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -3,6 +3,7 @@
 
 #include "admit/waiting.h"
 #include "gateway/gateway.h"
+#include "gateway/request.h"
 #include "gateway/upstream.h"
 #include "wire/events.h"
 
@@ -114,10 +115,6 @@
 /* Attempts (attempt.c).  The functions that place, retry or end a request may
    free it before they return.  */
 
-/* Whether the request may be run more than once: it is idempotent or a stream
-   that can be resumed.  */
-bool ms_request_may_repeat (const struct ms_request *request);
-
 /* Time from NOW to the caller's deadline or the route's timeout, whichever is
    earlier; below 0 once it has passed.  */
 ms_time ms_request_time_left (const struct ms_request *request, ms_time now);
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -21,6 +21,8 @@
 static unsigned long long rollout_withdrawn_count;
 static unsigned long long rollout_changes_count;
 static unsigned long long rollout_writes_count;
+static unsigned long long endpoint_pauses_count;
+static unsigned long long room_ended_count;
 static struct histogram histograms[MS_LATENCIES];
 
 static const char *const result_names[MS_RESULTS]
@@ -70,6 +72,18 @@
   rollout_writes_count++;
 }
 
+void
+ms_metric_endpoint_pause (void)
+{
+  endpoint_pauses_count++;
+}
+
+void
+ms_metric_room_ended (void)
+{
+  room_ended_count++;
+}
+
 void
 ms_metric_latency (enum ms_latency_metric latency, ms_time took)
 {
@@ -184,6 +198,11 @@
           rollout_changes_count);
   append (&out, "monsoonspur_rollout_writes_total %llu\n",
           rollout_writes_count);
+  append (&out, "monsoonspur_responses_held_bytes %llu\n",
+          gauges->responses_held);
+  append (&out, "monsoonspur_endpoint_pauses_total %llu\n",
+          endpoint_pauses_count);
+  append (&out, "monsoonspur_room_ended_total %llu\n", room_ended_count);
   append (&out, "monsoonspur_config_version %llu\n", gauges->config_version);
   append (&out, "monsoonspur_config_age_seconds %.3f\n", gauges->config_age_s);
   append (&out, "monsoonspur_endpoints_age_seconds %.3f\n",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -54,17 +54,23 @@
 void ms_metric_rollout_change (void);
 void ms_metric_rollout_write (void);
 
+/* Count a stop of reading from an endpoint, or a caller that is ended, because
+   room for responses is scarce.  */
+void ms_metric_endpoint_pause (void);
+void ms_metric_room_ended (void);
+
 /* Add TOOK to the histogram of LATENCY.  */
 void ms_metric_latency (enum ms_latency_metric latency, ms_time took);
 
 /* Current values that ms_metrics_page prints along with the counters.  */
 struct ms_metric_gauges
 {
-  unsigned requests;  /* In progress.  */
-  unsigned sockets;   /* Open.  */
-  unsigned endpoints; /* Listed.  */
-  unsigned routers;   /* Alive, this one included.  */
-  unsigned sharers;   /* Routers among which fleet-wide limits are divided.  */
+  unsigned requests;                 /* In progress.  */
+  unsigned sockets;                  /* Open.  */
+  unsigned endpoints;                /* Listed.  */
+  unsigned long long responses_held; /* Bytes of responses in memory.  */
+  unsigned routers;                  /* Alive, this one included.  */
+  unsigned sharers; /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
   unsigned suspect_parts; /* Of prompts, under trial or in quarantine.  */
   unsigned rollouts;      /* Orders that have not ended.  */
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -105,6 +105,7 @@
   if (gw->starting_request == r)
     gw->starting_request = NULL;
   gw->requests_count--;
+  gw->held_back -= r->unsent_capacity;
   free (r->unsent_body);
   free (r);
 }
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -171,6 +171,7 @@
     .crossings_count = crossings_count,
     .requests = gw->requests_count,
     .sockets = ms_socket_open_count (),
+    .responses_held = ms_sockets_queued_accepted () + gw->held_back,
     .endpoints = ms_place_count (gw->place),
     .routers = ms_fleet_alive_count (gw->fleet, gw->now),
     .sharers = ms_peers_sharers (gw->peers),
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -82,6 +82,7 @@
   gw->streams = ms_streams_create (gw->settings->first_start, gw->now);
   gw->share = ms_share_create ();
   gw->pressure = ms_pressure_create ();
+  gw->room = ms_room_create ((size_t)gw->settings->memory_mb << 20);
   gw->waiting = ms_requests_create_queue ();
   gw->budget = ms_budget_create (&budget, gw->now);
   /* The incarnation is the random seed as well.  */
@@ -111,6 +112,7 @@
       return;
     }
   gw->settings = settings;
+  ms_room_set_memory (gw->room, (size_t)settings->memory_mb << 20);
   ms_gateway_settings_destroy (old);
   place = place_options (gw);
   budget = budget_options (gw);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -363,6 +363,12 @@
   ms_caller_abort (caller);
 }
 
+void
+ms_request_no_room (struct ms_request *r)
+{
+  ms_request_abort (r, "no_room");
+}
+
 /* Whether R's deadline or timeout has passed at NOW, with the extra time that
    R gets.  */
 static bool
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -19,10 +19,17 @@
 /* Called when the caller has closed its connection: end the request.  */
 void ms_request_caller_gone (struct ms_request *request);
 
-/* Called when all bytes queued for the caller were sent: resume reading the
-   endpoint's response.  */
+/* Called when there is room for more of the response: resume reading it if
+   that was stopped.  */
 void ms_request_caller_drained (struct ms_request *request);
 
+/* Called when there is no room for the response: end the request.  */
+void ms_request_no_room (struct ms_request *request);
+
+/* Whether the request may be run more than once: it is idempotent or a stream
+   that can be resumed.  */
+bool ms_request_may_repeat (const struct ms_request *request);
+
 /* The functions below are called by the request's upstream.  */
 
 /* The connection to the endpoint is open: send the request.  */
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "gateway/caller.h"
 #include "gateway/internal.h"
+#include "gateway/metrics.h"
 #include "gateway/request.h"
 
 /* A response, or the incomplete last event of a stream, is held back up to
@@ -14,6 +15,9 @@
    content is passed on.  */
 #define MAX_BUFFERED_BYTES 262144
 
+/* While room is scarce, a whole response is held back only up to this size. */
+#define MAX_SCARCE_BYTES 16384
+
 bool
 ms_request_response_head (struct ms_request *r, const struct ms_head *head)
 {
@@ -52,9 +56,11 @@
 {
   if (r->unsent_length + length > r->unsent_capacity)
     {
+      r->gw->held_back -= r->unsent_capacity;
       r->unsent_capacity = r->unsent_capacity ? r->unsent_capacity * 2 : 1024;
       while (r->unsent_capacity < r->unsent_length + length)
         r->unsent_capacity *= 2;
+      r->gw->held_back += r->unsent_capacity;
       r->unsent_body = ms_resize (r->unsent_body, r->unsent_capacity, 1);
     }
   memcpy (r->unsent_body + r->unsent_length, data, length);
@@ -94,6 +100,12 @@
   r->bytes_forwarded += length;
   memmove (r->unsent_body, r->unsent_body + length, r->unsent_length - length);
   r->unsent_length -= length;
+  if (r->unsent_length || r->unsent_capacity <= MAX_SCARCE_BYTES)
+    return;
+  r->gw->held_back -= r->unsent_capacity;
+  free (r->unsent_body);
+  r->unsent_body = NULL;
+  r->unsent_capacity = 0;
 }
 
 /* Record when the current attempt's response is first passed on, once per
@@ -156,6 +168,17 @@
              || r->response_status == HTTP_STATUS_MISDIRECTED_REQUEST);
 }
 
+/* How many bytes of R's response are held back.  */
+static size_t
+hold_back_limit (const struct ms_request *r)
+{
+  return !r->stream_response && r->response_accepted && !r->not_run
+                 && r->response_status < HTTP_STATUS_INTERNAL_SERVER_ERROR
+                 && ms_room_scarce (r->gw->room)
+             ? MAX_SCARCE_BYTES
+             : MAX_BUFFERED_BYTES;
+}
+
 void
 ms_request_response_body (struct ms_request *r, const char *data,
                           size_t length)
@@ -180,7 +203,7 @@
   buffer_body (r, data, length);
   if (r->stream_response)
     forward_events (r);
-  if (r->unsent_length <= MAX_BUFFERED_BYTES)
+  if (r->unsent_length <= hold_back_limit (r))
     return;
   record_first_byte (r);
   send_head (r);
@@ -190,8 +213,10 @@
 void
 ms_request_flush_response (struct ms_request *r)
 {
-  if (!ms_caller_flush (r->caller) && r->upstream)
-    ms_upstream_pause (r->upstream);
+  if (ms_caller_flush (r->caller) || !r->upstream)
+    return;
+  ms_upstream_pause (r->upstream);
+  ms_metric_endpoint_pause ();
 }
 
 void
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -28,6 +28,7 @@
   const struct ms_socket_events *events;
   void *owner;         /* NULL once the owner closed the socket.  */
   size_t queued_bytes; /* Written by the owner, not yet sent.  */
+  bool accepted;
   bool reading;
   bool closing;     /* Closed, or to be closed once the queue is sent.  */
   bool unconfirmed; /* Written to, and not known to be acknowledged.  */
@@ -50,6 +51,7 @@
 
 static unsigned open_count;
 static struct ms_socket *sockets; /* All that are open.  */
+static size_t queued_accepted;    /* Queued bytes of accepted ones.  */
 static ms_time checked_at;        /* Time of the last check of them.  */
 
 /* Shared by all sockets: a callback consumes or copies what was read.  */
@@ -164,6 +166,7 @@
 
   if (!s)
     return NULL;
+  s->accepted = true;
   if (uv_accept (listener, (uv_stream_t *)&s->tcp))
     {
       ms_socket_close (s);
@@ -194,6 +197,7 @@
         ms_socket_close (s);
       return NULL;
     }
+  s->accepted = true;
   ms_socket_resume (s);
   return s;
 }
@@ -263,13 +267,22 @@
   uv_close ((uv_handle_t *)&s->tcp, on_closed);
 }
 
+/* Add BYTES, which may be below 0, to those queued for S.  */
+static void
+change_queue (struct ms_socket *s, ssize_t bytes)
+{
+  s->queued_bytes += (size_t)bytes;
+  if (s->accepted)
+    queued_accepted += (size_t)bytes;
+}
+
 static void
 on_written (uv_write_t *request, int error)
 {
   struct pending_write *w = request->data;
   struct ms_socket *s = w->socket;
 
-  s->queued_bytes -= w->length;
+  change_queue (s, -(ssize_t)w->length);
   free (w);
   if (!s->owner)
     {
@@ -304,11 +317,11 @@
   w->socket = s;
   w->length = at;
   w->request.data = w;
-  s->queued_bytes += at;
+  change_queue (s, (ssize_t)at);
   buffer = uv_buf_init (w->data, (unsigned)at);
   if (uv_write (&w->request, (uv_stream_t *)&s->tcp, &buffer, 1, on_written))
     {
-      s->queued_bytes -= at;
+      change_queue (s, -(ssize_t)at);
       free (w);
     }
 }
@@ -340,6 +353,12 @@
   return s->queued_bytes;
 }
 
+size_t
+ms_sockets_queued_accepted (void)
+{
+  return queued_accepted;
+}
+
 /* Set *INFO to what the kernel knows of the connection of S.  */
 static bool
 read_tcp_info (const struct ms_socket *s, struct tcp_info *info)
@@ -401,6 +420,24 @@
     uv_close ((uv_handle_t *)&s->tcp, on_closed);
 }
 
+size_t
+ms_sockets_reset_closed (void)
+{
+  struct ms_socket *s;
+  struct ms_socket *most = NULL;
+
+  DL_FOREACH (sockets, s)
+  {
+    if (s->closing && !uv_is_closing ((uv_handle_t *)&s->tcp)
+        && (!most || s->queued_bytes > most->queued_bytes))
+      most = s;
+  }
+  if (!most)
+    return 0;
+  ms_socket_reset (most);
+  return most->queued_bytes;
+}
+
 void
 ms_socket_reset_at_exit (struct ms_socket *s)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -108,6 +108,13 @@
 /* Bytes that are queued: written by the owner, not yet taken by the kernel. */
 size_t ms_socket_queued (const struct ms_socket *socket);
 
+/* Such bytes of all accepted connections, closed ones included.  */
+size_t ms_sockets_queued_accepted (void);
+
+/* Reset the closed connection for which the most bytes are queued, and return
+   how many; 0 if there is none.  They are freed soon after.  */
+size_t ms_sockets_reset_closed (void);
+
 /* Stop reading, or start again.  */
 void ms_socket_pause (struct ms_socket *socket);
 void ms_socket_resume (struct ms_socket *socket);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -436,7 +436,8 @@
 void
 ms_upstream_resume (struct ms_upstream *upstream)
 {
-  ms_socket_resume (upstream->socket);
+  if (upstream->state == BUSY)
+    ms_socket_resume (upstream->socket);
 }
 
 void
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -168,6 +168,7 @@
   ms_streams_destroy (gw->streams);
   ms_share_destroy (gw->share);
   ms_pressure_destroy (gw->pressure);
+  ms_room_destroy (gw->room);
   ms_budget_destroy (gw->budget);
   ms_fleet_destroy (gw->fleet);
   ms_routes_destroy (gw->routes);
--- a/tests/test_listen.c
+++ b/tests/test_listen.c
@@ -27,6 +27,7 @@
   gw->settings->memory_mb = 100;
   gw->clock = ms_system_clock ();
   gw->pressure = ms_pressure_create ();
+  gw->room = ms_room_create (100 << 20);
   uv_loop_init (&gw->loop);
   gw->caller_address.sin_family = AF_INET;
   gw->caller_address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
@@ -53,6 +54,7 @@
   uv_run (&gw->loop, UV_RUN_DEFAULT);
   uv_loop_close (&gw->loop);
   ms_pressure_destroy (gw->pressure);
+  ms_room_destroy (gw->room);
   free (gw->settings);
   free (gw);
 }
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -1,6 +1,14 @@
 #include "check.h"
 
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "admit/room.h"
+#include "gateway/caller.h"
+#include "gateway/socket.h"
+#include "support/gateway_fixture.h"
 
 #define MIB ((size_t)1 << 20)
 #define MEMORY (100 * MIB)
@@ -85,6 +93,107 @@
   assert_true (ms_room_ends_first (&slow, &small));
 }
 
+#define CHUNK_BYTES 100000
+#define DEADLINE_MS 60000
+
+static void
+fill_with_events (char *data, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    data[i] = i % 100 < 98 ? ':' : '\n';
+}
+
+/* The endpoint at RUN sends COUNT chunks of comments, as far as it is read. */
+static void
+send_chunks (struct fixture *f, int run, unsigned count)
+{
+  static char data[CHUNK_BYTES];
+  char size[16];
+  int length = snprintf (size, sizeof size, "%x\r\n", CHUNK_BYTES - 2);
+
+  fill_with_events (data, CHUNK_BYTES - 2);
+  memcpy (data + CHUNK_BYTES - 2, "\r\n", 2);
+  for (unsigned i = 0; i < count; i++)
+    {
+      fixture_send (f, run, size, (size_t)length);
+      fixture_send (f, run, data, sizeof data);
+    }
+}
+
+static int
+start_stream (struct fixture *f, int caller)
+{
+  int run;
+
+  fixture_send_request (caller, "/events/x", DEADLINE_MS);
+  run = fixture_accept_request (f);
+  assert_true (run >= 0);
+  fixture_begin_stream (f, run);
+  return run;
+}
+
+/* Reading from the endpoint stopped at 128 KiB for each caller.  */
+static void
+test_endpoint_is_not_stopped_by_a_slow_caller (void **state)
+{
+  struct fixture *f = fixture_create (200);
+  int caller = fixture_connect_caller (f);
+  int run = start_stream (f, caller);
+
+  (void)state;
+  send_chunks (f, run, 280);
+  for (unsigned i = 0; i < 200; i++)
+    fixture_tick (f);
+  assert_true (ms_sockets_queued_accepted () > 10 * MIB);
+  close (run);
+  close (caller);
+  fixture_destroy (f);
+}
+
+/* Without room the caller that reads nothing is ended, and memory stays within
+   the bound; the one that reads keeps its stream.  */
+static void
+test_slow_caller_is_ended_without_room (void **state)
+{
+  static char data[CHUNK_BYTES];
+  static char events[CHUNK_BYTES];
+  struct fixture *f = fixture_create (10);
+  int slow = fixture_connect_caller (f);
+  int slow_run = start_stream (f, slow);
+  int quick = fixture_connect_caller (f);
+  int quick_run = start_stream (f, quick);
+  size_t most = 0;
+
+  (void)state;
+  fill_with_events (events, sizeof events);
+  /* One chunk of any length, as not all may be taken.  */
+  fixture_send (f, slow_run, "10000000\r\n", 10);
+  for (unsigned i = 0; i < 400; i++)
+    {
+      size_t held;
+
+      send (slow_run, events, sizeof events, MSG_NOSIGNAL);
+      send_chunks (f, quick_run, 1);
+      while (recv (quick, data, sizeof data, 0) > 0)
+        ;
+      fixture_tick (f);
+      held = ms_sockets_queued_accepted ();
+      most = held > most ? held : most;
+    }
+  assert_true (most > MIB);
+  assert_true (most < 2 * MIB + MIB / 2);
+  assert_int_equal (f->gw->requests_count, 2);
+  fixture_advance (f, 1001);
+  assert_true (fixture_await_closed (f, slow_run));
+  assert_int_equal (f->gw->requests_count, 1);
+  assert_true (fixture_stays_open (f, quick_run));
+  close (slow_run);
+  close (quick_run);
+  close (slow);
+  close (quick);
+  fixture_destroy (f);
+}
+
 int
 main (void)
 {
@@ -93,6 +202,8 @@
     cmocka_unit_test (test_no_caller_gets_more_without_room),
     cmocka_unit_test (test_scarcity_is_ended),
     cmocka_unit_test (test_slowest_is_ended_first),
+    cmocka_unit_test (test_endpoint_is_not_stopped_by_a_slow_caller),
+    cmocka_unit_test (test_slow_caller_is_ended_without_room),
   };
 
   return RUN (tests);
