--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -105,6 +105,9 @@
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       dup2 (fd, STDOUT_FILENO);
       dup2 (fd, STDERR_FILENO);
+      /* Sockets of callers and proxies that the process inherits would stay
+         open when they close them.  */
+      closefrom (STDERR_FILENO + 1);
       execv (arguments[0], arguments);
       _exit (127);
     }
--- a/tests/soak/gone.c
+++ b/tests/soak/gone.c
@@ -179,7 +179,12 @@
             continue;
           late += began > leave->at + LIMIT_MS;
           runs[closes] += began <= leave->at;
-          go_on[closes] += began <= leave->at && ended > leave->at + LIMIT_MS;
+          if (began > leave->at || ended <= leave->at + LIMIT_MS)
+            continue;
+          go_on[closes]++;
+          printf ("%s at %s went on for %lld ms from %lld on\n", id,
+                  strrchr (instances[i].runs, '/'), ended - leave->at,
+                  leave->at);
         }
       if (file)
         fclose (file);
