Rollouts: the move is decided by the counts of the fleet

Cause: each router moved by its own counts, with a part of the slack. Where a router has few requests, chance in its counts decided, and with reports that take half a second the order ended 1 to 2 s late. Change: a router that hears of three quarters of the others moves by the sum of all: it starts 1.2 s before the deadline (1.5 s in fleets with zone sums) if 0.86 of the share and half of the slack suffice. Each router then sends what was expected and a standard deviation, as reports show a surge late. Requests of the last 0.6 s that may go nowhere wait. Completion waits until 0.4 s before the deadline, and then does not wait for the last few requests. A router that started later does not evaluate what others counted before.

--- a/src/rollout/compare.c
+++ b/src/rollout/compare.c
@@ -75,6 +75,12 @@
    without a failure say little.  */
 #define MOST_LASTING (ONE / 50)
 
+/* Before the version is completed, the answers that were not evaluated yet may
+   have this many bad ones, and PENDING_FACTOR times those that the others show
+   of late.  */
+#define PENDING_BAD 1
+#define PENDING_FACTOR 2
+
 /* Answers of the other versions of late.  */
 struct window
 {
@@ -143,9 +149,8 @@
   return result;
 }
 
-/* Return the square root of X, rounded down.  */
-static uint64_t
-square_root (uint64_t x)
+uint64_t
+ms_square_root (uint64_t x)
 {
   uint64_t root = 0;
 
@@ -218,23 +223,34 @@
   sample->bad = (uint32_t)bad_sum;
 }
 
+void
+ms_compare_add_past (struct ms_compare *compare,
+                     const struct ms_rollout_evidence *added)
+{
+  struct ms_rollout_evidence *total = &compare->total;
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      total->answers[i] += added->answers[i];
+      total->failed[i] += added->failed[i];
+      total->timed[i] += added->timed[i];
+      total->slow[i] += added->slow[i];
+    }
+}
+
 void
 ms_compare_add (struct ms_compare *compare,
                 const struct ms_rollout_evidence *added)
 {
   struct stratum *s = find_or_add_stratum (compare, added->route, added->zone);
-  struct ms_rollout_evidence *total = &compare->total;
 
+  ms_compare_add_past (compare, added);
   for (unsigned i = 0; i < 2; i++)
     {
       add_sample (&s->added[MS_COMPARE_FAILED][i], added->answers[i],
                   added->failed[i]);
       add_sample (&s->added[MS_COMPARE_SLOW][i], added->timed[i],
                   added->slow[i]);
-      total->answers[i] += added->answers[i];
-      total->failed[i] += added->failed[i];
-      total->timed[i] += added->timed[i];
-      total->slow[i] += added->slow[i];
     }
 }
 
@@ -293,7 +309,7 @@
 static int64_t
 window_part (const struct window *w, int64_t prior, int64_t expected)
 {
-  uint64_t deviation = square_root (w->bad * COUNT);
+  uint64_t deviation = ms_square_root (w->bad * COUNT);
   uint64_t bad
       = w->bad + (deviation > COUNT ? (deviation - COUNT) * 3 / 2 : 0);
 
@@ -310,7 +326,7 @@
   uint64_t answers = failed ? total->answers[1] : total->timed[1];
   uint64_t bad = failed ? total->failed[1] : total->slow[1];
   int64_t part
-      = (int64_t)((bad + square_root (bad) + 1) * ONE / (answers + PRIOR));
+      = (int64_t)((bad + ms_square_root (bad) + 1) * ONE / (answers + PRIOR));
 
   if (part > MOST_LASTING)
     part = MOST_LASTING;
@@ -485,3 +501,25 @@
     }
   return count * part;
 }
+
+bool
+ms_compare_is_pending_bad (const struct ms_compare *compare)
+{
+  uint64_t answers = 0;
+  uint64_t bad = 0;
+
+  for (unsigned i = 0; i < compare->strata_count; i++)
+    {
+      const struct stratum *s = &compare->strata[i];
+
+      answers += s->added[MS_COMPARE_FAILED][0].answers;
+      for (unsigned kind = 0; kind < MS_COMPARE_KINDS; kind++)
+        bad += s->added[kind][0].bad;
+    }
+  if (answers > UINT32_MAX)
+    answers = UINT32_MAX;
+  return bad > PENDING_BAD
+         && (bad - PENDING_BAD) * (uint64_t)ONE
+                > PENDING_FACTOR
+                      * ms_compare_expected (compare, (uint32_t)answers);
+}
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -75,6 +75,7 @@
   memset (evidence, 0, sizeof *evidence);
   evidence->compare = ms_compare_create ();
   evidence->paces_count = 1;
+  evidence->heard = 1;
   evidence->routers = 1;
 }
 
@@ -157,6 +158,7 @@
 {
   evidence->sent[index]++;
   evidence->total_sent[index]++;
+  evidence->near_sent++;
 }
 
 /* Return the binary logarithm of RATIO, in units of 2^-16.  */
@@ -383,10 +385,11 @@
 }
 
 /* Count the stratum S of SOURCE, probably its one of index HINT, from now on
-   if ANEW.  */
+   if ANEW.  What is new is not evaluated if PAST.  */
 static void
 merge_stratum (struct ms_evidence *evidence, struct ms_rollout_source *source,
-               const struct ms_rollout_evidence *s, unsigned hint, bool anew)
+               const struct ms_rollout_evidence *s, unsigned hint, bool anew,
+               bool past)
 {
   struct ms_rollout_report *counted = &source->counted;
   struct ms_rollout_evidence *c = &counted->strata[find_or_add_stratum (
@@ -417,7 +420,9 @@
       if (added.slow[i] > added.timed[i])
         added.slow[i] = added.timed[i];
     }
-  if (added.answers[0] || added.answers[1])
+  if (past)
+    ms_compare_add_past (evidence->compare, &added);
+  else if (added.answers[0] || added.answers[1])
     ms_compare_add (evidence->compare, &added);
 }
 
@@ -551,6 +556,7 @@
 {
   struct ms_rollout_source *source = find_or_add_source (evidence, id);
   struct ms_rollout_report *counted = &source->counted;
+  bool past = evidence->late && !source->heard_at;
   bool anew = false;
 
   source->heard_at = now;
@@ -568,10 +574,17 @@
     if (anew)
       counted->sent[i] = report->sent[i];
     else
-      evidence->total_sent[i]
-          += raise_count (&counted->sent[i], report->sent[i]);
+      {
+        uint32_t added = raise_count (&counted->sent[i], report->sent[i]);
+
+        evidence->total_sent[i] += added;
+        if (past)
+          evidence->past_sent += added;
+        else if (report->routers <= 1)
+          evidence->near_sent += added;
+      }
   for (unsigned i = 0; i < report->strata_count; i++)
-    merge_stratum (evidence, source, &report->strata[i], i, anew);
+    merge_stratum (evidence, source, &report->strata[i], i, anew, past);
   for (unsigned i = 0; i < report->suspects_count; i++)
     merge_suspect (evidence, source, &report->suspects[i], anew);
   counted->routers = report->routers;
@@ -681,11 +694,17 @@
 count_routers (struct ms_evidence *evidence, ms_time now)
 {
   unsigned routers = 1;
+  unsigned unmoved = 0;
 
   for (const struct ms_rollout_source *s = evidence->sources; s;
        s = s->hh.next)
     if (is_current (s, now))
-      routers += s->counted.routers;
+      {
+        routers += s->counted.routers;
+        unmoved += s->counted.unmoved;
+      }
+  evidence->unmoved = unmoved;
+  evidence->heard = routers;
   if (evidence->routers < routers)
     evidence->routers = routers;
 }
--- a/src/rollout/internal.h
+++ b/src/rollout/internal.h
@@ -15,6 +15,9 @@
    2^-16.  */
 int64_t ms_log2 (uint64_t x);
 
+/* Return the square root of X, rounded down.  */
+uint64_t ms_square_root (uint64_t x);
+
 /* Sequential comparison of the ordered version with the others.  */
 struct ms_compare;
 
@@ -35,6 +38,10 @@
 void ms_compare_add (struct ms_compare *compare,
                      const struct ms_rollout_evidence *added);
 
+/* The same, but they are too old to be evaluated.  */
+void ms_compare_add_past (struct ms_compare *compare,
+                          const struct ms_rollout_evidence *added);
+
 /* Call ten times a second.  Every third time, what was added is evaluated, as
    of the same time, and true is returned.  */
 bool ms_compare_step (struct ms_compare *compare);
@@ -47,6 +54,10 @@
    version.  */
 void ms_compare_reset (struct ms_compare *compare);
 
+/* Return whether the answers of the ordered version that were not evaluated
+   yet have more than one bad one beyond what the others show of late.  */
+bool ms_compare_is_pending_bad (const struct ms_compare *compare);
+
 int64_t ms_compare_score (const struct ms_compare *compare,
                           enum ms_compare_kind kind);
 
@@ -96,7 +107,13 @@
                              does.  */
   uint64_t outlier;       /* The one of them that is bad; 0 if none.  */
   uint32_t total_sent[2]; /* By the fleet.  */
-  unsigned routers; /* The most that have reported at a time, and this one.  */
+  uint64_t past_sent;     /* Of these, before this router started.  */
+  uint64_t near_sent; /* By this router and those that are heard directly.  */
+  bool late;      /* This router started after the order: what the others have
+                     counted by then is not evaluated.  */
+  unsigned heard; /* Routers that report now, and this one; */
+  unsigned routers; /* the most at a time; */
+  unsigned unmoved; /* those that may send requests to the others.  */
   struct ms_compare *compare;
   /* Mean logarithm of the others' ratios on each route, in units of 2^-16,
      index 0 for all routes.  */
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -28,13 +28,14 @@
 #define MAX_SLACK_PERCENT 50
 #define MAX_SLACK 1e6
 
-/* Canary: part of the exposure share at first, and from FEW_GOOD good answers
-   of the fleet until it has MANY_ANSWERS.  More would leave less for the move
-   before the deadline, and tell little more.  */
+/* Canary: part of the exposure share at first, from FEW_GOOD good answers of
+   the fleet on, and once it has MANY_ANSWERS.  More would leave less for the
+   move before the deadline, and tell little more.  */
 #define FIRST_PERCENT 25
 #define RAISED_PERCENT 50
+#define LAST_PERCENT 10
 #define FEW_GOOD 10
-#define MANY_ANSWERS 120
+#define MANY_ANSWERS 80
 
 /* Most credit that is kept, so that requests that found no endpoint are not
    made up for at once.  */
@@ -77,6 +78,27 @@
    completed in time.  */
 #define SMALL_FLEET 16
 
+/* A router that hears of at least HEARD_PERCENT of the routers moves by the
+   counts of the fleet: if the sum until the deadline is below MOVE_PERCENT of
+   the exposure share and MOVE_SLACK_PERCENT of the slack.  While this would be
+   below the STAY_ values, requests beyond the router's own budget go to the
+   version too.  The rest is for counts that are on their way, on average for
+   LAG in small fleets and LARGE_LAG in large ones, and for rates that rise
+   meanwhile.  */
+#define HEARD_PERCENT 75
+#define MOVE_PERCENT 86
+#define MOVE_SLACK_PERCENT 50
+#define STAY_PERCENT 92
+#define STAY_SLACK_PERCENT 60
+#define MOVE_TIME (1200 * MS_MSEC)
+#define LARGE_MOVE_TIME (1500 * MS_MSEC)
+#define LAG (300 * MS_MSEC)
+#define LARGE_LAG (600 * MS_MSEC)
+
+/* The move is so early that the requests in this time before the deadline may
+   have to wait for it.  They do not if the order is completed before.  */
+#define PLANNED_WAIT (300 * MS_MSEC)
+
 /* Before the order is completed, no score is above PROVEN, and the version has
    given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
    given MOVED_ANSWERS meanwhile. Of a version that answers one in 20 badly,
@@ -86,6 +108,8 @@
    requests of the fleet for UNLOADED_TIME and given UNLOADED_ANSWERS, or for
    MOVED_LONG_TIME.  */
 #define PROVEN_ANSWERS 150
+#define PROVEN_PERCENT 80
+#define LEAST_PROVEN_ANSWERS 50
 #define PROVEN (MS_COMPARE_BAD / 8)
 #define MOVED_TIME (300 * MS_MSEC)
 #define MOVED_ANSWERS 20
@@ -93,6 +117,14 @@
 #define UNLOADED_ANSWERS 40
 #define MOVED_LONG_TIME (10 * MS_SEC)
 
+/* FINISH_TIME before the deadline, the order is completed though requests run
+   at the others, if these are no more than arrive in FEW_RUNNING and at most
+   UNMOVED_PERCENT of the routers may send more: an order that ends late costs
+   0.02 of the day's value, which is more than these requests are worth.  */
+#define FINISH_TIME (400 * MS_MSEC)
+#define FEW_RUNNING (250 * MS_MSEC)
+#define UNMOVED_PERCENT 25
+
 /* An order that could not be completed by its deadline is late anyway.  Then
    the version shows for longer that it stays good, with all requests of the
    fleet.  */
@@ -142,6 +174,16 @@
    averaged.  */
 #define STEP_TIME (100 * MS_MSEC)
 #define RATE_TIME (2 * MS_SEC)
+#define RECENT_TIME (250 * MS_MSEC)
+#define RECENT_REQUESTS 25
+
+/* Part of the recent rate of the fleet that counts, so that chance in a short
+   time does not look like a surge.  */
+#define RECENT_PERCENT 75
+
+/* Bounds on what is computed with, so that nothing overflows.  */
+#define MAX_REQUESTS ((uint64_t)1 << 32)
+#define MAX_LEFT (1000 * MS_SEC)
 
 struct order
 {
@@ -181,8 +223,20 @@
 
   int64_t credit;
   int64_t budget;
-  int64_t canary_rate;     /* Earned credit for each request.  */
-  int64_t rate;            /* Requests per second on average, in UNIT.  */
+  int64_t canary_rate; /* Earned credit for each request.  */
+  int64_t rate;        /* Requests per second on average, in UNIT.  */
+  int64_t fleet_rate;  /* The same of the fleet, */
+  uint64_t fleet_sent; /* from its requests at the last evaluation.  */
+  int64_t near_rate;   /* The same of the routers that are heard directly,
+                        */
+  int64_t recent_rate; /* and over a shorter time.  */
+  uint64_t near_sent;
+  uint64_t counted_sent; /* By the fleet, since this router started.  */
+  bool has_room;         /* For requests beyond this router's budget.  */
+  int64_t pace_rate;     /* Requests per second, at the start of the move.  */
+  ms_time paced_at;
+  int64_t pace; /* Requests that this router may still send in a surge.  */
+  bool is_full; /* Nor for those that it has the budget for.  */
   unsigned requests;       /* Since the last evaluation.  */
   uint32_t sent_ordered;   /* By any router of the fleet, */
   ms_time sent_ordered_at; /* last at this time.  */
@@ -319,9 +373,11 @@
   if (phase == MS_ROLLOUT_MOVING)
     {
       o->moved_at = now;
+      o->paced_at = now;
       o->moved_answers = ms_compare_total (o->evidence.compare)->answers[0];
     }
   o->closed = false;
+  o->has_room = o->is_full = false;
   o->all_moved_at = 0;
   o->drained = false;
   o->overdue = false;
@@ -443,6 +499,7 @@
   o->budget = o->credit;
   o->canary_rate = rollouts->share * FIRST_PERCENT / 100;
   ms_evidence_init (&o->evidence);
+  o->evidence.late = !appeared;
   if (former)
     {
       take_over_exclusions (o, former, now);
@@ -498,6 +555,14 @@
   return rollouts->share * BUDGET_PERCENT / 100;
 }
 
+/* Return whether this router hears of enough of the others for their sum to
+   decide.  */
+static bool
+hears_fleet (const struct order *o)
+{
+  return o->evidence.heard * 100 >= o->evidence.routers * HEARD_PERCENT;
+}
+
 /* Return this router's part of the exposure slack.  Only routers that saw the
    order appear have one: others may have used theirs before they restarted. */
 static int64_t
@@ -507,7 +572,8 @@
   int64_t most = ((int64_t)o->evidence.sent[0] + o->evidence.sent[1])
                  * rollouts->share * MAX_SLACK_PERCENT / 100;
 
-  if (!o->appeared)
+  /* The counts of the fleet include it.  */
+  if (!o->appeared || (o->phase == MS_ROLLOUT_MOVING && hears_fleet (o)))
     return 0;
   return slack < most ? slack : most;
 }
@@ -517,6 +583,8 @@
 static bool
 has_budget (const struct ms_rollouts *rollouts, const struct order *o)
 {
+  if (o->is_full || (o->has_room && o->pace >= UNIT))
+    return !o->is_full;
   return o->budget + own_slack (rollouts, o) >= UNIT;
 }
 
@@ -652,6 +720,7 @@
     {
       o->credit -= UNIT;
       o->budget -= UNIT;
+      o->pace -= UNIT;
     }
   else
     o->sent_other_at = now;
@@ -809,18 +878,49 @@
 
 /* Decisions.  */
 
+/* Return the mean RATE with REQUESTS in the last ELAPSED, over TIME.  */
+static int64_t
+mean_rate (int64_t rate, uint64_t requests, ms_time elapsed, ms_time time)
+{
+  int64_t now = (int64_t)requests * UNIT / elapsed * MS_SEC;
+
+  if (elapsed > time)
+    elapsed = time;
+  return rate + (now - rate) / 1024 * (elapsed * 1024 / time);
+}
+
+/* Update the rates of requests at this router and at all.  */
 static void
-update_rate (struct order *o, ms_time now)
+update_rates (struct order *o, ms_time now)
 {
+  uint64_t sent
+      = (uint64_t)o->evidence.total_sent[0] + o->evidence.total_sent[1];
+  uint64_t added = sent - o->evidence.past_sent - o->counted_sent;
   ms_time elapsed = now - o->stepped_at;
   ms_time window = now - o->seen_at;
-  int64_t rate = (int64_t)o->requests * UNIT / elapsed * MS_SEC;
+  ms_time recent;
 
+  if (added > MAX_REQUESTS)
+    added = MAX_REQUESTS;
   if (window > RATE_TIME)
     window = RATE_TIME;
-  if (elapsed > window)
-    elapsed = window;
-  o->rate += (rate - o->rate) / 1024 * (elapsed * 1024 / window);
+  o->rate = mean_rate (o->rate, o->requests, elapsed, window);
+  o->fleet_rate = mean_rate (o->fleet_rate, added, elapsed, window);
+  o->fleet_sent = sent;
+  o->counted_sent = sent - o->evidence.past_sent;
+  sent = o->evidence.near_sent;
+  added = sent - o->near_sent;
+  if (added > MAX_REQUESTS)
+    added = MAX_REQUESTS;
+  o->near_rate = mean_rate (o->near_rate, added, elapsed, window);
+  recent = o->near_rate / UNIT;
+  recent = RECENT_REQUESTS * MS_SEC / (recent > 0 ? recent : 1);
+  if (recent < RECENT_TIME)
+    recent = RECENT_TIME;
+  if (window > recent)
+    window = recent;
+  o->recent_rate = mean_rate (o->recent_rate, added, elapsed, window);
+  o->near_sent = sent;
   o->requests = 0;
 }
 
@@ -870,6 +970,8 @@
     return;
   if (total->answers[0] < MANY_ANSWERS)
     o->canary_rate = rollouts->share * RAISED_PERCENT / 100;
+  else
+    o->canary_rate = rollouts->share * LAST_PERCENT / 100;
   if (o->loaded_answers >= LOADED_ANSWERS || !o->others)
     return;
   loaded = UNIT * MIN_CANARY * AIMED_PERCENT / 100 / o->others;
@@ -877,16 +979,100 @@
     o->canary_rate = loaded;
 }
 
+/* Return the rate of requests of the fleet.  If it rises, the routers that are
+   heard directly show it first.  */
+static int64_t
+expected_rate (const struct order *o)
+{
+  int64_t recent = o->recent_rate / 100 * RECENT_PERCENT;
+
+  if (recent <= o->near_rate || o->near_rate < UNIT)
+    return o->fleet_rate;
+  return o->fleet_rate / 1024 * (recent / (o->near_rate / 1024));
+}
+
+/* Return whether, by the counts of the fleet, all requests of the next TIME
+   can go to the version within PERCENT of the exposure share and SLACK_PERCENT
+   of the slack.  */
+static bool
+fleet_has_room (const struct ms_rollouts *rollouts, const struct order *o,
+                ms_time time, int64_t percent, int64_t slack_percent,
+                ms_time now)
+{
+  const struct ms_evidence *e = &o->evidence;
+  ms_time lag = e->routers > SMALL_FLEET ? LARGE_LAG : LAG;
+  ms_time moved = o->phase == MS_ROLLOUT_MOVING ? now - o->moved_at : 0;
+  int64_t rate = expected_rate (o);
+  int64_t all
+      = (int64_t)(o->fleet_sent > MAX_REQUESTS ? MAX_REQUESTS : o->fleet_sent);
+  int64_t bound;
+  int64_t sum;
+
+  if (time > MAX_LEFT)
+    return false;
+
+  /* In thousandths of a request.  */
+  rate = rate / (UNIT / 1000);
+  all = all * 1000 + rate * ((time + lag) / MS_MSEC) / 1000;
+  bound = all / 1024 * (rollouts->share * percent / 100) / (UNIT / 1024)
+          + rollouts->slack / (UNIT / 1000) * slack_percent / 100;
+  sum = (int64_t)e->total_sent[0] * 1000
+        + rate * ((moved < lag ? moved : lag) / MS_MSEC) / 1000;
+  time -= PLANNED_WAIT;
+  if (time > 0)
+    sum += rate * (time / MS_MSEC) / 1000;
+  return sum <= bound;
+}
+
+/* O begins to move: in a surge, which the reports of others show late, this
+   router sends hardly more than was expected, and a standard deviation.  */
+static void
+start_pace (struct order *o, ms_time now)
+{
+  int64_t mean = o->fleet_rate / o->evidence.heard;
+  int64_t expected;
+
+  o->pace_rate = o->rate > mean ? o->rate : mean;
+  expected = o->pace_rate / 1000 * ((deadline_of (o) - now) / MS_MSEC);
+  o->pace = UNIT / 2 + (int64_t)ms_square_root ((uint64_t)expected) * 4096;
+}
+
+/* Update what the fleet's counts allow while all requests move.  */
+static void
+update_room (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
+{
+  ms_time left = deadline_of (o) - now;
+
+  o->has_room = false;
+  o->is_full = false;
+  if (left < 0 || !hears_fleet (o))
+    return;
+  o->has_room = fleet_has_room (rollouts, o, left, STAY_PERCENT,
+                                STAY_SLACK_PERCENT, now);
+  o->is_full = !o->has_room
+               && !fleet_has_room (rollouts, o, 0, STAY_PERCENT,
+                                   STAY_SLACK_PERCENT, now);
+}
+
 /* Return whether this router can send all requests to the version until the
-   deadline within its budget, or have them wait.  */
+   deadline within its budget, or that of the fleet, or have them wait.  */
 static bool
 can_move (const struct ms_rollouts *rollouts, const struct order *o,
           ms_time now)
 {
   int64_t left = (deadline_of (o) - now) / MS_MSEC;
   int64_t requests = o->rate / 1000 * left;
+  bool others_moved = o->evidence.unmoved * 2 < o->evidence.heard - 1;
   int64_t cost;
 
+  if (hears_fleet (o))
+    return deadline_of (o) - now <= (o->evidence.routers > SMALL_FLEET
+                                         ? LARGE_MOVE_TIME
+                                         : MOVE_TIME)
+           && fleet_has_room (
+               rollouts, o, deadline_of (o) - now,
+               others_moved ? STAY_PERCENT : MOVE_PERCENT,
+               others_moved ? STAY_SLACK_PERCENT : MOVE_SLACK_PERCENT, now);
   if (o->evidence.routers <= SMALL_FLEET
       && left * MS_MSEC < MS_ROLLOUT_MAX_WAIT + CLOSE_TIME)
     return true;
@@ -905,34 +1091,55 @@
   if (is_bounded (o, now))
     {
       if (is_known_good (rollouts, o, now) && can_move (rollouts, o, now))
-        set_phase (o, MS_ROLLOUT_MOVING, "good", now);
+        {
+          set_phase (o, MS_ROLLOUT_MOVING, "good", now);
+          start_pace (o, now);
+        }
     }
   else if (is_known_good (rollouts, o, now)
            || now >= deadline_of (o) + LATE_TIME)
     set_phase (o, MS_ROLLOUT_MOVING, "deadline", now);
 }
 
+/* Return the number of answers that the version must have given: on services
+   with few requests, those that it can have by the deadline.  */
+static uint64_t
+proven_answers (const struct ms_rollouts *rollouts, const struct order *o)
+{
+  uint64_t part = o->fleet_sent * (uint64_t)rollouts->share / UNIT
+                  * PROVEN_PERCENT / 100;
+
+  if (part > PROVEN_ANSWERS)
+    return PROVEN_ANSWERS;
+  return part < LEAST_PROVEN_ANSWERS ? LEAST_PROVEN_ANSWERS : part;
+}
+
 /* Return whether the version has run all requests for long enough.  */
 static bool
-is_proven (const struct order *o, ms_time now)
+is_proven (const struct ms_rollouts *rollouts, const struct order *o,
+           ms_time now)
 {
   const struct ms_rollout_evidence *total
       = ms_compare_total (o->evidence.compare);
+  int64_t unloaded = o->fleet_rate / UNIT / 4;
 
-  if (ms_evidence_score (&o->evidence) > PROVEN)
+  if (ms_evidence_score (&o->evidence) > PROVEN
+      || ms_compare_is_pending_bad (o->evidence.compare))
     return false;
   if (now - o->all_moved_at >= MOVED_LONG_TIME)
     return true;
-  if (total->answers[0] < PROVEN_ANSWERS)
+  if (total->answers[0] < proven_answers (rollouts, o))
     return false;
+  if (unloaded > UNLOADED_ANSWERS)
+    unloaded = UNLOADED_ANSWERS;
   if (!is_bounded (o, now))
     return now - deadline_of (o) >= LATE_MOVED_TIME
            && total->answers[0] - o->all_moved_answers >= LATE_ANSWERS;
   if (o->loaded_answers >= LOADED_ANSWERS)
     return now - o->moved_at >= MOVED_TIME
            && total->answers[0] - o->moved_answers >= MOVED_ANSWERS;
-  return now - o->all_moved_at >= UNLOADED_TIME
-         && total->answers[0] - o->all_moved_answers >= UNLOADED_ANSWERS;
+  return now - o->moved_at >= UNLOADED_TIME
+         && total->answers[0] - o->moved_answers >= unloaded;
 }
 
 /* Note since when no router may use the other versions.  */
@@ -951,6 +1158,33 @@
     }
 }
 
+/* Return whether nothing runs at the others any more, as far as is known.  */
+static bool
+is_drained (const struct order *o, ms_time now)
+{
+  return o->all_moved_at && !o->running_here && !o->running_elsewhere
+         && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now);
+}
+
+/* Return whether there is time left to see whether the version stays good.  */
+static bool
+is_early (const struct order *o, ms_time now)
+{
+  return deadline_of (o) - now >= FINISH_TIME;
+}
+
+/* Return whether completion cannot wait as the deadline is near, and few
+   requests still run at the others.  */
+static bool
+is_nearly_drained (const struct order *o, ms_time now)
+{
+  int64_t few = o->fleet_rate / (UNIT / 1000) * (FEW_RUNNING / MS_MSEC);
+  int64_t running = (int64_t)o->running_here + o->running_elsewhere;
+
+  return is_bounded (o, now) && o->closed && running * 1000000 <= few
+         && o->evidence.unmoved * 100 <= o->evidence.heard * UNMOVED_PERCENT;
+}
+
 static void
 step_moving (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
 {
@@ -961,12 +1195,14 @@
           || (now - o->moved_at >= CLOSE_TIME
               && now - o->sent_other_at >= CLOSE_TIME)))
     o->closed = true;
+  o->pace += o->pace_rate / 1000 * ((now - o->paced_at) / MS_MSEC);
+  o->paced_at = now;
+  update_room (rollouts, o, now);
   update_all_moved (rollouts, o, now);
-  drained
-      = o->overdue
-        || (o->all_moved_at && !o->running_here && !o->running_elsewhere
-            && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now)
-            && is_proven (o, now));
+  drained = o->overdue
+            || (!is_early (o, now)
+                && (is_drained (o, now) || is_nearly_drained (o, now))
+                && is_proven (rollouts, o, now));
   if (drained == o->drained)
     return;
   o->drained = drained;
@@ -1021,7 +1257,7 @@
 {
   enum ms_compare_kind fault;
 
-  update_rate (o, now);
+  update_rates (o, now);
   o->stepped_at = now;
   if (o->restored_steps)
     o->restored_steps--;
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -91,7 +91,7 @@
                     sent to now it would delay the end of the rollout.  */
 };
 
-#define MS_ROLLOUT_MAX_WAIT (400 * MS_MSEC)
+#define MS_ROLLOUT_MAX_WAIT (600 * MS_MSEC)
 
 /* Choose for a new request for SERVICE.  AGAIN says that the request was sent
    before: it is not used for the canary.  Nothing is counted yet, and the
