A stream's pace counts from when its held events arrived

Cause: events that were held back until the store has the stream's version were taken to have arrived at their release, so that the next one seemed to follow faster than endpoints send. Change: pace and time to the first event count from the arrival; requests without held events cost no look-up in a tick. Tests of the decision to hold events back and of reports that arrive in another order; both pass, test_streams passes.

--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -71,7 +71,7 @@
   ms_time placed_at;            /* When this attempt's endpoint was chosen.  */
   ms_time sent_at;              /* When this attempt was sent.  */
   ms_time list_age;             /* Age of the endpoint list at that time.  */
-  ms_time last_event_at;        /* When events were last passed on.  */
+  ms_time last_event_at;        /* When events last arrived.  */
   ms_time
       began_at; /* When the first part of its response was; 0 if it was not.
                  */
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -118,7 +118,7 @@
   if (r->response_started)
     return;
   r->response_started = true;
-  r->began_at = r->gw->now;
+  r->began_at = r->held_at ? r->held_at : r->gw->now;
   if (!r->first_byte_at)
     r->first_byte_at = r->gw->now;
   if (!r->held_at)
@@ -160,7 +160,9 @@
       if (r->stream)
         ms_streams_begin (r->gw->streams, r->stream, r->version, r->gw->now);
     }
-  r->last_event_at = r->gw->now;
+  /* The next event's pace counts from when these arrived.  */
+  r->last_event_at
+      = r->held_at && !r->response_started ? r->held_at : r->gw->now;
   record_first_byte (r);
   send_head (r);
   forward_buffered (r, length);
@@ -233,7 +235,7 @@
 void
 ms_request_release_stored (struct ms_request *r)
 {
-  if (r->upstream && !is_held (r))
+  if (r->held_at && r->upstream && !is_held (r))
     ms_request_release_held (r);
 }
 
--- a/tests/test_streams.c
+++ b/tests/test_streams.c
@@ -776,6 +776,83 @@
   ms_streams_destroy (streams);
 }
 
+/* Guards against a first event that is late for nothing, and against one that
+   the caller has before the store names the version.  */
+static void
+test_first_events_are_held_back_while_several_versions_serve (void **state)
+{
+  struct ms_streams *streams = ms_streams_create (true, MS_SEC);
+  ms_time now = 2 * MS_SEC;
+
+  (void)state;
+  ms_streams_note_version (streams, SERVICE, OLD_VERSION, now);
+  assert_false (ms_streams_sent (streams, 7, OLD_VERSION, now));
+  assert_int_equal (
+      ms_streams_hold_until (streams, SERVICE, false, now, now, MS_SEC, now),
+      0);
+  ms_streams_note_version (streams, SERVICE, NEW_VERSION, now);
+  assert_int_equal (
+      ms_streams_hold_until (streams, SERVICE, false, now, now, MS_SEC, now),
+      now + 150 * MS_MSEC);
+  /* Half of the target is left for the rest.  */
+  assert_int_equal (ms_streams_hold_until (streams, SERVICE, false, now, now,
+                                           200 * MS_MSEC, now),
+                    now + 100 * MS_MSEC);
+  assert_int_equal (ms_streams_hold_until (streams, SERVICE, true, now, now,
+                                           200 * MS_MSEC, now),
+                    now + 250 * MS_MSEC);
+  now += 2 * MS_SEC;
+  ms_streams_note_version (streams, SERVICE, NEW_VERSION, now);
+  assert_int_equal (
+      ms_streams_hold_until (streams, SERVICE, false, now, now, MS_SEC, now),
+      0);
+  ms_streams_destroy (streams);
+}
+
+/* Guards against a router that hears of the versions that a stream was sent to
+   in another order, and goes on with it at one that did not begin it.  */
+static void
+test_last_version_that_a_stream_was_sent_to_counts (void **state)
+{
+  static const uint64_t services[] = { SERVICE };
+  struct ms_streams *sender = ms_streams_create (true, MS_SEC);
+  struct ms_stream_report reports[4];
+  unsigned count = 0;
+
+  (void)state;
+  ms_streams_note_version (sender, SERVICE, OLD_VERSION, MS_SEC);
+  ms_streams_note_version (sender, SERVICE, NEW_VERSION, MS_SEC);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      assert_int_equal (ms_streams_sent (sender, 7,
+                                         i % 2 ? NEW_VERSION : OLD_VERSION,
+                                         MS_SEC),
+                        i > 0);
+      count += ms_streams_take_unstored (sender, reports + count, 1, MS_SEC);
+    }
+  ms_streams_begin (sender, 7, OLD_VERSION, MS_SEC);
+  assert_int_equal (count, 3);
+  assert_int_equal (
+      ms_streams_take_unstored (sender, reports + count, 1, MS_SEC), 0);
+  for (unsigned first = 0; first < 3; first++)
+    {
+      struct ms_streams *other = ms_streams_create (false, MS_SEC);
+
+      for (unsigned i = 0; i < 3; i++)
+        ms_streams_merge (other, reports[(first + i) % 3].stream,
+                          reports[(first + i) % 3].version, MS_STREAM_OTHER,
+                          MS_SEC);
+      assert_int_equal (ms_streams_version (other, 7, services, 1, MS_SEC),
+                        OLD_VERSION);
+      ms_streams_destroy (other);
+    }
+  /* Sent to and fro too often: not known.  */
+  for (unsigned i = 0; i < 8; i++)
+    ms_streams_sent (sender, 7, i % 2 ? OLD_VERSION : NEW_VERSION, MS_SEC);
+  assert_int_equal (ms_streams_version (sender, 7, services, 1, MS_SEC), 0);
+  ms_streams_destroy (sender);
+}
+
 /* Guards against a caller that takes up what never began, or one stream over
    and over, to be let in.  */
 static void
@@ -806,6 +883,9 @@
     cmocka_unit_test (
         test_fleet_that_started_again_learns_its_versions_from_the_store),
     cmocka_unit_test (test_version_in_the_store_that_left_is_not_forgotten),
+    cmocka_unit_test (
+        test_first_events_are_held_back_while_several_versions_serve),
+    cmocka_unit_test (test_last_version_that_a_stream_was_sent_to_counts),
     cmocka_unit_test (test_a_stream_that_began_is_taken_up_once),
   };
 
