Rollouts: the only version with usable endpoints is not excluded

Cause: a replaced order excluded its version though the others had ended, and a router that had not heard of a completion excluded the version that was left: 276 and 23 requests got 503. Change: where what a router may choose has no usable endpoint, only versions that were stopped remain excluded, while others are listed. A version whose state is unknown counts as stopped. Tests: test_only_usable_version_is_not_excluded; test_rollout, test_place, test_versions and test_gone pass. Not run on processes.

--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -1,4 +1,5 @@
 #include <http_parser.h>
+#include <string.h>
 
 #include "gateway/internal.h"
 #include "gateway/metrics.h"
@@ -20,6 +21,41 @@
 /* Events of a stream from which its pace is known.  */
 #define MIN_PACED_EVENTS 4
 
+/* Replace CHOICE if it leaves no usable endpoint.  A version that was stopped
+   remains excluded while others are listed.  Return whether it was replaced.
+ */
+static bool
+relax_choice (const struct ms_request *r, struct ms_rollout_choice *choice)
+{
+  const struct ms_gateway *gw = r->gw;
+  uint32_t only = choice->fallback ? 0 : choice->only;
+
+  if (choice->wait
+      || (!only && !choice->except[0] && !choice->except[1]
+          && !choice->except[2])
+      || ms_place_any_usable (gw->place, r->service, only, choice->except,
+                              gw->now))
+    return false;
+  *choice = ms_rollouts_choose_rest (gw->rollouts, r->service);
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
+    if (choice->except[i]
+        && !ms_place_version_use (gw->place, r->service, choice->except[i],
+                                  gw->now)
+                .others)
+      choice->except[i] = 0;
+  return true;
+}
+
+static bool
+allows (const struct ms_rollout_choice *choice, uint32_t version)
+{
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
+    if (choice->except[i] && version == choice->except[i])
+      return false;
+  return !choice->wait
+         && (!choice->only || version == choice->only || choice->fallback);
+}
+
 bool
 ms_request_version_allowed (const struct ms_request *r, uint32_t version)
 {
@@ -29,11 +65,9 @@
   if (r->version)
     return ms_rollouts_allows (gw->rollouts, r->service, version, gw->now);
   choice = ms_rollouts_choose (gw->rollouts, r->service, r->attempts, gw->now);
-  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
-    if (choice.except[i] && version == choice.except[i])
-      return false;
-  return !choice.wait
-         && (!choice.only || version == choice.only || choice.fallback);
+  if (allows (&choice, version))
+    return true;
+  return relax_choice (r, &choice) && allows (&choice, version);
 }
 
 /* Choose an endpoint of ONLY, or of any version if that is 0, without those
@@ -96,6 +130,10 @@
                           r->failed_version == choice.only);
   else
     choose_of (r, offer, choice.only);
+  if (r->choice.result != MS_PLACE_NONE || !relax_choice (r, &choice))
+    return false;
+  memcpy (offer->except, choice.except, sizeof offer->except);
+  choose_of (r, offer, choice.only);
   return false;
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -389,6 +389,11 @@
                                             uint64_t service, uint32_t version,
                                             ms_time now);
 
+/* Return whether SERVICE has a usable endpoint of the version ONLY, or of any
+   if that is 0, that is none of the MS_MAX_EXCEPT versions in EXCEPT.  */
+bool ms_place_any_usable (const struct ms_place *place, uint64_t service,
+                          uint32_t only, const uint32_t *except, ms_time now);
+
 /* Evacuate ZONE if OUT, so that its endpoints get no new work; otherwise use
    it again and treat its endpoints as cold for the cold time of their service.
    At most 16 zones can be evacuated at once; the evacuation of a further one
--- a/src/place/version.c
+++ b/src/place/version.c
@@ -112,3 +112,28 @@
     }
   return use;
 }
+
+static bool
+is_one_of (const uint32_t *list, uint32_t version)
+{
+  for (unsigned i = 0; i < MS_MAX_EXCEPT; i++)
+    if (list[i] && list[i] == version)
+      return true;
+  return false;
+}
+
+bool
+ms_place_any_usable (const struct ms_place *place, uint64_t service,
+                     uint32_t only, const uint32_t *except, ms_time now)
+{
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      const struct ms_endpoint_state *e = place->endpoints[i];
+
+      if (e->entry.service == service && (!only || e->entry.version == only)
+          && !is_one_of (except, e->entry.version)
+          && is_usable (place, e, now))
+        return true;
+    }
+  return false;
+}
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -219,6 +219,7 @@
 
   /* Versions of earlier orders that were not completed.  */
   uint32_t excluded[MS_ROLLOUT_EXCLUDED - 1];
+  bool excluded_stopped[MS_ROLLOUT_EXCLUDED - 1]; /* Not only replaced.  */
   ms_time excluded_at;
 
   int64_t credit;
@@ -404,9 +405,9 @@
   return id == o->order.id || (o->former_id && id == o->former_id);
 }
 
-/* Exclude VERSION from O.  */
+/* Exclude VERSION, which was STOPPED or replaced, from O.  */
 static void
-exclude_version (struct order *o, uint32_t version)
+exclude_version (struct order *o, uint32_t version, bool stopped)
 {
   unsigned i = 0;
 
@@ -416,6 +417,7 @@
          && o->excluded[i] != version)
     i++;
   o->excluded[i] = version;
+  o->excluded_stopped[i] = stopped;
 }
 
 static bool
@@ -433,10 +435,10 @@
 take_over_exclusions (struct order *o, const struct order *former, ms_time now)
 {
   for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
-    exclude_version (o, former->excluded[i]);
+    exclude_version (o, former->excluded[i], former->excluded_stopped[i]);
   if (former->phase != MS_ROLLOUT_COMPLETED
       && former->phase != MS_ROLLOUT_UNKNOWN)
-    exclude_version (o, former->order.version);
+    exclude_version (o, former->order.version, !is_running (former));
   o->excluded_at = former->excluded_at;
   if (o->excluded_at < former->stopped_at)
     o->excluded_at = former->stopped_at;
@@ -650,6 +652,24 @@
   return choice;
 }
 
+struct ms_rollout_choice
+ms_rollouts_choose_rest (const struct ms_rollouts *rollouts, uint64_t service)
+{
+  const struct order *o = find_order (rollouts, service);
+  struct ms_rollout_choice choice = { 0 };
+
+  if (!o)
+    return choice;
+  for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
+    if (o->excluded_stopped[i])
+      choice.except[i + 1] = o->excluded[i];
+  if ((o->phase == MS_ROLLOUT_UNKNOWN || o->phase == MS_ROLLOUT_STOPPED
+       || o->phase == MS_ROLLOUT_ROLLED_BACK)
+      && (o->others || !o->endpoints_known))
+    choice.except[0] = o->order.version;
+  return choice;
+}
+
 bool
 ms_rollouts_allows (const struct ms_rollouts *rollouts, uint64_t service,
                     uint32_t version, ms_time now)
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -100,6 +100,12 @@
                                              uint64_t service, bool again,
                                              ms_time now);
 
+/* The same if no endpoint that ms_rollouts_choose allows is usable: only
+   versions remain excluded that were stopped, or may have been, while the
+   service has endpoints of others.  */
+struct ms_rollout_choice
+ms_rollouts_choose_rest (const struct ms_rollouts *rollouts, uint64_t service);
+
 /* Return whether VERSION of SERVICE may get a request that can go nowhere
    else, as the resumption of a stream that it began.  */
 bool ms_rollouts_allows (const struct ms_rollouts *rollouts, uint64_t service,
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1119,6 +1119,47 @@
   ms_rollouts_destroy (r);
 }
 
+/* Guards against requests that fail as this router's rules exclude the only
+   version that has usable endpoints; stopped ones stay excluded.  */
+static void
+test_only_usable_version_is_not_excluded (void **state)
+{
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+  struct ms_rollout_choice c;
+  ms_time now = 4 * MS_SEC;
+
+  (void)state;
+  /* The old endpoints have ended before this router heard of completion.  */
+  assert_true (excludes_new (r, now));
+  c = ms_rollouts_choose_rest (r, SERVICE);
+  assert_true (!c.only && !c.except[0] && !c.except[1] && !c.except[2]);
+  /* The order is replaced by one to a version without endpoints.  */
+  put (r, 3, 6, now);
+  assert_true (excludes_new (r, now));
+  c = ms_rollouts_choose_rest (r, SERVICE);
+  assert_true (!c.only && !c.except[0] && !c.except[1] && !c.except[2]);
+  /* It is stopped and replaced.  */
+  ms_rollouts_remove_order (r, SERVICE, now);
+  c = ms_rollouts_choose_rest (r, SERVICE);
+  assert_int_equal (c.except[0], 3);
+  put (r, 4, 7, now);
+  c = ms_rollouts_choose_rest (r, SERVICE);
+  assert_true (!c.except[0] && (c.except[1] == 3 || c.except[2] == 3));
+  assert_true (c.except[1] != NEW && c.except[2] != NEW);
+  /* Completed, while the new endpoints cannot be reached.  */
+  ms_rollouts_learn_state (r, SERVICE, 4, 7, MS_ROLLOUT_COMPLETED, MS_SEC,
+                           now);
+  assert_int_equal (ms_rollouts_choose (r, SERVICE, false, now).only, 4);
+  assert_int_equal (ms_rollouts_choose_rest (r, SERVICE).only, 0);
+  /* Rolled back, and no other version is listed.  */
+  ms_rollouts_destroy (r);
+  r = create (true, DURATION, MS_SEC);
+  ms_rollouts_remove_order (r, SERVICE, now);
+  ms_rollouts_set_endpoints (r, SERVICE, 4, 0, 0, 0);
+  assert_int_equal (ms_rollouts_choose_rest (r, SERVICE).except[0], 0);
+  ms_rollouts_destroy (r);
+}
+
 /* Guards against a removed order whose version stays in use.  */
 static void
 test_removed_order_is_rolled_back (void **state)
@@ -1519,6 +1560,7 @@
     cmocka_unit_test (test_repeated_order_continues),
     cmocka_unit_test (test_order_written_again_after_its_end_is_new),
     cmocka_unit_test (test_replaced_order_ends),
+    cmocka_unit_test (test_only_usable_version_is_not_excluded),
     cmocka_unit_test (test_removed_order_is_rolled_back),
     cmocka_unit_test (test_order_without_endpoints_is_rolled_back),
     cmocka_unit_test (test_first_final_state_of_the_store_wins),
