--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -517,6 +517,17 @@
 }
 goes_on_at_its_version
 verdict "a stream that is taken up at another gateway goes on at its version" $?
+# first_ms ID: milliseconds to the first event of request ID at gateway 1.
+first_ms ()
+{
+  sed -n "s/.*event=request id=$1 .* first_ms=\([0-9]*\).*/\1/p" \
+    "$DIR/gateway1.log"
+}
+request 1 "/events/stream?n=20&ms=20"
+is "$status" 200 && await 2 grep -q "event=request id=$id " "$DIR/gateway1.log" \
+  && [ "$(first_ms $id)" -ge 140 ] \
+  && is "$(grep -c '^id: ' "$DIR/body")" 20
+verdict "the first event of a stream waits for the store while two versions serve" $?
 request 1 "/events/half?n=6"
 is "$(ran_on $id)" 0 || is "$(ran_on $id)" 1
 verdict "a stream does not go on at another version within one answer" $?
