Shares: bound what is admitted by what endpoints can begin

Cause: at a start of all routers, or after all were killed, nothing limits teams until answers have completed, which takes 2 to 4 s. Limits of endpoints are guesses then and understate their use, so prompts queue for up to 2.2 s at endpoints; while that is drained, the level is a small part of the capacity. Each router also admits the first request of each team beyond its share, which at 295 routers is several seconds of work. Change: the rate admitted also follows how long prompts wait at endpoints. Work counts when it is done: the prompt when the answer begins, not when it is complete. For half a second after its first request a router assumes as much demand at each other router as it has itself, and no more capacity than what endpoints are predicted to read. Rates of demand are corrected for the time that they cover, and the credit of a team starts at random. The share event logs these inputs.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -2,9 +2,11 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 #include <uthash.h>
 
 #include "base/alloc.h"
+#include "base/str.h"
 
 /* Rates are exponentially decaying means with these time constants.  They are
    short because a team gets far more than its share until its demand shows in
@@ -12,6 +14,16 @@
 #define RATE_TIME_CONSTANT (0.6 * MS_SEC)
 #define UNPLACED_TIME_CONSTANT (0.4 * MS_SEC)
 
+/* Shortest time after the first request that rates of demand are computed
+   for.  */
+#define MIN_DEMAND_AGE (200 * MS_MSEC)
+
+/* For this time after its first request, a router does not know of all demand
+   at others: reports take up to 0.4 s.  A lower scale of the demand than
+   MIN_DEMAND_SCALE is taken for chance.  */
+#define START_TIME (500 * MS_MSEC)
+#define MIN_DEMAND_SCALE 2.0
+
 /* Interval between computations of the level.  */
 #define LEVEL_PERIOD (100 * MS_MSEC)
 
@@ -23,6 +35,17 @@
 #define USE_EXPONENT 1.5
 #define IDLE_USE 0.05
 
+/* Prompts wait at endpoints to be read.  The rate is also at most that of
+   completions, times (TARGET_WAIT_S / wait) ^ WAIT_EXPONENT.  Unlike the use,
+   the wait is known from the first second on, and does not depend on the
+   limits of endpoints, which are guesses at first.  Routers know the wait up
+   to 0.4 s late; with an exponent of 1.5 the rate oscillates.  */
+#define TARGET_WAIT_S 0.25
+#define WAIT_EXPONENT 0.5
+
+/* Least part of a mean of completions that is relied on.  */
+#define MIN_MEASURED_PART 0.15
+
 /* Time constant of the mean run time.  It is long because run times change
    little, unlike the rate at which requests complete.  */
 #define RUN_TIME_CONSTANT (4 * MS_SEC)
@@ -73,7 +96,8 @@
   double credit;     /* Cost units that may still be admitted, as in a token
                         bucket; below 0 after a request that overdrew it.  */
   ms_time credit_at; /* When credit was last added.  */
-  double last_cost;  /* Of the latest request that the level applied to.  */
+  double last_cost;  /* Of the latest request, if the level applied to it;
+                        otherwise 0.  */
   UT_hash_handle hh;
 };
 
@@ -90,19 +114,28 @@
   double mean_running;
   double mean_answered;
   double run_s;
+  ms_time demanded_since; /* When a request first arrived; 0 before.  */
   ms_time answered_since; /* When a request first completed; 0 before.  */
+  unsigned routers;       /* Of the fleet; 0 if unknown.  */
   double capacity; /* Of all endpoints as configured, in cost units per second;
                       0 if it is not.  */
   /* Of the last computation of own_level.  */
   double used_fraction;
   double unplaced_fraction;
   double answered;
+  double wait_s;
+  double completed;
+  double demand_scale; /* As of scale_demand.  */
+  double admitted;
 };
 
 struct ms_share *
 ms_share_create (void)
 {
-  return ms_new (sizeof (struct ms_share));
+  struct ms_share *share = ms_new (sizeof *share);
+
+  share->demand_scale = 1;
+  return share;
 }
 
 void
@@ -144,6 +177,20 @@
   return rate->sum * MS_SEC / rate->time_constant;
 }
 
+/* Return the demand of T at this router, in cost units per second.  In the
+   first seconds the sum covers less than its time constant, so that demand
+   would be taken for lower than it is.  */
+static double
+own_demand (const struct ms_share *share, struct team *t, ms_time now)
+{
+  ms_time age = now - share->demanded_since;
+
+  if (age < MIN_DEMAND_AGE)
+    age = MIN_DEMAND_AGE;
+  return rate_value (&t->demand, now)
+         / -expm1 (-(double)age / RATE_TIME_CONSTANT);
+}
+
 static struct team *
 find_or_add_team (struct ms_share *share, uint64_t id)
 {
@@ -168,8 +215,8 @@
 static void
 accrue_credit (const struct ms_share *share, struct team *t, ms_time now)
 {
-  double own = rate_value (&t->demand, now);
-  double all = own + t->others_demand;
+  double own = own_demand (share, t, now);
+  double all = share->demand_scale * (own + t->others_demand);
   double part = all > 0 ? share->level / all : 0;
 
   t->credit += part * own * (double)(now - t->credit_at) / MS_SEC;
@@ -178,6 +225,21 @@
   t->credit = fmin (t->credit, part * (own * BURST_S + t->last_cost));
 }
 
+/* Return a fraction, 0 to 1, that differs between requests and routers.  */
+static double
+draw_fraction (const struct team *t, ms_time now)
+{
+  uint64_t bits;
+
+  memcpy (&bits, &t->demand.sum, sizeof bits);
+  return (double)(ms_id_pair (ms_id_pair (t->id, (uint64_t)now), bits) >> 32)
+         / UINT32_MAX;
+}
+
+/* A request is admitted while any credit is left, so that a team's first
+   request at each router overdraws it.  Over hundreds of routers that is more
+   than endpoints can do in seconds.  When a level comes into force, the credit
+   therefore starts where it is on average between two such requests.  */
 bool
 ms_share_admit (struct ms_share *share, uint64_t team, double cost,
                 ms_time now)
@@ -186,16 +248,20 @@
   double all;
 
   t->active_at = now;
+  if (!share->demanded_since)
+    share->demanded_since = now;
   accrue_credit (share, t, now);
   rate_add (&t->demand, cost, now);
-  all = rate_value (&t->demand, now) + t->others_demand;
+  all = share->demand_scale * (own_demand (share, t, now) + t->others_demand);
   if (share->level <= 0 || all <= share->level)
     {
-      t->credit = 0;
+      t->last_cost = 0;
       return true;
     }
   /* A request is admitted while any credit is left, and may overdraw it:
      otherwise large requests would be refused more often than small ones.  */
+  if (t->last_cost <= 0)
+    t->credit = cost * (share->level / all - draw_fraction (t, now));
   t->last_cost = cost;
   if (t->credit <= 0)
     return false;
@@ -219,10 +285,9 @@
 
   t->active_at = now;
   rate_add (&t->unplaced, cost, now);
-  /* The request did not run, so its cost is returned.  If no level was in
-     force when it was admitted, nothing had been taken; ms_share_admit resets
-     or caps the excess.  */
-  t->credit += cost;
+  /* The request did not run, so its cost is returned, if it was taken.  */
+  if (t->last_cost > 0)
+    t->credit += cost;
 }
 
 void
@@ -276,7 +341,7 @@
 
   HASH_ITER (hh, share->teams, t, next)
   {
-    double demand = rate_value (&t->demand, now) + t->others_demand;
+    double demand = own_demand (share, t, now) + t->others_demand;
     double unplaced = rate_value (&t->unplaced, now) + t->others_unplaced;
     double weight = sqrt (demand);
 
@@ -317,7 +382,8 @@
   struct team *t, *next;
 
   HASH_ITER (hh, share->teams, t, next)
-  demand[i++] = rate_value (&t->demand, now) + t->others_demand;
+  demand[i++]
+      = share->demand_scale * (own_demand (share, t, now) + t->others_demand);
   qsort (demand, count, sizeof *demand, ascending);
   for (i = 0; i < count && demand[i] * (count - i) <= left; i++)
     left -= demand[i];
@@ -348,47 +414,150 @@
                      : 0;
 }
 
-/* Return how far what was measured of completions may be relied on, 0 to 1.
-   Before, the configured capacity stands for it, if there is one.  */
+/* Return the part of a mean with TIME_CONSTANT that is due to what SHARE has
+   measured of completions, 0 to 1.  */
 static double
-measured_weight (const struct ms_share *share, ms_time now)
+measured_part (const struct ms_share *share, double time_constant, ms_time now)
 {
-  if (share->capacity <= 0)
-    return 1;
   if (!share->answered_since)
     return 0;
-  return -expm1 (-(double)(now - share->answered_since) / RUN_TIME_CONSTANT);
+  return -expm1 (-(double)(now - share->answered_since) / time_constant);
+}
+
+/* Return what endpoints are taken to complete before it was measured, in cost
+   units per second: what the configuration says or, if that is less, what they
+   are predicted to read; 0 if neither is known.  */
+static double
+assumed_capacity (const struct ms_share *share,
+                  const struct ms_share_usage *usage)
+{
+  if (share->capacity > 0 && usage->read_rate > 0)
+    return fmin (share->capacity, usage->read_rate);
+  return fmax (share->capacity, usage->read_rate);
+}
+
+/* Return how far what was measured of completions may be relied on, 0 to 1.
+   Before, the configured capacity stands for it, if there is one.  While
+   prompts wait, endpoints complete what they can, so that less time is
+   needed.  */
+static double
+measured_weight (const struct ms_share *share,
+                 const struct ms_share_usage *usage, ms_time now)
+{
+  if (share->capacity <= 0)
+    return usage->read_rate > 0
+               ? measured_part (share, RATE_TIME_CONSTANT, now)
+               : 1;
+  return fmax (measured_part (share, RUN_TIME_CONSTANT, now),
+               fmin (1, usage->wait_s / TARGET_WAIT_S)
+                   * measured_part (share, RATE_TIME_CONSTANT, now));
+}
+
+/* Return the rate at which endpoints complete, in cost units per second.  */
+static double
+completed_rate (const struct ms_share *share, const struct summary *summary,
+                const struct ms_share_usage *usage, ms_time now)
+{
+  double part = measured_part (share, RATE_TIME_CONSTANT, now);
+  double weight = measured_weight (share, usage, now);
+  double answered = summary->answered / fmax (part, MIN_MEASURED_PART);
+  double expected = answered;
+  double run_s;
+  double completed;
+
+  /* No request has run for longer than since the first one.  */
+  run_s = fmin (share->run_s, (double)(now - share->demanded_since) / MS_SEC);
+  /* As endpoints fill up, completions lag behind what is running; what is over
+     the target does not complete sooner.  */
+  if (run_s > 0)
+    expected = fmax (
+        answered, usage->running_cost
+                      * fmin (1, TARGET_USE / usage->used_fraction) / run_s);
+  /* While prompts wait, endpoints complete what they can, so that more is not
+     to be expected.  */
+  completed
+      = expected
+        + fmin (1, usage->wait_s / TARGET_WAIT_S) * (answered - expected);
+  return weight * completed + (1 - weight) * assumed_capacity (share, usage);
+}
+
+/* Return whether so little time has passed since the first request here that
+   the others' reports lack a part of the demand.  */
+static bool
+is_starting (const struct ms_share *share, ms_time now)
+{
+  return share->demanded_since && now - share->demanded_since < START_TIME;
+}
+
+/* Return the most that all teams together may be admitted while the router
+   starts, in cost units per second; HUGE_VAL if that is not limited.  A prompt
+   token costs one unit, and generated ones more.  */
+static double
+start_rate (struct ms_share *share, const struct ms_share_usage *usage,
+            ms_time now)
+{
+  double rate = HUGE_VAL;
+
+  if (!is_starting (share, now))
+    return HUGE_VAL;
+  if (share->capacity > 0)
+    rate = START_RATE_FACTOR * share->capacity;
+  if (usage->read_rate > 0)
+    rate = fmin (rate, usage->read_rate);
+  return rate;
+}
+
+/* Set the factor by which the demand of all routers exceeds the part that is
+   known.  While a router starts, it assumes that others have as much demand as
+   itself: when the whole fleet starts, each would otherwise admit all that it
+   gets until it has heard of the others.  */
+static void
+scale_demand (struct ms_share *share, ms_time now)
+{
+  double own = 0;
+  double all = 0;
+  struct team *t, *next;
+
+  share->demand_scale = 1;
+  if (!is_starting (share, now))
+    return;
+  HASH_ITER (hh, share->teams, t, next)
+  {
+    double demand = own_demand (share, t, now);
+
+    own += demand;
+    all += demand + t->others_demand;
+  }
+  if (own * share->routers > MIN_DEMAND_SCALE * all)
+    share->demand_scale = own * share->routers / all;
 }
 
 /* Return the rate at which all teams together may be admitted, in cost units
    per second; HUGE_VAL if there is no need for a limit, or nothing is known of
    what endpoints can do.  */
 static double
-admitted_rate (const struct ms_share *share, const struct summary *summary,
+admitted_rate (struct ms_share *share, const struct summary *summary,
                const struct ms_share_usage *usage, ms_time now)
 {
   double use = usage->used_fraction;
-  double running = usage->running_cost;
-  double weight = measured_weight (share, now);
-  double completed = 0;
+  double weight = measured_weight (share, usage, now);
   double factor;
 
-  if (use < IDLE_USE || (share->run_s <= 0 && weight > 0))
-    return HUGE_VAL;
-  /* As endpoints fill up, completions lag behind what is running; what is over
-     the target does not complete sooner.  */
-  if (share->run_s > 0)
-    completed = fmax (summary->answered,
-                      running * fmin (1, TARGET_USE / use) / share->run_s);
-  completed = weight * completed + (1 - weight) * share->capacity;
+  share->completed = 0;
+  if ((use < IDLE_USE && usage->wait_s < TARGET_WAIT_S)
+      || (share->run_s <= 0 && weight > 0))
+    return start_rate (share, usage, now);
+  share->completed = completed_rate (share, summary, usage, now);
   if (summary->unplaced_fraction > SCARCE_UNPLACED_FRACTION)
     use = fmax (use, TARGET_USE + summary->unplaced_fraction);
   factor = pow (TARGET_USE / use, USE_EXPONENT);
+  if (usage->wait_s > 0)
+    factor = fmin (factor, pow (TARGET_WAIT_S / usage->wait_s, WAIT_EXPONENT));
   if (factor > START_RATE_FACTOR)
     factor = START_RATE_FACTOR / (1 - weight) < factor
                  ? START_RATE_FACTOR / (1 - weight)
                  : factor;
-  return completed * factor;
+  return fmin (share->completed * factor, start_rate (share, usage, now));
 }
 
 /* Remove the teams whose IDLE_TEAM_TIMEOUT is over.  */
@@ -414,20 +583,24 @@
    level, a team whose callers keep to a router with a low one would get less
    than its share.  */
 static double
-agreed_level (const struct ms_share *share)
+agreed_level (const struct ms_share *share, ms_time now)
 {
   double own = share->own_level > 0 ? 1 / share->own_level : 0;
   double others = share->others_level > 0 ? 1 / share->others_level : 0;
   double weight = share->others_count ? OWN_LEVEL_WEIGHT : 1;
   double inverse = weight * own + (1 - weight) * others;
 
+  /* Others have no level yet if all have started.  */
+  if (is_starting (share, now))
+    inverse = fmax (inverse, own);
   return inverse > 0 ? 1 / inverse : 0;
 }
 
 bool
 ms_share_is_due (const struct ms_share *share, ms_time now)
 {
-  return now - share->level_at >= LEVEL_PERIOD;
+  return now - share->level_at >= LEVEL_PERIOD
+         || share->level_at < share->demanded_since;
 }
 
 void
@@ -435,21 +608,25 @@
                ms_time now)
 {
   struct summary summary;
+  double admitted;
   struct team *t, *next;
 
   if (!ms_share_is_due (share, now))
     return;
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
+  scale_demand (share, now);
   summary = summarize_teams (share, now);
   update_run_time (share, usage->running_cost, summary.answered, now);
   share->level_at = now;
   share->used_fraction = usage->used_fraction;
   share->unplaced_fraction = summary.unplaced_fraction;
   share->answered = summary.answered;
-  share->own_level = max_min_level (
-      share, admitted_rate (share, &summary, usage, now), now);
-  share->level = agreed_level (share);
+  share->wait_s = usage->wait_s;
+  admitted = admitted_rate (share, &summary, usage, now);
+  share->admitted = admitted < HUGE_VAL ? admitted : 0;
+  share->own_level = max_min_level (share, admitted, now);
+  share->level = agreed_level (share, now);
 }
 
 void
@@ -458,6 +635,12 @@
   share->capacity = capacity > 0 ? capacity : 0;
 }
 
+void
+ms_share_set_routers (struct ms_share *share, unsigned routers)
+{
+  share->routers = routers;
+}
+
 void
 ms_share_set_others_level (struct ms_share *share, double level,
                            unsigned count)
@@ -492,7 +675,7 @@
 
   HASH_ITER (hh, share->teams, t, next)
   {
-    double rate = rate_value (&t->demand, now);
+    double rate = own_demand (share, t, now);
 
     if (rate >= 1)
       all[count++] = (struct ms_team_rates){ t->id, rate,
@@ -526,6 +709,8 @@
   return (struct ms_share_state){
     share->level,         share->own_level,         share->others_level,
     share->used_fraction, share->unplaced_fraction, share->answered,
+    share->wait_s,        share->completed,         share->run_s,
+    share->capacity,      share->admitted,
   };
 }
 
@@ -540,7 +725,7 @@
     return 0;
   HASH_ITER (hh, share->teams, t, next)
   {
-    double demand = rate_value (&t->demand, now);
+    double demand = own_demand (share, t, now);
 
     if (demand >= 1 && demand + t->others_demand > share->level
         && count < space)
@@ -560,7 +745,7 @@
 
   HASH_ITER (hh, share->teams, t, next)
   {
-    double own = rate_value (&t->demand, now);
+    double own = own_demand (share, t, now);
     double all = own + t->others_demand;
     double allowed = fmin (all, level);
 
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -32,7 +32,7 @@
   double unplaced; /* Part of the demand that ms_share_unplaced counted: it was
                       within the share, but found no free capacity.  What was
                       over the share is not included.  */
-  double answered; /* Requests that endpoints answered completely.  */
+  double answered; /* Work that endpoints have done.  */
 };
 
 struct ms_share *ms_share_create (void);
@@ -56,8 +56,10 @@
 void ms_share_unplaced (struct ms_share *share, uint64_t team, double cost,
                         ms_time now);
 
-/* Count a request of TEAM to which an endpoint's answer was complete at
-   NOW.  */
+/* Count work of an endpoint for a request of TEAM: the part COST of the
+   request's cost that was done by NOW.  The prompt counts when the answer
+   begins, as answers take seconds to complete, and the rest when it is
+   complete.  */
 void ms_share_answered (struct ms_share *share, uint64_t team, double cost,
                         ms_time now);
 
@@ -73,6 +75,10 @@
   double used_fraction; /* Of their capacity; 0 to 1 or a little more.  */
   double running_cost;  /* Of all running requests, in cost units; may be an
                            estimate that is too low.  */
+  double wait_s;        /* Seconds that a prompt waits at an endpoint to be
+                           read, on average; 0 if unknown.  */
+  double read_rate;     /* Prompt tokens that endpoints are predicted to read
+                           in a second; 0 if unknown.  */
 };
 
 /* Set the harmonic mean LEVEL of the levels that COUNT other routers have
@@ -85,6 +91,10 @@
    were measured for a few seconds.  */
 void ms_share_set_capacity (struct ms_share *share, double capacity);
 
+/* Set the number of routers that share the demand, this one included; 0 if it
+   is unknown.  */
+void ms_share_set_routers (struct ms_share *share, unsigned routers);
+
 /* Return whether ms_share_tick is due: the level is recomputed ten times a
    second.  */
 bool ms_share_is_due (const struct ms_share *share, ms_time now);
@@ -122,6 +132,12 @@
   double used_fraction;
   double unplaced_fraction; /* Of the demand of the teams below the level.  */
   double answered;          /* At all routers.  */
+  double wait_s;            /* As of struct ms_share_usage.  */
+  double completed;         /* Rate that endpoints are taken to complete.  */
+  double run_s;             /* Mean run time, in seconds; 0 if unknown.  */
+  double capacity;          /* As of ms_share_set_capacity.  */
+  double admitted;          /* Rate at which all teams together are admitted; 0
+                               if that is not limited.  */
 };
 
 struct ms_share_state ms_share_state (const struct ms_share *share);
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -38,8 +38,9 @@
   enum ms_result_metric result = result_metric (r, status, outcome);
 
   ms_metric_result (result);
-  if (result == MS_RESULT_ANSWERED && r->cost > 0)
-    ms_share_answered (r->gw->share, r->team, r->cost, r->gw->now);
+  if (result == MS_RESULT_ANSWERED && r->cost > r->done_cost)
+    ms_share_answered (r->gw->share, r->team, r->cost - r->done_cost,
+                       r->gw->now);
   if (r->first_sent_at)
     ms_metric_latency (MS_LATENCY_WAIT, r->first_sent_at - r->arrived);
   if (r->first_byte_at)
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -205,6 +205,7 @@
   p->sharers = sharers;
   ms_place_set_routers (gw->place, ids, sharers);
   ms_budget_set_routers (gw->budget, sharers);
+  ms_share_set_routers (gw->share, sharers);
   ms_part_guard_set_routers (gw->part_guard, gw->id, ids, sharers);
 }
 
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -109,6 +109,11 @@
     r->first_byte_at = r->gw->now;
   ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
                   r->gw->now - r->sent_at, r->gw->now);
+  if (r->response_status < 300 && r->done_cost <= 0)
+    {
+      r->done_cost = r->prompt.tokens;
+      ms_share_answered (r->gw->share, r->team, r->done_cost, r->gw->now);
+    }
   if (r->response_status < 300)
     ms_part_guard_began (r->gw->part_guard, r->guarded, r->guarded_count,
                          r->gw->now);
--- a/src/gateway/shares.c
+++ b/src/gateway/shares.c
@@ -37,9 +37,12 @@
   gw->shares_logged_at = now;
   ms_event (now, "share",
             "level=%.0f own_level=%.0f others_level=%.0f use=%.2f "
-            "unplaced=%.3f answered=%.0f",
+            "unplaced=%.3f answered=%.0f wait_ms=%.0f run_ms=%.0f "
+            "completed=%.0f admitted=%.0f capacity=%.0f",
             state.level, state.own_level, state.others_level,
-            state.used_fraction, state.unplaced_fraction, state.answered);
+            state.used_fraction, state.unplaced_fraction, state.answered,
+            state.wait_s * 1000, state.run_s * 1000, state.completed,
+            state.admitted, state.capacity);
   log_limited_teams (gw, now);
 }
 
@@ -54,7 +57,8 @@
   use = ms_place_use (gw->place, now);
   /* The tokens stand for the cost, which they understate: a generated token
      costs more than one cost unit.  */
-  usage = (struct ms_share_usage){ use.fraction, use.tokens };
+  usage = (struct ms_share_usage){ use.fraction, use.tokens, use.wait_s,
+                                   use.read_rate };
   if (gw->routes)
     ms_share_set_capacity (gw->share, gw->routes->limits.tokens_per_second);
   ms_share_tick (gw->share, &usage, now);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -445,10 +445,13 @@
    routers together.  */
 struct ms_place_use
 {
-  double fraction; /* Running requests as a fraction of those that may run at
-                      once; 0 to 1 or slightly more.  */
-  double tokens;   /* Prompt and expected output tokens of running requests,
-                      all counted alike, unlike in cost units.  */
+  double fraction;  /* Running requests as a fraction of those that may run at
+                       once; 0 to 1 or slightly more.  */
+  double tokens;    /* Prompt and expected output tokens of running requests,
+                       all counted alike, unlike in cost units.  */
+  double wait_s;    /* Predicted time, in seconds, in which an endpoint reads
+                       the prompts that it has not read yet; mean.  */
+  double read_rate; /* Predicted prompt tokens that all read in a second.  */
 };
 struct ms_place_use ms_place_use (const struct ms_place *place, ms_time now);
 
--- a/tests/test_levels.c
+++ b/tests/test_levels.c
@@ -343,8 +343,8 @@
       send_digest (w, r);
     }
   usage = (struct ms_share_usage){
-    (r->own.running + r->others.running) / w->seen_slots,
-    r->own.cost + r->others.cost,
+    .used_fraction = (r->own.running + r->others.running) / w->seen_slots,
+    .running_cost = r->own.cost + r->others.cost,
   };
   ms_share_tick (r->share, &usage, w->now);
 }
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -219,7 +219,8 @@
             load->admitted += load->cost;
         }
       usage = (struct ms_share_usage){
-        fleet->running_cost / (fleet->capacity * RUN_S), fleet->running_cost
+        .used_fraction = fleet->running_cost / (fleet->capacity * RUN_S),
+        .running_cost = fleet->running_cost,
       };
       for (unsigned i = 0; i < fleet->routers && fleet->shares[0]; i++)
         {
@@ -306,7 +307,8 @@
   struct ms_share *share = ms_share_create ();
   const struct ms_team_rates hot = { 1, 9000000, 0, 400000 };
   const struct ms_team_rates starved = { 2, 100000, 50000, 50000 };
-  const struct ms_share_usage usage = { 0.95, 1000000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.95, .running_cost = 1000000 };
   unsigned admitted = 0;
 
   (void)state;
@@ -436,7 +438,8 @@
 {
   struct ms_share *share = ms_share_create ();
   const struct ms_team_rates hot = { 1, 9000000, 0, 400000 };
-  const struct ms_share_usage usage = { 0.95, 1000000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.95, .running_cost = 1000000 };
   unsigned admitted = 0;
 
   (void)state;
@@ -460,7 +463,8 @@
 test_idle_teams_are_removed (void **state)
 {
   struct ms_share *share = ms_share_create ();
-  const struct ms_share_usage usage = { 0.5, 1000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.5, .running_cost = 1000 };
   const struct ms_team_rates elsewhere = { 1, 300, 0, 300 };
 
   (void)state;
@@ -495,7 +499,8 @@
       double seconds = (double)now / MS_SEC;
       double answered = fmax (0, 360000 * (seconds - 0.5));
       const struct ms_share_usage usage
-          = { fmin (1.05, 0.6 * seconds), fmin (1, seconds) * 2900000 };
+          = { .used_fraction = fmin (1.05, 0.6 * seconds),
+              .running_cost = fmin (1, seconds) * 2900000 };
       double admitted = 0;
 
       ms_share_clear_others (share);
