Shares: let prompts wait for 0.43 s at endpoints before less is admitted

Cause: with 0.25 s, endpoints were idle for a tenth of the time in steady load. Change: the target is 0.43 s; a test of steady load at 1.0, 1.5 and 3.5 times the capacity.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -40,7 +40,7 @@
    the wait is known from the first second on, and does not depend on the
    limits of endpoints, which are guesses at first.  Routers know the wait up
    to 0.4 s late; with an exponent of 1.5 the rate oscillates.  */
-#define TARGET_WAIT_S 0.25
+#define TARGET_WAIT_S 0.43
 #define WAIT_EXPONENT 0.5
 
 /* Least part of a mean of completions that is relied on.  */
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -54,6 +54,19 @@
 #define MIN_FAIR_FRACTION 0.5
 #define FAIR_ALLOWANCE 3
 
+/* Steady load: the seconds that count, the first of them, and the least cost
+   of requests that begin, and begin in time, as a part of the capacity.  */
+#define STEADY_S 12
+#define STEADY_AFTER_S 8
+
+static const struct steady_load
+{
+  double load;
+  double least_begun;
+  double least_in_time;
+} steady_loads[]
+    = { { 1.0, 0.95, 0.7 }, { 1.5, 0.95, 0.7 }, { 3.5, 0.95, 0.7 } };
+
 /* Routers are down for this time when all were killed.  */
 #define DOWN_TIME (1 * MS_SEC)
 
@@ -176,7 +189,9 @@
   unsigned retries_count;
   double begun[MAX_SECONDS];   /* Cost of requests that began to run.  */
   double in_time[MAX_SECONDS]; /* Of them, those whose target was met.  */
-  double waited[MAX_SECONDS];  /* Prompt tokens that wait, mean.  */
+  double ended;   /* Requests that endpoints completed, and the seconds */
+  double ended_s; /* from their send until then.  */
+  double waited[MAX_SECONDS]; /* Prompt tokens that wait, mean.  */
   double least_level[MAX_SECONDS];
   struct ms_random random;
   ms_time now;
@@ -473,6 +488,8 @@
   ms_share_answered (r->share, job->team + 1,
                      OUTPUT_TOKEN_COST * kinds[job->kind].output, w->now);
   ms_place_ended (g->place, g->endpoints[i], &job->load, MS_END_GOOD, w->now);
+  w->ended++;
+  w->ended_s += (double)(w->now - job->sent_at) / MS_SEC;
 }
 
 /* Let endpoint I work for a step.  */
@@ -736,10 +753,43 @@
   assert_true (lowest >= MIN_FAIR_FRACTION);
 }
 
+/* Guards against endpoints that stay idle, or whose answers are late, because
+   too little or too much is admitted in steady load.  */
+static void
+test_endpoints_are_used_in_steady_load (void **state)
+{
+  (void)state;
+  for (unsigned s = 0; s < SIZES; s++)
+    for (unsigned i = 0; i < sizeof steady_loads / sizeof *steady_loads; i++)
+      {
+        const struct steady_load *load = &steady_loads[i];
+        struct world *w = create_world (&sizes[s], load->load, 0);
+        double all = STEADY_S * true_capacity (&sizes[s]);
+        double begun = 0;
+        double in_time = 0;
+
+        play (w, (STEADY_AFTER_S + STEADY_S - 1) * MS_SEC);
+        for (unsigned j = STEADY_AFTER_S; j < STEADY_AFTER_S + STEADY_S; j++)
+          {
+            begun += w->begun[j] / all;
+            in_time += w->in_time[j] / all;
+          }
+        print_message ("%3u routers, load %.1f: begun %.3f, in time %.3f, "
+                       "completed after %.1f s\n",
+                       sizes[s].routers, load->load, begun, in_time,
+                       w->ended_s / w->ended);
+        assert_true (w->ended_s / w->ended > 2 && w->ended_s / w->ended < 4);
+        assert_true (begun >= load->least_begun);
+        assert_true (in_time >= load->least_in_time);
+        destroy_world (w);
+      }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_endpoints_are_used_in_steady_load),
     cmocka_unit_test (test_shares_hold_at_starts),
   };
 
