Shares: only streams tell how long prompts wait

Cause: the prompt of an answer that is not a stream counts as unread until the answer is complete, so the wait looked as long as the run time, and the level fell to next to nothing where most answers are not streams. Change: the wait is used in so far as answers are streams; speeds are those predicted before the first answers. The wait is that of all endpoints together. Measured: test_share fails without the change and passes.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -40,9 +40,13 @@
    the wait is known from the first second on, and does not depend on the
    limits of endpoints, which are guesses at first.  Routers know the wait up
    to 0.4 s late; with an exponent of 1.5 the rate oscillates.  */
-#define TARGET_WAIT_S 0.43
+#define TARGET_WAIT_S 0.41
 #define WAIT_EXPONENT 0.5
 
+/* The wait is not used if more than this fraction of the work is for answers
+   that are not streams.  */
+#define MAX_UNSTREAMED_FRACTION 0.2
+
 /* Least part of a mean of completions that is relied on.  */
 #define MIN_MEASURED_PART 0.15
 
@@ -116,14 +120,17 @@
   double run_s;
   ms_time demanded_since; /* When a request first arrived; 0 before.  */
   ms_time answered_since; /* When a request first completed; 0 before.  */
-  unsigned routers;       /* Of the fleet; 0 if unknown.  */
+  double read_rate;  /* Of struct ms_share_usage, before the first answers.  */
+  struct rate begun; /* Work that ms_share_began has counted.  */
+  struct rate streamed; /* Of it, that of streams.  */
+  unsigned routers;     /* Of the fleet; 0 if unknown.  */
   double capacity; /* Of all endpoints as configured, in cost units per second;
                       0 if it is not.  */
   /* Of the last computation of own_level.  */
   double used_fraction;
   double unplaced_fraction;
   double answered;
-  double wait_s;
+  double wait_s; /* 0 if unknown.  */
   double completed;
   double demand_scale; /* As of scale_demand.  */
   double admitted;
@@ -135,6 +142,8 @@
   struct ms_share *share = ms_new (sizeof *share);
 
   share->demand_scale = 1;
+  share->begun.time_constant = RUN_TIME_CONSTANT;
+  share->streamed.time_constant = RUN_TIME_CONSTANT;
   return share;
 }
 
@@ -300,6 +309,15 @@
   rate_add (&t->answered, cost, now);
 }
 
+void
+ms_share_began (struct ms_share *share, uint64_t team, double cost,
+                bool streamed, ms_time now)
+{
+  rate_add (&share->begun, cost, now);
+  rate_add (&share->streamed, streamed ? cost : 0, now);
+  ms_share_answered (share, team, cost, now);
+}
+
 void
 ms_share_clear_others (struct ms_share *share)
 {
@@ -424,16 +442,29 @@
   return -expm1 (-(double)(now - share->answered_since) / time_constant);
 }
 
+/* Return how far the time that prompts seem to wait may be relied on, 0 to 1.
+   It includes the run time of answers that are not streams, which exceeds the
+   wait several times.  */
+static double
+streamed_weight (const struct ms_share *share)
+{
+  double unstreamed;
+
+  if (share->begun.sum < 1)
+    return 0;
+  unstreamed = 1 - share->streamed.sum / share->begun.sum;
+  return fmax (0, 1 - unstreamed / MAX_UNSTREAMED_FRACTION);
+}
+
 /* Return what endpoints are taken to complete before it was measured, in cost
    units per second: what the configuration says or, if that is less, what they
    are predicted to read; 0 if neither is known.  */
 static double
-assumed_capacity (const struct ms_share *share,
-                  const struct ms_share_usage *usage)
+assumed_capacity (const struct ms_share *share)
 {
-  if (share->capacity > 0 && usage->read_rate > 0)
-    return fmin (share->capacity, usage->read_rate);
-  return fmax (share->capacity, usage->read_rate);
+  if (share->capacity > 0 && share->read_rate > 0)
+    return fmin (share->capacity, share->read_rate);
+  return fmax (share->capacity, share->read_rate);
 }
 
 /* Return how far what was measured of completions may be relied on, 0 to 1.
@@ -441,15 +472,14 @@
    prompts wait, endpoints complete what they can, so that less time is
    needed.  */
 static double
-measured_weight (const struct ms_share *share,
-                 const struct ms_share_usage *usage, ms_time now)
+measured_weight (const struct ms_share *share, ms_time now)
 {
   if (share->capacity <= 0)
-    return usage->read_rate > 0
+    return share->read_rate > 0
                ? measured_part (share, RATE_TIME_CONSTANT, now)
                : 1;
   return fmax (measured_part (share, RUN_TIME_CONSTANT, now),
-               fmin (1, usage->wait_s / TARGET_WAIT_S)
+               fmin (1, share->wait_s / TARGET_WAIT_S)
                    * measured_part (share, RATE_TIME_CONSTANT, now));
 }
 
@@ -459,7 +489,7 @@
                 const struct ms_share_usage *usage, ms_time now)
 {
   double part = measured_part (share, RATE_TIME_CONSTANT, now);
-  double weight = measured_weight (share, usage, now);
+  double weight = measured_weight (share, now);
   double answered = summary->answered / fmax (part, MIN_MEASURED_PART);
   double expected = answered;
   double run_s;
@@ -477,8 +507,8 @@
      to be expected.  */
   completed
       = expected
-        + fmin (1, usage->wait_s / TARGET_WAIT_S) * (answered - expected);
-  return weight * completed + (1 - weight) * assumed_capacity (share, usage);
+        + fmin (1, share->wait_s / TARGET_WAIT_S) * (answered - expected);
+  return weight * completed + (1 - weight) * assumed_capacity (share);
 }
 
 /* Return whether so little time has passed since the first request here that
@@ -493,8 +523,7 @@
    starts, in cost units per second; HUGE_VAL if that is not limited.  A prompt
    token costs one unit, and generated ones more.  */
 static double
-start_rate (struct ms_share *share, const struct ms_share_usage *usage,
-            ms_time now)
+start_rate (const struct ms_share *share, ms_time now)
 {
   double rate = HUGE_VAL;
 
@@ -502,8 +531,8 @@
     return HUGE_VAL;
   if (share->capacity > 0)
     rate = START_RATE_FACTOR * share->capacity;
-  if (usage->read_rate > 0)
-    rate = fmin (rate, usage->read_rate);
+  if (share->read_rate > 0)
+    rate = fmin (rate, share->read_rate);
   return rate;
 }
 
@@ -540,24 +569,24 @@
                const struct ms_share_usage *usage, ms_time now)
 {
   double use = usage->used_fraction;
-  double weight = measured_weight (share, usage, now);
+  double weight = measured_weight (share, now);
   double factor;
 
   share->completed = 0;
-  if ((use < IDLE_USE && usage->wait_s < TARGET_WAIT_S)
+  if ((use < IDLE_USE && share->wait_s < TARGET_WAIT_S)
       || (share->run_s <= 0 && weight > 0))
-    return start_rate (share, usage, now);
+    return start_rate (share, now);
   share->completed = completed_rate (share, summary, usage, now);
   if (summary->unplaced_fraction > SCARCE_UNPLACED_FRACTION)
     use = fmax (use, TARGET_USE + summary->unplaced_fraction);
   factor = pow (TARGET_USE / use, USE_EXPONENT);
-  if (usage->wait_s > 0)
-    factor = fmin (factor, pow (TARGET_WAIT_S / usage->wait_s, WAIT_EXPONENT));
+  if (share->wait_s > 0)
+    factor = fmin (factor, pow (TARGET_WAIT_S / share->wait_s, WAIT_EXPONENT));
   if (factor > START_RATE_FACTOR)
     factor = START_RATE_FACTOR / (1 - weight) < factor
                  ? START_RATE_FACTOR / (1 - weight)
                  : factor;
-  return fmin (share->completed * factor, start_rate (share, usage, now));
+  return fmin (share->completed * factor, start_rate (share, now));
 }
 
 /* Remove the teams whose IDLE_TEAM_TIMEOUT is over.  */
@@ -615,14 +644,18 @@
     return;
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
+  share->wait_s = usage->wait_s * streamed_weight (share);
   scale_demand (share, now);
   summary = summarize_teams (share, now);
   update_run_time (share, usage->running_cost, summary.answered, now);
+  /* Predictions of the speed are kept from before the first answers, since
+     they take an answer that is not a stream for one that begins late.  */
+  if (!share->answered_since)
+    share->read_rate = usage->read_rate;
   share->level_at = now;
   share->used_fraction = usage->used_fraction;
   share->unplaced_fraction = summary.unplaced_fraction;
   share->answered = summary.answered;
-  share->wait_s = usage->wait_s;
   admitted = admitted_rate (share, &summary, usage, now);
   share->admitted = admitted < HUGE_VAL ? admitted : 0;
   share->own_level = max_min_level (share, admitted, now);
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -63,6 +63,12 @@
 void ms_share_answered (struct ms_share *share, uint64_t team, double cost,
                         ms_time now);
 
+/* The same for the prompt, which counts COST: the answer has begun.  STREAMED
+   tells whether it comes as it is generated, so that it begins when the prompt
+   has been read.  */
+void ms_share_began (struct ms_share *share, uint64_t team, double cost,
+                     bool streamed, ms_time now);
+
 /* Replace the rates of the other routers: clear them all, then add each
    router's rates, or the sums of several routers.  */
 void ms_share_clear_others (struct ms_share *share);
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -112,7 +112,8 @@
   if (r->response_status < 300 && r->done_cost <= 0)
     {
       r->done_cost = r->prompt.tokens;
-      ms_share_answered (r->gw->share, r->team, r->done_cost, r->gw->now);
+      ms_share_began (r->gw->share, r->team, r->done_cost, r->stream_response,
+                      r->gw->now);
     }
   if (r->response_status < 300)
     ms_part_guard_began (r->gw->part_guard, r->guarded, r->guarded_count,
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -422,8 +422,7 @@
 ms_place_use (const struct ms_place *place, ms_time now)
 {
   struct ms_place_use use = { 0, 0, 0, 0 };
-  double count = 0;
-  double read_rate;
+  double unread = 0; /* Prompt tokens.  */
   struct use_sums all = { 0, 0 };
   struct use_sums busy = { 0, 0 };
 
@@ -437,11 +436,9 @@
       all.running += e->own.running + e->others.running;
       all.limits += running_limit (place, e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
-      read_rate
-          = place->options.speed.prefill_tokens_per_ms * 1000 / e->slowness;
-      use.read_rate += read_rate;
-      use.wait_s += ((double)e->own.prefill + e->others.prefill) / read_rate;
-      count++;
+      use.read_rate
+          += place->options.speed.prefill_tokens_per_ms * 1000 / e->slowness;
+      unread += (double)e->own.prefill + e->others.prefill;
     }
   for (unsigned i = 0; i < place->count; i++)
     {
@@ -455,8 +452,8 @@
       busy.running += running;
       busy.limits += limit;
     }
-  if (count > 0)
-    use.wait_s /= count;
+  if (use.read_rate > 0)
+    use.wait_s = unread / use.read_rate;
   /* While the others are full, an endpoint at which hardly anything runs has
      probably failed, which routers without requests there do not see.  */
   if (busy.limits > 0)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -449,8 +449,9 @@
                        once; 0 to 1 or slightly more.  */
   double tokens;    /* Prompt and expected output tokens of running requests,
                        all counted alike, unlike in cost units.  */
-  double wait_s;    /* Predicted time, in seconds, in which an endpoint reads
-                       the prompts that it has not read yet; mean.  */
+  double wait_s;    /* Predicted time, in seconds, in which endpoints read the
+                       prompts whose answers have not begun.  An answer that is
+                       not a stream begins when it is complete.  */
   double read_rate; /* Predicted prompt tokens that all read in a second.  */
 };
 struct ms_place_use ms_place_use (const struct ms_place *place, ms_time now);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -521,6 +521,39 @@
   ms_share_destroy (share);
 }
 
+/* Let a fleet answer, as streams or not, 1.2 million cost units a second, and
+   let prompts seem to wait for 3 s.  Return the level for a team that demands
+   twice as much.  */
+static double
+level_with_answers (bool streamed)
+{
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.7, .running_cost = 3600000, .wait_s = 3 };
+  struct ms_share *share = ms_share_create ();
+  double level;
+
+  for (ms_time now = TICK; now < 10 * MS_SEC; now += TICK)
+    {
+      ms_share_admit (share, 1, 2400000.0 * TICK / MS_SEC, now);
+      ms_share_began (share, 1, 1200000.0 * TICK / MS_SEC, streamed, now);
+      ms_share_tick (share, &usage, now);
+    }
+  level = ms_share_level (share);
+  ms_share_destroy (share);
+  return level;
+}
+
+/* Guards against a level that falls to next to nothing where answers are not
+   streams: these begin when they are complete, so their prompts seem to wait
+   for the whole run time.  */
+static void
+test_answers_without_streaming_do_not_lower_the_level (void **state)
+{
+  (void)state;
+  assert_true (level_with_answers (true) < 600000);
+  assert_true (level_with_answers (false) > 1200000);
+}
+
 int
 main (void)
 {
@@ -536,6 +569,7 @@
     cmocka_unit_test (test_rest_of_an_admitted_request_is_charged),
     cmocka_unit_test (test_idle_teams_are_removed),
     cmocka_unit_test (test_level_at_a_start_follows_the_configured_capacity),
+    cmocka_unit_test (test_answers_without_streaming_do_not_lower_the_level),
   };
 
   return RUN (tests);
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -470,8 +470,8 @@
 
   job->begun = true;
   job->left = kind->output;
-  ms_share_answered (w->routers[job->router].share, job->team + 1,
-                     kind->prompt, w->now);
+  ms_share_began (w->routers[job->router].share, job->team + 1, kind->prompt,
+                  true, w->now);
   if (w->now - job->arrived <= kind->target)
     w->in_time[second (w)] += kind_cost (job->kind);
   ms_place_began (g->place, g->endpoints[i], &job->load,
