Shares: rates of demand from 100 ms after the first request on

Cause: demand was taken for too low until 200 ms after a router's first request, in which 295 routers that restart together admit a second of work. The model let endpoints report to placements of killed routers (found by the address sanitizer). Change: 100 ms; killed routers hear no more of endpoints.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -16,7 +16,7 @@
 
 /* Shortest time after the first request that rates of demand are computed
    for.  */
-#define MIN_DEMAND_AGE (200 * MS_MSEC)
+#define MIN_DEMAND_AGE (100 * MS_MSEC)
 
 /* For this time after its first request, a router does not know of all demand
    at others: reports take up to 0.4 s.  A lower scale of the demand than
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -537,6 +537,8 @@
         e->jobs[kept++] = *job;
     }
   e->count = kept;
+  if (!w->routers[0].up)
+    return;
   for (unsigned j = 0; generating && j < w->groups_count; j++)
     if (w->now / STEP % 4 == j % 4 && w->groups[j].endpoints[i]->own.running)
       ms_place_note_pace (w->groups[j].place, w->groups[j].endpoints[i], 1,
