--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -740,10 +740,19 @@
 ms_share_state (const struct ms_share *share)
 {
   return (struct ms_share_state){
-    share->level,         share->own_level,         share->others_level,
-    share->used_fraction, share->unplaced_fraction, share->answered,
-    share->wait_s,        share->completed,         share->run_s,
-    share->capacity,      share->admitted,
+    .level = share->level,
+    .own_level = share->own_level,
+    .others_level = share->others_level,
+    .used_fraction = share->used_fraction,
+    .unplaced_fraction = share->unplaced_fraction,
+    .answered = share->answered,
+    .wait_s = share->wait_s,
+    .completed = share->completed,
+    .run_s = share->run_s,
+    .capacity = share->capacity,
+    .read_rate = share->read_rate,
+    .demand_scale = share->demand_scale,
+    .admitted = share->admitted,
   };
 }
 
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -142,6 +142,11 @@
   double completed;         /* Rate that endpoints are taken to complete.  */
   double run_s;             /* Mean run time, in seconds; 0 if unknown.  */
   double capacity;          /* As of ms_share_set_capacity.  */
+  double read_rate;         /* Predicted prompt tokens that endpoints read in a
+                               second, before the first answers; 0 if
+                               unknown.  */
+  double demand_scale;      /* Demand of all routers, as a multiple of what is
+                               known of it.  */
   double admitted;          /* Rate at which all teams together are admitted; 0
                                if that is not limited.  */
 };
--- a/src/gateway/shares.c
+++ b/src/gateway/shares.c
@@ -38,11 +38,13 @@
   ms_event (now, "share",
             "level=%.0f own_level=%.0f others_level=%.0f use=%.2f "
             "unplaced=%.3f answered=%.0f wait_ms=%.0f run_ms=%.0f "
-            "completed=%.0f admitted=%.0f capacity=%.0f",
+            "completed=%.0f admitted=%.0f capacity=%.0f read_rate=%.0f "
+            "demand_scale=%.2f",
             state.level, state.own_level, state.others_level,
             state.used_fraction, state.unplaced_fraction, state.answered,
             state.wait_s * 1000, state.run_s * 1000, state.completed,
-            state.admitted, state.capacity);
+            state.admitted, state.capacity, state.read_rate,
+            state.demand_scale);
   log_limited_teams (gw, now);
 }
 
