test_starts: demand that comes after an idle time

Cause: deployments start routers seconds before their callers come. Change: a fleet that served a few requests and was idle for 10 s gets 3.5 times the capacity.

--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -755,6 +755,27 @@
   assert_true (lowest >= MIN_FAIR_FRACTION);
 }
 
+/* The same for a fleet that has served a few requests and was idle for some
+   seconds: what it has measured before says nothing of the demand now.  */
+static void
+test_shares_hold_after_an_idle_time (void **state)
+{
+  (void)state;
+  for (unsigned s = 0; s < SIZES; s++)
+    {
+      struct world *w = create_world (&sizes[s], 0.05, 0);
+
+      play (w, MS_SEC);
+      w->load = 0;
+      play (w, 10 * MS_SEC);
+      w->load = 3.5;
+      play (w, (WINDOW_S + 1) * MS_SEC);
+      assert_true (check_window (w, "after an idle time", 12)
+                   >= MIN_FAIR_FRACTION);
+      destroy_world (w);
+    }
+}
+
 /* Guards against endpoints that stay idle, or whose answers are late, because
    too little or too much is admitted in steady load.  */
 static void
@@ -791,6 +812,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_shares_hold_after_an_idle_time),
     cmocka_unit_test (test_endpoints_are_used_in_steady_load),
     cmocka_unit_test (test_shares_hold_at_starts),
   };
