--- a/src/place/place.h
+++ b/src/place/place.h
@@ -451,10 +451,14 @@
    routers together.  */
 struct ms_place_use
 {
-  double fraction; /* Running requests as a fraction of those that may run at
-                      once; 0 to 1 or slightly more.  */
-  double tokens;   /* Prompt and expected output tokens of running requests,
-                      all counted alike, unlike in cost units.  */
+  double fraction;  /* Running requests as a fraction of those that may run at
+                       once; 0 to 1 or slightly more.  */
+  double tokens;    /* Prompt and expected output tokens of running requests,
+                       all counted alike, unlike in cost units.  */
+  double wait_s;    /* Predicted time, in seconds, in which endpoints read the
+                       prompts whose answers have not begun.  An answer that is
+                       not a stream begins when it is complete.  */
+  double read_rate; /* Predicted prompt tokens that all read in a second.  */
 };
 struct ms_place_use ms_place_use (const struct ms_place *place, ms_time now);
 
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -219,7 +219,8 @@
             load->admitted += load->cost;
         }
       usage = (struct ms_share_usage){
-        fleet->running_cost / (fleet->capacity * RUN_S), fleet->running_cost
+        .used_fraction = fleet->running_cost / (fleet->capacity * RUN_S),
+        .running_cost = fleet->running_cost,
       };
       for (unsigned i = 0; i < fleet->routers && fleet->shares[0]; i++)
         {
@@ -306,7 +307,8 @@
   struct ms_share *share = ms_share_create ();
   const struct ms_team_rates hot = { 1, 9000000, 0, 400000 };
   const struct ms_team_rates starved = { 2, 100000, 50000, 50000 };
-  const struct ms_share_usage usage = { 0.95, 1000000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.95, .running_cost = 1000000 };
   unsigned admitted = 0;
 
   (void)state;
@@ -436,7 +438,8 @@
 {
   struct ms_share *share = ms_share_create ();
   const struct ms_team_rates hot = { 1, 9000000, 0, 400000 };
-  const struct ms_share_usage usage = { 0.95, 1000000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.95, .running_cost = 1000000 };
   unsigned admitted = 0;
 
   (void)state;
@@ -460,7 +463,8 @@
 test_idle_teams_are_removed (void **state)
 {
   struct ms_share *share = ms_share_create ();
-  const struct ms_share_usage usage = { 0.5, 1000 };
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.5, .running_cost = 1000 };
   const struct ms_team_rates elsewhere = { 1, 300, 0, 300 };
 
   (void)state;
@@ -495,7 +499,8 @@
       double seconds = (double)now / MS_SEC;
       double answered = fmax (0, 360000 * (seconds - 0.5));
       const struct ms_share_usage usage
-          = { fmin (1.05, 0.6 * seconds), fmin (1, seconds) * 2900000 };
+          = { .used_fraction = fmin (1.05, 0.6 * seconds),
+              .running_cost = fmin (1, seconds) * 2900000 };
       double admitted = 0;
 
       ms_share_clear_others (share);
@@ -516,6 +521,39 @@
   ms_share_destroy (share);
 }
 
+/* Let a fleet answer, as streams or not, 1.2 million cost units a second, and
+   let prompts seem to wait for 3 s.  Return the level for a team that demands
+   twice as much.  */
+static double
+level_with_answers (bool streamed)
+{
+  const struct ms_share_usage usage
+      = { .used_fraction = 0.7, .running_cost = 3600000, .wait_s = 3 };
+  struct ms_share *share = ms_share_create ();
+  double level;
+
+  for (ms_time now = TICK; now < 10 * MS_SEC; now += TICK)
+    {
+      ms_share_admit (share, 1, 2400000.0 * TICK / MS_SEC, now);
+      ms_share_began (share, 1, 1200000.0 * TICK / MS_SEC, streamed, now);
+      ms_share_tick (share, &usage, now);
+    }
+  level = ms_share_level (share);
+  ms_share_destroy (share);
+  return level;
+}
+
+/* Guards against a level that falls to next to nothing where answers are not
+   streams: these begin when they are complete, so their prompts seem to wait
+   for the whole run time.  */
+static void
+test_answers_without_streaming_do_not_lower_the_level (void **state)
+{
+  (void)state;
+  assert_true (level_with_answers (true) < 600000);
+  assert_true (level_with_answers (false) > 1200000);
+}
+
 int
 main (void)
 {
@@ -531,6 +569,7 @@
     cmocka_unit_test (test_rest_of_an_admitted_request_is_charged),
     cmocka_unit_test (test_idle_teams_are_removed),
     cmocka_unit_test (test_level_at_a_start_follows_the_configured_capacity),
+    cmocka_unit_test (test_answers_without_streaming_do_not_lower_the_level),
   };
 
   return RUN (tests);
