--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -24,6 +24,10 @@
 #define START_TIME (500 * MS_MSEC)
 #define MIN_DEMAND_SCALE 2.0
 
+/* Routers that start together get their first requests within this time of
+   each other.  */
+#define JOIN_TIME (300 * MS_MSEC)
+
 /* Interval between computations of the level.  */
 #define LEVEL_PERIOD (100 * MS_MSEC)
 
@@ -118,6 +122,9 @@
   double mean_running;
   double mean_answered;
   double run_s;
+  ms_time
+      others_since; /* Since when others report demand; 0 if they do not.  */
+  bool joins;       /* They did for JOIN_TIME when a request first arrived.  */
   ms_time demanded_since; /* When a request first arrived; 0 before.  */
   ms_time answered_since; /* When a request first completed; 0 before.  */
   double read_rate;  /* Of struct ms_share_usage, before the first answers.  */
@@ -234,6 +241,18 @@
   t->credit = fmin (t->credit, part * (own * BURST_S + t->last_cost));
 }
 
+/* Return the known demand of all teams at the other routers, in cost units per
+   second.  */
+static double
+others_demand (const struct ms_share *share)
+{
+  double sum = 0;
+  struct team *t, *next;
+
+  HASH_ITER (hh, share->teams, t, next) { sum += t->others_demand; }
+  return sum;
+}
+
 /* Return a fraction, 0 to 1, that differs between requests and routers.  */
 static double
 draw_fraction (const struct team *t, ms_time now)
@@ -258,7 +277,11 @@
 
   t->active_at = now;
   if (!share->demanded_since)
-    share->demanded_since = now;
+    {
+      share->demanded_since = now;
+      share->joins
+          = share->others_since && now - share->others_since >= JOIN_TIME;
+    }
   accrue_credit (share, t, now);
   rate_add (&t->demand, cost, now);
   all = share->demand_scale * (own_demand (share, t, now) + t->others_demand);
@@ -512,11 +535,13 @@
 }
 
 /* Return whether so little time has passed since the first request here that
-   the others' reports lack a part of the demand.  */
+   the others' reports lack a part of the demand.  A router that starts alone
+   has had their reports for a while.  */
 static bool
 is_starting (const struct ms_share *share, ms_time now)
 {
-  return share->demanded_since && now - share->demanded_since < START_TIME;
+  return share->demanded_since && !share->joins
+         && now - share->demanded_since < START_TIME;
 }
 
 /* Return the most that all teams together may be admitted while the router
@@ -645,6 +670,10 @@
   HASH_ITER (hh, share->teams, t, next) { accrue_credit (share, t, now); }
   remove_idle_teams (share, now);
   share->wait_s = usage->wait_s * streamed_weight (share);
+  if (others_demand (share) < 1)
+    share->others_since = 0;
+  else if (!share->others_since)
+    share->others_since = now;
   scale_demand (share, now);
   summary = summarize_teams (share, now);
   update_run_time (share, usage->running_cost, summary.answered, now);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -554,6 +554,32 @@
   assert_true (level_with_answers (false) > 1200000);
 }
 
+/* Guards against refusals at a router that starts alone, while endpoints have
+   capacity for all: its first requests say little of the demand at others, of
+   which it has had reports.  */
+static void
+test_router_that_starts_alone_refuses_nothing (void **state)
+{
+  const struct ms_team_rates elsewhere = { 1, 1000000, 0, 1000000 };
+  const struct ms_share_usage usage = { .used_fraction = 0.3,
+                                        .running_cost = 2000000,
+                                        .wait_s = 0.02,
+                                        .read_rate = 3000000 };
+  struct ms_share *share = ms_share_create ();
+
+  (void)state;
+  ms_share_set_routers (share, 295);
+  for (ms_time now = TICK; now < 2 * MS_SEC; now += TICK)
+    {
+      ms_share_clear_others (share);
+      ms_share_add_others (share, &elsewhere);
+      if (now >= MS_SEC)
+        assert_true (ms_share_admit (share, 1, 1000, now));
+      ms_share_tick (share, &usage, now);
+    }
+  ms_share_destroy (share);
+}
+
 int
 main (void)
 {
@@ -570,6 +596,7 @@
     cmocka_unit_test (test_idle_teams_are_removed),
     cmocka_unit_test (test_level_at_a_start_follows_the_configured_capacity),
     cmocka_unit_test (test_answers_without_streaming_do_not_lower_the_level),
+    cmocka_unit_test (test_router_that_starts_alone_refuses_nothing),
   };
 
   return RUN (tests);
