Soak: the bound on a bad version's requests counts all gateways

The requirements have bounds on sums hold for all routers that may be sending; counted in touch only, a gateway without bounds of exposure was not seen (148 of 433 requests, none in touch).

--- a/tests/soak/rollouts.c
+++ b/tests/soak/rollouts.c
@@ -22,7 +22,7 @@
 /* What the engines of an ordered version are like.  */
 static const char *const kinds[] = { "kind=none", "kind=fail",
                                      "kind=none", "kind=fail&percent=40",
-                                     "kind=slow", "kind=fail&after_ms=1500" };
+                                     "kind=slow", "kind=fail&after_ms=3500" };
 #define KINDS (sizeof kinds / sizeof *kinds)
 
 /* Most restarts of all gateways that are kept of an order.  */
@@ -196,7 +196,8 @@
   return known_at && r->sent_at > known_at + ROLLBACK_MS;
 }
 
-/* Check the order for VERSION; returns the number of breaches.  */
+/* Check the order for VERSION; returns the number of breaches.  The bound on
+   the sum holds for all gateways that may be sending, in touch or not.  */
 static unsigned
 check_order (unsigned version,
              bool (*in_touch) (unsigned gateway, long long at_ms))
@@ -232,9 +233,9 @@
           version, kinds[o->kind], o->state_at ? states[o->phase] : "no state",
           o->state_at ? o->state_at - o->written_at : 0, exposed, all,
           exposed_in_touch, o->bad);
-  if (o->bad && exposed_in_touch > allowed)
+  if (o->bad && exposed > allowed)
     printf ("EXPOSURE: v%u got %u requests, allowed are %u\n", version,
-            exposed_in_touch, allowed);
+            exposed, allowed);
   if (late)
     printf ("EXPOSURE: v%u got %u requests after it had to be stopped\n",
             version, late);
@@ -243,7 +244,7 @@
   if (revived)
     printf ("ROUTE: v%u got %u requests after it was rolled back\n", version,
             revived);
-  return (o->bad && exposed_in_touch > allowed) + !!late + !!early + !!revived;
+  return (o->bad && exposed > allowed) + !!late + !!early + !!revived;
 }
 
 unsigned
