Rollouts: fewer bad and fewer late decisions at the deadline

Cause: with 300 to 1000 requests a second single bad answers delayed good versions; with few answers one bad among 50 was let pass. Change: with less than 150 answers none may be bad of late; from 300 on the score may be a sixth. After the deadline 150 answers are needed again. The canary is raised from 6 good answers on. Test: the aborted requests of orders that end in time are bounded by check_completed only.

--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -34,7 +34,7 @@
 #define FIRST_PERCENT 25
 #define RAISED_PERCENT 50
 #define LAST_PERCENT 10
-#define FEW_GOOD 10
+#define FEW_GOOD 6
 #define MANY_ANSWERS 80
 
 /* Most credit that is kept, so that requests that found no endpoint are not
@@ -111,6 +111,7 @@
 #define PROVEN_PERCENT 80
 #define LEAST_PROVEN_ANSWERS 50
 #define PROVEN (MS_COMPARE_BAD / 8)
+#define MANY_PROVEN (MS_COMPARE_BAD / 6)
 #define MOVED_TIME (300 * MS_MSEC)
 #define MOVED_ANSWERS 20
 #define UNLOADED_TIME (700 * MS_MSEC)
@@ -1134,6 +1135,16 @@
   return part < LEAST_PROVEN_ANSWERS ? LEAST_PROVEN_ANSWERS : part;
 }
 
+/* Return the highest score with ANSWERS of the version at which it is proven.
+   Few answers must all be good.  */
+static int64_t
+proven_score (uint32_t answers)
+{
+  if (answers < PROVEN_ANSWERS)
+    return 0;
+  return answers < 2 * PROVEN_ANSWERS ? PROVEN : MANY_PROVEN;
+}
+
 /* Return whether the version has run all requests for long enough.  */
 static bool
 is_proven (const struct ms_rollouts *rollouts, const struct order *o,
@@ -1143,12 +1154,13 @@
       = ms_compare_total (o->evidence.compare);
   int64_t unloaded = o->fleet_rate / UNIT / 4;
 
-  if (ms_evidence_score (&o->evidence) > PROVEN
+  if (ms_evidence_score (&o->evidence) > proven_score (total->answers[0])
       || ms_compare_is_pending_bad (o->evidence.compare))
     return false;
   if (now - o->all_moved_at >= MOVED_LONG_TIME)
     return true;
-  if (total->answers[0] < proven_answers (rollouts, o))
+  if (total->answers[0]
+      < (is_bounded (o, now) ? proven_answers (rollouts, o) : PROVEN_ANSWERS))
     return false;
   if (unloaded > UNLOADED_ANSWERS)
     unloaded = UNLOADED_ANSWERS;
