Shares: a router that starts alone takes measured rates as complete

Cause: such a router divided rates that others have reported in full by the part of the time since its own first request, and took their run time for as short as that.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -53,6 +53,7 @@
 
 /* Least part of a mean of completions that is relied on.  */
 #define MIN_MEASURED_PART 0.15
+#define MIN_RUN_PART 0.005
 
 /* Time constant of the mean run time.  It is long because run times change
    little, unlike the rate at which requests complete.  */
@@ -514,12 +515,21 @@
   double part = measured_part (share, RATE_TIME_CONSTANT, now);
   double weight = measured_weight (share, now);
   double answered = summary->answered / fmax (part, MIN_MEASURED_PART);
-  double expected = answered;
-  double run_s;
+  double expected;
+  double run_s = share->run_s;
   double completed;
 
-  /* No request has run for longer than since the first one.  */
-  run_s = fmin (share->run_s, (double)(now - share->demanded_since) / MS_SEC);
+  /* Where others run already, both means of the run time are complete.
+     Otherwise no request has run for longer than since the first one.  */
+  if (share->joins)
+    {
+      answered = summary->answered;
+      run_s /= fmax (measured_part (share, RUN_TIME_CONSTANT, now),
+                     MIN_RUN_PART);
+    }
+  else
+    run_s = fmin (run_s, (double)(now - share->demanded_since) / MS_SEC);
+  expected = answered;
   /* As endpoints fill up, completions lag behind what is running; what is over
      the target does not complete sooner.  */
   if (run_s > 0)
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -561,7 +561,7 @@
 test_router_that_starts_alone_refuses_nothing (void **state)
 {
   const struct ms_team_rates elsewhere = { 1, 1000000, 0, 1000000 };
-  const struct ms_share_usage usage = { .used_fraction = 0.3,
+  const struct ms_share_usage usage = { .used_fraction = 0.7,
                                         .running_cost = 2000000,
                                         .wait_s = 0.02,
                                         .read_rate = 3000000 };
