Rollouts: completion waits for silent routers while the deadline allows

Test: test_completion_waits_for_silent_routers, completed 0.3 s before the deadline without the change.

--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -118,11 +118,13 @@
 #define UNLOADED_ANSWERS 40
 #define MOVED_LONG_TIME (10 * MS_SEC)
 
-/* FINISH_TIME before the deadline, the order is completed though requests run
+/* FINISH_TIME before the deadline, or LAST_TIME if a router has fallen silent
+   whose requests are unknown, the order is completed though requests run
    at the others, if these are no more than arrive in FEW_RUNNING and at most
    UNMOVED_PERCENT of the routers may send more: an order that ends late costs
    0.02 of the day's value, which is more than these requests are worth.  */
 #define FINISH_TIME (400 * MS_MSEC)
+#define LAST_TIME (200 * MS_MSEC)
 #define FEW_RUNNING (250 * MS_MSEC)
 #define UNMOVED_PERCENT 25
 
@@ -1180,7 +1182,7 @@
                   ms_time now)
 {
   if (may_use_others (rollouts, o, now)
-      || !ms_evidence_moved (&o->evidence, !is_bounded (o, now), now))
+      || !ms_evidence_moved (&o->evidence, true, now))
     o->all_moved_at = 0;
   else if (!o->all_moved_at)
     {
@@ -1195,7 +1197,7 @@
 is_drained (const struct order *o, ms_time now)
 {
   return o->all_moved_at && !o->running_here && !o->running_elsewhere
-         && ms_evidence_drained (&o->evidence, !is_bounded (o, now), now);
+         && ms_evidence_drained (&o->evidence, true, now);
 }
 
 /* Return whether there is time left to see whether the version stays good.  */
@@ -1205,6 +1207,13 @@
   return deadline_of (o) - now >= FINISH_TIME;
 }
 
+/* Return whether no router is silent: the loads of such are unknown.  */
+static bool
+hears_all (const struct order *o)
+{
+  return o->evidence.heard >= o->evidence.routers;
+}
+
 /* Return whether completion cannot wait as the deadline is near, and few
    requests still run at the others.  */
 static bool
@@ -1213,7 +1222,10 @@
   int64_t few = o->fleet_rate / (UNIT / 1000) * (FEW_RUNNING / MS_MSEC);
   int64_t running = (int64_t)o->running_here + o->running_elsewhere;
 
-  return is_bounded (o, now) && o->closed && running * 1000000 <= few
+  ms_time limit = hears_all (o) ? FINISH_TIME : LAST_TIME;
+
+  return is_bounded (o, now) && deadline_of (o) - now < limit && o->closed
+         && running * 1000000 <= few
          && o->evidence.unmoved * 100 <= o->evidence.heard * UNMOVED_PERCENT;
 }
 
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1378,6 +1378,56 @@
   };
 }
 
+/* Guards against requests that are aborted at a router which is cut off, as
+   the order is completed while there is time to hear of it again.  */
+static void
+test_completion_waits_for_silent_routers (void **state)
+{
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+  ms_time deadline = MS_SEC + DURATION;
+  ms_time now = MS_SEC;
+  ms_time completed_at = 0;
+  struct ms_rollout_report reports[5];
+  struct ms_rollout_state s;
+
+  (void)state;
+  for (; now < deadline && !completed_at; now += 50 * MS_MSEC)
+    {
+      unsigned sent = (unsigned)((now - MS_SEC) / (20 * MS_MSEC));
+
+      for (unsigned i = 0; i < 10; i++)
+        {
+          bool moves = deadline - now < 1300 * MS_MSEC;
+          uint32_t version
+              = moves || (!i && !(now % (500 * MS_MSEC))) ? NEW : OLD;
+
+          ms_rollouts_sent (r, SERVICE, version, false, now);
+          note (r, version, 1, 0, now);
+        }
+      ms_rollouts_clear_others (r);
+      for (unsigned i = 0; i < 5; i++)
+        {
+          reports[i] = report_of (sent, 0);
+          reports[i].sent[0] = reports[i].strata[0].answers[0]
+              = reports[i].strata[0].timed[0] = sent / 100;
+          reports[i].age = now - MS_SEC;
+          if (deadline - now < 1200 * MS_MSEC)
+            reports[i].phase = MS_ROLLOUT_MOVING;
+          reports[i].running_old = i == 4;
+          /* The last one falls silent.  */
+          if (i < 4 || deadline - now > 2 * MS_SEC)
+            ms_rollouts_merge (r, i + 1, &reports[i], now);
+        }
+      ms_rollouts_set_endpoints (r, SERVICE, 4, 4, 0, 0);
+      ms_rollouts_tick (r, now);
+      if (ms_rollouts_unwritten (r, now, &s)
+          && s.phase == MS_ROLLOUT_COMPLETED)
+        completed_at = now;
+    }
+  assert_in_range (completed_at, deadline - 200 * MS_MSEC, deadline - 1);
+  ms_rollouts_destroy (r);
+}
+
 /* Guards against absurd counts of one router that decide for all.  */
 static void
 test_absurd_reports_are_ignored (void **state)
@@ -1566,6 +1616,7 @@
     cmocka_unit_test (test_router_that_starts_waits_for_the_state),
     cmocka_unit_test (test_errors_of_relayed_ages_do_not_add_up),
     cmocka_unit_test (test_restored_store_gets_the_states_again),
+    cmocka_unit_test (test_completion_waits_for_silent_routers),
     cmocka_unit_test (test_absurd_reports_are_ignored),
     cmocka_unit_test (test_answers_in_sums_count_once),
     cmocka_unit_test (test_score_is_the_same_on_all_processors),
