--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1378,6 +1378,28 @@
   };
 }
 
+/* Guards against a version that a router which starts finds bad by what others
+   have counted before, all at once.  */
+static void
+test_answers_before_the_start_do_not_count (void **state)
+{
+  struct ms_rollouts *r = create (false, DURATION, 6 * MS_SEC);
+  struct ms_rollout_report report = report_of (100, 50);
+  ms_time now = 6 * MS_SEC;
+
+  (void)state;
+  ms_rollouts_merge (r, 1, &report, now);
+  now = pass (r, now, MS_SEC);
+  check_phase (r, MS_ROLLOUT_CANARY, "peer", now);
+  assert_int_equal (state_of (r, now).answers[0], 100);
+  /* Later ones do.  */
+  report = report_of (150, 90);
+  ms_rollouts_merge (r, 1, &report, now);
+  now = pass (r, now, MS_SEC);
+  check_phase (r, MS_ROLLOUT_STOPPED, "failures", now);
+  ms_rollouts_destroy (r);
+}
+
 /* Guards against requests that are aborted at a router which is cut off, as
    the order is completed while there is time to hear of it again.  */
 static void
@@ -1616,6 +1638,7 @@
     cmocka_unit_test (test_router_that_starts_waits_for_the_state),
     cmocka_unit_test (test_errors_of_relayed_ages_do_not_add_up),
     cmocka_unit_test (test_restored_store_gets_the_states_again),
+    cmocka_unit_test (test_answers_before_the_start_do_not_count),
     cmocka_unit_test (test_completion_waits_for_silent_routers),
     cmocka_unit_test (test_absurd_reports_are_ignored),
     cmocka_unit_test (test_answers_in_sums_count_once),
