Homes of shared prompt parts stay and are used in order

Two homes among the endpoints that are available at the moment made engines read large parts twice, again after each failure and each time that the first home was busier by 150 ms. src/place/homes.c chooses one home by weighted rendezvous hashing, more for a part that fills it, and keeps it while the endpoint is out of service for up to 3 s. The choice waits at a home that begins the request in time rather than reading elsewhere. Placement uses it with the option "steady"; the default of the library stays "available".

--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -25,6 +25,26 @@
 #define SMALL_DUPLICATE_TOKENS 256
 #define DUPLICATE_LOAD_FRACTION 0.6
 
+/* With steady homes, a request goes to one of them if that is expected to
+   begin it within HOME_WAIT_FRACTION of the time left, instead of to an
+   endpoint that would have to prefill more than FREE_DUPLICATE_TOKENS tokens
+   of shared parts.  The rest of the time is a margin for loads that are
+   reported late.
+   */
+#define HOME_WAIT_FRACTION 0.8
+#define FREE_DUPLICATE_TOKENS 32
+
+/* With steady homes, an endpoint that is none must be expected to begin the
+   request earlier than the target by DUPLICATE_MARGIN for each token of shared
+   parts that it would prefill, at most by MAX_MARGIN_FRACTION of the time
+   left: what remains of its time is for requests that have their home there.
+ */
+#define DUPLICATE_MARGIN (500)
+#define MAX_MARGIN_FRACTION 0.5
+
+/* A home with a higher rate of errors is not waited for.  */
+#define MAX_HOME_ERROR_RATE 0.3
+
 /* An endpoint is idle if, for its limit, it runs less than this fraction of
    what endpoints run on average.  */
 #define IDLE_FRACTION 0.5
@@ -37,11 +57,9 @@
          && !ms_place_zone_evacuated (place, e->entry.zone);
 }
 
-/* Return whether E may get requests, not counting its cold limit.  While it is
-   being probed after a failure, it gets no second request.  */
-static bool
-is_available (const struct ms_place *place, const struct ms_endpoint_state *e,
-              ms_time now)
+bool
+ms_place_is_available (const struct ms_place *place,
+                       const struct ms_endpoint_state *e, ms_time now)
 {
   return ms_place_in_service (place, e) && now >= e->down_until
          && now >= e->paused_until && (!e->failures || !e->probing);
@@ -51,7 +69,8 @@
 ms_place_may_send (struct ms_place *place, const struct ms_endpoint_state *e,
                    ms_time now)
 {
-  return is_available (place, e, now) && ms_cold_allows (place, e, now);
+  return ms_place_is_available (place, e, now)
+         && ms_cold_allows (place, e, now);
 }
 
 bool
@@ -66,9 +85,9 @@
   return true;
 }
 
-/* Return whether E is one of those among which OFFER may choose.  */
-static bool
-is_candidate (const struct ms_offer *offer, const struct ms_endpoint_state *e)
+bool
+ms_place_is_candidate (const struct ms_offer *offer,
+                       const struct ms_endpoint_state *e)
 {
   if (e->entry.service != offer->service)
     return false;
@@ -88,17 +107,6 @@
   return false;
 }
 
-/* The homes of a prompt: the two available endpoints of the service that rank
-   highest for its last shared part by rendezvous hashing.  All routers compute
-   the same ones without talking to each other, so that the shared parts stay
-   in the caches of few endpoints.  */
-struct homes
-{
-  bool in_zone; /* Chosen among the endpoints of the router's zone only.  */
-  const struct ms_endpoint_state *first;
-  const struct ms_endpoint_state *second;
-};
-
 /* Return what the bytes of the request cost between availability zones, in
    prompt tokens.  */
 static uint32_t
@@ -118,44 +126,6 @@
   return shared;
 }
 
-static struct homes
-find_homes (const struct ms_place *place, const struct ms_offer *offer,
-            ms_time now)
-{
-  struct homes homes = { false, NULL, NULL };
-  uint64_t first_rank = 0;
-  uint64_t second_rank = 0;
-
-  if (offer->parts_count < 2)
-    return homes;
-  homes.in_zone = crossing_tokens (place, offer)
-                  > ZONE_MISS_FRACTION * shared_tokens (offer);
-  for (unsigned i = 0; i < place->count; i++)
-    {
-      const struct ms_endpoint_state *e = place->endpoints[i];
-      uint64_t rank
-          = ms_id_pair (e->id, offer->parts[offer->parts_count - 2].id);
-
-      if (!is_candidate (offer, e) || rank <= second_rank
-          || (homes.in_zone && e->entry.zone != place->options.zone)
-          || !is_available (place, e, now))
-        continue;
-      if (rank > first_rank)
-        {
-          homes.second = homes.first;
-          second_rank = first_rank;
-          homes.first = e;
-          first_rank = rank;
-        }
-      else
-        {
-          homes.second = e;
-          second_rank = rank;
-        }
-    }
-  return homes;
-}
-
 /* Return the number of tokens of shared parts that E would have to prefill
    because they are probably not in its cache.  */
 static uint32_t
@@ -242,16 +212,19 @@
 static void
 predict (const struct ms_place *place, const struct ms_endpoint_state *e,
          const struct ms_service_entry *service, const struct ms_offer *offer,
-         const struct homes *homes, ms_time now, struct ms_fit *f)
+         const struct ms_homes *homes, ms_time now, struct ms_fit *f)
 {
   bool fresh = offer->fresh && e->entry.version == offer->fresh;
+  const struct ms_home *home;
+  unsigned number;
   uint32_t missing = 0;
   double usual;
 
-  f->home = e == homes->first ? 1 : e == homes->second ? 2 : 0;
-  if (!f->home || fresh)
+  home = ms_homes_get (homes, e, &number);
+  f->home = number <= homes->count ? number : 0;
+  if (!home || fresh || home->missing > 0)
     missing = missing_shared_tokens (place, e, offer, now);
-  f->duplicate = f->home ? 0 : missing;
+  f->duplicate = home ? (uint32_t)(missing * home->missing) : missing;
   f->uncached = unshared_tokens (offer) + f->duplicate;
   f->crossing = e->entry.zone == place->options.zone
                     ? 0
@@ -259,8 +232,9 @@
   f->rank = 0;
   usual = usual_time (place, e, service, f->uncached);
   f->expected = (ms_time)(usual * e->slowness);
-  if (f->home && missing)
-    usual = usual_time (place, e, service, f->uncached + missing);
+  if (home && missing)
+    usual
+        = usual_time (place, e, service, f->uncached - f->duplicate + missing);
   f->usual = (ms_time)usual;
 }
 
@@ -285,10 +259,74 @@
    plain one has a slot or a place in its queue for it, and a late response is
    worth more than none.  */
 static bool
-is_too_late (const struct ms_service_entry *service,
+is_too_late (const struct ms_place *place,
+             const struct ms_service_entry *service,
              const struct ms_offer *offer, const struct ms_fit *f)
 {
-  return service->model && f->expected > offer->target_left;
+  double left = (double)offer->target_left;
+  double margin = 0;
+
+  if (place->options.homes && place->options.homes->steady && !f->home)
+    margin = fmin (DUPLICATE_MARGIN * (double)f->duplicate,
+                   MAX_MARGIN_FRACTION * left);
+  return service->model && (double)f->expected > left - margin;
+}
+
+/* Return whether E would take the request and is expected to begin it in
+   time.  */
+static bool
+takes (struct ms_place *place, struct ms_endpoint_state *e,
+       const struct ms_service_entry *service, const struct ms_offer *offer,
+       const struct ms_fit *f, ms_time now)
+{
+  return has_free_capacity (place, e, service, offer)
+         && ms_rate_allows (place, e, now)
+         && !is_too_late (place, service, offer, f);
+}
+
+/* Return whether E may prefill what F says of shared parts.  */
+static bool
+may_duplicate (const struct ms_endpoint_state *e,
+               const struct ms_service_entry *service, const struct ms_fit *f)
+{
+  return f->home || f->duplicate <= SMALL_DUPLICATE_TOKENS
+         || is_lightly_loaded (e, service);
+}
+
+/* Return whether E is one of the first COUNT of HOMES and their reserves.  */
+static bool
+is_among (const struct ms_homes *homes, unsigned count,
+          const struct ms_endpoint_state *e)
+{
+  unsigned number;
+
+  return ms_homes_get (homes, e, &number) && number <= count;
+}
+
+/* Return the number of the first of HOMES or their reserves that would take
+   the request and begin it early enough; 0 if there is none.  */
+static unsigned
+first_ready (struct ms_place *place, const struct ms_service_entry *service,
+             const struct ms_offer *offer, const struct ms_homes *homes,
+             ms_time now)
+{
+  if (!place->options.homes || !place->options.homes->steady || offer->alone)
+    return 0;
+  for (unsigned i = 0; i < homes->count + homes->reserves; i++)
+    {
+      struct ms_endpoint_state *e = homes->list[i].endpoint;
+      struct ms_fit f;
+
+      if (was_tried (offer, e) || !ms_place_may_send (place, e, now)
+          || e->error_rate >= MAX_HOME_ERROR_RATE)
+        continue;
+      predict (place, e, service, offer, homes, now, &f);
+      if ((double)f.expected <= HOME_WAIT_FRACTION * (double)offer->target_left
+          && takes (place, e, service, offer, &f, now)
+          && may_duplicate (e, service, &f))
+        return i + 1;
+    }
+  return 0;
 }
 
 void
@@ -298,7 +336,8 @@
   const struct ms_service_entry *service
       = place->routes ? ms_routes_service (place->routes, offer->service)
                       : NULL;
-  const struct homes homes = find_homes (place, offer, now);
+  struct ms_homes homes;
+  unsigned ready;
   struct ms_crossings *crossings = ms_crossings_find (place, offer->service);
   double best_score = 0;
   ms_time earliest = MS_NEVER;
@@ -306,13 +345,18 @@
 
   memset (choice, 0, sizeof *choice);
   choice->result = MS_PLACE_NONE;
+  ms_homes_find (place, offer,
+                 crossing_tokens (place, offer)
+                     > ZONE_MISS_FRACTION * shared_tokens (offer),
+                 now, &homes);
+  ready = service ? first_ready (place, service, offer, &homes, now) : 0;
   for (unsigned i = 0; service && i < place->count; i++)
     {
       struct ms_endpoint_state *e = place->endpoints[i];
       struct ms_fit f;
       double score;
 
-      if (!is_candidate (offer, e))
+      if (!ms_place_is_candidate (offer, e))
         continue;
       if (now < e->paused_until && ms_place_in_service (place, e)
           && e->paused_until < resume_at)
@@ -323,11 +367,10 @@
       predict (place, e, service, offer, &homes, now, &f);
       if (f.expected < earliest)
         earliest = f.expected;
-      if (!has_free_capacity (place, e, service, offer)
-          || !ms_rate_allows (place, e, now)
-          || is_too_late (service, offer, &f)
-          || (f.duplicate > SMALL_DUPLICATE_TOKENS
-              && !is_lightly_loaded (e, service)))
+      if (!takes (place, e, service, offer, &f, now)
+          || !may_duplicate (e, service, &f)
+          || (ready && f.duplicate > FREE_DUPLICATE_TOKENS
+              && !is_among (&homes, ready, e)))
         continue;
       score = ms_crossings_rank (place, crossings, offer, e, &f);
       score += offer->alone ? (double)e->own.running + e->others.running
@@ -360,8 +403,9 @@
       = place->routes ? ms_routes_service (place->routes, e->entry.service)
                       : NULL;
 
-  return service && service->model && is_available (place, e, now) ? service
-                                                                   : NULL;
+  return service && service->model && ms_place_is_available (place, e, now)
+             ? service
+             : NULL;
 }
 
 /* Return the requests that may run at the model endpoint E at once: where it
@@ -391,7 +435,7 @@
 {
   struct ms_endpoint_state unloaded = *e;
 
-  if (!is_available (place, e, now) || now < e->cold_until
+  if (!ms_place_is_available (place, e, now) || now < e->cold_until
       || now < place->all_cold_until)
     return false;
   unloaded.own = (struct ms_load){ 0 };
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -130,8 +130,85 @@
                              uint32_t uncached, ms_time now,
                              struct ms_endpoint_room *room);
 
+/* Homes of shared prompt parts: see homes.c.  */
+#define MS_MAX_HOMES 4
+#define MS_MAX_RESERVES 2
+#define MS_MAX_DEPARTED 16
+
+struct ms_homes_state;
+
+struct ms_home
+{
+  struct ms_endpoint_state *endpoint;
+  double missing; /* Probability that it has not read the part yet.  */
+};
+
+/* The homes of a prompt, and after them the reserves, which take what the
+   homes cannot begin in time; all in order of preference.  */
+struct ms_homes
+{
+  bool in_zone;   /* Chosen among the endpoints of the router's zone only.  */
+  unsigned count; /* Homes.  */
+  unsigned reserves; /* After them.  */
+  struct ms_home list[MS_MAX_HOMES + MS_MAX_RESERVES];
+  const struct ms_endpoint_state *out; /* A home that gets no requests for a
+                                          short while; NULL if there is none.
+                                          */
+};
+
+struct ms_homes_policy
+{
+  const char *name;
+  bool steady; /* Homes stay while they are out of service for a short while,
+                  and are not assumed to hold what they have not read.  */
+  void (*find) (struct ms_place *place, const struct ms_offer *offer,
+                bool in_zone, ms_time now, struct ms_homes *homes);
+};
+
+/* Fill HOMES with those of OFFER, with IN_ZONE those in the router's zone.  */
+void ms_homes_find (struct ms_place *place, const struct ms_offer *offer,
+                    bool in_zone, ms_time now, struct ms_homes *homes);
+
+/* Return E as a home or reserve of HOMES, NUMBER being its place among them
+   from 1 on; NULL and 0 if it is neither.  */
+const struct ms_home *ms_homes_get (const struct ms_homes *homes,
+                                    const struct ms_endpoint_state *e,
+                                    unsigned *number);
+
+/* OFFER is going to be sent.  */
+void ms_homes_sent (struct ms_place *place, const struct ms_offer *offer,
+                    ms_time now);
+
+/* E has left the list, or has another start time.  */
+void ms_homes_removed (struct ms_place *place, struct ms_endpoint_state *e);
+void ms_homes_restarted (struct ms_place *place, struct ms_endpoint_state *e);
+
+void ms_homes_destroy (struct ms_place *place);
+
+/* Return the weight of an endpoint of the speed FACTOR, 1 being usual, and
+   update STEP, the rounded logarithm of that weight.  */
+double ms_homes_weight (double factor, int *step);
+
+/* Return the rank of ENDPOINT for PART by weighted rendezvous hashing; the
+   highest ones are the homes.  */
+double ms_homes_score (uint64_t endpoint, uint64_t part, double weight);
+
+/* Return the speed of E, 1 being usual.  */
+double ms_engine_speed_factor (const struct ms_place *place,
+                               const struct ms_endpoint_state *e);
+
+/* Return whether E is one of those among which OFFER may choose.  */
+bool ms_place_is_candidate (const struct ms_offer *offer,
+                            const struct ms_endpoint_state *e);
+
+/* Return whether E may get requests, not counting its cold limit.  While it is
+   being probed after a failure, it gets no second request.  */
+bool ms_place_is_available (const struct ms_place *place,
+                            const struct ms_endpoint_state *e, ms_time now);
+
 struct ms_place
 {
+  struct ms_homes_state *homes;
   struct ms_crossings *crossings;
   ms_time crossings_updated_at;
   struct ms_crossing_count crossing_counts[MS_CROSSING_ZONES];
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -196,6 +196,7 @@
   ms_cold_record (e, now);
   ms_rate_sent (e, now);
   ms_crossings_sent (place, offer, choice);
+  ms_homes_sent (place, offer, now);
   e->probing = e->failures > 0;
   for (unsigned i = 0; i + 1 < offer->parts_count; i++)
     ms_prefix_record (place->prefix, e->id, offer->parts[i].id, now);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -72,6 +72,7 @@
   ms_pauses_destroy (place);
   ms_rate_destroy (place);
   ms_crossings_destroy (place);
+  ms_homes_destroy (place);
   free (place);
 }
 
@@ -144,7 +145,11 @@
   if (!e)
     e = add_endpoint (place, id);
   if (e->entry.born != entry->born)
-    reset_history (e);
+    {
+      if (e->started_at)
+        ms_homes_restarted (place, e);
+      reset_history (e);
+    }
   if (!e->started_at || e->entry.born != entry->born)
     e->started_at = now;
   /* An entry that an older copy of the store has.  */
@@ -186,6 +191,7 @@
   if (!e)
     return;
   e->listed = false;
+  ms_homes_removed (place, e);
   free_unused (place);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -65,6 +65,18 @@
   ms_time whole_at;      /* Since when PERMITS may have been 1 or more.  */
 };
 
+/* Whether an endpoint can be a home of prompt parts.  See homes.c.  */
+struct ms_home_member
+{
+  bool seen;
+  bool restarted; /* Since then it has been no home.  */
+  bool member;
+  int speed_step;
+  double weight;
+  ms_time since;     /* When it became one; 0 if before this router started. */
+  ms_time out_since; /* Since when it gets no requests; 0 if it gets them.  */
+};
+
 struct ms_endpoint_state
 {
   uint64_t id; /* ms_id of the name in the entry.  */
@@ -87,6 +99,7 @@
   ms_time down_until;    /* No request is sent until then.  */
   ms_time paused_until;  /* The same, as the endpoint asked for it.  */
   struct ms_rate rate;
+  struct ms_home_member home;
   bool probing;    /* One request is testing whether it is reachable again.  */
   double slowness; /* Exponential mean, at least 1, of the ratio of measured to
                       predicted time to the first token or response, where the
@@ -201,6 +214,15 @@
                          its service were seen; default 50.  */
 };
 
+/* Which endpoints are the homes of a prompt.  */
+struct ms_homes_policy;
+
+/* Return the policy called NAME; NULL if it is unknown.  "available": the two
+   available endpoints that rank highest for the last shared part.  "steady":
+   as many as the part needs, which stay its homes while they are out of
+   service for a short while.  */
+const struct ms_homes_policy *ms_homes_policy (const char *name);
+
 /* In any second a cold endpoint gets at most cold_rate * cold_burst_factor +
    cold_slack requests from all routers together, where cold_rate is that of
    its service.  */
@@ -213,6 +235,7 @@
   struct ms_place_speed speed;
   double zone_byte_tokens; /* Prompt tokens that may be prefilled to keep a
                               byte within its availability zone.  */
+  const struct ms_homes_policy *homes; /* Borrowed; NULL for "available".  */
   const struct ms_crossing_policy *crossing; /* Borrowed; NULL for "static". */
   /* Called with CROSSING_CONTEXT, which may be NULL, when requests for a
      service start or stop being sent to ZONE; NULL if that is not of
