--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -42,6 +42,13 @@
 #define DUPLICATE_MARGIN (500)
 #define MAX_MARGIN_FRACTION 0.5
 
+/* With steady homes, a request waits for a home that gets no requests for a
+   short while, rather than that another endpoint prefills more than
+   SMALL_DUPLICATE_TOKENS of shared parts, for at most this fraction of the
+   time left and this time: half of what requests may wait at a router.  */
+#define OUT_WAIT_FRACTION 0.1
+#define MAX_OUT_WAIT (75 * MS_MSEC)
+
 /* A home with a higher rate of errors is not waited for.  */
 #define MAX_HOME_ERROR_RATE 0.3
 
@@ -284,23 +291,17 @@
          && !is_too_late (place, service, offer, f);
 }
 
-/* Return whether E may prefill what F says of shared parts.  */
+/* Return whether E may prefill what F says of shared parts.  Of a reserve,
+   is_too_late asks for so much time left that it is not busy.  */
 static bool
 may_duplicate (const struct ms_endpoint_state *e,
-               const struct ms_service_entry *service, const struct ms_fit *f)
-{
-  return f->home || f->duplicate <= SMALL_DUPLICATE_TOKENS
-         || is_lightly_loaded (e, service);
-}
-
-/* Return whether E is one of the first COUNT of HOMES and their reserves.  */
-static bool
-is_among (const struct ms_homes *homes, unsigned count,
-          const struct ms_endpoint_state *e)
+               const struct ms_service_entry *service,
+               const struct ms_homes *homes, const struct ms_fit *f)
 {
   unsigned number;
 
-  return ms_homes_get (homes, e, &number) && number <= count;
+  return f->duplicate <= SMALL_DUPLICATE_TOKENS
+         || ms_homes_get (homes, e, &number) || is_lightly_loaded (e, service);
 }
 
 /* Return the number of the first of HOMES or their reserves that would take
@@ -323,12 +324,48 @@
       predict (place, e, service, offer, homes, now, &f);
       if ((double)f.expected <= HOME_WAIT_FRACTION * (double)offer->target_left
           && takes (place, e, service, offer, &f, now)
-          && may_duplicate (e, service, &f))
+          && may_duplicate (e, service, homes, &f))
         return i + 1;
     }
   return 0;
 }
 
+/* Return whether the request waits for the home that is out of service for a
+   short while.  */
+static bool
+waits_for_home (const struct ms_place *place,
+                const struct ms_service_entry *service,
+                const struct ms_offer *offer, const struct ms_homes *homes,
+                ms_time now)
+{
+  const struct ms_endpoint_state *e = homes->out;
+  ms_time until;
+  ms_time wait;
+
+  if (!e || homes->count == 0 || offer->alone || was_tried (offer, e))
+    return false;
+  until = e->down_until > e->paused_until ? e->down_until : e->paused_until;
+  wait = until - now;
+  return wait > 0 && wait <= MAX_OUT_WAIT
+         && (double)wait <= OUT_WAIT_FRACTION * (double)offer->target_left
+         && (double)wait
+                    + usual_time (place, e, service, unshared_tokens (offer))
+                          * e->slowness
+                <= HOME_WAIT_FRACTION * (double)offer->target_left;
+}
+
+/* Return whether E is passed over since number READY of HOMES can begin the
+   request early enough.  */
+static bool
+passes_over (const struct ms_homes *homes, unsigned ready,
+             const struct ms_endpoint_state *e, const struct ms_fit *f)
+{
+  unsigned number;
+
+  ms_homes_get (homes, e, &number);
+  return f->duplicate > FREE_DUPLICATE_TOKENS && (!number || number > ready);
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -338,6 +375,7 @@
                       : NULL;
   struct ms_homes homes;
   unsigned ready;
+  bool waits;
   struct ms_crossings *crossings = ms_crossings_find (place, offer->service);
   double best_score = 0;
   ms_time earliest = MS_NEVER;
@@ -350,6 +388,7 @@
                      > ZONE_MISS_FRACTION * shared_tokens (offer),
                  now, &homes);
   ready = service ? first_ready (place, service, offer, &homes, now) : 0;
+  waits = service && waits_for_home (place, service, offer, &homes, now);
   for (unsigned i = 0; service && i < place->count; i++)
     {
       struct ms_endpoint_state *e = place->endpoints[i];
@@ -368,9 +407,9 @@
       if (f.expected < earliest)
         earliest = f.expected;
       if (!takes (place, e, service, offer, &f, now)
-          || !may_duplicate (e, service, &f)
-          || (ready && f.duplicate > FREE_DUPLICATE_TOKENS
-              && !is_among (&homes, ready, e)))
+          || !may_duplicate (e, service, &homes, &f)
+          || (waits && f.duplicate > SMALL_DUPLICATE_TOKENS)
+          || (ready && passes_over (&homes, ready, e, &f)))
         continue;
       score = ms_crossings_rank (place, crossings, offer, e, &f);
       score += offer->alone ? (double)e->own.running + e->others.running
