--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -40,6 +40,7 @@
    left: what remains of its time is for requests that have their home there.
  */
 #define DUPLICATE_MARGIN (500)
+#define MIN_MARGIN_FRACTION 0.2
 #define MAX_MARGIN_FRACTION 0.5
 
 /* With steady homes, a request waits for a home that gets no requests for a
@@ -146,7 +147,8 @@
     {
       /* A cached part is of use only if all parts before it are cached.  */
       if (missing
-          || !ms_prefix_cached (place->prefix, e->id, offer->parts[i].id, now))
+          || !ms_prefix_cached (place->prefix, e->id, offer->parts[i].id,
+                                e->started_at, now))
         missing += offer->parts[i].tokens;
     }
   return missing;
@@ -274,7 +276,8 @@
   double margin = 0;
 
   if (place->options.homes && place->options.homes->steady && !f->home)
-    margin = fmin (DUPLICATE_MARGIN * (double)f->duplicate,
+    margin = fmin (DUPLICATE_MARGIN * (double)f->duplicate
+                       + MIN_MARGIN_FRACTION * left,
                    MAX_MARGIN_FRACTION * left);
   return service->model && (double)f->expected > left - margin;
 }
--- a/src/place/homes.c
+++ b/src/place/homes.c
@@ -10,9 +10,10 @@
 /* Homes of shared prompt parts: see docs/design/homes.md.  */
 
 /* An endpoint that gets no requests for this long, by its failures or by the
-   pause that it asked for, loses its homes.  Shorter times than a restart
-   takes would move them twice for nothing.  */
-#define MAX_ABSENCE (3 * MS_SEC)
+   pause that it asked for, loses its homes.  A failure of two seconds may be
+   followed by a back-off of two seconds, and the probe takes as long as an
+   answer.  */
+#define MAX_ABSENCE (6 * MS_SEC)
 
 /* Departed endpoints are remembered for this long, several times FILL_TIME.
  */
@@ -131,6 +132,7 @@
   struct ms_homes_state *s = place->homes;
 
   e->home.member = false;
+  e->home.restarted = true;
   s->departed[s->departed_next++ % MS_MAX_DEPARTED]
       = (struct departed){ .id = e->id,
                            .service = e->entry.service,
@@ -168,10 +170,12 @@
                ms_time now)
 {
   struct ms_home_member *h = &e->home;
+  double factor = ms_engine_speed_factor (place, e);
   bool lost = !ms_place_in_service (place, e);
 
-  h->weight
-      = ms_homes_weight (ms_engine_speed_factor (place, e), &h->speed_step);
+  if (factor != h->factor)
+    h->weight = ms_homes_weight (factor, &h->speed_step);
+  h->factor = factor;
   if (!is_out (e, now))
     h->out_since = 0;
   else if (!h->out_since)
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -17,9 +17,10 @@
 struct ms_prefix_table *ms_prefix_create (void);
 void ms_prefix_destroy (struct ms_prefix_table *table);
 
-/* Return whether PART was sent to ENDPOINT within the last 20 s.  */
+/* Return whether PART was sent to ENDPOINT, which started at STARTED_AT, within
+   the last 20 s and since then.  */
 bool ms_prefix_cached (struct ms_prefix_table *table, uint64_t endpoint,
-                       uint64_t part, ms_time now);
+                       uint64_t part, ms_time started_at, ms_time now);
 
 /* Record that PART is sent to ENDPOINT.  */
 void ms_prefix_record (struct ms_prefix_table *table, uint64_t endpoint,
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -69,9 +69,10 @@
 struct ms_home_member
 {
   bool seen;
-  bool restarted; /* Since then it has been no home.  */
+  bool restarted; /* Or was lost: since then it has been no home.  */
   bool member;
-  int speed_step;
+  double factor;  /* Speed, 1 being usual, from which WEIGHT was computed.  */
+  int speed_step; /* Rounded logarithm of WEIGHT.  */
   double weight;
   ms_time since;     /* When it became one; 0 if before this router started. */
   ms_time out_since; /* Since when it gets no requests; 0 if it gets them.  */
--- a/src/place/prefix.c
+++ b/src/place/prefix.c
@@ -54,13 +54,13 @@
 
 bool
 ms_prefix_cached (struct ms_prefix_table *table, uint64_t endpoint,
-                  uint64_t part, ms_time now)
+                  uint64_t part, ms_time started_at, ms_time now)
 {
   uint64_t key = ms_id_pair (endpoint, part);
   struct entry *entry;
 
   HASH_FIND (hh, table->entries, &key, sizeof key, entry);
-  return entry && now - entry->sent_at <= CACHE_LIFETIME;
+  return entry && entry->sent_at >= started_at && now - entry->sent_at <= CACHE_LIFETIME;
 }
 
 void
