--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -47,6 +47,7 @@
         TEXT_FIELD (metrics_address, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (placement, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (crossing, CYAML_FLAG_OPTIONAL),
+        TEXT_FIELD (homes, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
         COUNT_FIELD (peer_port),
         COUNT_FIELD (memory_mb),
@@ -185,6 +186,10 @@
     return ms_fail (MS_INVALID,
                     "%s: line %u: crossing: \"%s\" is not a crossing policy",
                     path, ms_yaml_key_line (text, "crossing"), s->crossing);
+  if (status == MS_OK && s->homes && !ms_homes_policy (s->homes))
+    return ms_fail (MS_INVALID,
+                    "%s: line %u: homes: \"%s\" is not a policy of homes",
+                    path, ms_yaml_key_line (text, "homes"), s->homes);
   return status;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -32,6 +32,8 @@
   char *placement;  /* Placement policy; NULL: "prefix".  */
   char *crossing;   /* Crossing policy, see place/crossing.h; NULL:
                        "balanced".  */
+  char *homes;      /* Homes of prompt parts, see place/place.h; NULL:
+                       "steady".  */
   char *log_level;  /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -35,11 +35,12 @@
 #define FREE_DUPLICATE_TOKENS 32
 
 /* With steady homes, an endpoint that is none must be expected to begin the
-   request earlier than the target by DUPLICATE_MARGIN for each token of shared
-   parts that it would prefill, at most by MAX_MARGIN_FRACTION of the time
-   left: what remains of its time is for requests that have their home there.
- */
-#define DUPLICATE_MARGIN (500)
+   request earlier than the target, by MIN_MARGIN_FRACTION of the time left and
+   by DUPLICATE_MARGIN for each token of shared parts that it would prefill, at
+   most by MAX_MARGIN_FRACTION of the time left.  What remains of its time is
+   for requests that have their home there and can begin nowhere else, and
+   under overload parts are read again only where there is room.  */
+#define DUPLICATE_MARGIN 500 /* Microseconds.  */
 #define MIN_MARGIN_FRACTION 0.2
 #define MAX_MARGIN_FRACTION 0.5
 
@@ -275,7 +276,8 @@
   double left = (double)offer->target_left;
   double margin = 0;
 
-  if (place->options.homes && place->options.homes->steady && !f->home)
+  if (place->options.homes && place->options.homes->steady && !f->home
+      && place->homes)
     margin = fmin (DUPLICATE_MARGIN * (double)f->duplicate
                        + MIN_MARGIN_FRACTION * left,
                    MAX_MARGIN_FRACTION * left);
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -17,8 +17,8 @@
 struct ms_prefix_table *ms_prefix_create (void);
 void ms_prefix_destroy (struct ms_prefix_table *table);
 
-/* Return whether PART was sent to ENDPOINT, which started at STARTED_AT, within
-   the last 20 s and since then.  */
+/* Return whether PART was sent to ENDPOINT, which started at STARTED_AT,
+   within the last 20 s and since then.  */
 bool ms_prefix_cached (struct ms_prefix_table *table, uint64_t endpoint,
                        uint64_t part, ms_time started_at, ms_time now);
 
--- a/src/place/prefix.c
+++ b/src/place/prefix.c
@@ -60,7 +60,8 @@
   struct entry *entry;
 
   HASH_FIND (hh, table->entries, &key, sizeof key, entry);
-  return entry && entry->sent_at >= started_at && now - entry->sent_at <= CACHE_LIFETIME;
+  return entry && entry->sent_at >= started_at
+         && now - entry->sent_at <= CACHE_LIFETIME;
 }
 
 void
--- a/tests/test_homes.c
+++ b/tests/test_homes.c
@@ -74,6 +74,7 @@
   LARGE,
   MEDIUM,
   SMALL,
+  UNSHARED, /* Without shared parts.  */
   KINDS
 };
 
@@ -140,9 +141,9 @@
 };
 
 static const unsigned kind_parts[KINDS]
-    = { LARGE_PARTS, MEDIUM_PARTS, SMALL_PARTS };
+    = { LARGE_PARTS, MEDIUM_PARTS, SMALL_PARTS, 1 };
 static const unsigned kind_offset[KINDS]
-    = { 0, LARGE_PARTS, LARGE_PARTS + MEDIUM_PARTS };
+    = { 0, LARGE_PARTS, LARGE_PARTS + MEDIUM_PARTS, 0 };
 
 static uint32_t
 part_tokens (unsigned part)
@@ -314,8 +315,12 @@
 
   if (is_failed (w, q->engine) || e->running >= SLOTS)
     return false;
-  read = read_part (w, q->engine, q->first, true);
-  read += read_part (w, q->engine, q->part, !read);
+  read = 0;
+  if (q->kind != UNSHARED)
+    {
+      read = read_part (w, q->engine, q->first, true);
+      read += read_part (w, q->engine, q->part, !read);
+    }
   tokens = read + q->own;
   if (w->now >= MEASURE_FROM)
     w->read += tokens;
@@ -369,6 +374,12 @@
               .tried_count = q->tried_count };
       struct ms_choice choice;
 
+      if (q->kind == UNSHARED)
+        {
+          offer.prompt_tokens = q->own;
+          offer.parts_count = 1;
+          offer.parts = &parts[2];
+        }
       ms_place_choose (p, &offer, w->now, &choice);
       if (choice.result != MS_PLACED)
         return false;
@@ -451,7 +462,8 @@
 arrive (struct world *w)
 {
   double others = ENGINES * TOKENS_PER_MS * 1000 / MEAN_OWN - LARGE_RATE;
-  const double rates[KINDS] = { LARGE_RATE, others / 2, others / 2 };
+  const double rates[KINDS]
+      = { LARGE_RATE, others * 0.45, others * 0.45, others * 0.1 };
 
   for (unsigned k = 0; k < KINDS; k++)
     for (w->owed[k] += w->load * rates[k] * TICK / MS_SEC; w->owed[k] >= 1;
@@ -582,10 +594,11 @@
   result.refused_with_room = w->refused_with_room;
   print_message (
       "%2u routers, load %.1f, %-9s: read again %.4f, missed %.4f, "
-      "in time %.4f (%.3f %.3f %.3f), refused %.4f (%u with room)\n",
+      "in time %.4f (%.3f %.3f %.3f %.3f), refused %.4f (%u with room)\n",
       routers, load, homes, result.read_again, result.missed,
       result.in_time[KINDS], result.in_time[LARGE], result.in_time[MEDIUM],
-      result.in_time[SMALL], result.refused, result.refused_with_room);
+      result.in_time[SMALL], result.in_time[UNSHARED], result.refused,
+      result.refused_with_room);
   destroy_world (w);
   return result;
 }
