--- a/src/place/place.c
+++ b/src/place/place.c
@@ -146,7 +146,7 @@
     e = add_endpoint (place, id);
   if (e->entry.born != entry->born)
     {
-      if (e->started_at)
+      if (e->home.seen)
         ms_homes_restarted (place, e);
       reset_history (e);
     }
