--- a/src/place/place.h
+++ b/src/place/place.h
@@ -151,25 +151,25 @@
   MS_PLACED,
   MS_PLACE_FULL, /* Endpoints are usable, but each lacks free capacity, would
                     begin to answer too late, or is too busy to prefill shared
-                    parts that it does not have in cache.  */
+                    parts that it does not have in cache.  The same while a
+                    home of the prompt is out of service for a moment.  */
   MS_PLACE_NONE  /* No endpoint is usable.  */
 };
 
 /* Predicted prefill work and response time of a request at one endpoint.  The
-   homes of a prompt with shared parts are the two endpoints that all routers
-   prefer for it; routers assume that its homes have these parts in cache.
-   Prompts with the same last shared part have the same homes, and all routers
-   know them; but a prompt whose shared parts are worth less than the bytes
-   between zones has its homes in the zone of the router.  */
+   homes of a prompt with shared parts are the endpoints that all routers
+   prefer for it, by the policy of homes.  Prompts with the same last shared
+   part have the same homes, and all routers know them; but a prompt whose
+   shared parts are worth less than the bytes between zones has its homes in
+   the zone of the router.  */
 struct ms_fit
 {
   uint32_t uncached;  /* Prompt tokens that it must prefill.  */
-  uint32_t duplicate; /* Those of them in shared parts; the homes of the prompt
-                         probably have these in cache.  */
+  uint32_t duplicate; /* Those of them in shared parts, as expected.  */
   uint32_t crossing; /* What the bytes between availability zones are worth, in
                         prompt tokens; 0 in the router's own zone.  */
   unsigned home;     /* 1 if it is the first home of the prompt, 2 if the
-                        second, 0 if neither.  */
+                        second, and so on; 0 if it is none.  */
   ms_time expected;  /* Time from the send to the first token, or to the
                         response of an endpoint that runs no model.  */
   unsigned rank;     /* Endpoints of a lower rank are preferred: 0 if nothing
