--- a/src/place/place.h
+++ b/src/place/place.h
@@ -65,6 +65,19 @@
   ms_time whole_at;      /* Since when PERMITS may have been 1 or more.  */
 };
 
+/* Whether an endpoint can be a home of prompt parts.  See homes.c.  */
+struct ms_home_member
+{
+  bool seen;
+  bool restarted; /* Or was lost: since then it has been no home.  */
+  bool member;
+  double factor;  /* Speed, 1 being usual, from which WEIGHT was computed.  */
+  int speed_step; /* Rounded logarithm of WEIGHT.  */
+  double weight;
+  ms_time since;     /* When it became one; 0 if before this router started. */
+  ms_time out_since; /* Since when it gets no requests; 0 if it gets them.  */
+};
+
 struct ms_endpoint_state
 {
   uint64_t id; /* ms_id of the name in the entry.  */
@@ -88,6 +101,7 @@
   ms_time down_until;    /* No request is sent until then.  */
   ms_time paused_until;  /* The same, as the endpoint asked for it.  */
   struct ms_rate rate;
+  struct ms_home_member home;
   bool probing;    /* One request is testing whether it is reachable again.  */
   double slowness; /* Exponential mean, at least 1, of the ratio of measured to
                       predicted time to the first token or response, where the
@@ -138,25 +152,25 @@
   MS_PLACED,
   MS_PLACE_FULL, /* Endpoints are usable, but each lacks free capacity, would
                     begin to answer too late, or is too busy to prefill shared
-                    parts that it does not have in cache.  */
+                    parts that it does not have in cache.  The same while a
+                    home of the prompt is out of service for a moment.  */
   MS_PLACE_NONE  /* No endpoint is usable.  */
 };
 
 /* Predicted prefill work and response time of a request at one endpoint.  The
-   homes of a prompt with shared parts are the two endpoints that all routers
-   prefer for it; routers assume that its homes have these parts in cache.
-   Prompts with the same last shared part have the same homes, and all routers
-   know them; but a prompt whose shared parts are worth less than the bytes
-   between zones has its homes in the zone of the router.  */
+   homes of a prompt with shared parts are the endpoints that all routers
+   prefer for it, by the policy of homes.  Prompts with the same last shared
+   part have the same homes, and all routers know them; but a prompt whose
+   shared parts are worth less than the bytes between zones has its homes in
+   the zone of the router.  */
 struct ms_fit
 {
   uint32_t uncached;  /* Prompt tokens that it must prefill.  */
-  uint32_t duplicate; /* Those of them in shared parts; the homes of the prompt
-                         probably have these in cache.  */
+  uint32_t duplicate; /* Those of them in shared parts, as expected.  */
   uint32_t crossing; /* What the bytes between availability zones are worth, in
                         prompt tokens; 0 in the router's own zone.  */
   unsigned home;     /* 1 if it is the first home of the prompt, 2 if the
-                        second, 0 if neither.  */
+                        second, and so on; 0 if it is none.  */
   ms_time expected;  /* Time from the send to the first token, or to the
                         response of an endpoint that runs no model.  */
   unsigned rank;     /* Endpoints of a lower rank are preferred: 0 if nothing
@@ -202,6 +216,15 @@
                          its service were seen; default 50.  */
 };
 
+/* Which endpoints are the homes of a prompt.  */
+struct ms_homes_policy;
+
+/* Return the policy called NAME; NULL if it is unknown.  "available": the two
+   available endpoints that rank highest for the last shared part.  "steady":
+   as many as the part needs, which stay its homes while they are out of
+   service for a short while.  */
+const struct ms_homes_policy *ms_homes_policy (const char *name);
+
 /* In any second a cold endpoint gets at most cold_rate * cold_burst_factor +
    cold_slack requests from all routers together, where cold_rate is that of
    its service.  */
@@ -214,6 +237,7 @@
   struct ms_place_speed speed;
   double zone_byte_tokens; /* Prompt tokens that may be prefilled to keep a
                               byte within its availability zone.  */
+  const struct ms_homes_policy *homes; /* Borrowed; NULL for "available".  */
   const struct ms_crossing_policy *crossing; /* Borrowed; NULL for "static". */
   /* Called with CROSSING_CONTEXT, which may be NULL, when requests for a
      service start or stop being sent to ZONE; NULL if that is not of
