Tests: findings of clang-tidy

Bitwise operators on booleans, a product in a narrower type, padding, variables that the analyzer takes for unset, and a division that it takes for one by zero. No check changes.

--- a/tests/soak/gone.c
+++ b/tests/soak/gone.c
@@ -41,8 +41,8 @@
 {
   struct ms_random random;
   pthread_t thread;
-  unsigned index;
   struct leave leaves[MAX_LEAVES];
+  unsigned index;
   unsigned count;
 };
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -512,10 +512,12 @@
   callers_start (a.seed);
   gone_start (a.seed);
   start = fleet_now_ms ();
-  rollouts_start (a.seed, start + RELEASE_PHASES * a.seconds * 1000LL);
-  /* Without short-circuit evaluation: both go on.  */
-  while (advance_faults (fleet_now_ms () - start) | rollouts_step ())
+  rollouts_start (a.seed, start + 1000LL * RELEASE_PHASES * a.seconds);
+  for (bool go_on = true; go_on;)
     {
+      bool faults_go_on = advance_faults (fleet_now_ms () - start);
+
+      go_on = rollouts_step () || faults_go_on;
       breaches += fleet_count_died ();
       fleet_restart_crashed ();
       if (++steps % (HEARTBEAT_STEP_MS / STEP_MS) == 0)
--- a/tests/test_homes.c
+++ b/tests/test_homes.c
@@ -697,7 +697,7 @@
 test_homes_return_after_a_short_failure (void **state)
 {
   struct world *w = create_world (2, 1, "steady");
-  struct ms_fit fit;
+  struct ms_fit fit = { 0 };
   int home;
   int substitute;
 
@@ -755,7 +755,7 @@
 {
   struct world *w = create_world (1, 1, "steady");
   struct ms_endpoint_entry entry;
-  struct ms_fit fit;
+  struct ms_fit fit = { 0 };
   char name[8];
   int home;
   int next;
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -112,7 +112,8 @@
   int length = snprintf (size, sizeof size, "%x\r\n", CHUNK_BYTES - 2);
 
   fill_with_events (data, CHUNK_BYTES - 2);
-  memcpy (data + CHUNK_BYTES - 2, "\r\n", 2);
+  data[CHUNK_BYTES - 2] = '\r';
+  data[CHUNK_BYTES - 1] = '\n';
   for (unsigned i = 0; i < count; i++)
     {
       fixture_send (f, run, size, (size_t)length);
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -278,9 +278,8 @@
     {
       struct router *r = &w->routers[i];
 
-      *r = (struct router){ .up = true,
-                            .zone = i % w->size.zones,
-                            .group = i % w->groups_count };
+      *r = (struct router){ .up = true, .zone = i % w->size.zones };
+      r->group = w->groups_count ? i % w->groups_count : 0;
       r->digest_at
           = w->now + (ms_time)ms_random_below (&w->random, 100) * MS_MSEC;
       r->share = ms_share_create ();
