--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -40,7 +40,7 @@
                .token_ms_per_running = s->token_ms_per_running,
                .response_ms = s->response_ms },
     .zone_byte_tokens = s->zone_byte_tokens,
-    .homes = ms_homes_policy (s->homes ? s->homes : "steady"),
+    .homes = ms_homes_policy (s->homes ? s->homes : "available"),
     .crossing = ms_crossing_policy (s->crossing ? s->crossing : "balanced"),
     .crossing_changed = on_crossing_change,
     .crossing_context = gw,
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -33,7 +33,7 @@
   char *crossing;   /* Crossing policy, see place/crossing.h; NULL:
                        "balanced".  */
   char *homes;      /* Homes of prompt parts, see place/place.h; NULL:
-                       "steady".  */
+                       "available".  */
   char *log_level;  /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -118,15 +118,9 @@
 #define UNLOADED_ANSWERS 40
 #define MOVED_LONG_TIME (10 * MS_SEC)
 
-/* FINISH_TIME before the deadline, or LAST_TIME if a router has fallen silent
-   whose requests are unknown, the order is completed though requests run
-   at the others, if these are no more than arrive in FEW_RUNNING and at most
-   UNMOVED_PERCENT of the routers may send more: an order that ends late costs
-   0.02 of the day's value, which is more than these requests are worth.  */
+/* The order is not completed earlier than this before the deadline, so that
+   there is time to see whether the version stays good.  */
 #define FINISH_TIME (400 * MS_MSEC)
-#define LAST_TIME (200 * MS_MSEC)
-#define FEW_RUNNING (250 * MS_MSEC)
-#define UNMOVED_PERCENT 25
 
 /* An order that could not be completed by its deadline is late anyway.  Then
    the version shows for longer that it stays good, with all requests of the
@@ -1207,28 +1201,6 @@
   return deadline_of (o) - now >= FINISH_TIME;
 }
 
-/* Return whether no router is silent: the loads of such are unknown.  */
-static bool
-hears_all (const struct order *o)
-{
-  return o->evidence.heard >= o->evidence.routers;
-}
-
-/* Return whether completion cannot wait as the deadline is near, and few
-   requests still run at the others.  */
-static bool
-is_nearly_drained (const struct order *o, ms_time now)
-{
-  int64_t few = o->fleet_rate / (UNIT / 1000) * (FEW_RUNNING / MS_MSEC);
-  int64_t running = (int64_t)o->running_here + o->running_elsewhere;
-
-  ms_time limit = hears_all (o) ? FINISH_TIME : LAST_TIME;
-
-  return is_bounded (o, now) && deadline_of (o) - now < limit && o->closed
-         && running * 1000000 <= few
-         && o->evidence.unmoved * 100 <= o->evidence.heard * UNMOVED_PERCENT;
-}
-
 static void
 step_moving (const struct ms_rollouts *rollouts, struct order *o, ms_time now)
 {
@@ -1244,8 +1216,7 @@
   update_room (rollouts, o, now);
   update_all_moved (rollouts, o, now);
   drained = o->overdue
-            || (!is_early (o, now)
-                && (is_drained (o, now) || is_nearly_drained (o, now))
+            || (!is_early (o, now) && is_drained (o, now)
                 && is_proven (rollouts, o, now));
   if (drained == o->drained)
     return;
