--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1443,8 +1443,8 @@
           && s.phase == MS_ROLLOUT_COMPLETED)
         completed_at = now;
     }
-  assert_in_range (completed_at, deadline - 200 * MS_MSEC, deadline - 1);
   ms_rollouts_destroy (r);
+  assert_in_range (completed_at, deadline - 200 * MS_MSEC, deadline - 1);
 }
 
 /* Guards against absurd counts of one router that decide for all.  */
