Rollouts: repeated and later orders after one that has just ended

Change: the end of the order that was repeated separates the repetition, which starts when it was seen. The version of a completed order, or of one that this router takes for complete, keeps the requests that a later order does not move.

Result: two tests of test_rollout failed on the code before and pass.

--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -29,7 +29,8 @@
 relax_choice (const struct ms_request *r, struct ms_rollout_choice *choice)
 {
   const struct ms_gateway *gw = r->gw;
-  uint32_t only = choice->fallback ? 0 : choice->only;
+  uint32_t only = choice->only && !choice->fallback ? choice->only
+                                                    : choice->rest;
 
   if (choice->wait
       || (!only && !choice->except[0] && !choice->except[1]
@@ -53,8 +54,11 @@
   for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
     if (choice->except[i] && version == choice->except[i])
       return false;
-  return !choice->wait
-         && (!choice->only || version == choice->only || choice->fallback);
+  if (choice->wait)
+    return false;
+  if (choice->only && (version == choice->only || !choice->fallback))
+    return version == choice->only;
+  return !choice->rest || version == choice->rest;
 }
 
 bool
@@ -73,32 +77,36 @@
   return relax_choice (r, &choice) && allows (&choice, version);
 }
 
-/* Choose an endpoint of ONLY, or of any version if that is 0, without those
-   that OFFER excludes.  */
+/* Choose an endpoint of ONLY, or of the version REST if that is 0, or of any,
+   without those that OFFER excludes.  */
 static void
-choose_of (struct ms_request *r, struct ms_offer *offer, uint32_t only)
+choose_of (struct ms_request *r, struct ms_offer *offer, uint32_t only,
+           uint32_t rest)
 {
-  offer->version = only;
+  offer->version = only ? only : rest;
   offer->canary = only != 0;
   ms_place_choose (r->gw->place, offer, r->gw->now, &r->choice);
 }
 
-/* Choose an endpoint of the version ONLY or, if none can take the request, of
-   another that OFFER does not exclude.  With AVOID, the others come first.  */
+/* Choose an endpoint of the version that CHOICE names or, if none can take the
+   request, of another that OFFER does not exclude.  If the request has failed
+   at that version, the others come first.  */
 static void
 choose_with_fallback (struct ms_request *r, struct ms_offer *offer,
-                      uint32_t only, bool avoid)
+                      const struct ms_rollout_choice *choice)
 {
+  uint32_t only = choice->only;
+  bool avoid = r->failed_version == only;
   struct ms_choice first;
 
   /* Nothing else stands in the first place of the list then.  */
   offer->except[0] = avoid ? only : 0;
-  choose_of (r, offer, avoid ? 0 : only);
+  choose_of (r, offer, avoid ? 0 : only, choice->rest);
   if (r->choice.result == MS_PLACED)
     return;
   first = r->choice;
   offer->except[0] = avoid ? 0 : only;
-  choose_of (r, offer, avoid ? only : 0);
+  choose_of (r, offer, avoid ? only : 0, choice->rest);
   /* It may wait for capacity of either.  */
   if (r->choice.result == MS_PLACE_NONE && first.result == MS_PLACE_FULL)
     r->choice = first;
@@ -130,14 +138,13 @@
   for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED; i++)
     offer->except[i] = choice.except[i];
   if (choice.only && choice.fallback)
-    choose_with_fallback (r, offer, choice.only,
-                          r->failed_version == choice.only);
+    choose_with_fallback (r, offer, &choice);
   else
-    choose_of (r, offer, choice.only);
+    choose_of (r, offer, choice.only, choice.rest);
   if (r->choice.result != MS_PLACE_NONE || !relax_choice (r, &choice))
     return false;
   memcpy (offer->except, choice.except, sizeof offer->except);
-  choose_of (r, offer, choice.only);
+  choose_of (r, offer, choice.only, choice.rest);
   return false;
 }
 
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -186,7 +186,9 @@
 {
   uint64_t service;
   struct ms_rollout_order order;
-  uint64_t former_id; /* Of the same order, before it was written again.  */
+  uint64_t former_id; /* Of the same order, before it was written again */
+  struct ms_rollout_order repeated; /* as this, */
+  ms_time repeated_at;              /* which this router saw then.  */
   ms_time seen_at;
   ms_time started_at;
   ms_time earliest_start; /* Bound on STARTED_AT, which others may know
@@ -219,6 +221,10 @@
   bool excluded_stopped[MS_ROLLOUT_EXCLUDED - 1]; /* Not only replaced.  */
   ms_time excluded_at;
 
+  /* Version to which an earlier order has moved the service; 0 if none has.
+     The operators stop endpoints of others without notice.  */
+  uint32_t base;
+
   int64_t credit;
   int64_t budget;
   int64_t canary_rate; /* Earned credit for each request.  */
@@ -426,6 +432,14 @@
   return false;
 }
 
+/* Return whether O has moved its service to its version.  If it is drained,
+   another router may have written so already.  */
+static bool
+has_moved_service (const struct order *o)
+{
+  return o->phase == MS_ROLLOUT_COMPLETED || o->drained;
+}
+
 /* Exclude from O what the order FORMER, which it replaces, has excluded or not
    completed.  */
 static void
@@ -433,14 +447,16 @@
 {
   for (unsigned i = 0; i < MS_ROLLOUT_EXCLUDED - 1; i++)
     exclude_version (o, former->excluded[i], former->excluded_stopped[i]);
-  if (former->phase != MS_ROLLOUT_COMPLETED
-      && former->phase != MS_ROLLOUT_UNKNOWN)
+  if (!has_moved_service (former) && former->phase != MS_ROLLOUT_UNKNOWN)
     exclude_version (o, former->order.version, !is_running (former));
   o->excluded_at = former->excluded_at;
   if (o->excluded_at < former->stopped_at)
     o->excluded_at = former->stopped_at;
-  if (is_running (former))
+  if (is_running (former) && !former->drained)
     o->excluded_at = now;
+  o->base = has_moved_service (former) ? former->order.version : former->base;
+  if (o->base == o->order.version)
+    o->base = 0;
 }
 
 /* Return whether O is the order of UPDATE under another ID.  */
@@ -454,31 +470,15 @@
   return o->order.duration == update->duration && o->restored_steps;
 }
 
-void
-ms_rollouts_put_order (struct ms_rollouts *rollouts,
-                       const struct ms_rollout_order *order, bool appeared,
-                       ms_time now)
+/* Replace FORMER, NULL if there is none, by ORDER, which APPEARED at AT if this
+   router saw that.  */
+static void
+add_order (struct ms_rollouts *rollouts, struct order *former,
+           const struct ms_rollout_order *order, bool appeared, ms_time at,
+           ms_time now)
 {
-  struct order *former = find_order (rollouts, order->service);
-  struct order *o;
+  struct order *o = ms_new (sizeof *o);
 
-  if (former && has_id (former, order->id))
-    {
-      former->removed = false;
-      return;
-    }
-  if (former && is_same_order (former, order))
-    {
-      former->removed = false;
-      former->former_id = former->order.id;
-      former->order.id = order->id;
-      if (former->started && order->duration != former->order.duration
-          && now + order->duration
-                 > former->started_at + former->order.duration)
-        former->order.duration = now + order->duration - former->started_at;
-      return;
-    }
-  o = ms_new (sizeof *o);
   o->service = order->service;
   o->order = *order;
   o->appeared = appeared;
@@ -507,7 +507,56 @@
   HASH_ADD (hh, rollouts->orders, service, sizeof o->service, o);
   list_services (rollouts);
   if (appeared)
-    start_order (o, now, "order", now);
+    start_order (o, at, "order", now);
+}
+
+/* O, which runs, was written again as ORDER: it continues.  */
+static void
+continue_order (struct order *o, const struct ms_rollout_order *order,
+                bool appeared, ms_time now)
+{
+  o->removed = false;
+  o->former_id = o->order.id;
+  o->order.id = order->id;
+  o->repeated = *order;
+  o->repeated_at = appeared ? now : 0;
+  if (o->started && order->duration != o->order.duration
+      && now + order->duration > o->started_at + o->order.duration)
+    o->order.duration = now + order->duration - o->started_at;
+}
+
+void
+ms_rollouts_put_order (struct ms_rollouts *rollouts,
+                       const struct ms_rollout_order *order, bool appeared,
+                       ms_time now)
+{
+  struct order *former = find_order (rollouts, order->service);
+
+  if (former && has_id (former, order->id))
+    former->removed = false;
+  else if (former && is_same_order (former, order))
+    continue_order (former, order, appeared, now);
+  else
+    add_order (rollouts, former, order, appeared, now, now);
+}
+
+/* PHASE is final of the order ID, as the store confirms.  If O is that order
+   written again, it had ended before this router saw the repetition, which is a
+   new order then.  Return whether it is.  */
+static bool
+separate_repetition (struct ms_rollouts *rollouts, struct order *o, uint64_t id,
+                     enum ms_rollout_phase phase, ms_time now)
+{
+  struct ms_rollout_order repeated = o->repeated;
+  ms_time at = o->repeated_at;
+
+  if (!at || is_terminal (o->phase) || !is_terminal (phase)
+      || id != o->former_id)
+    return false;
+  o->order.id = o->former_id;
+  set_phase (o, phase, "peer", now);
+  add_order (rollouts, o, &repeated, true, at, now);
+  return true;
 }
 
 static void
@@ -641,11 +690,16 @@
       break;
     }
   if (any)
-    choice.fallback = choice.wait = false;
-  else if (only)
+    {
+      choice.fallback = choice.wait = false;
+      return choice;
+    }
+  if (only)
     choice.only = o->order.version;
   else
     choice.except[0] = o->order.version;
+  if (!only || choice.fallback)
+    choice.rest = o->base;
   return choice;
 }
 
@@ -869,6 +923,9 @@
       || report->version != o->order.version
       || !ms_evidence_is_plausible (report))
     return;
+  if (report->confirmed
+      && separate_repetition (rollouts, o, report->order, report->phase, now))
+    return;
   /* The phase comes first: a router that does not know the age yet has not
      used the version.  */
   merge_phase (o, report, now);
@@ -1424,6 +1481,8 @@
     phase = MS_ROLLOUT_NONE;
   if (!is_state_of (o, version, order, age, now))
     phase = MS_ROLLOUT_NONE;
+  if (order && separate_repetition (rollouts, o, order, phase, now))
+    return;
   o->stored = phase;
   if (phase == MS_ROLLOUT_NONE)
     {
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -52,7 +52,11 @@
    record appear, so that the order's time runs from NOW; otherwise the order
    is older, and its age and state are unknown until ms_rollouts_merge or
    ms_rollouts_learn_state tells them.  An order with the ID of the known one
-   changes nothing; any other replaces that of its service.  */
+   changes nothing, and one for the version of a running order continues that
+   under the new ID, unless the running one turns out to have ended elsewhere
+   before.  Any other replaces the order of its service; a version that the
+   replaced order has completed keeps the requests that the new one does not
+   move.  */
 void ms_rollouts_put_order (struct ms_rollouts *rollouts,
                             const struct ms_rollout_order *order,
                             bool appeared, ms_time now);
@@ -86,6 +90,8 @@
                                            for none.  */
   bool fallback; /* If no endpoint of ONLY can take the request, the others
                     may, but not those of EXCEPT.  */
+  uint32_t rest; /* Where ONLY does not bind, only endpoints of this version; 0
+                    for any.  */
   bool wait;     /* The deadline is less than MS_ROLLOUT_MAX_WAIT away and the
                     request should wait for it: at the endpoints that it may be
                     sent to now it would delay the end of the rollout.  */
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1034,6 +1034,30 @@
     }
 }
 
+/* Return a report of a router that got COUNT answers of each version, of the
+   new one BAD failures.  */
+static struct ms_rollout_report
+report_of (uint32_t count, uint32_t bad)
+{
+  return (struct ms_rollout_report){
+    .service = SERVICE,
+    .order = order.id,
+    .version = NEW,
+    .age = MS_SEC,
+    .phase = MS_ROLLOUT_CANARY,
+    .sent = { count, count },
+    .routers = 1,
+    .strata_count = 1,
+    .strata = { { .route = 1,
+                  .zone = 1,
+                  .answers = { count, count },
+                  .failed = { bad, 0 },
+                  .timed = { count - bad, count } } },
+    .suspects_count = bad > 0,
+    .suspects = { { .endpoint = 1, .answers = count / 2, .bad = bad / 2 } }
+  };
+}
+
 /* Call ms_rollouts_tick for DURATION and return the time.  */
 static ms_time
 pass (struct ms_rollouts *rollouts, ms_time now, ms_time duration)
@@ -1089,6 +1113,70 @@
   ms_rollouts_destroy (r);
 }
 
+/* Guards against a repetition that ends at once, as the order before it ended
+   at another router that had not seen the repetition yet.  */
+static void
+test_repetition_is_new_if_the_order_had_ended_elsewhere (void **state)
+{
+  (void)state;
+  for (unsigned i = 0; i < 4; i++)
+    {
+      struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+      ms_time now = 5 * MS_SEC;
+      enum ms_rollout_phase end
+          = i < 2 ? MS_ROLLOUT_COMPLETED : MS_ROLLOUT_ROLLED_BACK;
+      struct ms_rollout_report report = report_of (10, 0);
+
+      ms_rollouts_sent (r, SERVICE, NEW, false, now);
+      report.phase = end;
+      report.confirmed = true;
+      put (r, NEW, 6, now);
+      now += 100 * MS_MSEC;
+      if (i % 2)
+        ms_rollouts_merge (r, 1, &report, now);
+      else
+        ms_rollouts_learn_state (r, SERVICE, NEW, order.id, end, 4 * MS_SEC,
+                                 now);
+      check_phase (r, MS_ROLLOUT_CANARY, "order", now);
+      check_unwritten (r, MS_ROLLOUT_CANARY, now);
+      assert_int_equal (state_of (r, now).order.id, 6);
+      assert_int_equal (state_of (r, now).started_at, 5 * MS_SEC);
+      /* It is no state of the new order.  */
+      ms_rollouts_merge (r, 1, &report, now);
+      check_phase (r, MS_ROLLOUT_CANARY, "order", now);
+      report.order = 6;
+      ms_rollouts_merge (r, 1, &report, now);
+      check_phase (r, end, "peer", now);
+      ms_rollouts_destroy (r);
+    }
+}
+
+/* Guards against requests that a new order sends to endpoints which operators
+   stop, as the order before it has moved the service elsewhere.  */
+static void
+test_version_of_a_completed_order_stays_in_use (void **state)
+{
+  struct ms_rollouts *r = create (true, DURATION, MS_SEC);
+  ms_time now = 15 * MS_SEC;
+  struct ms_rollout_choice c;
+
+  (void)state;
+  ms_rollouts_learn_state (r, SERVICE, NEW, order.id, MS_ROLLOUT_COMPLETED,
+                           DURATION, now);
+  put (r, 3, 6, now);
+  c = ms_rollouts_choose (r, SERVICE, false, now);
+  assert_int_equal (c.rest, NEW);
+  assert_int_equal (c.except[0], 3);
+  assert_false (excludes_new (r, now));
+  /* An order that did not move the service leaves it where it was.  */
+  put (r, 4, 7, now);
+  c = ms_rollouts_choose (r, SERVICE, false, now);
+  assert_int_equal (c.rest, NEW);
+  put (r, NEW, 8, now);
+  assert_int_equal (ms_rollouts_choose (r, SERVICE, false, now).rest, 0);
+  ms_rollouts_destroy (r);
+}
+
 /* Guards against the version of a replaced order that goes on getting
    requests.  */
 static void
@@ -1351,30 +1439,6 @@
   ms_rollouts_destroy (r);
 }
 
-/* Return a report of a router that got COUNT answers of each version, of the
-   new one BAD failures.  */
-static struct ms_rollout_report
-report_of (uint32_t count, uint32_t bad)
-{
-  return (struct ms_rollout_report){
-    .service = SERVICE,
-    .order = order.id,
-    .version = NEW,
-    .age = MS_SEC,
-    .phase = MS_ROLLOUT_CANARY,
-    .sent = { count, count },
-    .routers = 1,
-    .strata_count = 1,
-    .strata = { { .route = 1,
-                  .zone = 1,
-                  .answers = { count, count },
-                  .failed = { bad, 0 },
-                  .timed = { count - bad, count } } },
-    .suspects_count = bad > 0,
-    .suspects = { { .endpoint = 1, .answers = count / 2, .bad = bad / 2 } }
-  };
-}
-
 /* Guards against a version that a router which starts finds bad by what others
    have counted before, all at once.  */
 static void
@@ -1626,6 +1690,8 @@
     cmocka_unit_test (test_exposure_in_a_surge),
     cmocka_unit_test (test_decisions_without_the_store),
     cmocka_unit_test (test_repeated_order_continues),
+    cmocka_unit_test (test_repetition_is_new_if_the_order_had_ended_elsewhere),
+    cmocka_unit_test (test_version_of_a_completed_order_stays_in_use),
     cmocka_unit_test (test_order_written_again_after_its_end_is_new),
     cmocka_unit_test (test_replaced_order_ends),
     cmocka_unit_test (test_only_usable_version_is_not_excluded),
