--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -29,8 +29,8 @@
 relax_choice (const struct ms_request *r, struct ms_rollout_choice *choice)
 {
   const struct ms_gateway *gw = r->gw;
-  uint32_t only = choice->only && !choice->fallback ? choice->only
-                                                    : choice->rest;
+  uint32_t only
+      = choice->only && !choice->fallback ? choice->only : choice->rest;
 
   if (choice->wait
       || (!only && !choice->except[0] && !choice->except[1]
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -470,8 +470,8 @@
   return o->order.duration == update->duration && o->restored_steps;
 }
 
-/* Replace FORMER, NULL if there is none, by ORDER, which APPEARED at AT if this
-   router saw that.  */
+/* Replace FORMER, NULL if there is none, by ORDER, which APPEARED at AT if
+   this router saw that.  */
 static void
 add_order (struct ms_rollouts *rollouts, struct order *former,
            const struct ms_rollout_order *order, bool appeared, ms_time at,
@@ -541,11 +541,11 @@
 }
 
 /* PHASE is final of the order ID, as the store confirms.  If O is that order
-   written again, it had ended before this router saw the repetition, which is a
-   new order then.  Return whether it is.  */
+   written again, it had ended before this router saw the repetition, which is
+   a new order then.  Return whether it is.  */
 static bool
-separate_repetition (struct ms_rollouts *rollouts, struct order *o, uint64_t id,
-                     enum ms_rollout_phase phase, ms_time now)
+separate_repetition (struct ms_rollouts *rollouts, struct order *o,
+                     uint64_t id, enum ms_rollout_phase phase, ms_time now)
 {
   struct ms_rollout_order repeated = o->repeated;
   ms_time at = o->repeated_at;
