Shares: levels that come and go refuse no first requests

Cause: since the bound at starts, a team's credit began by chance whenever a level came into force, and a router that joins others took run times for longer.

Change: chance decides for 4 s after a router's first request only; run times are as measured.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -24,6 +24,12 @@
 #define START_TIME (500 * MS_MSEC)
 #define MIN_DEMAND_SCALE 2.0
 
+/* For this time after its first request, a router starts the credit of a team
+   by chance when a level comes into force: many routers do so at once, in a
+   fleet that has not learned its capacity.  Later, levels come and go, and a
+   first request that is refused each time left endpoints unused.  */
+#define START_CREDIT_TIME (4 * MS_SEC)
+
 /* Routers that start together get their first requests within this time of
    each other.  */
 #define JOIN_TIME (300 * MS_MSEC)
@@ -53,7 +59,6 @@
 
 /* Least part of a mean of completions that is relied on.  */
 #define MIN_MEASURED_PART 0.15
-#define MIN_RUN_PART 0.005
 
 /* Time constant of the mean run time.  It is long because run times change
    little, unlike the rate at which requests complete.  */
@@ -265,10 +270,22 @@
          / UINT32_MAX;
 }
 
-/* A request is admitted while any credit is left, so that a team's first
-   request at each router overdraws it.  Over hundreds of routers that is more
-   than endpoints can do in seconds.  When a level comes into force, the credit
-   therefore starts where it is on average between two such requests.  */
+/* Start the credit of T, as a level that is below its demand ALL comes into
+   force for a request of COST.  A request is admitted while any credit is
+   left, so that a team's first request at each router overdraws it.  Over
+   hundreds of routers that start this is more than endpoints can do in
+   seconds.  There the credit starts where it is on average between two such
+   requests.  */
+static void
+start_credit (const struct ms_share *share, struct team *t, double cost,
+              double all, ms_time now)
+{
+  if (now - share->demanded_since < START_CREDIT_TIME)
+    t->credit = cost * (share->level / all - draw_fraction (t, now));
+  else
+    t->credit = fmax (0, t->credit);
+}
+
 bool
 ms_share_admit (struct ms_share *share, uint64_t team, double cost,
                 ms_time now)
@@ -294,7 +311,7 @@
   /* A request is admitted while any credit is left, and may overdraw it:
      otherwise large requests would be refused more often than small ones.  */
   if (t->last_cost <= 0)
-    t->credit = cost * (share->level / all - draw_fraction (t, now));
+    start_credit (share, t, cost, all, now);
   t->last_cost = cost;
   if (t->credit <= 0)
     return false;
@@ -519,16 +536,8 @@
   double run_s = share->run_s;
   double completed;
 
-  /* Where others run already, both means of the run time are complete.
-     Otherwise no request has run for longer than since the first one.  */
-  if (share->joins)
-    {
-      answered = summary->answered;
-      run_s /= fmax (measured_part (share, RUN_TIME_CONSTANT, now),
-                     MIN_RUN_PART);
-    }
-  else
-    run_s = fmin (run_s, (double)(now - share->demanded_since) / MS_SEC);
+  /* No request has run for longer than since the first one.  */
+  run_s = fmin (run_s, (double)(now - share->demanded_since) / MS_SEC);
   expected = answered;
   /* As endpoints fill up, completions lag behind what is running; what is over
      the target does not complete sooner.  */
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -554,6 +554,52 @@
   assert_true (level_with_answers (false) > 1200000);
 }
 
+/* Return how many of 50 teams, each with a demand above the level, get their
+   first request at one of many routers refused, AFTER the first request.  */
+static unsigned
+refused_first (ms_time after)
+{
+  const struct ms_share_usage usage
+      = { .used_fraction = 1, .running_cost = 3600000 };
+  struct ms_share *share = ms_share_create ();
+  unsigned refused = 0;
+  ms_time now = TICK;
+
+  for (; now < after; now += TICK)
+    {
+      ms_share_admit (share, 1, 2400000.0 * TICK / MS_SEC, now);
+      ms_share_began (share, 1, 1200000.0 * TICK / MS_SEC, true, now);
+      ms_share_tick (share, &usage, now);
+    }
+  for (unsigned i = 0; i < 50; i++)
+    {
+      const struct ms_team_rates rates = { i + 2, 2400000, 0, 0 };
+
+      ms_share_add_others (share, &rates);
+    }
+  ms_share_tick (share, &usage, now += 100 * MS_MSEC);
+  assert_true (ms_share_level (share) > 0);
+  for (unsigned i = 0; i < 50; i++)
+    {
+      /* Without demand there is no credit to save up.  */
+      ms_share_admit (share, i + 2, 1, now);
+      refused += !ms_share_admit (share, i + 2, 1000, now + TICK);
+    }
+  ms_share_destroy (share);
+  return refused;
+}
+
+/* Guards against refusals at each moment at which a level comes into force, at
+   routers that have run for long: endpoints were left unused.  At a start they
+   keep the teams' first requests at many routers within the capacity.  */
+static void
+test_level_that_comes_into_force_refuses_only_at_a_start (void **state)
+{
+  (void)state;
+  assert_int_equal (refused_first (10 * MS_SEC), 0);
+  assert_true (refused_first (MS_SEC) > 25);
+}
+
 /* Guards against refusals at a router that starts alone, while endpoints have
    capacity for all: its first requests say little of the demand at others, of
    which it has had reports.  */
@@ -596,6 +642,8 @@
     cmocka_unit_test (test_idle_teams_are_removed),
     cmocka_unit_test (test_level_at_a_start_follows_the_configured_capacity),
     cmocka_unit_test (test_answers_without_streaming_do_not_lower_the_level),
+    cmocka_unit_test (
+        test_level_that_comes_into_force_refuses_only_at_a_start),
     cmocka_unit_test (test_router_that_starts_alone_refuses_nothing),
   };
 
