Store parts in quarantine as such, also those that were stored under trial

Cause: a part was written to the store once, when it came under trial with three deaths; the fourth, which puts it in quarantine, was not written. After a restart of all gateways, or of one before it heard from the others, the store gave the part back as under trial, and a request with it was run as a new trial. Whether the checks of gateway.sh saw that depended on how soon the gateways knew how many of them take turns at trials, after their pause of 1 s or 1.5 s.

Change: the guard keeps how many deaths the store has, and asks for the record to be written again when the part goes into quarantine. The two checks wait for log lines instead of pauses: before a request, for what the other gateways know and for the turns at trials; before a gateway is killed, for the line that it writes after it has told the others of a crash; after the restart of all, for the quarantine in each log, so that a part that came back as under trial fails the check in each run. The bounds of runs stay.

Result: test_store_has_parts_in_quarantine_as_such failed before and passes.

--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -41,14 +41,14 @@
   struct sockaddr_in store;
   char path[512];
   char record[512];
-  bool registered;     /* The store has this router's record.  */
-  uint64_t era;        /* The store's, when that record was written.  */
-  ms_time register_at; /* No registration starts before this time.  */
-  ms_time read_at;     /* No read starts before this time.  */
-  ms_time part_at;     /* No part is written before this time.  */
-  ms_time version_at;  /* No version is.  */
-  uint64_t part;       /* Of which the record is being written.  */
-  struct ms_version_report version; /* Of which the record is written.  */
+  bool registered;            /* The store has this router's record.  */
+  uint64_t era;               /* The store's, when that record was written.  */
+  ms_time register_at;        /* No registration starts before this time.  */
+  ms_time read_at;            /* No read starts before this time.  */
+  ms_time part_at;            /* No part is written before this time.  */
+  ms_time version_at;         /* No version is.  */
+  struct ms_part_report part; /* Of which the record is written.  */
+  struct ms_version_report version; /* The same.  */
   bool versions_found;              /* By the read in progress.  */
   char after[256];                  /* The next read starts after this key.  */
   uint64_t end; /* Offset at which the topic ended when the read began.  */
@@ -103,7 +103,7 @@
       return;
     }
   ms_part_guard_merge (m->gw->part_guard, &report, m->gw->now);
-  ms_part_guard_set_stored (m->gw->part_guard, report.part);
+  ms_part_guard_set_stored (m->gw->part_guard, &report);
 }
 
 /* Learn from the store of the version that KEY names, or have its record
@@ -248,10 +248,10 @@
   (void)body;
   (void)sent_at;
   if (status == MS_OK && code == 200)
-    ms_part_guard_set_stored (m->gw->part_guard, m->part);
+    ms_part_guard_set_stored (m->gw->part_guard, &m->part);
   else
     ms_event (m->gw->now, "part_unwritten", "part=%llx code=%u",
-              (unsigned long long)m->part, code);
+              (unsigned long long)m->part.part, code);
   m->part_at = m->gw->now + RETRY_DELAY;
 }
 
@@ -264,7 +264,7 @@
   char value[128];
   size_t length;
 
-  m->part = report->part;
+  m->part = *report;
   snprintf (key, sizeof key, PART_PREFIX "%llx",
             (unsigned long long)report->part);
   snprintf (value, sizeof value, "{\"deaths\":%u,\"at\":%lld}", report->deaths,
--- a/src/guard/parts.c
+++ b/src/guard/parts.c
@@ -72,7 +72,7 @@
   ms_time begun_at;    /* When an answer last began; 0 if none did.  */
   ms_time changed_at;  /* Last news for peers.  */
   ms_time trial_until; /* End of the trial in progress.  */
-  bool stored;
+  unsigned stored;     /* Deaths that the store has; 0 if it has none.  */
   UT_hash_handle hh;
 };
 
@@ -260,7 +260,7 @@
 
   r->begun_at = at;
   r->trial_until = 0;
-  r->stored = false;
+  r->stored = 0;
   drop_deaths (r, at);
   if (before)
     r->changed_at = now;
@@ -458,8 +458,12 @@
   HASH_ITER (hh, guard->records, r, next)
   {
     unsigned deaths = count_deaths (r, now);
+    /* A part in quarantine that is stored as under trial would come back as
+       such.  */
+    unsigned wanted
+        = deaths < QUARANTINE_DEATHS ? TRIAL_DEATHS : QUARANTINE_DEATHS;
 
-    if (r->stored || deaths < TRIAL_DEATHS)
+    if (deaths < TRIAL_DEATHS || r->stored >= wanted)
       continue;
     *report
         = (struct ms_part_report){ r->part, 0, deaths, now - r->last_death };
@@ -478,12 +482,13 @@
 }
 
 void
-ms_part_guard_set_stored (struct ms_part_guard *guard, uint64_t part)
+ms_part_guard_set_stored (struct ms_part_guard *guard,
+                          const struct ms_part_report *report)
 {
-  struct record *r = find_record (guard, part);
+  struct record *r = find_record (guard, report->part);
 
   if (r)
-    r->stored = true;
+    r->stored = report->deaths;
 }
 
 void
@@ -491,7 +496,7 @@
 {
   struct record *r, *next;
 
-  HASH_ITER (hh, guard->records, r, next) { r->stored = false; }
+  HASH_ITER (hh, guard->records, r, next) { r->stored = 0; }
 }
 
 unsigned
--- a/src/guard/parts.h
+++ b/src/guard/parts.h
@@ -102,7 +102,7 @@
                           const struct ms_part_report *report, ms_time now);
 
 /* Set REPORT to a part under trial or in quarantine that the store does not
-   have, or return false if there is none.  */
+   have as such, or return false if there is none.  */
 bool ms_part_guard_unstored (const struct ms_part_guard *guard,
                              struct ms_part_report *report, ms_time now);
 
@@ -111,8 +111,9 @@
                                const struct ms_part_report *report,
                                ms_time now);
 
-/* The store has PART.  */
-void ms_part_guard_set_stored (struct ms_part_guard *guard, uint64_t part);
+/* The store has what REPORT says.  */
+void ms_part_guard_set_stored (struct ms_part_guard *guard,
+                               const struct ms_part_report *report);
 
 /* The store may have lost all parts.  */
 void ms_part_guard_forget_stored (struct ms_part_guard *guard);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -115,8 +115,25 @@
 done
 is $sound 6
 verdict "requests with the other parts of one that crashes endpoints are served" $?
+# last_event GATEWAY PART: the last event of this gateway on this part.
+last_event ()
+{
+  sed -n "s/.* event=\(part_[a-z]*\) part=$2 .*/\1/p" "$DIR/gateway$1.log" \
+    | tail -1
+}
+# knows_parts: whether gateway 3 knows what gateway 1 does of parts under trial
+# and in quarantine.
+knows_parts ()
+{
+  for part in $(sed -n 's/.* event=part_[a-z]* part=\([^ ]*\) .*/\1/p' \
+    "$DIR/gateway1.log" | sort -u); do
+    event=$(last_event 1 "$part")
+    is "$event" part_cleared || is "$event" "$(last_event 3 "$part")" || return 1
+  done
+}
 # A request that is sent again as it was, each time to a gateway that has just
-# started.  Three crashes and one trial are allowed.
+# started.  Three crashes and one trial are allowed.  A gateway logs a crash
+# after it has told the others.
 poison_runs=0
 for i in 1 2 3 4 5 6 7; do
   stop gateway3 KILL
@@ -128,10 +145,14 @@
   done
   start_gateway 3
   await 10 ready 3
-  sleep 1.5
+  await 5 knows_parts
+  # A trial may begin once the gateway knows how many take turns.
+  await 5 grep -q 'event=routers .*sharers=[1-9]' "$DIR/gateway3.log"
   request 3 /once/crash/poison -X POST -d poison
-  poison_runs=$((poison_runs + $(run_count $id)))
-  sleep 0.2
+  runs=$(run_count $id)
+  poison_runs=$((poison_runs + runs))
+  is "$runs" 0 \
+    || await 5 grep -q "event=endpoint_broke id=$id " "$DIR/gateway3.log"
 done
 is "$status" 503 && [ "$poison_runs" -le 4 ]
 verdict "a request that crashes endpoints is refused by gateways that start later" $?
@@ -144,8 +165,12 @@
 for n in 1 2 3; do
   await 20 ready $n || exit 1
 done
-sleep 1
-part_refused
+known=0
+for n in 1 2 3; do
+  await 5 grep -q 'event=part_quarantined part=dead ' "$DIR/gateway$n.log" \
+    && known=$((known + 1))
+done
+is $known 3 && part_refused
 verdict "a part that crashed endpoints is refused after a restart of all gateways" $?
 store_put keyed.servers e2 ''
 store_put keyed.servers e3 ''
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -207,7 +207,7 @@
 
   (void)state;
   assert_true (ms_part_guard_unstored (before, &stored, now));
-  ms_part_guard_set_stored (before, stored.part);
+  ms_part_guard_set_stored (before, &stored);
   assert_false (ms_part_guard_unstored (before, &stored, now));
   ms_part_guard_merge (after, &stored, now);
   assert_int_equal (admit (after, SOUND, now), MS_PART_QUARANTINED);
@@ -222,6 +222,35 @@
   ms_part_guard_destroy (after);
 }
 
+/* Guards against a record of the store that stays one of a part under trial
+   when the trial has failed: after a restart of all routers, each could begin
+   a trial of its own.  */
+static void
+test_store_has_parts_in_quarantine_as_such (void **state)
+{
+  struct ms_part_guard *before = create_guard ();
+  struct ms_part_guard *after = create_guard ();
+  struct ms_part_report stored;
+  ms_time last = crash (before, CRASHING, 3, MS_SEC);
+  ms_time now = last + 200 * MS_MSEC;
+
+  (void)state;
+  assert_true (ms_part_guard_unstored (before, &stored, now));
+  ms_part_guard_set_stored (before, &stored);
+  assert_false (ms_part_guard_unstored (before, &stored, now));
+  now = crash (before, CRASHING, 1, last + 2 * MS_SEC);
+  assert_int_equal (admit (before, CRASHING, now), MS_PART_QUARANTINED);
+  assert_true (ms_part_guard_unstored (before, &stored, now));
+  ms_part_guard_set_stored (before, &stored);
+  assert_false (ms_part_guard_unstored (before, &stored, now));
+  stored.age += 20 * MS_SEC;
+  now += 20 * MS_SEC;
+  ms_part_guard_merge (after, &stored, now);
+  assert_int_equal (admit (after, CRASHING, now), MS_PART_QUARANTINED);
+  ms_part_guard_destroy (before);
+  ms_part_guard_destroy (after);
+}
+
 /* A fleet before endpoints that a part crashes.  Times are in steps of STEP.
    Requests begin to be answered BEGIN_STEPS after they were sent; an endpoint
    that died is back after BACK_STEPS as another one.  Routers of a zone report
@@ -440,6 +469,7 @@
     cmocka_unit_test (test_failures_of_another_cause_make_no_suspect),
     cmocka_unit_test (test_reports_end_and_answers_win),
     cmocka_unit_test (test_store_has_suspects_until_they_are_cleared),
+    cmocka_unit_test (test_store_has_parts_in_quarantine_as_such),
     cmocka_unit_test (test_fleet_ends_crashes_and_serves_the_rest),
     cmocka_unit_test (test_fleet_ends_crashes_while_routers_restart),
   };
