Soak: late requests at endpoints that were stopped do not count as GONE

Cause: a request whose gateway had ended it in time waits in the socket of an engine that the soak has stopped (SIGSTOP); the engine reads it when it goes on.

Change: each start of an engine records when it was stopped. A request that reaches an engine late is left out if the engine was stopped without a break from when the caller left until half a second later. All else counts as before: the bound of three, runs that go on, engines that were not stopped. Each late request is printed, with whether its engine was stopped.

--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -334,10 +334,52 @@
   send_signal (&gateways[i], number);
 }
 
+/* Record that a stop of I ends at NOW, if one lasts.  */
+static void
+end_stop (struct fleet_instance *i, long long now)
+{
+  struct fleet_stop *last
+      = i->stops_count ? &i->stops[i->stops_count - 1] : NULL;
+
+  if (last && !last->until_ms)
+    last->until_ms = now;
+}
+
+/* Record that I is stopped from NOW on, unless it already is.  */
+static void
+begin_stop (struct fleet_instance *i, long long now)
+{
+  if (i->stops_count == MAX_STOPS
+      || (i->stops_count && !i->stops[i->stops_count - 1].until_ms))
+    return;
+  i->stops[i->stops_count++] = (struct fleet_stop){ .from_ms = now };
+}
+
 void
 fleet_signal_engine (unsigned i, int number)
 {
-  send_signal (&engines[i].process, number);
+  struct engine *e = &engines[i];
+
+  /* What is recorded is not longer than the stop.  */
+  if (number == SIGCONT)
+    end_stop (e->instance, fleet_now_ms ());
+  send_signal (&e->process, number);
+  if (number == SIGSTOP)
+    begin_stop (e->instance, fleet_now_ms ());
+}
+
+bool
+fleet_was_stopped (const struct fleet_instance *instance, long long from_ms,
+                   long long until_ms)
+{
+  for (unsigned i = 0; i < instance->stops_count; i++)
+    {
+      const struct fleet_stop *s = &instance->stops[i];
+
+      if (s->from_ms <= from_ms && (!s->until_ms || s->until_ms >= until_ms))
+        return true;
+    }
+  return false;
 }
 
 /* Kill engine I and start it again, listed under a new name.  */
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -124,6 +124,16 @@
    each.  */
 long long fleet_oldest_start (void);
 
+/* A time for which an engine was stopped by SIGSTOP; UNTIL_MS is 0 while it
+   lasts.  */
+struct fleet_stop
+{
+  long long from_ms;
+  long long until_ms;
+};
+
+#define MAX_STOPS 32 /* Of one start; further ones are not recorded.  */
+
 /* One start of an engine.  Times are those of fleet_now_ms.  */
 struct fleet_instance
 {
@@ -134,11 +144,18 @@
   long long said_ms;       /* From when on its answers said so; 0 if they did
                               not.  */
   unsigned version;        /* Of an engine of the service "moved"; else 0.  */
+  struct fleet_stop stops[MAX_STOPS];
+  unsigned stops_count;
 };
 
 /* Return all starts of engines so far, and their number in COUNT.  */
 const struct fleet_instance *fleet_instances (unsigned *count);
 
+/* Return whether INSTANCE was stopped without a break from FROM_MS to
+   UNTIL_MS.  */
+bool fleet_was_stopped (const struct fleet_instance *instance,
+                        long long from_ms, long long until_ms);
+
 /* The proxy between the gateways and ENGINE.  */
 struct proxy *fleet_engine_link (unsigned engine);
 
--- a/tests/soak/gone.c
+++ b/tests/soak/gone.c
@@ -24,7 +24,8 @@
 
 /* Half a second after their callers left, endpoints may still work on at most
    MAX_SHARE of the runs that would have lasted that long, and at most MAX_LATE
-   requests may reach an endpoint later than that.  */
+   requests may reach an endpoint later than that.  An endpoint that was
+   stopped for that time reads only then what its socket received before.  */
 #define LIMIT_MS 500
 #define STAY_MS 800 /* After the time of a caller that stays is over.  */
 #define MAX_SHARE 0.25
@@ -177,7 +178,17 @@
 
           if (!leave)
             continue;
-          late += began > leave->at + LIMIT_MS;
+          if (began > leave->at + LIMIT_MS)
+            {
+              bool stopped = fleet_was_stopped (&instances[i], leave->at,
+                                                leave->at + LIMIT_MS);
+
+              late += !stopped;
+              printf ("%s reached %s %lld ms late%s\n", id,
+                      strrchr (instances[i].runs, '/'),
+                      began - leave->at - LIMIT_MS,
+                      stopped ? ", which was stopped" : "");
+            }
           runs[closes] += began <= leave->at;
           if (began > leave->at || ended <= leave->at + LIMIT_MS)
             continue;
