Endpoints that answer 500: relative error rates, probes, requests that fail anywhere

Each such request added 200 ms of penalty to two endpoints that work, for seconds, and an endpoint that failed was tried again with requests that must not run twice.

Change: what fails at two plain endpoints is not held against them; the penalty is for the rate above that of the service's other endpoints; one that fails much more often gets probes, which are requests that may be repeated; a 500 is passed on, and no retry taken, if no other endpoint can get the request (before: 502).

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -58,9 +58,22 @@
       = left > MIN_PLACEMENT_TARGET ? left : MIN_PLACEMENT_TARGET;
   offer->tried = r->tried;
   offer->tried_count = r->tried_count;
+  offer->repeatable = ms_request_may_repeat (r) && r->route.max_attempts > 1;
   offer->alone = r->trial;
 }
 
+bool
+ms_request_other_usable (struct ms_request *r)
+{
+  struct ms_offer offer;
+  struct ms_choice choice;
+
+  fill_offer (r, &offer);
+  offer.version = r->version;
+  ms_place_choose (r->gw->place, &offer, r->gw->now, &choice);
+  return choice.usable > 0;
+}
+
 /* Append a header to OUT of SIZE bytes, of which *USED are filled.  *USED is
    at least SIZE once something did not fit.  */
 static void
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -113,6 +113,9 @@
   uint32_t sent_version;   /* Of the endpoint when it was sent there.  */
   uint32_t failed_version; /* Of the endpoint that last failed to answer it; 0
                               if none did.  */
+  struct ms_endpoint_state *failed_at; /* Endpoint that last answered with a
+                                          5xx status; among those tried; NULL
+                                          if none did.  */
   bool crashed; /* The connection of the attempt that ends has broken.  */
   uint64_t crash_start; /* Stands for the start of the endpoint that last broke
                            off before it answered; 0 if none did.  */
@@ -127,6 +130,10 @@
    earlier; below 0 once it has passed.  */
 ms_time ms_request_time_left (const struct ms_request *request, ms_time now);
 
+/* Whether an endpoint that the request has not been sent to may get it now, or
+   will once it has free capacity.  Does not change the request.  */
+bool ms_request_other_usable (struct ms_request *request);
+
 /* Start an attempt at an endpoint; if none can take the request now, queue it,
    or give it up once its time to wait is over.  Give it up as well if its
    deadline or timeout has passed or its key may have been revoked.  Return
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -277,6 +277,32 @@
     ms_upstream_resume (r->upstream);
 }
 
+/* How the current attempt, whose response is complete, has ended.  */
+static enum ms_place_end
+response_end (const struct ms_request *r)
+{
+  if (r->response_status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
+    return MS_END_GOOD;
+  return r->failed_at
+                 && ms_place_same_error (r->gw->place, r->failed_at,
+                                         r->endpoint)
+             ? MS_END_SAME_ERROR
+             : MS_END_ERROR;
+}
+
+/* Whether R, which got a 5xx status, is sent to another endpoint; if so, that
+   is taken from the retry budget.  The response is passed on if no other
+   endpoint can get the request.  */
+static bool
+retries_error (struct ms_request *r)
+{
+  return ms_request_may_repeat (r) && r->attempts < r->route.max_attempts
+         && r->tried_count < MS_MAX_TRIED
+         && ms_request_time_left (r, r->gw->now) > 0
+         && ms_request_other_usable (r)
+         && ms_budget_take (r->gw->budget, r->service, r->gw->now);
+}
+
 /* Pass on the rest of a complete response and end R.  */
 static void
 complete_response (struct ms_request *r)
@@ -289,7 +315,7 @@
   forward_buffered (r, r->unsent_length);
   if (status < 500)
     ms_guard_success (r->gw->guard, r->fingerprint);
-  ms_request_end_attempt (r, status < 500 ? MS_END_GOOD : MS_END_ERROR);
+  ms_request_end_attempt (r, response_end (r));
   ms_request_log_end (r, status, "answered");
   ms_request_free (r);
   ms_caller_end_response (caller);
@@ -325,11 +351,13 @@
       return;
     }
   /* Retry a server error if that is safe and allowed; else pass it on.  */
-  if (r->response_status >= 500 && ms_request_may_repeat (r)
-      && r->attempts < r->route.max_attempts && r->tried_count < MS_MAX_TRIED
-      && ms_budget_take (r->gw->budget, r->service, r->gw->now))
+  if (r->response_status >= 500 && retries_error (r))
     {
-      ms_request_end_attempt (r, MS_END_ERROR);
+      enum ms_place_end end = response_end (r);
+
+      if (end == MS_END_ERROR)
+        r->failed_at = r->endpoint;
+      ms_request_end_attempt (r, end);
       r->may_have_run = true;
       ms_request_dispatch (r);
       return;
--- a/src/gateway/version.c
+++ b/src/gateway/version.c
@@ -270,6 +270,7 @@
     {
     case MS_END_GOOD:
     case MS_END_ERROR:
+    case MS_END_SAME_ERROR:
       note_complete (r);
       break;
     case MS_END_BROKEN:
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -371,6 +371,16 @@
   return f->duplicate > FREE_DUPLICATE_TOKENS && (!number || number > ready);
 }
 
+/* Choose E, whatever was chosen before.  */
+static void
+choose_probe (struct ms_choice *choice, struct ms_endpoint_state *e,
+              const struct ms_fit *f)
+{
+  choice->endpoint = e;
+  choice->fit = *f;
+  choice->fit.rank = 0;
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -382,6 +392,8 @@
   unsigned ready;
   bool waits;
   struct ms_crossings *crossings = ms_crossings_find (place, offer->service);
+  const struct ms_endpoint_state *probed;
+  struct ms_errors errors;
   double best_score = 0;
   ms_time earliest = MS_NEVER;
   ms_time resume_at = MS_NEVER;
@@ -394,6 +406,8 @@
                  now, &homes);
   ready = service ? first_ready (place, service, offer, &homes, now) : 0;
   waits = service && waits_for_home (place, service, offer, &homes, now);
+  ms_errors_sum (place, offer->service, &errors);
+  probed = ms_errors_probe (place, &errors, offer, now);
   for (unsigned i = 0; service && i < place->count; i++)
     {
       struct ms_endpoint_state *e = place->endpoints[i];
@@ -416,7 +430,15 @@
           || (waits && f.duplicate > SMALL_DUPLICATE_TOKENS)
           || (ready && passes_over (&homes, ready, e, &f)))
         continue;
+      f.errors = ms_errors_rate (&errors, e);
       score = ms_crossings_rank (place, crossings, offer, e, &f);
+      if (ms_errors_avoids (&errors, e) && !offer->alone)
+        f.rank = 2;
+      if (e == probed)
+        {
+          choose_probe (choice, e, &f);
+          break;
+        }
       score += offer->alone ? (double)e->own.running + e->others.running
                             : place->policy->score (place, e, &f);
       if (choice->endpoint
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -51,6 +51,48 @@
 /* Free the response times of all services.  */
 void ms_speed_destroy (struct ms_place *place);
 
+/* Rates of errors of the endpoints of a plain service.  */
+struct ms_errors
+{
+  double sum;
+  unsigned count; /* Endpoints; 0 for the service of a model.  */
+};
+
+/* Fill ERRORS with those of SERVICE.  */
+void ms_errors_sum (const struct ms_place *place, uint64_t service,
+                    struct ms_errors *errors);
+
+/* Return whether E fails much more often than the other endpoints of
+   ERRORS.  */
+bool ms_errors_stands_out (const struct ms_errors *errors,
+                           const struct ms_endpoint_state *e);
+
+/* Return whether E gets only probes while others take the requests.  */
+bool ms_errors_avoids (const struct ms_errors *errors,
+                       const struct ms_endpoint_state *e);
+
+/* Return the error rate of E that is held against it: above the mean of the
+   others if its service is plain.  */
+double ms_errors_rate (const struct ms_errors *errors,
+                       const struct ms_endpoint_state *e);
+
+/* Return the endpoint that OFFER is to probe; NULL if there is none.  */
+const struct ms_endpoint_state *
+ms_errors_probe (struct ms_place *place, const struct ms_errors *errors,
+                 const struct ms_offer *offer, ms_time now);
+
+/* OFFER is going to be sent to E.  */
+void ms_errors_sent (struct ms_place *place, const struct ms_offer *offer,
+                     struct ms_endpoint_state *e, ms_time now);
+
+/* E gave an answer, which was no good one if FAILED.  */
+void ms_errors_note (struct ms_place *place, struct ms_endpoint_state *e,
+                     bool failed);
+
+/* Free the records of all probes.  */
+struct ms_probes;
+void ms_errors_destroy (struct ms_place *place);
+
 /* Endpoints that leave, though the list may not say so.  */
 struct ms_left;
 
@@ -97,8 +139,8 @@
 struct ms_crossings *ms_crossings_find (const struct ms_place *place,
                                         uint64_t service);
 
-/* Set F->rank and, if the request has a permit, lower the price in
-   F->crossing. Return what is to be added to the score.  */
+/* Set F->rank by F->expected and F->errors and, if the request has a permit,
+   lower the price in F->crossing.  Return what is to be added to the score. */
 double ms_crossings_rank (const struct ms_place *place,
                           struct ms_crossings *crossings,
                           const struct ms_offer *offer,
@@ -218,6 +260,7 @@
   unsigned zones_count;
   struct ms_need *needs;
   struct ms_speed *speeds;
+  struct ms_probes *probes;
   struct ms_left *left;
   struct ms_paused *paused;
   struct ms_demands *demands;
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -44,9 +44,8 @@
 /* Weight of the other routers' mean limit in each adjustment.  */
 #define CONVERGENCE_WEIGHT 0.2
 
-/* Weights of the newest sample in exponential means, and the largest ratio of
-   measured to predicted time that counts.  */
-#define ERROR_WEIGHT 0.1
+/* Weight of the newest sample in the exponential mean, and the largest ratio
+   of measured to predicted time that counts.  */
 #define SLOWNESS_WEIGHT 0.1
 #define MAX_SLOWNESS 20.0
 
@@ -197,6 +196,7 @@
   ms_rate_sent (e, now);
   ms_crossings_sent (place, offer, choice);
   ms_homes_sent (place, offer, now);
+  ms_errors_sent (place, offer, e, now);
   e->probing = e->failures > 0;
   for (unsigned i = 0; i + 1 < offer->parts_count; i++)
     ms_prefix_record (place->prefix, e->id, offer->parts[i].id, now);
@@ -293,7 +293,6 @@
 ms_place_ended (struct ms_place *place, struct ms_endpoint_state *e,
                 struct ms_load *load, enum ms_place_end end, ms_time now)
 {
-  (void)place;
   e->own.running -= load->running;
   e->own.prefill -= load->prefill;
   e->own.memory -= load->memory;
@@ -303,12 +302,16 @@
     {
     case MS_END_GOOD:
       note_reached (e, now);
-      e->error_rate *= 1 - ERROR_WEIGHT;
+      ms_errors_note (place, e, false);
       break;
     case MS_END_ERROR:
       e->answered_at = now;
       note_reached (e, now);
-      e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
+      ms_errors_note (place, e, true);
+      break;
+    case MS_END_SAME_ERROR:
+      e->answered_at = now;
+      note_reached (e, now);
       break;
     case MS_END_CANCELLED:
       break;
@@ -316,7 +319,7 @@
     case MS_END_REFUSED:
     case MS_END_BROKEN:
       e->answered_at = now;
-      e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
+      ms_errors_note (place, e, true);
       break;
     case MS_END_MISDIRECTED:
     case MS_END_UNREACHABLE:
--- a/src/place/outside.c
+++ b/src/place/outside.c
@@ -125,8 +125,7 @@
 {
   const struct ms_crossing_policy *policy = place->options.crossing;
   const struct ms_crossing_zone *zone;
-  bool good
-      = f->expected <= offer->target_left && e->error_rate < MAX_ERROR_RATE;
+  bool good = f->expected <= offer->target_left && f->errors < MAX_ERROR_RATE;
 
   if (!crossings || offer->alone)
     return 0;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -68,6 +68,7 @@
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
   ms_speed_destroy (place);
+  ms_errors_destroy (place);
   ms_left_destroy (place);
   ms_pauses_destroy (place);
   ms_rate_destroy (place);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -118,6 +118,8 @@
   double others_limit_weight; /* Running requests in others_limit_sum.  */
   double limit;      /* Concurrent requests that it may run; 0 until known.  */
   double error_rate; /* Fraction of failed answers, as an exponential mean.  */
+  ms_time probed_at; /* When it last got a request while it failed much more
+                        often than the others of its plain service.  */
   ms_time answered_at; /* When an answer of it last began or an attempt
                           failed.  */
   void *attachment;    /* Owned by the gateway: its connection pool.  */
@@ -138,7 +140,8 @@
   ms_time target_left; /* Time left to the first-byte target.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried; /* Endpoints not to try again.  */
-  bool alone; /* It may crash its endpoint: prefer the least busy one.  */
+  bool repeatable; /* It may run again after a failure.  */
+  bool alone;      /* It may crash its endpoint: prefer the least busy one.  */
   uint32_t version; /* Only endpoints of this version; 0 for any.  */
   bool canary;      /* Of these, only those that are in_canary.  */
   uint32_t except[MS_MAX_EXCEPT]; /* No endpoints of these versions; 0 for
@@ -176,8 +179,10 @@
   unsigned rank;     /* Endpoints of a lower rank are preferred: 0 if nothing
                         speaks against it, 1 if it is in another zone and the
                         request has no permit for that, 2 if it would probably
-                        fail or be late.  Always 0 if the crossing policy needs
-                        no permits.  */
+                        fail or be late.  If the crossing policy needs no
+                        permits, only 0, or 2 if it fails much more often than
+                        the others of its plain service.  */
+  double errors;     /* Rate of errors that is held against it.  */
   ms_time usual;     /* The same at an endpoint as fast as usual, to compare
                         versions by.  One of the offer's FRESH version is taken
                         to hold only the parts that this router has sent it.  */
@@ -559,6 +564,8 @@
   MS_END_REFUSED,     /* Not run, as the endpoint states with 429 or 503.  */
   MS_END_MISDIRECTED, /* A different endpoint uses the address now.  */
   MS_END_ERROR,       /* A complete answer with a 5xx status.  */
+  MS_END_SAME_ERROR,  /* The same, and another endpoint's answer to the request
+                         was one too, so it says nothing about this one.  */
   MS_END_BROKEN,      /* An incomplete answer, or one to another request.  */
   MS_END_UNREACHABLE  /* No connection.  */
 };
@@ -569,6 +576,24 @@
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      enum ms_place_end end, ms_time now);
 
+/* A request that got a 5xx status from FIRST, for which ms_place_ended was
+   called with MS_END_ERROR, now got one from SECOND.  Return whether that is
+   due to the request, since both serve a plain service and neither fails much
+   more often than the others: what was counted against FIRST is taken back,
+   and the attempt at SECOND is to end with MS_END_SAME_ERROR.  */
+bool ms_place_same_error (struct ms_place *place,
+                          struct ms_endpoint_state *first,
+                          const struct ms_endpoint_state *second);
+
+/* A request that got a 5xx status from FIRST, for which ms_place_ended was
+   called with MS_END_ERROR, now got one from SECOND.  Return whether that is
+   due to the request, since both serve a plain service and neither fails much
+   more often than the others: what was counted against FIRST is taken back,
+   and the attempt at SECOND is to end with MS_END_SAME_ERROR.  */
+bool ms_place_same_error (struct ms_place *place,
+                          struct ms_endpoint_state *first,
+                          const struct ms_endpoint_state *second);
+
 /* Return the load of this router alone at ENDPOINT, for its digest.  The pace
    is the one that this router measured, 0 if it did not within the last
    500 ms; the limit is the one that it uses for ENDPOINT.  */
--- a/src/place/policy.c
+++ b/src/place/policy.c
@@ -24,7 +24,7 @@
   return (double)fit->expected / MS_MSEC
          + TOKEN_PENALTY_MS * (fit->duplicate + fit->crossing)
          + (fit->home == 2 ? SECOND_HOME_PENALTY_MS : 0)
-         + ERROR_PENALTY_MS * e->error_rate
+         + ERROR_PENALTY_MS * fit->errors
          + RUNNING_PENALTY_MS * (e->own.running + e->others.running)
          + (e->entry.zone == place->options.zone ? 0 : OTHER_ZONE_PENALTY_MS);
 }
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -198,6 +198,16 @@
 verdict "an idempotent request that failed at first gets 200 or 500" $?
 is "$(run_count $id)" 2
 verdict "an idempotent request that failed is retried once" $?
+# With a single endpoint the answer was discarded, and the caller got 502.
+listed () { metrics && grep -q "^monsoonspur_endpoints_listed $1" "$DIR/metrics"; }
+store_put keyed.servers e1 ''
+await 10 listed 1
+request 1 /any/flaky
+is "$status" 500 && head_has '^X-Response-Signature: s' \
+  && is "$(run_count $id)" 1
+verdict "a failure is passed on if no other endpoint can get the request" $?
+list_engine 1 ready
+await 10 listed 2
 request 1 /once/flaky -X POST -d x
 is "$status" 500 && head_has '^X-Response-Signature: s' \
   && is "$(run_count $id)" 1
