X-Server-Load: plain endpoints are chosen by the momentary speed they report

Endpoints report requests running and waiting, slots and how long work takes at this time; nothing read it. platform/ decodes it: each figure that is no number or implausible is left out and the response counted as invalid. With server_load: use the predicted time of a plain endpoint is multiplied by the reported time, which counts less with the age of the report and not at all after 600 ms, the length of a slow phase. The default, ignore, only counts.

The gauge monsoonspur_endpoints_failing counts endpoints that get probes only.

--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -23,6 +23,7 @@
 static unsigned long long rollout_writes_count;
 static unsigned long long endpoint_pauses_count;
 static unsigned long long room_ended_count;
+static unsigned long long server_load_counts[2]; /* Index 1: valid.  */
 static struct histogram histograms[MS_LATENCIES];
 
 static const char *const result_names[MS_RESULTS]
@@ -84,6 +85,12 @@
   room_ended_count++;
 }
 
+void
+ms_metric_server_load (bool valid)
+{
+  server_load_counts[valid]++;
+}
+
 void
 ms_metric_latency (enum ms_latency_metric latency, ms_time took)
 {
@@ -203,6 +210,11 @@
   append (&out, "monsoonspur_endpoint_pauses_total %llu\n",
           endpoint_pauses_count);
   append (&out, "monsoonspur_room_ended_total %llu\n", room_ended_count);
+  append (&out, "monsoonspur_server_load_total{valid=\"yes\"} %llu\n",
+          server_load_counts[true]);
+  append (&out, "monsoonspur_server_load_total{valid=\"no\"} %llu\n",
+          server_load_counts[false]);
+  append (&out, "monsoonspur_endpoints_failing %u\n", gauges->failing);
   append (&out, "monsoonspur_config_version %llu\n", gauges->config_version);
   append (&out, "monsoonspur_config_age_seconds %.3f\n", gauges->config_age_s);
   append (&out, "monsoonspur_endpoints_age_seconds %.3f\n",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -59,6 +59,10 @@
 void ms_metric_endpoint_pause (void);
 void ms_metric_room_ended (void);
 
+/* Count a response that reports the load of its endpoint; VALID unless a
+   figure of it is not believed.  */
+void ms_metric_server_load (bool valid);
+
 /* Add TOOK to the histogram of LATENCY.  */
 void ms_metric_latency (enum ms_latency_metric latency, ms_time took);
 
@@ -69,6 +73,8 @@
   unsigned sockets;                  /* Open.  */
   unsigned endpoints;                /* Listed.  */
   unsigned long long responses_held; /* Bytes of responses in memory.  */
+  unsigned failing;                  /* Plain endpoints that fail much more
+                                        often than the others.  */
   unsigned routers;                  /* Alive, this one included.  */
   unsigned sharers; /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -173,6 +173,7 @@
     .sockets = ms_socket_open_count (),
     .responses_held = ms_sockets_queued_accepted () + gw->held_back,
     .endpoints = ms_place_count (gw->place),
+    .failing = ms_place_failing (gw->place),
     .routers = ms_fleet_alive_count (gw->fleet, gw->now),
     .sharers = ms_peers_sharers (gw->peers),
     .rollouts = ms_rollout_driver_running (gw->rollout_driver),
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/event.h"
 #include "gateway/gateway.h"
 #include "gateway/request.h"
@@ -40,6 +42,7 @@
                .token_ms_per_running = s->token_ms_per_running,
                .response_ms = s->response_ms },
     .zone_byte_tokens = s->zone_byte_tokens,
+    .use_reports = s->server_load && strcmp (s->server_load, "use") == 0,
     .homes = ms_homes_policy (s->homes ? s->homes : "available"),
     .crossing = ms_crossing_policy (s->crossing ? s->crossing : "balanced"),
     .crossing_changed = on_crossing_change,
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -7,6 +7,7 @@
 
 #include "base/alloc.h"
 #include "base/event.h"
+#include "gateway/metrics.h"
 #include "gateway/request.h"
 #include "gateway/socket.h"
 
@@ -193,6 +194,21 @@
               e->entry.id.data, limit);
 }
 
+/* Note what the endpoint that sent HEAD reports of its load.  */
+static void
+note_load (struct ms_upstream *u, const struct ms_head *head)
+{
+  struct ms_load_report report;
+  bool valid;
+  bool any = plat_decode_load (head, &report, &valid);
+
+  if (any || !valid)
+    ms_metric_server_load (valid);
+  if (any && head->status != HTTP_STATUS_MISDIRECTED_REQUEST
+      && ms_place_is_start (u->endpoint, u->born))
+    ms_place_note_load (u->endpoint, &report, u->gw->now);
+}
+
 static void
 on_head (void *context, const struct ms_head *head)
 {
@@ -207,6 +223,7 @@
   note_leaving (u, head);
   note_pause (u, head);
   note_rate_limit (u, head);
+  note_load (u, head);
   u->keep_alive = head->keep_alive;
   u->idle_timeout = read_idle_timeout (head);
   if (u->request && !ms_request_response_head (u->request, head))
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -241,7 +241,8 @@
                     : crossing_tokens (place, offer);
   f->rank = 0;
   usual = usual_time (place, e, service, f->uncached);
-  f->expected = (ms_time)(usual * e->slowness);
+  f->expected = (ms_time)(usual * e->slowness
+                          * ms_report_factor (place, e, service, now));
   if (home && missing)
     usual
         = usual_time (place, e, service, f->uncached - f->duplicate + missing);
--- a/src/place/endpoint.h
+++ b/src/place/endpoint.h
@@ -42,4 +42,16 @@
                        0.  */
 };
 
+/* What an endpoint reports of its own load; each figure below 0 if it is not
+   stated.  */
+struct ms_load_report
+{
+  double running; /* Requests of all routers.  */
+  double waiting; /* Requests in its queue.  */
+  double slots;
+  double work_time; /* How long work takes at this time; MS_USUAL_WORK_TIME is
+                       usual, and more is slower.  */
+};
+#define MS_USUAL_WORK_TIME 100.0
+
 #endif
--- a/src/place/errors.c
+++ b/src/place/errors.c
@@ -194,6 +194,24 @@
   return false;
 }
 
+unsigned
+ms_place_failing (const struct ms_place *place)
+{
+  unsigned failing = 0;
+
+  for (unsigned i = 0; i < place->count; i++)
+    {
+      const struct ms_endpoint_state *e = place->endpoints[i];
+      struct ms_errors errors;
+
+      if (!e->listed || e->error_rate < PROBED_RATE)
+        continue;
+      ms_errors_sum (place, e->entry.service, &errors);
+      failing += ms_errors_stands_out (&errors, e);
+    }
+  return failing;
+}
+
 void
 ms_errors_destroy (struct ms_place *place)
 {
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -93,6 +93,12 @@
 struct ms_probes;
 void ms_errors_destroy (struct ms_place *place);
 
+/* Return by how much longer than usual work takes at E now, as E reported it;
+   1 if there is no report that may still be true, or reports are not used.  */
+double ms_report_factor (const struct ms_place *place,
+                         const struct ms_endpoint_state *e,
+                         const struct ms_service_entry *service, ms_time now);
+
 /* Endpoints that leave, though the list may not say so.  */
 struct ms_left;
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -134,6 +134,7 @@
   e->probing = false;
   e->slowness = 1;
   e->error_rate = 0;
+  e->reported_at = 0;
 }
 
 struct ms_endpoint_state *
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -120,6 +120,8 @@
   double error_rate; /* Fraction of failed answers, as an exponential mean.  */
   ms_time probed_at; /* When it last got a request while it failed much more
                         often than the others of its plain service.  */
+  struct ms_load_report report; /* The newest one to this router.  */
+  ms_time reported_at;          /* When it came; 0 if none did.  */
   ms_time answered_at; /* When an answer of it last began or an attempt
                           failed.  */
   void *attachment;    /* Owned by the gateway: its connection pool.  */
@@ -242,6 +244,8 @@
   struct ms_place_speed speed;
   double zone_byte_tokens; /* Prompt tokens that may be prefilled to keep a
                               byte within its availability zone.  */
+  bool use_reports; /* Plain endpoints are chosen by their momentary speed as
+                       they report it, too.  */
   const struct ms_homes_policy *homes; /* Borrowed; NULL for "available".  */
   const struct ms_crossing_policy *crossing; /* Borrowed; NULL for "static". */
   /* Called with CROSSING_CONTEXT, which may be NULL, when requests for a
@@ -327,6 +331,10 @@
 bool ms_place_note_rate_limit (struct ms_endpoint_state *endpoint,
                                double limit, ms_time at);
 
+/* ENDPOINT sent REPORT in an answer at NOW.  */
+void ms_place_note_load (struct ms_endpoint_state *endpoint,
+                         const struct ms_load_report *report, ms_time now);
+
 /* What a router, or all routers of a zone, report of an endpoint that names a
    limit of requests or has named one lately.  */
 struct ms_rate_report
@@ -594,6 +602,10 @@
                           struct ms_endpoint_state *first,
                           const struct ms_endpoint_state *second);
 
+/* Return the number of listed endpoints that fail much more often than the
+   others of their plain service.  */
+unsigned ms_place_failing (const struct ms_place *place);
+
 /* Return the load of this router alone at ENDPOINT, for its digest.  The pace
    is the one that this router measured, 0 if it did not within the last
    500 ms; the limit is the one that it uses for ENDPOINT.  */
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -40,6 +40,13 @@
 is $? 1 && grep -q 'wrong.yaml: line [0-9]*: crossing: "none" is not' \
   "$DIR/message"
 verdict "--check names file, line and field of an unknown crossing policy" $?
+sed 's/^directory_ttl_s: .*/server_load: "maybe"\n&/' "$here/settings.yaml" \
+  >"$DIR/wrong.yaml"
+"$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
+  2>"$DIR/message"
+is $? 1 && grep -q 'wrong.yaml: line [0-9]*: server_load: "maybe" is neither' \
+  "$DIR/message"
+verdict "--check names file, line and field of an unknown use of loads" $?
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store_url)/log-newest?topic=keyed.op&part=0" || exit 1
 start_gateway 1
@@ -208,6 +215,19 @@
 verdict "a failure is passed on if no other endpoint can get the request" $?
 list_engine 1 ready
 await 10 listed 2
+loads () { metrics && grep -q "^monsoonspur_server_load_total{valid=\"$1\"} $2" "$DIR/metrics"; }
+work_time () { get -X PUT "http://$(engine_address "$1")/load?to=$2" >/dev/null; }
+loads yes 0 && loads no 0
+verdict "no load is counted where endpoints report none" $?
+for n in 0 1; do work_time $n 250; done
+request 1 /any/x
+loads yes 1 && loads no 0
+verdict "a load that an endpoint reports is counted" $?
+for n in 0 1; do work_time $n 999999; done
+request 1 /any/x
+is "$status" 200 && loads yes 1 && loads no 1
+verdict "an implausible load is counted as invalid, and its answer passed on" $?
+for n in 0 1; do work_time $n -1; done
 request 1 /once/flaky -X POST -d x
 is "$status" 500 && head_has '^X-Response-Signature: s' \
   && is "$(run_count $id)" 1
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -32,7 +32,9 @@
    leaves, until PUT /leave?to=0.  PUT /busy?s=N turns each request away with
    503 and Retry-After: N until PUT /busy?s=0; GET /turned returns how many
    were.  PUT /limit?to=N makes all answers name the limit N of requests per
-   second, until PUT /limit?to=-1; the stand-in takes more all the same.  With
+   second, until PUT /limit?to=-1; the stand-in takes more all the same.
+   PUT /load?to=N makes all answers report the load with the time N that work
+   takes, 100 being usual, until PUT /load?to=-1.  With
    --runs=FILE each run is appended to FILE before it begins: ID and the time
    in milliseconds of the monotonic clock; and "bad" and the time before each
    bad answer of the following kind.  The end of each run follows in FILE.ends:
@@ -79,6 +81,7 @@
 static atomic_long busy_s; /* 0: requests are run.  */
 static atomic_uint turned_away;
 static atomic_long named_limit = -1; /* Below 0: none.  */
+static atomic_long work_time = -1;   /* Likewise.  */
 static FILE *runs_file;
 static FILE *ends_file;
 static bool is_mortal;
@@ -234,12 +237,17 @@
 send_head (struct mg_connection *connection, int status, const char *more)
 {
   char limit[48] = "";
+  char load[64] = "";
 
   if (named_limit >= 0)
     snprintf (limit, sizeof limit, "Server-Limit: %ld\r\n", named_limit);
-  mg_printf (connection, "HTTP/1.1 %d -\r\nX-Request-Attempt-Id: %s\r\n%s%s%s",
-             status, header_value (connection, "X-Request-Attempt-Id"),
-             is_leaving ? "Server-Leaving: 1\r\n" : "", limit, more);
+  if (work_time >= 0)
+    snprintf (load, sizeof load, "X-Server-Load: %d,0,8,%ld\r\n", (int)running,
+              work_time);
+  mg_printf (connection,
+             "HTTP/1.1 %d -\r\nX-Request-Attempt-Id: %s\r\n%s%s%s%s", status,
+             header_value (connection, "X-Request-Attempt-Id"),
+             is_leaving ? "Server-Leaving: 1\r\n" : "", limit, load, more);
 }
 
 /* Send TEXT as a chunk of a body or, if the body is OPEN, as it is.  Return
@@ -546,6 +554,15 @@
   return 1;
 }
 
+static int
+handle_load (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  work_time = query_number (connection, "to", -1);
+  mg_printf (connection, "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
+  return 1;
+}
+
 static int
 send_number (struct mg_connection *connection, unsigned number)
 {
@@ -672,11 +689,12 @@
     NULL,    NULL,         NULL
   };
   static const struct standin_handler handlers[] = {
-    { "/runs$", handle_runs },       { "/cancelled$", handle_cancelled },
-    { "/leave$", handle_leave },     { "/busy$", handle_busy },
-    { "/turned$", handle_turned },   { "/limit$", handle_limit },
-    { "/total$", handle_total },     { "/bad$", handle_bad },
-    { "/running$", handle_running }, { "/**", handle_request },
+    { "/runs$", handle_runs },     { "/cancelled$", handle_cancelled },
+    { "/leave$", handle_leave },   { "/busy$", handle_busy },
+    { "/turned$", handle_turned }, { "/limit$", handle_limit },
+    { "/load$", handle_load },     { "/total$", handle_total },
+    { "/bad$", handle_bad },       { "/running$", handle_running },
+    { "/**", handle_request },
   };
   const char *address = "127.0.0.1:0";
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -365,6 +365,49 @@
   assert_true (valid);
 }
 
+static struct ms_load_report
+decode_load (const char *value, bool *any, bool *valid)
+{
+  const struct ms_head head
+      = { .status = 200,
+          .headers_count = 1,
+          .headers = { { ms_str ("X-Server-Load"), ms_str (value) } } };
+  struct ms_load_report report;
+
+  *any = plat_decode_load (&head, &report, valid);
+  return report;
+}
+
+/* Figures that cannot be true are counted and not used; the others are.  */
+static void
+test_decodes_loads (void **state)
+{
+  static const char *const invalid[]
+      = { "-1",   "few",  "nan",     "1e300",  ",,0",
+          ",,,0", ",,,9", ",,,2001", ",,,inf", "-1,-1,-1,-100" };
+  const struct ms_head none = { .status = 200 };
+  struct ms_load_report report;
+  bool any, valid;
+
+  (void)state;
+  report = decode_load ("3, 1,8,250", &any, &valid);
+  assert_true (any && valid && report.running == 3 && report.waiting == 1
+               && report.slots == 8 && report.work_time == 250);
+  report = decode_load ("3,,8", &any, &valid);
+  assert_true (any && valid && report.running == 3 && report.waiting < 0
+               && report.slots == 8 && report.work_time < 0);
+  report = decode_load ("1,x,8,100,7", &any, &valid);
+  assert_true (any && !valid && report.running == 1 && report.waiting < 0
+               && report.slots == 8 && report.work_time == 100);
+  for (size_t i = 0; i < sizeof invalid / sizeof *invalid; i++)
+    {
+      decode_load (invalid[i], &any, &valid);
+      assert_false (any || valid);
+    }
+  assert_false (plat_decode_load (&none, &report, &valid));
+  assert_true (valid);
+}
+
 static void
 test_loss_of_an_offset (void **state)
 {
@@ -571,6 +614,7 @@
     cmocka_unit_test (test_numbers_end_with_their_text),
     cmocka_unit_test (test_decodes_pauses),
     cmocka_unit_test (test_decodes_rate_limits),
+    cmocka_unit_test (test_decodes_loads),
     cmocka_unit_test (test_loss_of_an_offset),
     cmocka_unit_test (test_offset_of_a_record_may_be_missing),
     cmocka_unit_test (test_decodes_orders),
