--- a/src/place/errors.c
+++ b/src/place/errors.c
@@ -152,6 +152,8 @@
       HASH_ADD (hh, place->probes, service, sizeof probes->service, probes);
     }
   probes->sent++;
+  if (e->error_rate < PROBED_RATE)
+    return;
   ms_errors_sum (place, offer->service, &errors);
   if (!ms_errors_stands_out (&errors, e))
     return;
@@ -164,14 +166,15 @@
 ms_errors_note (struct ms_place *place, struct ms_endpoint_state *e,
                 bool failed)
 {
-  struct ms_errors errors;
+  struct ms_errors errors = { 0 };
 
   if (failed)
     {
       e->error_rate += ERROR_WEIGHT * (1 - e->error_rate);
       return;
     }
-  ms_errors_sum (place, e->entry.service, &errors);
+  if (e->error_rate >= PROBED_RATE)
+    ms_errors_sum (place, e->entry.service, &errors);
   e->error_rate *= 1
                    - (ms_errors_stands_out (&errors, e) ? RECOVERY_WEIGHT
                                                         : ERROR_WEIGHT);
