Probes only while the retry budget and the request's time allow another attempt

A probe at an endpoint that fails would otherwise cost a caller its answer when the budget is used up. ms_budget_has tells without counting a retry.

--- a/src/admit/budget.c
+++ b/src/admit/budget.c
@@ -141,10 +141,10 @@
   c->requests[c->bucket % BUCKETS]++;
 }
 
-bool
-ms_budget_take (struct ms_budget *budget, uint64_t service, ms_time now)
+/* Return whether the current counts C allow a retry.  */
+static bool
+has_retry (const struct ms_budget *budget, const struct count *c, ms_time now)
 {
-  struct count *c = current_counts (budget, service, now);
   double requests = 0;
   double retries = 0;
   double slack = budget->routers ? budget->options.slack / budget->routers : 0;
@@ -156,8 +156,22 @@
     requests += c->requests[i];
   for (int i = 0; i < BUCKETS + 1; i++)
     retries += c->retries[i];
-  if (retries + 1 > USED_FRACTION * budget->options.ratio * requests
-                        + slack_fraction * slack)
+  return retries + 1 <= USED_FRACTION * budget->options.ratio * requests
+                            + slack_fraction * slack;
+}
+
+bool
+ms_budget_has (struct ms_budget *budget, uint64_t service, ms_time now)
+{
+  return has_retry (budget, current_counts (budget, service, now), now);
+}
+
+bool
+ms_budget_take (struct ms_budget *budget, uint64_t service, ms_time now)
+{
+  struct count *c = current_counts (budget, service, now);
+
+  if (!has_retry (budget, c, now))
     return false;
   c->retries[c->bucket % (BUCKETS + 1)]++;
   return true;
--- a/src/admit/budget.h
+++ b/src/admit/budget.h
@@ -53,4 +53,8 @@
    the retry.  */
 bool ms_budget_take (struct ms_budget *budget, uint64_t service, ms_time now);
 
+/* Return whether ms_budget_take would return true, without counting a
+   retry.  */
+bool ms_budget_has (struct ms_budget *budget, uint64_t service, ms_time now);
+
 #endif
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -58,7 +58,8 @@
       = left > MIN_PLACEMENT_TARGET ? left : MIN_PLACEMENT_TARGET;
   offer->tried = r->tried;
   offer->tried_count = r->tried_count;
-  offer->repeatable = ms_request_may_repeat (r) && r->route.max_attempts > 1;
+  offer->repeatable = ms_request_may_repeat (r) && r->route.max_attempts > 1
+                      && ms_budget_has (r->gw->budget, r->service, r->gw->now);
   offer->alone = r->trial;
 }
 
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -435,7 +435,8 @@
       score = ms_crossings_rank (place, crossings, offer, e, &f);
       if (ms_errors_avoids (&errors, e) && !offer->alone)
         f.rank = 2;
-      if (e == probed)
+      /* After a probe that fails there must be time for another attempt.  */
+      if (e == probed && 2 * f.expected <= offer->target_left)
         {
           choose_probe (choice, e, &f);
           break;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -142,7 +142,7 @@
   ms_time target_left; /* Time left to the first-byte target.  */
   unsigned tried_count;
   struct ms_endpoint_state *const *tried; /* Endpoints not to try again.  */
-  bool repeatable; /* It may run again after a failure.  */
+  bool repeatable; /* It may run again after a failure, as far as is known.  */
   bool alone;      /* It may crash its endpoint: prefer the least busy one.  */
   uint32_t version; /* Only endpoints of this version; 0 for any.  */
   bool canary;      /* Of these, only those that are in_canary.  */
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -14,7 +14,10 @@
 {
   unsigned taken = 0;
 
-  while (taken < 1000 && ms_budget_take (budget, SERVICE, now))
+  /* Asking whether there is a retry takes none.  */
+  while (taken < 1000 && ms_budget_has (budget, SERVICE, now)
+         && ms_budget_has (budget, SERVICE, now)
+         && ms_budget_take (budget, SERVICE, now))
     taken++;
   return taken;
 }
--- a/tests/test_errors.c
+++ b/tests/test_errors.c
@@ -23,6 +23,7 @@
   bool fails[ENDPOINTS];     /* All answers of that endpoint are 500.  */
   unsigned runs[ENDPOINTS];  /* Attempts at it.  */
   unsigned first[ENDPOINTS]; /* Of them, first ones of requests.  */
+  ms_time target_left;       /* Of requests.  */
   unsigned lost;             /* Requests whose last answer was 500.  */
 };
 
@@ -33,6 +34,7 @@
 
   memset (w, 0, sizeof *w);
   w->now = 10 * MS_SEC;
+  w->target_left = 300 * MS_MSEC;
   w->place = ms_place_create (&options, ms_place_policy ("prefix"));
   ms_place_configure (w->place, &routes);
   for (unsigned i = 0; i < ENDPOINTS; i++)
@@ -59,7 +61,7 @@
 {
   struct ms_endpoint_state *tried[2] = { NULL, NULL };
   struct ms_offer offer = { .service = PLAIN,
-                            .target_left = 300 * MS_MSEC,
+                            .target_left = w->target_left,
                             .repeatable = attempts > 1,
                             .tried = tried };
   bool failed = true;
@@ -131,6 +133,22 @@
   ms_place_destroy (w.place);
 }
 
+/* A probe leaves time for another attempt.  */
+static void
+test_no_probe_without_time (void **state)
+{
+  struct world w;
+
+  (void)state;
+  create_world (&w);
+  w.fails[0] = true;
+  play (&w, 4 * MS_SEC, 2, 0);
+  w.target_left = 60 * MS_MSEC;
+  play (&w, 20 * MS_SEC, 2, 0);
+  assert_int_equal (w.runs[0], 0);
+  ms_place_destroy (w.place);
+}
+
 /* Requests that fail wherever they run made the router avoid endpoints that
    work, for seconds, and prefer others for no reason.  */
 static void
@@ -209,6 +227,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_probes_are_repeatable_requests),
+    cmocka_unit_test (test_no_probe_without_time),
     cmocka_unit_test (test_bad_requests_are_not_held_against_endpoints),
     cmocka_unit_test (test_whole_service_failing_is_nobodys_fault),
     cmocka_unit_test (test_failing_endpoint_is_tried_again_without_probes),
