--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -365,6 +365,39 @@
   assert_true (valid);
 }
 
+/* Figures that cannot be true are counted and not used; the others are.  */
+static void
+test_decodes_loads (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    struct ms_load_report report;
+    bool valid;
+  } loads[] = { { "3, 1,8,250", { 3, 1, 8, 250 }, true },
+                { "3,,8", { 3, -1, 8, -1 }, true },
+                { "1,x,8,100,7", { 1, -1, 8, 100 }, false },
+                { "-1,nan,0,0", { -1, -1, -1, -1 }, false },
+                { "1e300,inf,few,9", { -1, -1, -1, -1 }, false },
+                { ",,,2001", { -1, -1, -1, -1 }, false } };
+  struct ms_head head = { .status = 200 };
+  struct ms_load_report report;
+  bool valid;
+
+  (void)state;
+  assert_false (plat_decode_load (&head, &report, &valid));
+  assert_true (valid);
+  head.headers_count = 1;
+  head.headers[0].name = ms_str ("X-Server-Load");
+  for (size_t i = 0; i < sizeof loads / sizeof *loads; i++)
+    {
+      head.headers[0].value = ms_str (loads[i].text);
+      assert_int_equal (plat_decode_load (&head, &report, &valid), i < 3);
+      assert_int_equal (valid, loads[i].valid);
+      assert_memory_equal (&report, &loads[i].report, sizeof report);
+    }
+}
+
 static void
 test_loss_of_an_offset (void **state)
 {
@@ -571,6 +604,7 @@
     cmocka_unit_test (test_numbers_end_with_their_text),
     cmocka_unit_test (test_decodes_pauses),
     cmocka_unit_test (test_decodes_rate_limits),
+    cmocka_unit_test (test_decodes_loads),
     cmocka_unit_test (test_loss_of_an_offset),
     cmocka_unit_test (test_offset_of_a_record_may_be_missing),
     cmocka_unit_test (test_decodes_orders),
