--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -270,8 +270,8 @@
    than endpoints can do in seconds.  When a level comes into force, the credit
    therefore starts where it is on average between two such requests.  */
 bool
-ms_share_admit (struct ms_share *share, uint64_t team, double cost,
-                ms_time now)
+ms_share_admit_above (struct ms_share *share, uint64_t team, double cost,
+                      double min_credit, ms_time now)
 {
   struct team *t = find_or_add_team (share, team);
   double all;
@@ -296,12 +296,40 @@
   if (t->last_cost <= 0)
     t->credit = cost * (share->level / all - draw_fraction (t, now));
   t->last_cost = cost;
-  if (t->credit <= 0)
+  if (t->credit <= min_credit)
     return false;
   t->credit -= cost;
   return true;
 }
 
+bool
+ms_share_admit (struct ms_share *share, uint64_t team, double cost,
+                ms_time now)
+{
+  return ms_share_admit_above (share, team, cost, 0, now);
+}
+
+double
+ms_share_team_rate (struct ms_share *share, uint64_t team, double *credit,
+                    ms_time now)
+{
+  struct team *t;
+  double own;
+  double all;
+
+  *credit = 0;
+  HASH_FIND (hh, share->teams, &team, sizeof team, t);
+  if (!t || share->level <= 0)
+    return 0;
+  own = own_demand (share, t, now);
+  all = share->demand_scale * (own + t->others_demand);
+  if (all <= share->level)
+    return 0;
+  accrue_credit (share, t, now);
+  *credit = t->credit;
+  return share->level / all * own;
+}
+
 void
 ms_share_admit_rest (struct ms_share *share, uint64_t team, double cost,
                      ms_time now)
--- a/src/admit/share.h
+++ b/src/admit/share.h
@@ -45,7 +45,18 @@
 bool ms_share_admit (struct ms_share *share, uint64_t team, double cost,
                      ms_time now);
 
-/* The same for a request that goes on with work of an admitted one: it is
+/* The same, but while the team is limited, only if its credit exceeds
+   MIN_CREDIT, in cost units: for requests that go before others (-HUGE_VAL) or
+   after them.  */
+bool ms_share_admit_above (struct ms_share *share, uint64_t team, double cost,
+                           double min_credit, ms_time now);
+
+/* Return the rate at which this router may admit TEAM, in cost units per
+   second, and set *CREDIT to its credit; 0 if the team is not limited.  */
+double ms_share_team_rate (struct ms_share *share, uint64_t team,
+                           double *credit, ms_time now);
+
+/* The same as ms_share_admit for a request that goes on with work of an admitted one: it is
    always admitted, and if it exceeds the team's share, later ones make up for
    it.  */
 void ms_share_admit_rest (struct ms_share *share, uint64_t team, double cost,
