--- a/src/admit/returns.c
+++ b/src/admit/returns.c
@@ -18,6 +18,11 @@
    tells of its promise: digests are sent every 150 ms.  */
 #define MIN_WAIT (200 * MS_MSEC)
 
+/* Part of a team's rate that may be promised.  With all of it, promises to
+   requests with long targets leave nothing for those with short ones, which
+   cannot wait for the others' promises to be claimed.  */
+#define PROMISED_PART 0.5
+
 /* Predictions of the share do not reach further.  */
 #define MAX_WAIT (800 * MS_MSEC)
 
@@ -106,6 +111,7 @@
   r->opens_at = 0;
 }
 
+/* Whether neither this router nor others refused R lately.  */
 static bool
 is_forgotten (const struct record *r, ms_time now)
 {
@@ -168,16 +174,31 @@
   return sum;
 }
 
+/* Return the sum of this router's promises to TEAM that can be claimed at NOW,
+   in cost units.  */
+static double
+due_promises (const struct ms_returns *returns, uint64_t team, ms_time now)
+{
+  double sum = 0;
+  const struct record *r;
+
+  DL_FOREACH (returns->promises, r)
+  if (r->team == team && now >= r->opens_at - EARLY_TIME
+      && now <= r->opens_at + MS_RETURN_WINDOW)
+    sum += r->size;
+  return sum;
+}
+
 double
 ms_returns_arrived (struct ms_returns *returns,
                     const struct ms_return_request *request,
                     const struct ms_return_share *share, ms_time now)
 {
   struct record *r = find_record (returns, request->key, now);
-  double promised = ms_returns_promised (returns, request->team, now);
+  double due = due_promises (returns, request->team, now);
 
   if (!r)
-    return promised;
+    return due;
   if (r->opens_at && !r->claimed && request->size <= r->size)
     {
       if (now < r->opens_at - EARLY_TIME)
@@ -190,9 +211,9 @@
       return -HUGE_VAL;
     }
   if (!r->claimed && now - r->first_at <= request->target)
-    return promised;
+    return due;
   returns->counts.late++;
-  return promised + SPARE_S * share->rate;
+  return due + SPARE_S * share->rate;
 }
 
 /* Return the duration after which the share of the request's team will have
@@ -209,7 +230,7 @@
     return 0;
   /* A request is admitted while any credit is left and may overdraw it, so its
      own size does not count.  */
-  wait_s = fmax (0, promised - share->credit) / share->rate;
+  wait_s = (promised / PROMISED_PART + fmax (0, -share->credit)) / share->rate;
   if (wait_s * MS_SEC > MAX_WAIT)
     return 0;
   return wait_s * MS_SEC > MIN_WAIT ? (ms_time)(wait_s * MS_SEC) : MIN_WAIT;
