--- a/src/admit/returns.c
+++ b/src/admit/returns.c
@@ -135,7 +135,8 @@
 
 /* The same, but add one if there is none; NULL if there is no space.  */
 static struct record *
-find_or_add_record (struct ms_returns *returns, uint64_t key, ms_time now)
+find_or_add_record (struct ms_returns *returns, uint64_t key, ms_time first_at,
+                    ms_time now)
 {
   struct record *r;
 
@@ -156,7 +157,7 @@
     return NULL;
   r = ms_new (sizeof *r);
   r->key = key;
-  r->first_at = now;
+  r->first_at = first_at;
   HASH_ADD (hh, returns->records, key, sizeof r->key, r);
   return r;
 }
@@ -241,7 +242,8 @@
                     const struct ms_return_request *request,
                     const struct ms_return_share *share, ms_time now)
 {
-  struct record *r = find_or_add_record (returns, request->key, now);
+  struct record *r = find_or_add_record (returns, request->key,
+                                         request->arrived, now);
   ms_time wait;
 
   if (!r)
@@ -317,7 +319,7 @@
       returns->counts.implausible++;
       return;
     }
-  r = find_or_add_record (returns, report->key, now);
+  r = find_or_add_record (returns, report->key, now - report->age, now);
   if (!r)
     return;
   r->heard_at = now;
--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -6,8 +6,11 @@
 #include "base/alloc.h"
 
 /* Length of the end of a digest that routers of earlier versions do not send:
-   USED, LEVEL, KNOWN_FOR and nine empty lists.  */
-#define ADDED_BYTES 48
+   USED, LEVEL, KNOWN_FOR and ten empty lists.  */
+#define ADDED_BYTES 52
+
+/* Length of an empty list.  */
+#define EMPTY_LIST_BYTES 4
 
 unsigned
 ms_digest_encode (const struct fleet_digest *digest, char *data, size_t size)
@@ -18,6 +21,9 @@
   xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
   if (xdr_fleet_digest (&xdr, (struct fleet_digest *)digest))
     length = xdr_getpos (&xdr);
+  /* Zeros stand for it when the digest is decoded.  */
+  if (length && !digest->returns.returns_len)
+    length -= EMPTY_LIST_BYTES;
   xdr_destroy (&xdr);
   return length;
 }
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -27,6 +27,7 @@
 #define DIGEST_ROLLOUTS 8
 #define DIGEST_EVIDENCE 24
 #define DIGEST_SUSPECTS 24
+#define DIGEST_RETURNS 64
 
 struct digest_load {
 	u_quad_t endpoint;
@@ -200,6 +201,14 @@
 };
 typedef struct digest_zone_rollouts digest_zone_rollouts;
 
+struct digest_return {
+	u_quad_t key;
+	u_int age;
+	u_int wait;
+	u_int size;
+};
+typedef struct digest_return digest_return;
+
 struct fleet_digest {
 	digest_member self;
 	u_int sequence;
@@ -266,6 +275,10 @@
 		u_int zone_rollouts_len;
 		digest_zone_rollouts *zone_rollouts_val;
 	} zone_rollouts;
+	struct {
+		u_int returns_len;
+		digest_return *returns_val;
+	} returns;
 };
 typedef struct fleet_digest fleet_digest;
 
@@ -288,6 +301,7 @@
 extern  bool_t xdr_digest_suspect (XDR *, digest_suspect*);
 extern  bool_t xdr_digest_rollout (XDR *, digest_rollout*);
 extern  bool_t xdr_digest_zone_rollouts (XDR *, digest_zone_rollouts*);
+extern  bool_t xdr_digest_return (XDR *, digest_return*);
 extern  bool_t xdr_fleet_digest (XDR *, fleet_digest*);
 
 #else /* K&R C */
@@ -307,6 +321,7 @@
 extern bool_t xdr_digest_suspect ();
 extern bool_t xdr_digest_rollout ();
 extern bool_t xdr_digest_zone_rollouts ();
+extern bool_t xdr_digest_return ();
 extern bool_t xdr_fleet_digest ();
 
 #endif /* K&R C */
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -15,6 +15,7 @@
 const DIGEST_ROLLOUTS = 8;
 const DIGEST_EVIDENCE = 24;
 const DIGEST_SUSPECTS = 24;
+const DIGEST_RETURNS = 64;
 
 /* Work that the sender has in progress at an endpoint.  */
 struct digest_load
@@ -192,6 +193,18 @@
   digest_rollout rollouts<DIGEST_ROLLOUTS>;
 };
 
+/* A request that the sender has refused, by the hash of its team, API key and
+   content.  */
+struct digest_return
+{
+  unsigned hyper key;
+  unsigned int age;  /* Milliseconds since it first arrived.  */
+  unsigned int wait; /* Milliseconds from then until its promise can be
+                        claimed; 0 if it has none, 2^32 - 1 if the promise was
+                        claimed.  */
+  unsigned int size; /* Of the promise, in cost units.  */
+};
+
 struct fleet_digest
 {
   digest_member self;
@@ -220,4 +233,5 @@
                              listed.  */
   digest_rollout rollouts<DIGEST_ROLLOUTS>;
   digest_zone_rollouts zone_rollouts<DIGEST_ZONES>;
+  digest_return returns<DIGEST_RETURNS>; /* Not encoded if it is empty.  */
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -573,6 +573,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_digest_return (XDR *xdrs, digest_return *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_digest (XDR *xdrs, fleet_digest *objp)
 {
@@ -650,6 +666,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
 			sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
+			sizeof (digest_return), (xdrproc_t) xdr_digest_return))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -722,6 +741,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
 			sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
+			sizeof (digest_return), (xdrproc_t) xdr_digest_return))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -785,5 +807,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->zone_rollouts.zone_rollouts_val, (u_int *) &objp->zone_rollouts.zone_rollouts_len, DIGEST_ZONES,
 		sizeof (digest_zone_rollouts), (xdrproc_t) xdr_digest_zone_rollouts))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
+		sizeof (digest_return), (xdrproc_t) xdr_digest_return))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include "admit/budget.h"
 #include "admit/pressure.h"
+#include "admit/returns.h"
 #include "admit/room.h"
 #include "admit/share.h"
 #include "base/clock.h"
@@ -75,6 +76,7 @@
   struct ms_streams *streams;
   struct ms_budget *budget;
   struct ms_share *share;
+  struct ms_returns *returns; /* NULL while the setting is off.  */
   struct ms_pressure *pressure;
   struct ms_room *room;
   struct ms_fleet *fleet;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -44,6 +44,8 @@
   bool suspect;     /* It may crash endpoints: its answers say nothing of a
                        version.  */
   double cost;      /* In cost units, for the shares of teams.  */
+  uint64_t return_key; /* By which a promise to it is known; 0 if it gets none.
+                        */
   double done_cost; /* Part of it that ms_share_answered has counted.  */
 
   ms_time arrived;
@@ -185,6 +187,11 @@
    which the fastest endpoint would have missed the first-byte target.  */
 ms_time ms_gateway_retry_after (struct ms_gateway *gw, ms_time late_by);
 
+/* The request was refused because of REASON.  Return the duration after which
+   its promise can be claimed, or 0 if it has none.  */
+ms_time ms_request_promised_return (struct ms_request *request,
+                                    const char *reason);
+
 /* Ends (outcome.c).  All but ms_request_end_attempt and ms_request_log_end
    free the request.  */
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -156,6 +156,8 @@
       ms_guard_tick (gw->guard, now);
       ms_part_guard_tick (gw->part_guard, now);
       ms_streams_tick (gw->streams, now);
+      if (gw->returns)
+        ms_returns_tick (gw->returns, now);
     }
   update_request_rate (gw);
   if (may_exit (gw))
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -169,6 +169,26 @@
             counts[i].name.data, (unsigned long long)counts[i].bytes);
 }
 
+static void
+print_returns (struct text_buffer *out, const struct ms_returns_counts *counts)
+{
+  if (!counts)
+    return;
+  append (out,
+          "# TYPE monsoonspur_returns_total counter\n"
+          "monsoonspur_returns_total{event=\"promised\"} %llu\n"
+          "monsoonspur_returns_total{event=\"claimed\"} %llu\n"
+          "monsoonspur_returns_total{event=\"expired\"} %llu\n"
+          "monsoonspur_returns_total{event=\"late\"} %llu\n"
+          "monsoonspur_returns_total{event=\"implausible\"} %llu\n"
+          "monsoonspur_returns_known %u\n",
+          (unsigned long long)counts->promised,
+          (unsigned long long)counts->claimed,
+          (unsigned long long)counts->expired,
+          (unsigned long long)counts->late,
+          (unsigned long long)counts->implausible, counts->records);
+}
+
 size_t
 ms_metrics_page (const struct ms_metric_gauges *gauges, char *text,
                  size_t size)
@@ -210,6 +230,7 @@
   append (&out, "monsoonspur_share_level_tokens_per_second %.0f\n",
           gauges->share_level);
   print_crossings (&out, gauges);
+  print_returns (&out, gauges->returns);
   for (int i = 0; i < MS_LATENCIES; i++)
     print_histogram (&out, latency_names[i], &histograms[i]);
   return out.used;
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 
 #include "base/clock.h"
+#include "admit/returns.h"
 #include "place/place.h"
 
 /* Request counters and latency histograms of this process, printed in the
@@ -81,6 +82,7 @@
                              says tokens; 0 while capacity is not scarce.  */
   const struct ms_crossing_count *crossings; /* Borrowed.  */
   unsigned crossings_count;
+  const struct ms_returns_counts *returns; /* Borrowed; NULL while off.  */
 };
 
 /* Print all metrics into TEXT, cut off if they exceed SIZE bytes.  Return the
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -127,11 +127,15 @@
 ms_request_refuse (struct ms_request *r, unsigned status, const char *reason)
 {
   struct ms_caller *caller = r->caller;
-  ms_time delay = status == HTTP_STATUS_SERVICE_UNAVAILABLE
-                      ? ms_gateway_retry_after (
-                          r->gw, r->choice.late_by + r->choice.paused_for)
-                      : 0;
-
+  ms_time delay = 0;
+
+  if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      delay = ms_request_promised_return (r, reason);
+      if (!delay)
+        delay = ms_gateway_retry_after (r->gw, r->choice.late_by
+                                                   + r->choice.paused_for);
+    }
   ms_request_log_end (r, status, reason);
   ms_request_free (r);
   ms_caller_refuse (caller, status, reason, delay);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -250,6 +250,26 @@
                              digest->known_for * MS_MSEC, gw->now);
 }
 
+/* Take what the sender of DIGEST has refused.  Other zones' callers rarely come
+   here.  */
+static void
+merge_returns (struct ms_gateway *gw, const struct fleet_digest *digest)
+{
+  if (!gw->returns
+      || (digest->self.zone != gw->zone && ms_fleet_large (gw->fleet, gw->now)))
+    return;
+  for (unsigned i = 0; i < digest->returns.returns_len; i++)
+    {
+      const digest_return *d = &digest->returns.returns_val[i];
+      bool claimed = d->wait == UINT32_MAX;
+      const struct ms_return_report report
+          = { d->key, d->age * MS_MSEC, claimed ? 0 : d->wait * MS_MSEC,
+              d->size, claimed };
+
+      ms_returns_merge (gw->returns, &report, gw->now);
+    }
+}
+
 static void
 on_datagram (uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
              const struct sockaddr *from, unsigned flags)
@@ -265,12 +285,35 @@
      before, each router that passes an age on would add to it.  */
   ms_gateway_update_time (p->gw);
   if (ms_fleet_receive (p->gw->fleet, &digest, p->gw->now))
-    merge_harm (p->gw, &digest);
+    {
+      merge_harm (p->gw, &digest);
+      merge_returns (p->gw, &digest);
+    }
   /* What began a stream stays true, so a notice of it needs no order.  */
   merge_streams (p->gw, &digest);
   ms_digest_free (&digest);
 }
 
+/* Fill RETURNS with what this router has refused and return the number.  */
+static unsigned
+collect_returns (const struct ms_gateway *gw, digest_return *returns,
+                 ms_time now)
+{
+  struct ms_return_report reports[DIGEST_RETURNS];
+  unsigned count;
+
+  if (!gw->returns)
+    return 0;
+  count = ms_returns_report (gw->returns, now, reports, DIGEST_RETURNS);
+  for (unsigned i = 0; i < count; i++)
+    returns[i] = (digest_return){
+      reports[i].key, (unsigned)(reports[i].age / MS_MSEC),
+      reports[i].claimed ? UINT32_MAX : (unsigned)(reports[i].wait / MS_MSEC),
+      (unsigned)ceil (reports[i].size)
+    };
+  return count;
+}
+
 /* This router's loads for a digest; endpoints beyond DIGEST_LOADS are left
    out.  */
 struct load_list
@@ -461,6 +504,7 @@
   digest->flows.flows_val = &sums.flow;
   digest->flows.flows_len = 1;
   digest->rollouts.rollouts_len = 0;
+  digest->returns.returns_len = 0;
   digest->zone_rollouts.zone_rollouts_val = &sums.rollouts;
   digest->zone_rollouts.zone_rollouts_len
       = sums.rollouts.rollouts.rollouts_len ? 1 : 0;
@@ -502,6 +546,7 @@
   digest_demand demands[DIGEST_DEMANDS];
   digest_stream streams[DIGEST_STREAMS];
   digest_version versions[DIGEST_VERSIONS];
+  digest_return returns[DIGEST_RETURNS];
   static struct ms_zone_list zones;
   static struct ms_rollout_list rollouts;
   struct fleet_digest digest = { 0 };
@@ -542,6 +587,8 @@
   ms_rollout_driver_report (gw->rollout_driver, &rollouts, now);
   digest.rollouts.rollouts_val = rollouts.rollouts;
   digest.rollouts.rollouts_len = rollouts.count;
+  digest.returns.returns_val = returns;
+  digest.returns.returns_len = collect_returns (gw, returns, now);
   if (zone_reader)
     ms_fleet_put_zone_sums (gw->fleet, &digest, &zones, now);
   send_to_recipients (p, &digest, recipients, count);
--- a/src/gateway/reload.c
+++ b/src/gateway/reload.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/event.h"
 #include "gateway/gateway.h"
 #include "gateway/request.h"
@@ -67,6 +69,19 @@
             deaths);
 }
 
+/* Start or stop promises to refused callers, as the settings say.  */
+static void
+configure_returns (struct ms_gateway *gw)
+{
+  const char *setting = gw->settings->returns;
+  bool promised = setting && strcmp (setting, "promised") == 0;
+
+  if (promised == (gw->returns != NULL))
+    return;
+  ms_returns_destroy (gw->returns);
+  gw->returns = promised ? ms_returns_create () : NULL;
+}
+
 void
 ms_gateway_create_modules (struct ms_gateway *gw)
 {
@@ -83,6 +98,7 @@
   gw->crashes = ms_crashes_create ();
   gw->streams = ms_streams_create (gw->settings->first_start, gw->now);
   gw->share = ms_share_create ();
+  configure_returns (gw);
   gw->pressure = ms_pressure_create ();
   gw->room = ms_room_create ((size_t)gw->settings->memory_mb << 20);
   gw->waiting = ms_requests_create_queue ();
@@ -120,6 +136,7 @@
   budget = budget_options (gw);
   ms_place_set_options (gw->place, &place);
   ms_budget_set_options (gw->budget, &budget);
+  configure_returns (gw);
   ms_rollout_driver_reload (gw->rollout_driver);
   ms_event (gw->now, "reload", "settings=%s", gw->settings_path);
 }
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -46,6 +46,13 @@
 #define MAX_WAIT_FRACTION 0.2
 #define MAX_WAIT (150 * MS_MSEC)
 
+/* A request that is sent to an endpoint within this part of its first-byte
+   target is expected to be answered in time.  */
+#define START_FRACTION 0.7
+
+/* Callers honour a Retry-After up to this part of their time left.  */
+#define HONOURED_PART 3
+
 /* Return the route of CALLER's request.  If there is none, send an error
    response and return NULL.  A missing route is reported as 404 only while the
    configuration is recent; otherwise the route may be new, so the caller is
@@ -273,6 +280,55 @@
   return true;
 }
 
+/* Describe R, and its team's share, for promises.  */
+static void
+describe_return (const struct ms_request *r, struct ms_return_request *request,
+                 struct ms_return_share *share)
+{
+  ms_time now = r->gw->now;
+
+  *request = (struct ms_return_request){
+    .team = r->team,
+    .key = r->return_key,
+    .size = r->cost,
+    .arrived = r->arrived,
+    .target = (ms_time)(START_FRACTION * (double)r->first_byte_target),
+    .limit = ms_request_time_left (r, now) / HONOURED_PART,
+  };
+  share->rate
+      = ms_share_team_rate (r->gw->share, r->team, &share->credit, now);
+}
+
+/* The same as is_within_share for a request that may claim a promise or return
+   too late.  */
+static bool
+is_within_promised_share (struct ms_request *r)
+{
+  struct ms_gateway *gw = r->gw;
+  struct ms_str key = ms_head_find (ms_caller_head (r->caller), PLAT_KEY);
+  struct ms_return_request request;
+  struct ms_return_share share;
+  double least;
+
+  r->return_key = ms_id_pair (r->fingerprint, ms_id (key));
+  describe_return (r, &request, &share);
+  least = ms_returns_arrived (gw->returns, &request, &share, gw->now);
+  return ms_share_admit_above (gw->share, r->team, r->cost, least, gw->now);
+}
+
+ms_time
+ms_request_promised_return (struct ms_request *r, const char *reason)
+{
+  struct ms_return_request request;
+  struct ms_return_share share;
+
+  if (!r->gw->returns || !r->return_key || r->attempts
+      || (strcmp (reason, "over_share") != 0 && strcmp (reason, "full") != 0))
+    return 0;
+  describe_return (r, &request, &share);
+  return ms_returns_refused (r->gw->returns, &request, &share, r->gw->now);
+}
+
 struct ms_request *
 ms_request_begin (struct ms_gateway *gw, struct ms_caller *caller)
 {
@@ -335,7 +391,10 @@
                          "version_unknown");
       return NULL;
     }
-  if (team && !is_within_share (r))
+  if (team
+      && !(gw->returns && r->cost > 0 && !r->takes_up
+               ? is_within_promised_share (r)
+               : is_within_share (r)))
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "over_share");
       return NULL;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,6 +34,8 @@
                        "balanced".  */
   char *homes;      /* Homes of prompt parts, see place/place.h; NULL:
                        "available".  */
+  char *returns;    /* What refused callers are told: "promised", a time at
+                       which they go before new ones; NULL: "off".  */
   char *log_level;  /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
--- a/tests/test_returns.c
+++ b/tests/test_returns.c
@@ -330,7 +330,7 @@
   double cost = kinds[call->kind].cost;
   struct ms_return_share share;
   struct ms_return_request request
-      = { call->team + 1, call->key, cost,
+      = { call->team + 1, call->key, cost, w->now,
           (ms_time)(START_FRACTION * (double)targets[call->target]),
           (call->sent_at + CALLER_TIME - w->now) / 3 };
   double least = 0;
