--- a/tests/test_returns.c
+++ b/tests/test_returns.c
@@ -32,7 +32,7 @@
 /* As of the gateway.  */
 #define START_FRACTION 0.7
 
-/* Least ratio of the value with and without promises; the model gives 1.4 to
+/* Least ratio of the value with and without promises; the model gives 1.3 to
    2.2.  */
 #define MIN_GAIN 1.2
 
