--- a/tests/test_returns.c
+++ b/tests/test_returns.c
@@ -451,11 +451,13 @@
 {
   double mean = 0;
   double due;
+  unsigned count;
 
   for (unsigned i = 0; i < KINDS; i++)
     mean += kinds[i].part * (double)kinds[i].run_time;
   due = demands[team] * w->options.load * w->options.size.slots * STEP / mean;
-  for (due += draw (w); due >= 1; due--)
+  count = (unsigned)(due + draw (w));
+  for (unsigned i = 0; i < count; i++)
     {
       struct call call
           = { .key = ++w->keys,
