--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -49,6 +49,7 @@
         TEXT_FIELD (crossing, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (homes, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (server_load, CYAML_FLAG_OPTIONAL),
+        TEXT_FIELD (returns, CYAML_FLAG_OPTIONAL),
         TEXT_FIELD (log_level, CYAML_FLAG_OPTIONAL),
         COUNT_FIELD (peer_port),
         COUNT_FIELD (memory_mb),
@@ -198,6 +199,11 @@
                     "\"ignore\"",
                     path, ms_yaml_key_line (text, "server_load"),
                     s->server_load);
+  if (status == MS_OK && s->returns && strcmp (s->returns, "off") != 0
+      && strcmp (s->returns, "promised") != 0)
+    return ms_fail (MS_INVALID,
+                    "%s: line %u: returns: \"%s\" is neither promised nor off",
+                    path, ms_yaml_key_line (text, "returns"), s->returns);
   return status;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -37,6 +37,8 @@
   char *server_load; /* Whether plain endpoints are chosen by the momentary
                         speed that they report: "use" or "ignore"; NULL:
                         "ignore".  */
+  char *returns;     /* What refused callers are told: "promised", a time at
+                        which they go before new ones; NULL: "off".  */
   char *log_level;   /* Accepted, but not used.  */
 
   /* Bounds that the operators set for the fleet.  */
