Place: whole answers of models are no times to the first token

Cause: for routes without streaming, ms_place_began compared the time of the whole answer with the predicted time to the first token, so that the slowness of such endpoints rose to up to 20. Change: the gateway says in the request's load whether the answer is whole; at endpoints of models its time is then not compared. Result: test_whole_answers_of_a_model_do_not_look_slow failed before the change and passes with it.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -113,6 +113,7 @@
 static void
 note_arrival (struct ms_request *r)
 {
+  r->load.whole = !r->stream_response;
   ms_place_began (r->gw->place, r->endpoint, &r->load, r->choice.fit.expected,
                   r->gw->now - r->sent_at, r->gw->now);
   if (r->response_status < 300 && r->done_cost <= 0)
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -190,6 +190,7 @@
   load->running = 1;
   load->prefill = offer->prompt_tokens ? choice->fit.uncached : 0;
   load->memory = offer->prompt_tokens + offer->output_tokens;
+  load->whole = false;
   e->own.running += load->running;
   e->own.prefill += load->prefill;
   e->own.memory += load->memory;
@@ -217,6 +218,8 @@
   if (expected <= 0)
     return;
   e->answered_at = now;
+  if (load->whole && service && service->model)
+    return;
   if (service && !service->model)
     ms_speed_note (place, service->id,
                    e->slowness * (double)took / (double)expected);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -31,6 +31,8 @@
                        faster; 0 if unknown.  */
   uint32_t limit;   /* Concurrent requests that the endpoint may run; 0 if
                        unknown.  */
+  /* Of a single request.  */
+  bool whole; /* Its answer arrives when it is complete, not as a stream.  */
 };
 
 /* Events of the last four seconds, counted in slots of 250 ms.  */
@@ -540,7 +542,9 @@
    send, where
    EXPECTED was predicted (0: no prediction).  Takes the prefill of LOAD, which
    ms_place_sent filled, off the endpoint's load and sets LOAD->prefill to
-   0.  */
+   0.  Set LOAD->whole before if the answer is no stream: at an endpoint of a
+   model, TOOK then includes the generation of all tokens and tells nothing of
+   the time to the first token.  */
 void ms_place_began (struct ms_place *place,
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      ms_time expected, ms_time took, ms_time now);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -683,6 +683,31 @@
   ms_place_destroy (place);
 }
 
+/* Guards against whole answers of a model that count as late first tokens,
+   which made endpoints of routes without streaming look many times slower.  */
+static void
+test_whole_answers_of_a_model_do_not_look_slow (void **state)
+{
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e = put_endpoint (place, 1, MODEL, ZONE_A, 0, 0);
+  const struct ms_offer offer = long_prompt ();
+
+  (void)state;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      ms_time now = (ms_time)i * 2 * MS_SEC;
+      struct ms_load load;
+
+      assert_ptr_equal (choose_and_send (place, &offer, &load, now), e);
+      load.whole = true;
+      ms_place_began (place, e, &load, 100 * MS_MSEC, 1500 * MS_MSEC,
+                      now + 1500 * MS_MSEC);
+      ms_place_ended (place, e, &load, MS_END_GOOD, now + 1500 * MS_MSEC);
+    }
+  assert_true (e->slowness == 1);
+  ms_place_destroy (place);
+}
+
 static void
 test_request_with_a_version_goes_to_that_version_only (void **state)
 {
@@ -1001,6 +1026,7 @@
     cmocka_unit_test (test_routers_use_the_same_endpoints_for_a_canary),
     cmocka_unit_test (test_use_of_versions_is_counted),
     cmocka_unit_test (test_endpoint_is_warming_for_a_while),
+    cmocka_unit_test (test_whole_answers_of_a_model_do_not_look_slow),
   };
 
   return RUN (tests);
