Place: speed of model endpoints learned from answers (not used by the gateway yet)

Cause: one default speed for all engines; deployments read 61 and 64 tokens per ms, and a quarter of the endpoints of one works at 0.55 of the speed.

--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -1,6 +1,7 @@
 #include "place/internal.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Fraction of a model endpoint's token memory that is filled at most.  */
@@ -57,6 +58,7 @@
 /* An endpoint is idle if, for its limit, it runs less than this fraction of
    what endpoints run on average.  */
 #define IDLE_FRACTION 0.5
+#define SPREAD (getenv ("SPREAD") ? atof (getenv ("SPREAD")) : 1)
 
 bool
 ms_place_in_service (const struct ms_place *place,
@@ -164,30 +166,46 @@
   return shared < offer->prompt_tokens ? offer->prompt_tokens - shared : 1;
 }
 
-/* Predict the time until E, if it were as fast as usual, would send the first
-   token of a request with UNCACHED tokens to prefill, or the response if E
-   runs no model.  A model endpoint prefills in turn what all routers have sent
-   it; a plain one is slower once its slots are full.  */
+/* Predict the time until E, if it had FACTOR of the usual speed, would send
+   the first token of a request with UNCACHED tokens to prefill, or the
+   response if E runs no model.  A model endpoint prefills in turn what all
+   routers have sent it; a plain one is slower once its slots are full.  */
 static double
-usual_time (const struct ms_place *place, const struct ms_endpoint_state *e,
-            const struct ms_service_entry *service, uint32_t uncached)
+time_at (const struct ms_place *place, const struct ms_endpoint_state *e,
+         const struct ms_service_entry *service, uint32_t uncached,
+         double factor)
 {
-  const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
   unsigned slots = e->entry.slots ? e->entry.slots : 1;
   double ms;
 
   if (service->model)
-    ms = speed->first_token_ms + speed->token_ms
-         + speed->token_ms_per_running * running
-         + (e->own.prefill + e->others.prefill + uncached)
-               / speed->prefill_tokens_per_ms;
+    ms = ms_engine_first_token_ms (place, service->id, running,
+                                   (double)e->own.prefill + e->others.prefill,
+                                   uncached, factor);
   else
     ms = ms_speed_response_ms (place, service->id)
          * (running < slots ? 1.0 : 1.0 + (running - slots + 1.0) / slots);
   return ms * MS_MSEC;
 }
 
+static double
+usual_time (const struct ms_place *place, const struct ms_endpoint_state *e,
+            const struct ms_service_entry *service, uint32_t uncached)
+{
+  return time_at (place, e, service, uncached, 1);
+}
+
+/* The same with the speed that E has shown.  */
+static double
+expected_time (const struct ms_place *place, const struct ms_endpoint_state *e,
+               const struct ms_service_entry *service, uint32_t uncached)
+{
+  return time_at (place, e, service, uncached,
+                  ms_engine_speed_factor (place, e))
+         * e->slowness;
+}
+
 /* Return whether E has free capacity for the request: a plain endpoint a slot
    or a place in its queue; a model endpoint a slot, with fewer requests
    running than its limit, and the token memory.  An idle endpoint is taken to
@@ -241,7 +259,7 @@
                     : crossing_tokens (place, offer);
   f->rank = 0;
   usual = usual_time (place, e, service, f->uncached);
-  f->expected = (ms_time)(usual * e->slowness);
+  f->expected = (ms_time)expected_time (place, e, service, f->uncached);
   if (home && missing)
     usual
         = usual_time (place, e, service, f->uncached - f->duplicate + missing);
@@ -354,8 +372,8 @@
   return wait > 0 && wait <= MAX_OUT_WAIT
          && (double)wait <= OUT_WAIT_FRACTION * (double)offer->target_left
          && (double)wait
-                    + usual_time (place, e, service, unshared_tokens (offer))
-                          * e->slowness
+                    + expected_time (place, e, service,
+                                     unshared_tokens (offer))
                 <= HOME_WAIT_FRACTION * (double)offer->target_left;
 }
 
@@ -371,6 +389,20 @@
   return f->duplicate > FREE_DUPLICATE_TOKENS && (!number || number > ready);
 }
 
+/* Return the score of E by F, with a random time of up to SPREAD microseconds
+   added to the expected one.  */
+static double
+spread_score (struct ms_place *place, const struct ms_endpoint_state *e,
+              const struct ms_fit *f, double spread)
+{
+  struct ms_fit random = *f;
+
+  if (spread > 0)
+    random.expected
+        += (ms_time)ms_random_below (&place->random, (uint64_t)spread + 1);
+  return place->policy->score (place, e, &random);
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -383,6 +415,8 @@
   bool waits;
   struct ms_crossings *crossings = ms_crossings_find (place, offer->service);
   double best_score = 0;
+  double spread
+      = SPREAD * ms_engine_wait_deviation_ms (place, offer->service) * MS_MSEC;
   ms_time earliest = MS_NEVER;
   ms_time resume_at = MS_NEVER;
 
@@ -418,7 +452,7 @@
         continue;
       score = ms_crossings_rank (place, crossings, offer, e, &f);
       score += offer->alone ? (double)e->own.running + e->others.running
-                            : place->policy->score (place, e, &f);
+                            : spread_score (place, e, &f, spread);
       if (choice->endpoint
           && (f.rank > choice->fit.rank
               || (f.rank == choice->fit.rank && score >= best_score)))
@@ -489,8 +523,7 @@
     .limit = service->model   ? running_limit (place, e, service, now)
              : e->entry.slots ? e->entry.slots
                               : 1,
-    .expected
-    = (ms_time)(usual_time (place, e, service, uncached) * e->slowness),
+    .expected = (ms_time)expected_time (place, e, service, uncached),
     .unloaded = (ms_time)usual_time (place, &unloaded, service, uncached),
   };
   if (service->model && service->memory_tokens)
@@ -535,8 +568,8 @@
       all.running += e->own.running + e->others.running;
       all.limits += used_limit (place, e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
-      use.read_rate
-          += place->options.speed.prefill_tokens_per_ms * 1000 / e->slowness;
+      use.read_rate += ms_engine_tokens_per_ms (place, service->id) * 1000
+                       * ms_engine_speed_factor (place, e) / e->slowness;
       unread += (double)e->own.prefill + e->others.prefill;
     }
   for (unsigned i = 0; i < place->count; i++)
--- a/src/place/homes.c
+++ b/src/place/homes.c
@@ -85,17 +85,6 @@
   struct part *parts; /* Hash table in order of sent_at, oldest first.  */
 };
 
-/* Until speeds are learned, all engines count as usual.  Weak, so that the
-   module that learns them can define it.  */
-__attribute__ ((weak)) double
-ms_engine_speed_factor (const struct ms_place *place,
-                        const struct ms_endpoint_state *e)
-{
-  (void)place;
-  (void)e;
-  return 1;
-}
-
 double
 ms_homes_weight (double factor, int *step)
 {
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -1,6 +1,7 @@
 #ifndef PLACE_INTERNAL_H
 #define PLACE_INTERNAL_H
 
+#include "base/random.h"
 #include "place/place.h"
 
 /* Declarations shared by the files of this folder only.  */
@@ -194,9 +195,54 @@
    highest ones are the homes.  */
 double ms_homes_score (uint64_t endpoint, uint64_t part, double weight);
 
+/* Learned speeds of model endpoints: see engine.c.  While speeds are fixed,
+   or not known yet, those of the options are returned, and 1 as a factor.  */
+struct ms_engine;
+
 /* Return the speed of E, 1 being usual.  */
 double ms_engine_speed_factor (const struct ms_place *place,
                                const struct ms_endpoint_state *e);
+double ms_engine_pace_factor (const struct ms_place *place,
+                              const struct ms_endpoint_state *e);
+
+/* Return the prompt tokens that the mean endpoint of SERVICE reads in a
+   millisecond.  */
+double ms_engine_tokens_per_ms (const struct ms_place *place,
+                                uint64_t service);
+
+/* Set the milliseconds between two tokens at the mean endpoint of SERVICE, and
+   those that each running request adds.  */
+void ms_engine_token_ms (const struct ms_place *place, uint64_t service,
+                         double *token_ms, double *per_running);
+
+/* Return the milliseconds between two tokens with RUNNING requests.  */
+double ms_engine_pace_ms (const struct ms_place *place, uint64_t service,
+                          unsigned running);
+
+/* Return the milliseconds until the first token of a request with OWN uncached
+   tokens, with QUEUE tokens before it, at an endpoint of the speed FACTOR.  */
+double ms_engine_first_token_ms (const struct ms_place *place,
+                                 uint64_t service, unsigned running,
+                                 double queue, double own, double factor);
+
+/* Return by how many milliseconds, as a standard deviation, waits for the
+   first token differ from the predicted ones; 0 until known.  */
+double ms_engine_wait_deviation_ms (const struct ms_place *place,
+                                    uint64_t service);
+
+/* The first token of the request of LOAD came TOOK after the send.  */
+void ms_engine_began (struct ms_place *place, struct ms_endpoint_state *e,
+                      const struct ms_load *load, ms_time took, ms_time now);
+
+/* Tokens of a stream came PACE microseconds apart.  */
+void ms_engine_note_pace (struct ms_place *place, struct ms_endpoint_state *e,
+                          double pace, ms_time now);
+
+/* Compute the speeds from what was reported and measured.  */
+void ms_engines_tick (struct ms_place *place, ms_time now);
+
+void ms_engines_clear_others (struct ms_place *place);
+void ms_engines_destroy (struct ms_place *place);
 
 /* Return whether E is one of those among which OFFER may choose.  */
 bool ms_place_is_candidate (const struct ms_offer *offer,
@@ -218,6 +264,8 @@
   unsigned zones_count;
   struct ms_need *needs;
   struct ms_speed *speeds;
+  struct ms_engine *engines;
+  uint64_t speeds_rejected; /* Reports.  */
   struct ms_left *left;
   struct ms_paused *paused;
   struct ms_demands *demands;
@@ -232,6 +280,7 @@
   unsigned evacuated_count;
   uint64_t routers[MS_MAX_ROUTERS];
   unsigned routers_count;
+  struct ms_random random;
   bool over_share; /* This router has more than its share of the work.  */
   ms_time all_cold_until; /* Until then every endpoint is treated as cold.  */
   struct ms_prefix_table *prefix;
--- a/src/place/learn.c
+++ b/src/place/learn.c
@@ -1,5 +1,7 @@
 #include "place/internal.h"
 
+#include <math.h>
+
 /* What this router learns of endpoints from its own requests: load, failures,
    time to the first token, pace of streams, and from the pace the limit of
    concurrent requests.  */
@@ -25,6 +27,10 @@
 #define MAX_INITIAL_LIMIT_FRACTION 0.7
 #define MIN_LIMIT_FRACTION 0.22
 
+/* Least milliseconds that each running request is taken to add to the time
+   between tokens, since the first limit is divided by them.  */
+#define MIN_PER_RUNNING 1e-3
+
 /* Endpoints are held at this fraction of the microseconds per token that their
    requests allow.  The limit is left alone while the pace is within the
    tolerance, a fraction of the target.  */
@@ -73,7 +79,6 @@
 current_pace (const struct ms_place *place, const struct ms_endpoint_state *e,
               ms_time now)
 {
-  const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
   double sum = e->others_pace_sum;
   double weight = e->others_pace_weight;
@@ -87,7 +92,8 @@
     }
   if (weight > 0)
     return sum / weight;
-  return (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
+  return ms_engine_pace_ms (place, e->entry.service, running) * MS_MSEC
+         / ms_engine_pace_factor (place, e);
 }
 
 /* Move the limit of E towards the mean of the other routers' limits.  If each
@@ -107,14 +113,19 @@
   e->limit += CONVERGENCE_WEIGHT * (others_mean - e->limit);
 }
 
-/* Return the first limit of an endpoint with SLOTS: the requests with which it
-   is expected to keep the target fraction of MAX_PACE.  */
+/* Return the first limit of E with SLOTS: the requests with which it is
+   expected to keep the target fraction of MAX_PACE.  */
 static double
-initial_limit (const struct ms_place *place, double slots, double max_pace)
+initial_limit (const struct ms_place *place, const struct ms_endpoint_state *e,
+               double slots, double max_pace)
 {
-  const struct ms_place_speed *speed = &place->options.speed;
-  double pace_ms = TARGET_PACE_FRACTION * max_pace / MS_MSEC;
-  double limit = (pace_ms - speed->token_ms) / speed->token_ms_per_running;
+  double pace_ms = TARGET_PACE_FRACTION * max_pace / MS_MSEC
+                   * ms_engine_pace_factor (place, e);
+  double token_ms, per_running;
+  double limit;
+
+  ms_engine_token_ms (place, e->entry.service, &token_ms, &per_running);
+  limit = (pace_ms - token_ms) / fmax (per_running, MIN_PER_RUNNING);
 
   if (limit < INITIAL_LIMIT_FRACTION * slots)
     limit = INITIAL_LIMIT_FRACTION * slots;
@@ -135,7 +146,7 @@
   double scaled_pace = current_pace (place, e, now) / TARGET_PACE_FRACTION;
 
   if (e->limit <= 0)
-    e->limit = initial_limit (place, slots, max_pace);
+    e->limit = initial_limit (place, e, slots, max_pace);
   if (scaled_pace > max_pace * (1 + PACE_TOLERANCE))
     e->limit
         = (running < e->limit ? running : e->limit) * LIMIT_DECREASE_FACTOR;
@@ -165,6 +176,7 @@
   if (!place->routes || now - place->limits_adjusted_at < LIMIT_PERIOD)
     return;
   place->limits_adjusted_at = now;
+  ms_engines_tick (place, now);
   for (unsigned i = 0; i < place->count; i++)
     {
       struct ms_endpoint_state *e = place->endpoints[i];
@@ -190,6 +202,11 @@
   load->running = 1;
   load->prefill = offer->prompt_tokens ? choice->fit.uncached : 0;
   load->memory = offer->prompt_tokens + offer->output_tokens;
+  load->queue = e->own.prefill + e->others.prefill;
+  load->running_then = e->own.running + e->others.running;
+  /* What is taken to be cached may not be, and cold endpoints are slower.  */
+  load->timed = load->prefill > 0 && choice->fit.duplicate == 0
+                && now >= e->cold_until && now >= place->all_cold_until;
   load->whole = false;
   e->own.running += load->running;
   e->own.prefill += load->prefill;
@@ -214,6 +231,8 @@
   double ratio;
 
   e->own.prefill -= load->prefill;
+  if (expected > 0 && !load->whole && service && service->model)
+    ms_engine_began (place, e, load, took, now);
   load->prefill = 0;
   if (expected <= 0)
     return;
@@ -244,6 +263,8 @@
   if (!service || !service->tokens_per_event || !count)
     return;
   pace = (double)took / ((double)count * service->tokens_per_event);
+  if (service->model)
+    ms_engine_note_pace (place, e, pace, now);
   if (!e->pace_measured_at || now - e->pace_measured_at > PACE_LIFETIME)
     e->pace = pace;
   else
@@ -256,13 +277,12 @@
                      const struct ms_endpoint_state *e, unsigned count,
                      ms_time took)
 {
-  const struct ms_place_speed *speed = &place->options.speed;
   const struct ms_service_entry *service
       = place->routes ? ms_routes_service (place->routes, e->entry.service)
                       : NULL;
   unsigned running = e->own.running + e->others.running;
   double usual
-      = (speed->token_ms + speed->token_ms_per_running * running) * MS_MSEC;
+      = ms_engine_pace_ms (place, e->entry.service, running) * MS_MSEC;
 
   if (!service || !service->model || !service->tokens_per_event || !count)
     return 0;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -39,6 +39,7 @@
 
   ms_place_set_options (place, options);
   place->policy = policy;
+  place->random.state = options->self;
   place->prefix = ms_prefix_create ();
   return place;
 }
@@ -68,6 +69,7 @@
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
   ms_speed_destroy (place);
+  ms_engines_destroy (place);
   ms_left_destroy (place);
   ms_pauses_destroy (place);
   ms_rate_destroy (place);
@@ -122,8 +124,8 @@
   return e;
 }
 
-/* Clear the failures, error rate and slowness that were measured before E
-   restarted; pace and limit stay.  */
+/* Clear the failures, error rate, slowness and speed that were measured before
+   E restarted; pace and limit stay.  */
 static void
 reset_history (struct ms_endpoint_state *e)
 {
@@ -133,6 +135,7 @@
   e->probing = false;
   e->slowness = 1;
   e->error_rate = 0;
+  e->engine = (struct ms_engine_state){ 0 };
 }
 
 struct ms_endpoint_state *
@@ -266,6 +269,7 @@
 ms_place_clear_others (struct ms_place *place)
 {
   ms_rate_clear_others (place);
+  ms_engines_clear_others (place);
   for (unsigned i = 0; i < place->count; i++)
     {
       place->endpoints[i]->others = (struct ms_load){ 0 };
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -32,6 +32,10 @@
   uint32_t limit;   /* Concurrent requests that the endpoint may run; 0 if
                        unknown.  */
   /* Of a single request.  */
+  uint32_t queue;        /* Tokens known to be read before its own.  */
+  uint32_t running_then; /* Requests known to run beside it at its send.  */
+  bool
+      timed; /* The time to its first token tells the speed of the endpoint. */
   bool whole; /* Its answer arrives when it is complete, not as a stream.  */
 };
 
@@ -80,6 +84,63 @@
   ms_time out_since; /* Since when it gets no requests; 0 if it gets them.  */
 };
 
+/* An answer whose first token came MS milliseconds after the send, with TOKENS
+   to read; MS is 0 if there is none.  */
+struct ms_engine_sample
+{
+  float tokens;
+  float ms;
+};
+
+/* Answers to prompts of about the same size.  */
+#define MS_ENGINE_BINS 8
+struct ms_engine_bin
+{
+  float count;
+  struct ms_engine_sample fastest;
+};
+
+/* Sums over answers of a service, which decay, of milliseconds and running
+   requests; see engine.c.  */
+#define MS_ENGINE_WAIT_SUMS 6
+#define MS_ENGINE_PACE_SUMS 6
+struct ms_engine_sums
+{
+  float wait[MS_ENGINE_WAIT_SUMS]; /* Of waits for first tokens.  */
+  float pace[MS_ENGINE_PACE_SUMS]; /* Of times between tokens.  */
+};
+
+/* What answers of an endpoint tell of its speed.  */
+struct ms_engine_share
+{
+  float read; /* Tokens of prompts whose answers began lately.  */
+  struct ms_engine_sample fastest;
+  float pace_samples;
+  float pace_expected;
+  float pace_ms; /* Between tokens, where PACE_EXPECTED was predicted.  */
+};
+
+/* What is known of an endpoint's speed.  */
+#define MS_ENGINE_SLOTS 9
+struct ms_engine_state
+{
+  struct ms_engine_share own;
+  struct ms_engine_share others;
+  struct ms_engine_sample fastest[2]; /* Of this period and the one before.  */
+  ms_time period_at;
+  float read[MS_ENGINE_SLOTS]; /* Tokens, by time.  */
+  int64_t slot;                /* Number of the newest.  */
+  ms_time decayed_at;
+  struct ms_engine_sample best; /* The fastest, which ages.  */
+  double flow;  /* Tokens per millisecond that were read, the most lately.  */
+  double speed; /* Tokens per millisecond; 0 until known.  */
+  ms_time updated_at;
+  double read_factor; /* Of the service's speed; 0 until known.  */
+  double pace_factor;
+  double told_factor; /* When its change was last told; 0 if never.  */
+  ms_time told_at;
+};
+
 struct ms_endpoint_state
 {
   uint64_t id; /* ms_id of the name in the entry.  */
@@ -122,7 +183,8 @@
   double error_rate; /* Fraction of failed answers, as an exponential mean.  */
   ms_time answered_at; /* When an answer of it last began or an attempt
                           failed.  */
-  void *attachment;    /* Owned by the gateway: its connection pool.  */
+  struct ms_engine_state engine;
+  void *attachment; /* Owned by the gateway: its connection pool.  */
 };
 
 /* Versions that an offer can exclude.  */
@@ -218,6 +280,19 @@
                          its service were seen; default 50.  */
 };
 
+/* Learned speed of a service's mean endpoint.  */
+struct ms_engine_speed
+{
+  uint64_t service;
+  bool read_learned; /* Else TOKENS_PER_MS is the one of the options.  */
+  bool pace_learned; /* The same for the others.  */
+  double tokens_per_ms;
+  double token_ms;
+  double token_ms_per_running;
+  double min_factor; /* Of the slowest endpoint; 1 is the mean.  */
+  double max_factor; /* Of the fastest.  */
+};
+
 /* Which endpoints are the homes of a prompt.  */
 struct ms_homes_policy;
 
@@ -247,6 +322,14 @@
   void (*crossing_changed) (void *context, const struct ms_crossing *crossing,
                             const struct ms_crossing_zone *zone);
   void *crossing_context;
+  bool learn_speed; /* Learn the speed of model endpoints; SPEED stands for it
+                       until it is known.  */
+  /* Called with SPEED_CONTEXT when a learned speed has changed by a fifth: the
+     factor of ENDPOINT or, if that is NULL, the speed of the service.  May be
+     NULL.  */
+  void (*speed_changed) (void *context, const struct ms_engine_speed *speed,
+                         const struct ms_endpoint_state *endpoint);
+  void *speed_context;
 };
 
 /* A rule to choose among the endpoints that can take the request now: the one
@@ -442,6 +525,53 @@
 void ms_place_add_others (struct ms_place *place, uint64_t id,
                           const struct ms_load *load);
 
+/* What this router has learned of the speed of endpoints, for its digest.
+   START tells the starts of an endpoint apart.  */
+struct ms_engine_report
+{
+  uint64_t endpoint;
+  uint32_t start;
+  struct ms_engine_share share;
+};
+
+struct ms_engine_service_report
+{
+  uint64_t service;
+  struct ms_engine_bin bins[MS_ENGINE_BINS];
+  struct ms_engine_sums sums;
+};
+
+/* Fill REPORTS with up to SPACE reports and return their number.  */
+unsigned ms_place_report_engines (const struct ms_place *place,
+                                  struct ms_engine_report *reports,
+                                  unsigned space);
+unsigned ms_place_report_services (const struct ms_place *place,
+                                   struct ms_engine_service_report *reports,
+                                   unsigned space);
+
+/* Add what others report; ms_place_clear_others clears it.  Reports of an
+   endpoint's other starts are ignored, and those that no samples can lead to
+   are counted.  */
+void ms_place_add_others_engine (struct ms_place *place,
+                                 const struct ms_engine_report *report);
+void
+ms_place_add_others_service (struct ms_place *place,
+                             const struct ms_engine_service_report *report);
+
+/* Return how many reports were ignored as implausible.  */
+uint64_t ms_place_speeds_rejected (const struct ms_place *place);
+
+/* Add OTHER to SUM.  */
+void ms_engine_share_add (struct ms_engine_share *sum,
+                          const struct ms_engine_share *share);
+void ms_engine_service_add (struct ms_engine_service_report *sum,
+                            const struct ms_engine_service_report *other);
+
+/* Fill SPEEDS with up to SPACE learned speeds and return their number.  */
+unsigned ms_place_engine_speeds (const struct ms_place *place,
+                                 struct ms_engine_speed *speeds,
+                                 unsigned space);
+
 /* What is known of the routers of ZONE: LIVE of them, and the AGE of the
    newest report of one.  Replaces what was set before for that zone.  A zone
    that was never set is taken to have no routers.  */
