--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -40,6 +40,13 @@
 is $? 1 && grep -q 'wrong.yaml: line [0-9]*: crossing: "none" is not' \
   "$DIR/message"
 verdict "--check names file, line and field of an unknown crossing policy" $?
+sed 's/^directory_ttl_s: .*/engine_speed: "none"\n&/' "$here/settings.yaml" \
+  >"$DIR/wrong.yaml"
+"$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
+  2>"$DIR/message"
+is $? 1 && grep -q 'wrong.yaml: line [0-9]*: engine_speed: "none" is neither' \
+  "$DIR/message"
+verdict "--check names file, line and field of an unknown engine_speed" $?
 start store "$BUILD/standin-store" --address="127.0.0.1:$BASE"
 await 10 get "$(store_url)/log-newest?topic=keyed.op&part=0" || exit 1
 start_gateway 1
