--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -6,12 +6,29 @@
 #include "base/alloc.h"
 
 /* Length of the end of a digest that routers of earlier versions do not send:
-   USED, LEVEL, KNOWN_FOR and ten empty lists.  */
-#define ADDED_BYTES 52
+   USED, LEVEL, KNOWN_FOR and thirteen empty lists.  */
+#define ADDED_BYTES 64
 
 /* Length of an empty list.  */
 #define EMPTY_LIST_BYTES 4
 
+/* Return the length of the empty lists at the end of DIGEST that are left out;
+   zeros stand for them when it is decoded.  So parts that are turned off add
+   nothing to digests.  */
+static unsigned
+unsent_bytes (const struct fleet_digest *digest)
+{
+  const unsigned lengths[]
+      = { digest->returns.returns_len, digest->zone_engines.zone_engines_len,
+          digest->engine_services.engine_services_len,
+          digest->engines.engines_len };
+  unsigned count = 0;
+
+  while (count < sizeof lengths / sizeof *lengths && !lengths[count])
+    count++;
+  return count * EMPTY_LIST_BYTES;
+}
+
 unsigned
 ms_digest_encode (const struct fleet_digest *digest, char *data, size_t size)
 {
@@ -20,10 +37,7 @@
 
   xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
   if (xdr_fleet_digest (&xdr, (struct fleet_digest *)digest))
-    length = xdr_getpos (&xdr);
-  /* Zeros stand for it when the digest is decoded.  */
-  if (length && !digest->returns.returns_len)
-    length -= EMPTY_LIST_BYTES;
+    length = xdr_getpos (&xdr) - unsent_bytes (digest);
   xdr_destroy (&xdr);
   return length;
 }
--- a/src/place/choose.c
+++ b/src/place/choose.c
@@ -58,6 +58,15 @@
    what endpoints run on average.  */
 #define IDLE_FRACTION 0.5
 
+/* Routers that know the same queues late would all send to the endpoint with
+   the shortest one.  With learned speeds, a random time of up to so many
+   standard deviations of the waits is added where endpoints are compared.  In
+   a small fleet routers hear each other directly, and less is better; both
+   figures are the best of those tried in the model of tests/test_engine.c.  */
+#define SPREAD_DEVIATIONS 8.0
+#define SPREAD_DEVIATIONS_SMALL 4.0
+#define SMALL_FLEET_MAX 16
+
 bool
 ms_place_in_service (const struct ms_place *place,
                      const struct ms_endpoint_state *e)
@@ -164,30 +173,46 @@
   return shared < offer->prompt_tokens ? offer->prompt_tokens - shared : 1;
 }
 
-/* Predict the time until E, if it were as fast as usual, would send the first
-   token of a request with UNCACHED tokens to prefill, or the response if E
-   runs no model.  A model endpoint prefills in turn what all routers have sent
-   it; a plain one is slower once its slots are full.  */
+/* Predict the time until E, if it had FACTOR of the usual speed, would send
+   the first token of a request with UNCACHED tokens to prefill, or the
+   response if E runs no model.  A model endpoint prefills in turn what all
+   routers have sent it; a plain one is slower once its slots are full.  */
 static double
-usual_time (const struct ms_place *place, const struct ms_endpoint_state *e,
-            const struct ms_service_entry *service, uint32_t uncached)
+time_at (const struct ms_place *place, const struct ms_endpoint_state *e,
+         const struct ms_service_entry *service, uint32_t uncached,
+         double factor)
 {
-  const struct ms_place_speed *speed = &place->options.speed;
   unsigned running = e->own.running + e->others.running;
   unsigned slots = e->entry.slots ? e->entry.slots : 1;
   double ms;
 
   if (service->model)
-    ms = speed->first_token_ms + speed->token_ms
-         + speed->token_ms_per_running * running
-         + (e->own.prefill + e->others.prefill + uncached)
-               / speed->prefill_tokens_per_ms;
+    ms = ms_engine_first_token_ms (place, service->id, running,
+                                   (double)e->own.prefill + e->others.prefill,
+                                   uncached, factor);
   else
     ms = ms_speed_response_ms (place, service->id)
          * (running < slots ? 1.0 : 1.0 + (running - slots + 1.0) / slots);
   return ms * MS_MSEC;
 }
 
+static double
+usual_time (const struct ms_place *place, const struct ms_endpoint_state *e,
+            const struct ms_service_entry *service, uint32_t uncached)
+{
+  return time_at (place, e, service, uncached, 1);
+}
+
+/* The same with the speed that E has shown.  */
+static double
+expected_time (const struct ms_place *place, const struct ms_endpoint_state *e,
+               const struct ms_service_entry *service, uint32_t uncached)
+{
+  return time_at (place, e, service, uncached,
+                  ms_engine_speed_factor (place, e))
+         * e->slowness;
+}
+
 /* Return whether E has free capacity for the request: a plain endpoint a slot
    or a place in its queue; a model endpoint a slot, with fewer requests
    running than its limit, and the token memory.  An idle endpoint is taken to
@@ -241,7 +266,7 @@
                     : crossing_tokens (place, offer);
   f->rank = 0;
   usual = usual_time (place, e, service, f->uncached);
-  f->expected = (ms_time)(usual * e->slowness
+  f->expected = (ms_time)(expected_time (place, e, service, f->uncached)
                           * ms_report_factor (place, e, service, now));
   if (home && missing)
     usual
@@ -355,8 +380,8 @@
   return wait > 0 && wait <= MAX_OUT_WAIT
          && (double)wait <= OUT_WAIT_FRACTION * (double)offer->target_left
          && (double)wait
-                    + usual_time (place, e, service, unshared_tokens (offer))
-                          * e->slowness
+                    + expected_time (place, e, service,
+                                     unshared_tokens (offer))
                 <= HOME_WAIT_FRACTION * (double)offer->target_left;
 }
 
@@ -382,6 +407,33 @@
   choice->fit.rank = 0;
 }
 
+/* Return the largest random time, in microseconds, that is added where
+   endpoints of SERVICE are compared.  */
+static double
+spread_of (const struct ms_place *place, uint64_t service)
+{
+  return (place->routers_count > SMALL_FLEET_MAX ? SPREAD_DEVIATIONS
+                                                 : SPREAD_DEVIATIONS_SMALL)
+         * ms_engine_wait_deviation_ms (place, service) * MS_MSEC;
+}
+
+/* Return the score of E by F, with a random time added to the expected one, of
+   up to SPREAD microseconds at an endpoint as fast as usual.  With the inverse
+   of the speed as its scale, endpoints with equal loads get requests in
+   proportion to their speeds.  */
+static double
+spread_score (struct ms_place *place, const struct ms_endpoint_state *e,
+              const struct ms_fit *f, double spread)
+{
+  struct ms_fit random = *f;
+
+  if (spread > 0)
+    random.expected += (ms_time)ms_random_below (
+        &place->random,
+        (uint64_t)(spread / ms_engine_speed_factor (place, e)) + 1);
+  return place->policy->score (place, e, &random);
+}
+
 void
 ms_place_choose (struct ms_place *place, const struct ms_offer *offer,
                  ms_time now, struct ms_choice *choice)
@@ -396,6 +448,7 @@
   const struct ms_endpoint_state *probed;
   struct ms_errors errors;
   double best_score = 0;
+  double spread = spread_of (place, offer->service);
   ms_time earliest = MS_NEVER;
   ms_time resume_at = MS_NEVER;
 
@@ -442,7 +495,7 @@
           break;
         }
       score += offer->alone ? (double)e->own.running + e->others.running
-                            : place->policy->score (place, e, &f);
+                            : spread_score (place, e, &f, spread);
       if (choice->endpoint
           && (f.rank > choice->fit.rank
               || (f.rank == choice->fit.rank && score >= best_score)))
@@ -513,8 +566,7 @@
     .limit = service->model   ? running_limit (place, e, service, now)
              : e->entry.slots ? e->entry.slots
                               : 1,
-    .expected
-    = (ms_time)(usual_time (place, e, service, uncached) * e->slowness),
+    .expected = (ms_time)expected_time (place, e, service, uncached),
     .unloaded = (ms_time)usual_time (place, &unloaded, service, uncached),
   };
   if (service->model && service->memory_tokens)
@@ -559,8 +611,8 @@
       all.running += e->own.running + e->others.running;
       all.limits += used_limit (place, e, service, now);
       use.tokens += (double)e->own.memory + e->others.memory;
-      use.read_rate
-          += place->options.speed.prefill_tokens_per_ms * 1000 / e->slowness;
+      use.read_rate += ms_engine_tokens_per_ms (place, service->id) * 1000
+                       * ms_engine_speed_factor (place, e) / e->slowness;
       unread += (double)e->own.prefill + e->others.prefill;
     }
   for (unsigned i = 0; i < place->count; i++)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -39,6 +39,7 @@
 
   ms_place_set_options (place, options);
   place->policy = policy;
+  place->random.state = options->self;
   place->prefix = ms_prefix_create ();
   return place;
 }
@@ -69,6 +70,7 @@
   ms_need_destroy (place);
   ms_speed_destroy (place);
   ms_errors_destroy (place);
+  ms_engines_destroy (place);
   ms_left_destroy (place);
   ms_pauses_destroy (place);
   ms_rate_destroy (place);
@@ -123,10 +125,10 @@
   return e;
 }
 
-/* Clear the failures, error rate and slowness that were measured before E
-   restarted; pace and limit stay.  */
+/* Clear the failures, error rate, slowness and speed that were measured before
+   E restarted; pace and limit stay.  */
 static void
-reset_history (struct ms_endpoint_state *e)
+reset_history (struct ms_place *place, struct ms_endpoint_state *e)
 {
   e->failures = 0;
   e->down_until = 0;
@@ -135,6 +137,7 @@
   e->slowness = 1;
   e->error_rate = 0;
   e->reported_at = 0;
+  ms_engine_restarted (place, e);
 }
 
 struct ms_endpoint_state *
@@ -150,7 +153,7 @@
     {
       if (e->home.seen)
         ms_homes_restarted (place, e);
-      reset_history (e);
+      reset_history (place, e);
     }
   if (!e->started_at || e->entry.born != entry->born)
     e->started_at = now;
@@ -268,6 +271,7 @@
 ms_place_clear_others (struct ms_place *place)
 {
   ms_rate_clear_others (place);
+  ms_engines_clear_others (place);
   for (unsigned i = 0; i < place->count; i++)
     {
       place->endpoints[i]->others = (struct ms_load){ 0 };
