--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -34,6 +34,7 @@
 #define FIRST_PERCENT 25
 #define RAISED_PERCENT 50
 #define LAST_PERCENT 10
+#define LAST_RATE 6 /* Requests per second of the fleet, at most.  */
 #define FEW_GOOD 6
 #define MANY_ANSWERS 80
 
@@ -91,13 +92,27 @@
 #define STAY_PERCENT 92
 #define STAY_SLACK_PERCENT 60
 #define MOVE_TIME (1200 * MS_MSEC)
-#define LARGE_MOVE_TIME (1500 * MS_MSEC)
+#define LARGE_MOVE_TIME (1350 * MS_MSEC)
 #define LAG (300 * MS_MSEC)
 #define LARGE_LAG (600 * MS_MSEC)
 
 /* The move is so early that the requests in this time before the deadline may
-   have to wait for it.  They do not if the order is completed before.  */
+   have to wait for it.  They do not if the order is completed before.  In
+   large fleets the others learn up to 0.95 s later that a router has moved, so
+   the move begins earlier.  */
 #define PLANNED_WAIT (300 * MS_MSEC)
+#define LARGE_PLANNED_WAIT (450 * MS_MSEC)
+
+/* While moving, requests that the router may not send to the version yet wait
+   if the deadline is nearer than this.  In large fleets, one router that sends
+   such a request to the others would delay the end beyond the deadline.  */
+#define WAIT_TIME (600 * MS_MSEC)
+#define LARGE_WAIT_TIME MS_ROLLOUT_MAX_WAIT
+
+/* Part of a standard deviation by which the requests of a router in a large
+   fleet may exceed those expected: the deviations of many routers add up in a
+   surge.  Requests beyond it wait.  */
+#define LARGE_DEVIATION_PERCENT 50
 
 /* Before the order is completed, no score is above PROVEN, and the version has
    given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
@@ -597,6 +612,19 @@
   return !o->started || now < deadline_of (o);
 }
 
+static bool
+is_large (const struct order *o)
+{
+  return o->evidence.routers > SMALL_FLEET;
+}
+
+/* Return whether the deadline is so near that requests wait for it.  */
+static bool
+may_wait (const struct order *o, ms_time now)
+{
+  return deadline_of (o) - now < (is_large (o) ? LARGE_WAIT_TIME : WAIT_TIME);
+}
+
 static int64_t
 budget_rate (const struct ms_rollouts *rollouts)
 {
@@ -644,11 +672,23 @@
   return o->endpoints_known && !o->had_others;
 }
 
+/* Return whether a request is for the canary.  In large fleets, where routers
+   have few requests, what it earns itself counts: it would otherwise be used
+   for the next one, seconds later.  */
 static bool
-takes_canary (const struct order *o, bool again, ms_time now)
+takes_canary (const struct ms_rollouts *rollouts, const struct order *o,
+              bool again, ms_time now)
 {
-  return !again && o->ordered && o->credit >= UNIT
-         && (!is_bounded (o, now) || o->budget >= UNIT);
+  int64_t credit = o->credit;
+  int64_t budget = o->budget;
+
+  if (is_large (o))
+    {
+      credit += o->canary_rate;
+      budget += budget_rate (rollouts);
+    }
+  return !again && o->ordered && credit >= UNIT
+         && (!is_bounded (o, now) || budget >= UNIT);
 }
 
 struct ms_rollout_choice
@@ -671,15 +711,14 @@
       break;
     case MS_ROLLOUT_CANARY:
       any = is_only_version (o) || (!is_bounded (o, now) && !o->others);
-      only = takes_canary (o, again, now);
+      only = takes_canary (rollouts, o, again, now);
       choice.fallback = only;
       break;
     case MS_ROLLOUT_MOVING:
       any = is_only_version (o) || !o->ordered;
       only = !is_bounded (o, now) || has_budget (rollouts, o);
       choice.fallback = only && !o->closed;
-      choice.wait
-          = !only && o->closed && deadline_of (o) - now < MS_ROLLOUT_MAX_WAIT;
+      choice.wait = !only && o->closed && may_wait (o, now);
       break;
     case MS_ROLLOUT_COMPLETED:
       only = true;
@@ -830,7 +869,7 @@
   if (o->phase != MS_ROLLOUT_MOVING || !o->closed || !o->ordered)
     return true;
   return is_bounded (o, now) && !has_budget (rollouts, o)
-         && deadline_of (o) - now >= MS_ROLLOUT_MAX_WAIT;
+         && !may_wait (o, now);
 }
 
 static void
@@ -1045,7 +1084,13 @@
   if (total->answers[0] < MANY_ANSWERS)
     o->canary_rate = rollouts->share * RAISED_PERCENT / 100;
   else
-    o->canary_rate = rollouts->share * LAST_PERCENT / 100;
+    {
+      int64_t most = UNIT / (o->fleet_rate / UNIT + 1) * LAST_RATE;
+
+      o->canary_rate = rollouts->share * LAST_PERCENT / 100;
+      if (o->canary_rate > most)
+        o->canary_rate = most;
+    }
   if (o->loaded_answers >= LOADED_ANSWERS || !o->others)
     return;
   loaded = UNIT * MIN_CANARY * AIMED_PERCENT / 100 / o->others;
@@ -1074,7 +1119,7 @@
                 ms_time now)
 {
   const struct ms_evidence *e = &o->evidence;
-  ms_time lag = e->routers > SMALL_FLEET ? LARGE_LAG : LAG;
+  ms_time lag = is_large (o) ? LARGE_LAG : LAG;
   ms_time moved = o->phase == MS_ROLLOUT_MOVING ? now - o->moved_at : 0;
   int64_t rate = expected_rate (o);
   int64_t all
@@ -1092,23 +1137,29 @@
           + rollouts->slack / (UNIT / 1000) * slack_percent / 100;
   sum = (int64_t)e->total_sent[0] * 1000
         + rate * ((moved < lag ? moved : lag) / MS_MSEC) / 1000;
-  time -= PLANNED_WAIT;
+  time -= is_large (o) ? LARGE_PLANNED_WAIT : PLANNED_WAIT;
   if (time > 0)
     sum += rate * (time / MS_MSEC) / 1000;
   return sum <= bound;
 }
 
 /* O begins to move: in a surge, which the reports of others show late, this
-   router sends hardly more than was expected, and a standard deviation.  */
+   router sends hardly more than was expected, one request, and a standard
+   deviation or a part of one.  */
 static void
 start_pace (struct order *o, ms_time now)
 {
   int64_t mean = o->fleet_rate / o->evidence.heard;
-  int64_t expected;
+  int64_t expected, deviation;
 
   o->pace_rate = o->rate > mean ? o->rate : mean;
   expected = o->pace_rate / 1000 * ((deadline_of (o) - now) / MS_MSEC);
-  o->pace = UNIT / 2 + (int64_t)ms_square_root ((uint64_t)expected) * 4096;
+  deviation = (int64_t)ms_square_root ((uint64_t)expected) * 4096;
+  if (is_large (o))
+    deviation = deviation * LARGE_DEVIATION_PERCENT / 100;
+  o->pace = UNIT / 2 + deviation;
+  if (o->pace < UNIT)
+    o->pace = UNIT;
 }
 
 /* Update what the fleet's counts allow while all requests move.  */
@@ -1140,15 +1191,14 @@
   int64_t cost;
 
   if (hears_fleet (o))
-    return deadline_of (o) - now <= (o->evidence.routers > SMALL_FLEET
-                                         ? LARGE_MOVE_TIME
-                                         : MOVE_TIME)
+    return deadline_of (o) - now
+                  <= (is_large (o) ? LARGE_MOVE_TIME : MOVE_TIME)
            && fleet_has_room (
                rollouts, o, deadline_of (o) - now,
                others_moved ? STAY_PERCENT : MOVE_PERCENT,
                others_moved ? STAY_SLACK_PERCENT : MOVE_SLACK_PERCENT, now);
-  if (o->evidence.routers <= SMALL_FLEET
-      && left * MS_MSEC < MS_ROLLOUT_MAX_WAIT + CLOSE_TIME)
+  if (!is_large (o)
+      && left * MS_MSEC < WAIT_TIME + CLOSE_TIME)
     return true;
   cost = (UNIT - budget_rate (rollouts)) / 1024;
 
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -93,11 +93,12 @@
   uint32_t rest; /* Where ONLY does not bind, only endpoints of this version; 0
                     for any.  */
   bool wait;     /* The deadline is less than MS_ROLLOUT_MAX_WAIT away and the
-                    request should wait for it: at the endpoints that it may be
-                    sent to now it would delay the end of the rollout.  */
+                    request should wait for it, or until it may be sent: at the
+                    endpoints that it may be sent to now it would delay the end
+                    of the rollout.  */
 };
 
-#define MS_ROLLOUT_MAX_WAIT (600 * MS_MSEC)
+#define MS_ROLLOUT_MAX_WAIT (900 * MS_MSEC)
 
 /* Choose for a new request for SERVICE.  AGAIN says that the request was sent
    before: it is not used for the canary.  Nothing is counted yet, and the
