--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -112,7 +112,7 @@
 /* Part of a standard deviation by which the requests of a router in a large
    fleet may exceed those expected: the deviations of many routers add up in a
    surge.  Requests beyond it wait.  */
-#define LARGE_DEVIATION_PERCENT 50
+#define LARGE_DEVIATION_PERCENT 20
 
 /* Before the order is completed, no score is above PROVEN, and the version has
    given PROVEN_ANSWERS, run all requests of this router for MOVED_TIME and
@@ -1192,13 +1192,12 @@
 
   if (hears_fleet (o))
     return deadline_of (o) - now
-                  <= (is_large (o) ? LARGE_MOVE_TIME : MOVE_TIME)
+               <= (is_large (o) ? LARGE_MOVE_TIME : MOVE_TIME)
            && fleet_has_room (
                rollouts, o, deadline_of (o) - now,
                others_moved ? STAY_PERCENT : MOVE_PERCENT,
                others_moved ? STAY_SLACK_PERCENT : MOVE_SLACK_PERCENT, now);
-  if (!is_large (o)
-      && left * MS_MSEC < WAIT_TIME + CLOSE_TIME)
+  if (!is_large (o) && left * MS_MSEC < WAIT_TIME + CLOSE_TIME)
     return true;
   cost = (UNIT - budget_rate (rollouts)) / 1024;
 
