Shares: the guess at others' demand fades as their reports arrive

Cause: at its start each router takes all others to have as much demand as itself, for 0.5 s.

Change: the guess counts in full for 0.1 s and fades until 0.3 s after the router's first request.

--- a/src/admit/share.c
+++ b/src/admit/share.c
@@ -24,6 +24,11 @@
 #define START_TIME (500 * MS_MSEC)
 #define MIN_DEMAND_SCALE 2.0
 
+/* The demand of others is mostly reported between these times after it begins;
+   levels are computed up to LEVEL_PERIOD later.  */
+#define UNREPORTED_TIME (100 * MS_MSEC)
+#define REPORTED_TIME (300 * MS_MSEC)
+
 /* For this time after its first request, a router starts the credit of a team
    by chance when a level comes into force: many routers do so at once, in a
    fleet that has not learned its capacity.  Later, levels come and go, and a
@@ -608,10 +613,22 @@
   return rate;
 }
 
+/* Return how far the guess at the demand of others counts, 0 to 1.  */
+static double
+guess_weight (const struct ms_share *share, ms_time now)
+{
+  double left = (double)(share->demanded_since + REPORTED_TIME - now)
+                / (REPORTED_TIME - UNREPORTED_TIME);
+
+  return fmin (1, fmax (0, left));
+}
+
 /* Set the factor by which the demand of all routers exceeds the part that is
    known.  While a router starts, it assumes that others have as much demand as
    itself: when the whole fleet starts, each would otherwise admit all that it
-   gets until it has heard of the others.  */
+   gets until it has heard of the others.  As their reports arrive, the guess
+   counts less: a router to which all callers of a team keep would otherwise
+   refuse most of them.  */
 static void
 scale_demand (struct ms_share *share, ms_time now)
 {
@@ -630,7 +647,8 @@
     all += demand + t->others_demand;
   }
   if (own * share->routers > MIN_DEMAND_SCALE * all)
-    share->demand_scale = own * share->routers / all;
+    share->demand_scale
+        = 1 + guess_weight (share, now) * (own * share->routers / all - 1);
 }
 
 /* Return the rate at which all teams together may be admitted, in cost units
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -13,6 +13,9 @@
 #define DIGEST_PERIOD (160 * MS_MSEC)
 #define DELAY 2
 
+/* Reports of demand take up to this.  */
+#define REPORTED (400 * MS_MSEC)
+
 #define MAX_ROUTERS 30
 #define MAX_REPORTED 8
 #define ALL_ROUTERS MAX_ROUTERS
@@ -600,6 +603,35 @@
   assert_true (refused_first (MS_SEC) > 25);
 }
 
+/* Guards against the requests of a team that are refused for half a second as
+   the fleet starts, where all its callers keep to one router and endpoints
+   have capacity: other routers were taken to have as much demand, also once
+   they had reported less.  */
+static void
+test_team_of_one_router_is_served_at_a_start (void **state)
+{
+  const struct ms_team_rates elsewhere = { 2, 1000000, 0, 0 };
+  const struct ms_share_usage usage = { .read_rate = 9000000 };
+  struct ms_share *share = ms_share_create ();
+  unsigned refused = 0;
+
+  (void)state;
+  ms_share_set_routers (share, 73);
+  ms_share_set_capacity (share, 2300000);
+  for (ms_time now = TICK; now < 600 * MS_MSEC; now += TICK)
+    {
+      ms_share_clear_others (share);
+      /* Reports are 0.2 s old.  */
+      if (now >= 200 * MS_MSEC)
+        ms_share_add_others (share, &elsewhere);
+      ms_share_tick (share, &usage, now);
+      for (unsigned i = 0; i < 8; i++)
+        refused += !ms_share_admit (share, 1, 2500, now) && now > REPORTED;
+    }
+  ms_share_destroy (share);
+  assert_int_equal (refused, 0);
+}
+
 /* Guards against refusals at a router that starts alone, while endpoints have
    capacity for all: its first requests say little of the demand at others, of
    which it has had reports.  */
@@ -644,6 +676,7 @@
     cmocka_unit_test (test_answers_without_streaming_do_not_lower_the_level),
     cmocka_unit_test (
         test_level_that_comes_into_force_refuses_only_at_a_start),
+    cmocka_unit_test (test_team_of_one_router_is_served_at_a_start),
     cmocka_unit_test (test_router_that_starts_alone_refuses_nothing),
   };
 
