--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -686,16 +686,135 @@
   kit_store_put ("keyed.servers", runner->id, value);
 }
 
+struct runner_connection
+{
+  struct kit_runner *runner;
+  int slot;
+};
+
+static pthread_mutex_t runner_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void *
+run_runner_connection (void *argument)
+{
+  struct runner_connection *c = argument;
+  struct kit_runner *runner = c->runner;
+  int fd = runner->connections[c->slot];
+
+  serve_runner (runner, fd);
+  pthread_mutex_lock (&runner_lock);
+  runner->connections[c->slot] = -1;
+  pthread_mutex_unlock (&runner_lock);
+  close (fd);
+  free (c);
+  return NULL;
+}
+
+/* Accept connections of RUNNER until it crashes.  */
+static void
+serve_start (struct kit_runner *runner, int listener)
+{
+  while (!runner->crashed)
+    {
+      struct pollfd wait = { .fd = listener, .events = POLLIN };
+      struct runner_connection *c;
+      int on = 1;
+      int fd;
+
+      if (poll (&wait, 1, 10) <= 0)
+        continue;
+      fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+      if (fd < 0)
+        continue;
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      c = calloc (1, sizeof *c);
+      c->runner = runner;
+      c->slot = -1;
+      pthread_mutex_lock (&runner_lock);
+      for (int i = 0; i < 64 && c->slot < 0; i++)
+        if (runner->connections[i] < 0)
+          c->slot = i;
+      if (c->slot >= 0)
+        runner->connections[c->slot] = fd;
+      pthread_mutex_unlock (&runner_lock);
+      if (c->slot < 0)
+        kit_end (2);
+      start_thread (run_runner_connection, c);
+    }
+}
+
+static int
+listen_at (int port)
+{
+  struct sockaddr_in a = loopback (port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&a, sizeof a) || listen (fd, 256))
+    kit_end (2);
+  return fd;
+}
+
+static void *
+run_runner (void *argument)
+{
+  struct kit_runner *runner = argument;
+
+  for (;;)
+    {
+      int listener = listen_at (runner->port);
+      char id[32];
+
+      kit_runner_list (runner, "ready");
+      serve_start (runner, listener);
+      close (listener);
+      snprintf (id, sizeof id, "%s", runner->id);
+      /* The entry outlives the crash by three heartbeat intervals.  */
+      if (runner->down_for > 3.6)
+        {
+          kit_sleep (3.6);
+          kit_store_put ("keyed.servers", id, "");
+          kit_sleep (runner->down_for - 3.6);
+        }
+      else
+        kit_sleep (runner->down_for);
+      snprintf (runner->id, sizeof runner->id, "%s-%d", runner->name,
+                ++runner->starts);
+      runner->crashed = false;
+      if (runner->down_for <= 3.6)
+        kit_store_put ("keyed.servers", id, "");
+      kit_record ("runner %s starts", runner->id);
+    }
+  return NULL;
+}
+
+void
+kit_runner_crash (struct kit_runner *runner, double seconds)
+{
+  pthread_mutex_lock (&runner_lock);
+  runner->down_for = seconds;
+  runner->crashed = true;
+  for (int i = 0; i < 64; i++)
+    if (runner->connections[i] >= 0)
+      shutdown (runner->connections[i], SHUT_RDWR);
+  pthread_mutex_unlock (&runner_lock);
+  kit_record ("runner %s crashes", runner->id);
+}
+
 void
 kit_runner_start (struct kit_runner *runner, const char *id,
                   const char *service, kit_run *run)
 {
   memset (runner, 0, sizeof *runner);
+  for (int i = 0; i < 64; i++)
+    runner->connections[i] = -1;
   snprintf (runner->id, sizeof runner->id, "%s", id);
+  snprintf (runner->name, sizeof runner->name, "%s", id);
   snprintf (runner->service, sizeof runner->service, "%s", service);
   runner->run = run;
-  runner->port = start_server (serve_runner, runner);
-  kit_runner_list (runner, "ready");
+  runner->port = kit_free_port ();
+  start_thread (run_runner, runner);
 }
 
 /* Routers.  */
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -74,12 +74,22 @@
   int port;
   kit_run *run;
   int runs; /* Begun.  */
+  char name[16];
+  int starts;
+  volatile bool crashed;
+  double down_for; /* Seconds.  */
+  int connections[64];
 };
 /* Start a runner and write its entry to the store.  */
 void kit_runner_start (struct kit_runner *runner, const char *id,
                        const char *service, kit_run *run);
 void kit_runner_list (const struct kit_runner *runner, const char *state);
 
+/* Let RUNNER crash: it closes all connections and its port, and starts again
+   SECONDS later under another id.  The store removes the entry of the start
+   that crashed after three heartbeat intervals.  */
+void kit_runner_crash (struct kit_runner *runner, double seconds);
+
 /* Routers.  */
 struct kit_router
 {
