review: routers of a case end with it also when it is killed

Cause: a script that is killed left its router running.

Done: routers get SIGKILL when the process that started them dies.

--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -866,6 +867,7 @@
       snprintf (variable, sizeof variable, "MONSOONSPUR_CONFIG=%s", path);
       snprintf (home_variable, sizeof home_variable, "HOME=%s",
                 home ? home : "/");
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (!freopen (log, "w", stdout) || dup2 (1, 2) < 0)
         _exit (127);
       execve (arguments[0], arguments, environment);
