review: ports of a case lie below those of outgoing connections

Cause: a runner's port that stays closed after a crash could be given to an outgoing connection, and a UDP port wasn't tried.

Done: free ports are looked for between 15000 and 32000, for TCP and UDP.

--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -161,18 +161,30 @@
   return a;
 }
 
+static bool
+can_bind (int type, int port)
+{
+  struct sockaddr_in a = loopback (port);
+  int fd = socket (AF_INET, type, 0);
+  bool free = bind (fd, (struct sockaddr *)&a, sizeof a) == 0;
+
+  close (fd);
+  return free;
+}
+
+/* Below the ports that the system gives to outgoing connections, as a port may
+   stay closed for a while.  */
 int
 kit_free_port (void)
 {
-  struct sockaddr_in a = loopback (0);
-  socklen_t length = sizeof a;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  static int next;
 
-  if (bind (fd, (struct sockaddr *)&a, sizeof a)
-      || getsockname (fd, (struct sockaddr *)&a, &length))
-    kit_end (2);
-  close (fd);
-  return ntohs (a.sin_port);
+  if (!next)
+    next = 15000 + getpid () % 1000 * 15;
+  for (int i = 0; i < 2000; i++)
+    if (can_bind (SOCK_STREAM, ++next) && can_bind (SOCK_DGRAM, next))
+      return next;
+  kit_end (2);
 }
 
 int
