gateway.sh: gateway 3 is stopped before it starts without the store

Since the checks of streams start all gateways again, gateway 3 still ran when the checks of relays started it once more: the new process could not bind its port and ended, and the old one, which has the store, passed the checks. Its process id was lost, so that later signals met no process.

Now the old one is killed first.

--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -680,6 +680,7 @@
 
 # Gateway 3 starts again with a store address where nothing listens, so it
 # depends on what the other gateways relay.
+stop gateway3 KILL
 start_gateway 3 $((BASE + 9))
 await 10 ready 3
 verdict "a gateway without access to the store is ready through its peers" $?
