Answers without a length are sent in chunks, so that a cut one looks cut

What callers saw: an answer that its endpoint ends by closing was passed on in the same form.

Cause: the kernel closes a dead process's connections in order, which is how such an answer ends.

Change: callers of HTTP/1.1 get chunks whatever the endpoint sent. Those of HTTP/1.0 cannot, so their connection is set to be reset by the kernel until the router has closed it; they are sent no chunks any more. 204, 304 and answers to HEAD have no body and so no framing.

Read and found sound: refusals, pages and relays (length), src/router (length or chunks), ends that the router itself causes (reset), the store's and peers' answers as they are read.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -78,8 +78,8 @@
   unsigned refuse_status; /* Error for this request; 0 if valid.  */
   bool complete;          /* Set to false only and never read.  */
   bool keep_alive;
-  bool chunked; /* The response is sent in chunks.  */
-  bool closed;  /* SOCKET is closed and NULL.  */
+  enum ms_framing framing; /* Of the response.  */
+  bool closed;             /* SOCKET is closed and NULL.  */
   bool parsing; /* Within parse_requests, which then frees it if closed.  */
   struct ms_caller *prev, *next;
 };
@@ -684,9 +684,12 @@
 {
   if (c->closed)
     return;
-  c->chunked = framing == MS_FRAMED_CHUNKS;
+  c->framing = framing;
   if (framing == MS_FRAMED_CLOSE)
-    c->keep_alive = false;
+    {
+      c->keep_alive = false;
+      ms_socket_reset_at_exit (c->socket);
+    }
   append_status (c, head->status);
   for (unsigned i = 0; i < head->headers_count; i++)
     {
@@ -711,12 +714,12 @@
 void
 ms_caller_append_body (struct ms_caller *c, const char *data, size_t length)
 {
-  if (c->closed || !length)
+  if (c->closed || !length || c->framing == MS_FRAMED_NONE)
     return;
-  if (c->chunked)
+  if (c->framing == MS_FRAMED_CHUNKS)
     append_format (c, "%zx\r\n", length);
   buffer_append (&c->out, data, length);
-  if (c->chunked)
+  if (c->framing == MS_FRAMED_CHUNKS)
     buffer_append (&c->out, "\r\n", 2);
 }
 
@@ -765,7 +768,7 @@
 void
 ms_caller_end_response (struct ms_caller *c)
 {
-  if (!c->closed && c->chunked)
+  if (!c->closed && c->framing == MS_FRAMED_CHUNKS)
     buffer_append (&c->out, "0\r\n\r\n", 5);
   ms_caller_flush (c);
   finish_request (c);
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -43,11 +43,12 @@
 /* How the end of a response body is marked.  */
 enum ms_framing
 {
+  MS_FRAMED_NONE, /* There is no body.  */
   MS_FRAMED_LENGTH,
   MS_FRAMED_CHUNKS,
-  MS_FRAMED_CLOSE /* By closing the connection.  Used if the endpoint gave no
-                     length either, so a truncated body cannot be distinguished
-                     from a complete one.  */
+  MS_FRAMED_CLOSE /* By closing the connection, for callers that do not know
+                     chunks.  Until then the kernel resets the connection if
+                     the process ends.  */
 };
 
 /* Whether the caller has closed its connection, even if the event loop has not
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -67,16 +67,30 @@
   r->unsent_length += length;
 }
 
+/* Whether a response to R with HEAD has no body whatever its headers say.  */
+static bool
+is_bodiless (const struct ms_request *r, const struct ms_head *head)
+{
+  return head->status == HTTP_STATUS_NO_CONTENT
+         || head->status == HTTP_STATUS_NOT_MODIFIED
+         || ms_str_equal (ms_caller_head (r->caller)->method, ms_str ("HEAD"));
+}
+
 /* Choose how to mark the end of the response body to R's caller; HEAD is that
-   of the endpoint's response.  */
+   of the endpoint's response.  The caller must be able to tell a body that is
+   cut off from a whole one, also where the router's process ends, after which
+   the kernel closes the connection in order.  */
 static enum ms_framing
 choose_framing (const struct ms_request *r, const struct ms_head *head)
 {
+  if (is_bodiless (r, head))
+    return MS_FRAMED_NONE;
   /* A stream may be resumed at another endpoint, whose part has another
      length.  */
-  if (head->has_length)
-    return r->stream_response ? MS_FRAMED_CHUNKS : MS_FRAMED_LENGTH;
-  return head->chunked ? MS_FRAMED_CHUNKS : MS_FRAMED_CLOSE;
+  if (head->has_length && !r->stream_response)
+    return MS_FRAMED_LENGTH;
+  return ms_caller_head (r->caller)->takes_chunks ? MS_FRAMED_CHUNKS
+                                                  : MS_FRAMED_CLOSE;
 }
 
 /* Send the response head to the caller, unless an earlier attempt did.  */
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -31,6 +31,7 @@
   bool accepted;
   bool reading;
   bool closing;     /* Closed, or to be closed once the queue is sent.  */
+  bool resets;      /* The kernel resets it if the process ends.  */
   bool unconfirmed; /* Written to, and not known to be acknowledged.  */
   struct ms_ack_watch watch;
   size_t left;        /* Bytes not acknowledged at the last check of a closed
@@ -254,6 +255,20 @@
   return MS_OK;
 }
 
+/* Make the kernel reset the connection of S when its descriptor is closed, or
+   close it in order.  */
+static void
+set_reset_on_close (struct ms_socket *s, bool reset)
+{
+  const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+  uv_os_fd_t fd;
+
+  s->resets
+      = uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0
+        && setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) == 0
+        && reset;
+}
+
 /* Close the socket of S, whose queue is empty.  What the kernel has not sent
    yet is discarded like a queue if the other side takes nothing.  */
 static void
@@ -262,6 +277,8 @@
   static const unsigned limit_ms = MS_LINGER_LIMIT / MS_MSEC;
   uv_os_fd_t fd;
 
+  if (s->resets)
+    set_reset_on_close (s, false);
   if (s->unconfirmed && uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0)
     setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
   uv_close ((uv_handle_t *)&s->tcp, on_closed);
@@ -441,11 +458,7 @@
 void
 ms_socket_reset_at_exit (struct ms_socket *s)
 {
-  static const struct linger none = { .l_onoff = 1, .l_linger = 0 };
-  uv_os_fd_t fd;
-
-  if (uv_fileno ((uv_handle_t *)&s->tcp, &fd) == 0)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+  set_reset_on_close (s, true);
 }
 
 bool
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -138,8 +138,8 @@
    event follows.  */
 void ms_socket_reset (struct ms_socket *socket);
 
-/* Make the kernel reset the connection, too, when the process ends without
-   closing it.  */
+/* Make the kernel reset the connection when the process ends before
+   ms_socket_close has taken effect, which closes it in order all the same.  */
 void ms_socket_reset_at_exit (struct ms_socket *socket);
 
 /* Number of open sockets in the process, without listeners.  */
--- a/src/wire/message.c
+++ b/src/wire/message.c
@@ -174,6 +174,8 @@
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   head->content_length = head->has_length ? parser->content_length : 0;
   head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->takes_chunks = parser->http_major > 1
+                       || (parser->http_major == 1 && parser->http_minor >= 1);
   head->keep_alive = http_should_keep_alive (parser) != 0;
   p->head_complete = true;
   p->in_value = true;
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -34,7 +34,8 @@
   bool has_length;         /* There is a Content-Length header.  */
   uint64_t content_length; /* 0 without it.  */
   bool chunked;
-  bool keep_alive; /* The connection stays open after the message.  */
+  bool takes_chunks; /* Of a request: the response may be sent in chunks.  */
+  bool keep_alive;   /* The connection stays open after the message.  */
 };
 
 /* The value of the first header called NAME, without regard to case; an empty
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -143,6 +143,7 @@
                               not leave.  */
   long long said_ms;       /* From when on its answers said so; 0 if they did
                               not.  */
+  long long ended_ms;      /* When it was found ended; 0 while it runs.  */
   unsigned version;        /* Of an engine of the service "moved"; else 0.  */
   struct fleet_stop stops[MAX_STOPS];
   unsigned stops_count;
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -5,6 +5,7 @@
    /crash      run, then the connection closes without an answer
    /unsigned   200 without X-Response-Signature
    /unframed   an answer without Content-Length, ended by closing
+   /table      N pieces of 8 KiB, MS milliseconds apart, without a length
    /short      an answer shorter than its Content-Length
    /extra      a second answer that nobody asked for after the first
    /stream     N server-sent events, MS milliseconds apart
@@ -298,6 +299,24 @@
   return 1;
 }
 
+/* Send a large answer that the end of the connection ends.  */
+static void
+send_table (struct mg_connection *connection)
+{
+  static const char block[8192] = "table";
+  long n = query_number (connection, "n", 5);
+
+  send_head (connection, 200,
+             "X-Response-Signature: s\r\nConnection: close\r\n\r\n");
+  for (long i = 0; i < n; i++)
+    {
+      if (mg_write (connection, block, sizeof block) <= 0)
+        break;
+      pause_ms (query_number (connection, "ms", 10));
+    }
+  mg_disable_connection_keep_alive (connection);
+}
+
 /* Send 64 MiB without a signature, which the gateway must not buffer.  */
 static void
 send_endless (struct mg_connection *connection)
@@ -469,6 +488,8 @@
     pause_ms (query_number (connection, "ms", 1000));
   if (strstr (path, "/endless"))
     send_endless (connection);
+  else if (strstr (path, "/table"))
+    send_table (connection);
   else if (strstr (path, "/noanswer"))
     send_no_answer (connection, path);
   else if (strstr (path, "/noid/refused"))
