A configuration that is refused still takes keys away; splits have any size

Cause: the routing table had room for eight services a route, a bound that the operators' interface does not have. And that the topic was read counted as if what it says were in force.

Change: splits are an array of the table. Of a configuration that cannot be put into force, the teams and keys are, with the routes of the one before; if not even these can be read, no key is taken for valid under strict_revocation. Until a later one is in force, missing routes and keys get 503, not 404 or 401. monsoonspur_config_in_force and the log tell. One configuration in three of the soak has an invalid route.

Read and found sound: entries of endpoints, evacuations, reads that cannot be decoded, older versions, names that are cut (identifiers are of the whole name).

--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -47,6 +47,8 @@
 
   if (!gw->settings->strict_revocation)
     return true;
+  if (gw->config_state == MS_CONFIG_UNREADABLE)
+    return false;
   return now - ms_topic_read_at (gw->operator_topic)
          < bound - REVOCATION_MARGIN;
 }
@@ -57,7 +59,8 @@
   ms_time bound = (ms_time)(gw->settings->config_apply_ms * MS_MSEC
                             * CONFIG_RECENT_FRACTION);
 
-  return now - ms_topic_read_at (gw->operator_topic) < bound
+  return gw->config_state == MS_CONFIG_IN_FORCE
+         && now - ms_topic_read_at (gw->operator_topic) < bound
          && !ms_replica_settling (ms_topic_replica (gw->operator_topic), now);
 }
 
@@ -68,6 +71,44 @@
          && ms_gateway_keys_fresh (gw, gw->now);
 }
 
+/* Return whether VERSION is older than that of the routes in force.  */
+static bool
+is_older_config (const struct ms_gateway *gw, uint64_t version)
+{
+  if (!gw->routes || version >= gw->routes->version)
+    return false;
+  ms_event (gw->now, "configuration_older", "version=%llu in_force=%llu",
+            (unsigned long long)version,
+            (unsigned long long)gw->routes->version);
+  return true;
+}
+
+/* Put the keys of a configuration into force whose rest cannot be decoded:
+   what it takes away must stop all the same.  Its teams join the routes of the
+   configuration before.  */
+static void
+apply_teams (struct ms_gateway *gw, struct ms_str text)
+{
+  struct ms_routes *refused;
+
+  if (plat_decode_teams (text, &refused) != MS_OK)
+    {
+      gw->config_state = MS_CONFIG_UNREADABLE;
+      ms_event (gw->now, "keys_unknown", "error=\"%s\"", ms_last_message ());
+      return;
+    }
+  if (!is_older_config (gw, refused->version))
+    {
+      gw->config_state = MS_CONFIG_TEAMS_ONLY;
+      if (gw->routes)
+        ms_routes_swap_teams (gw->routes, refused);
+      ms_event (gw->now, "configuration_teams", "teams=%u keys=%u",
+                gw->routes ? gw->routes->teams_count : 0,
+                gw->routes ? gw->routes->keys_count : 0);
+    }
+  ms_routes_destroy (refused);
+}
+
 static void
 apply_config (struct ms_gateway *gw, struct ms_str text)
 {
@@ -78,16 +119,15 @@
     {
       ms_event (gw->now, "configuration_refused", "error=\"%s\"",
                 ms_last_message ());
+      apply_teams (gw, text);
       return;
     }
-  if (old && routes->version < old->version)
+  if (is_older_config (gw, routes->version))
     {
-      ms_event (gw->now, "configuration_older", "version=%llu in_force=%llu",
-                (unsigned long long)routes->version,
-                (unsigned long long)old->version);
       ms_routes_destroy (routes);
       return;
     }
+  gw->config_state = MS_CONFIG_IN_FORCE;
   gw->routes = routes;
   ms_place_configure (gw->place, routes);
   ms_routes_destroy (old);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,15 @@
   double rate;    /* Requests per second, as an exponential moving average.  */
 };
 
+/* How much of the newest configuration that was read is in force.  */
+enum ms_config_state
+{
+  MS_CONFIG_IN_FORCE,   /* All of it, or none was read yet.  */
+  MS_CONFIG_TEAMS_ONLY, /* Its teams and keys, with the routes of the one
+                           before.  */
+  MS_CONFIG_UNREADABLE  /* Nothing, so that any key may have been revoked.  */
+};
+
 struct ms_request;
 struct ms_waiting;
 struct ms_caller;
@@ -67,6 +76,7 @@
   uint64_t zone;        /* Hash of its availability zone's name.  */
 
   struct ms_routes *routes; /* NULL before the first configuration.  */
+  enum ms_config_state config_state;
   struct ms_topic *operator_topic;
   struct ms_topic *endpoint_topic;
   struct ms_place *place;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -28,7 +28,8 @@
      the copy is for the log.  */
   struct ms_str full_id;
   char request_id[MS_REQUEST_ID_BYTES];
-  struct ms_route route; /* Copied on arrival, with empty host and prefix.  */
+  struct ms_route route; /* Copied on arrival, without host, prefix and
+                            splits.  */
   uint64_t service;
   uint64_t team; /* 0 if no key is needed.  */
   struct ms_name team_name;
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -258,6 +258,7 @@
           server_load_counts[false]);
   append (&out, "monsoonspur_endpoints_failing %u\n", gauges->failing);
   append (&out, "monsoonspur_config_version %llu\n", gauges->config_version);
+  append (&out, "monsoonspur_config_in_force %d\n", gauges->config_in_force);
   append (&out, "monsoonspur_config_age_seconds %.3f\n", gauges->config_age_s);
   append (&out, "monsoonspur_endpoints_age_seconds %.3f\n",
           gauges->endpoints_age_s);
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -82,6 +82,7 @@
   unsigned routers;                  /* Alive, this one included.  */
   unsigned sharers; /* Routers among which fleet-wide limits are divided.  */
   unsigned long long config_version;
+  bool config_in_force;   /* All of the newest configuration is.  */
   unsigned suspect_parts; /* Of prompts, under trial or in quarantine.  */
   unsigned rollouts;      /* Orders that have not ended.  */
   double config_age_s;    /* Since the read that confirmed it.  */
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -204,6 +204,7 @@
     .rollouts = ms_rollout_driver_running (gw->rollout_driver),
     .suspect_parts = ms_part_guard_count (gw->part_guard, gw->now),
     .config_version = gw->routes ? gw->routes->version : 0,
+    .config_in_force = gw->config_state == MS_CONFIG_IN_FORCE,
     .config_age_s
     = (double)(gw->now - ms_topic_read_at (gw->operator_topic)) / MS_SEC,
     .endpoints_age_s
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -163,7 +163,7 @@
 identify_stream (struct ms_request *r, const struct ms_head *head)
 {
   struct ms_str resumes = ms_head_find (head, PLAT_RESUMES);
-  uint64_t services[MS_MAX_SPLITS];
+  uint64_t *services;
 
   if (r->route.repeat != MS_STREAMING || !r->route.resumable)
     return;
@@ -173,6 +173,7 @@
   r->stream = resumes.length ? ms_id (resumes) : 0;
   if (!r->takes_up)
     return;
+  services = ms_new_array (r->route.splits_count, sizeof *services);
   for (unsigned i = 0; i < r->route.splits_count; i++)
     services[i] = r->route.splits[i].service;
   r->version = ms_streams_version (r->gw->streams, r->stream, services,
@@ -180,6 +181,7 @@
   for (unsigned i = 0; i < r->route.splits_count; i++)
     if (ms_place_has_version (r->gw->place, services[i], r->version))
       r->service = services[i];
+  free (services);
 }
 
 static struct ms_request *
@@ -196,7 +198,7 @@
   r->gw = gw;
   r->caller = caller;
   r->route = *route;
-  /* Both point into the routing table, which may be replaced.  */
+  /* These point into the routing table, which may be replaced.  */
   r->route.host = r->route.prefix = (struct ms_str){ "", 0 };
   r->service = ms_route_draw_service (route, ms_random_next (&gw->random));
   r->team = team;
@@ -218,6 +220,8 @@
   r->cost = r->prompt.tokens + OUTPUT_TOKEN_COST * r->prompt.output;
   r->fingerprint = request_fingerprint (r);
   identify_stream (r, head);
+  r->route.splits = NULL;
+  r->route.splits_count = 0;
   collect_guarded (r);
   r->first_byte_target = route->target_latency ? route->target_latency
                                                : DEFAULT_FIRST_BYTE_TARGET;
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -92,16 +92,37 @@
   sort (routes->keys, routes->keys_count, sizeof *routes->keys, by_key_text);
 }
 
+void
+ms_routes_swap_teams (struct ms_routes *routes, struct ms_routes *from)
+{
+  struct ms_routes old = *routes;
+
+  routes->teams = from->teams;
+  routes->teams_count = from->teams_count;
+  routes->keys_required = from->keys_required;
+  routes->keys = from->keys;
+  routes->keys_count = from->keys_count;
+  routes->team_text = from->team_text;
+  from->teams = old.teams;
+  from->teams_count = old.teams_count;
+  from->keys_required = old.keys_required;
+  from->keys = old.keys;
+  from->keys_count = old.keys_count;
+  from->team_text = old.team_text;
+}
+
 void
 ms_routes_destroy (struct ms_routes *routes)
 {
   if (!routes)
     return;
   free (routes->routes);
+  free (routes->splits);
   free (routes->services);
   free (routes->teams);
   free (routes->keys);
   free (routes->text);
+  free (routes->team_text);
   free (routes);
 }
 
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -31,8 +31,6 @@
   uint32_t weight;
 };
 
-#define MS_MAX_SPLITS 8
-
 /* Treatment of the requests for one host and path prefix.  */
 struct ms_route
 {
@@ -41,9 +39,9 @@
   struct ms_str prefix; /* Points into ms_routes.text.  Matched bytewise, so it
                            should end with a slash.  */
   enum ms_repeat repeat;
-  bool resumable; /* A stream that broke off may be resumed.  */
-  bool public;    /* No key is needed.  */
-  struct ms_split splits[MS_MAX_SPLITS];
+  bool resumable;                /* A stream that broke off may be resumed.  */
+  bool public;                   /* No key is needed.  */
+  const struct ms_split *splits; /* Point into ms_routes.splits.  */
   unsigned splits_count;
   uint32_t max_attempts;  /* Including the first; at least 1.  */
   ms_time timeout;        /* For the whole request; 0 if there is none.  */
@@ -77,14 +75,14 @@
 /* An API key and the team that it belongs to.  */
 struct ms_key
 {
-  struct ms_str text; /* Points into ms_routes.text.  */
+  struct ms_str text; /* Points into ms_routes.team_text.  */
   uint64_t team;
 };
 
 struct ms_team_entry
 {
   uint64_t id;
-  struct ms_str name; /* Points into ms_routes.text.  */
+  struct ms_str name; /* Points into ms_routes.team_text.  */
   bool has_priority;  /* PRIORITY takes the place of the route's.  */
   uint32_t priority;  /* 0 is the highest.  */
 };
@@ -107,6 +105,7 @@
   uint64_t version;
   struct ms_route *routes; /* Sorted by host, longest prefix first.  */
   unsigned routes_count;
+  struct ms_split *splits;           /* Of all routes.  */
   struct ms_service_entry *services; /* Sorted by id.  */
   unsigned services_count;
   struct ms_team_entry *teams; /* Sorted by id.  */
@@ -115,13 +114,18 @@
   struct ms_key *keys; /* Sorted by text.  */
   unsigned keys_count;
   struct ms_caller_limits limits;
-  char *text; /* Memory of all strings.  */
+  char *text;      /* Memory of the routes' strings.  */
+  char *team_text; /* Memory of the teams' and keys' strings.  */
 };
 
 /* Sort the arrays of ROUTES for searching.  Call once after filling them in
    and before any search.  */
 void ms_routes_index (struct ms_routes *routes);
 
+/* Give ROUTES the teams and keys of FROM, which gets those of ROUTES.  Both
+   are indexed.  */
+void ms_routes_swap_teams (struct ms_routes *routes, struct ms_routes *from);
+
 /* Free ROUTES, which may be NULL, with its arrays and strings.  */
 void ms_routes_destroy (struct ms_routes *routes);
 
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -750,12 +750,65 @@
 verdict "routers register again after the store lost their records" $?
 await 5 all_serve
 
-store_mode down
 keys_refused ()
 {
-  request 1 /any/x
+  request ${1:-1} /any/x
   is "$status" 503 && head_has '^Retry-After:' && is "$(run_count $id)" 0
 }
+# taken_away KEY: whether all gateways refuse this key.
+taken_away ()
+{
+  KEY=$1
+  for n in 1 2 3; do
+    request $n /any/x
+    { is "$status" 401 || is "$status" 503; } && is "$(run_count $id)" 0 \
+      || return 1
+  done
+}
+# The configurations that follow cannot be put into force as a whole.
+publish_config 20 '"k1", "k20"'
+KEY=k20
+await 5 all_serve
+split=
+for service in app app app app app app app app app app; do
+  split="$split${split:+,}{\"service\":\"$service\",\"weight\":1}"
+done
+publish_config 21 '"k1"' ",{\"name\":\"split\",\"hostname\":\"h\",\
+\"path_prefix\":\"/split/\",\"route_kind\":\"idempotent\",\"timeout_ms\":2000,\
+\"max_attempts\":2,\"traffic_split\":[$split]}"
+await 3 taken_away k20
+verdict "a key is taken away beside a route that is split over ten services" $?
+KEY=k1
+request 1 /split/x
+is "$status" 200
+verdict "a route that is split over ten services is served" $?
+publish_config 22 '"k1", "k20"'
+KEY=k20
+await 5 all_serve
+store_put keyed.op config '{"version":23,"routes":[{"name":"broken"}],
+"tenants":[{"name":"t1","api_keys":["k1"]}]}'
+await 3 taken_away k20
+verdict "a key is taken away by a configuration whose routes are invalid" $?
+KEY=k1
+all_serve
+verdict "the other keys hold with the routes of before" $?
+request 1 /none/x
+is "$status" 503 && metrics && grep -q '^monsoonspur_config_in_force 0' "$DIR/metrics"
+verdict "a route is not reported as missing while a configuration is not in force" $?
+publish_config 24 '"k1", "k20"'
+KEY=k20
+await 5 all_serve
+store_put keyed.op config '{"version":25,"rou'
+await 3 taken_away k20
+verdict "no key is taken for valid once a configuration cannot be read" $?
+KEY=k1
+keys_refused 2
+verdict "requests with a key get 503 once a configuration cannot be read" $?
+publish_config 26 '"k1"'
+await 5 all_serve && metrics && grep -q '^monsoonspur_config_in_force 1' "$DIR/metrics"
+verdict "a later configuration is in force as a whole" $?
+
+store_mode down
 await 10 keys_refused
 verdict "requests with a key get 503 while revocations cannot be read" $?
 KEY=
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -26,7 +26,8 @@
 #define MAX_START_POLLS 200 /* START_POLL_MS apart.  */
 #define START_POLL_MS 50
 #define MAX_INSTANCES 512
-#define CRASH_STATUS 42 /* Of an engine that a request has crashed.  */
+#define INVALID_CONFIGS 3 /* One in so many has an invalid route.  */
+#define CRASH_STATUS 42   /* Of an engine that a request has crashed.  */
 #define CRASH_BACK_MS 1000
 
 struct process
@@ -582,12 +583,28 @@
   rewrites_left = ALL_ENGINES;
 }
 
+/* Whether the newest configuration has no invalid route.  */
+static bool
+is_config_valid (void)
+{
+  return config_version % INVALID_CONFIGS != 0;
+}
+
+void
+fleet_publish_valid_config (void)
+{
+  do
+    fleet_publish_config (second_key_valid);
+  while (!is_config_valid ());
+}
+
 void
 fleet_publish_config (bool second_key)
 {
   char body[2048];
 
   second_key_valid = second_key;
+  config_version++;
   snprintf (
       body, sizeof body,
       "{\"version\":%u,\"routes\":["
@@ -603,13 +620,14 @@
       "{\"name\":\"events\",\"hostname\":\"h\",\"path_prefix\":\"/events/\","
       "\"route_kind\":\"streaming\",\"timeout_ms\":6000,"
       "\"target_latency_ms\":500,\"service\":\"app\",\"max_attempts\":2,"
-      "\"resumable\":true}],"
+      "\"resumable\":true}%s],"
       "\"services\":[{\"name\":\"app\",\"cold_per_s\":%d},"
       "{\"name\":\"moved\"}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
       "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"%s]}]}",
-      ++config_version, COLD_PER_S, second_key ? ",\"k2\"" : "");
+      config_version, is_config_valid () ? "" : ",{\"name\":\"invalid\"}",
+      COLD_PER_S, second_key ? ",\"k2\"" : "");
   put_store (body, "put?topic=keyed.op&key=config");
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -183,6 +183,9 @@
    ("k2") is valid or, unless SECOND_KEY, revoked.  */
 void fleet_publish_config (bool second_key);
 
+/* Publish the next version without an invalid route.  */
+void fleet_publish_valid_config (void);
+
 /* Return how many processes ended without SIGTERM or SIGKILL since the last
    call, and print which.  */
 unsigned fleet_count_died (void);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -524,6 +524,7 @@
         fleet_heartbeat ();
       nanosleep (&step, NULL);
     }
+  fleet_publish_valid_config ();
   breaches += !all_gateways_recover ();
   callers_stop ();
   gone_stop ();
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -50,6 +50,86 @@
   ms_routes_destroy (routes);
 }
 
+/* Write to TEXT a configuration with a route that is split over COUNT
+   services, of which service I has weight I + 1.  */
+static void
+write_split (char *text, size_t size, unsigned count)
+{
+  int used = snprintf (text, size,
+                       "{\"version\":8,\"routes\":[{\"name\":\"a\","
+                       "\"hostname\":\"h\",\"path_prefix\":\"/x/\","
+                       "\"traffic_split\":[");
+
+  for (unsigned i = 0; i < count; i++)
+    used += snprintf (text + used, size - (size_t)used,
+                      "%s{\"service\":\"s%u\",\"weight\":%u}", i ? "," : "", i,
+                      i + 1);
+  snprintf (text + used, size - (size_t)used,
+            "]},{\"name\":\"b\",\"hostname\":\"h\","
+            "\"path_prefix\":\"/y/\",\"service\":\"t\"}]}");
+}
+
+/* A split over more than eight services had the whole configuration refused,
+   so that keys which it took away stayed in force.  */
+static void
+test_route_is_split_over_any_number_of_services (void **state)
+{
+  static char text[200000];
+  static const unsigned counts[] = { 1, 8, 9, 200 };
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof counts / sizeof *counts; i++)
+    {
+      unsigned count = counts[i];
+      unsigned total = count * (count + 1) / 2;
+      struct ms_routes *routes;
+      const struct ms_route *route;
+      char last[16];
+
+      write_split (text, sizeof text, count);
+      assert_int_equal (plat_decode_routes (ms_str (text), &routes), MS_OK);
+      route = ms_routes_find (routes, ms_str ("h"), ms_str ("/x/1"));
+      assert_int_equal (route->splits_count, count);
+      snprintf (last, sizeof last, "s%u", count - 1);
+      assert_int_equal (ms_route_draw_service (route, total - 1),
+                        ms_id (ms_str (last)));
+      route = ms_routes_find (routes, ms_str ("h"), ms_str ("/y/1"));
+      assert_int_equal (ms_route_draw_service (route, 0),
+                        ms_id (ms_str ("t")));
+      ms_routes_destroy (routes);
+    }
+}
+
+/* What a refused configuration says of keys is known as far as possible.  */
+static void
+test_decodes_teams_of_an_invalid_configuration (void **state)
+{
+  static const char text[]
+      = "{\"version\":8,\"routes\":7,\"tenants\":[{\"name\":\"t1\","
+        "\"api_keys\":[\"k1\",5,\"k2\"]},{\"api_keys\":[\"k3\"]},"
+        "{\"name\":\"t2\",\"api_keys\":[\"k4\"]}]}";
+  static const char *const unknown[]
+      = { "{\"version\":8", "{\"version\":8,\"routes\":[]}",
+          "{\"version\":8,\"routes\":[],\"tenants\":{}}", "[]" };
+  struct ms_routes *routes;
+
+  (void)state;
+  assert_int_equal (plat_decode_routes (ms_str (text), &routes), MS_INVALID);
+  assert_int_equal (plat_decode_teams (ms_str (text), &routes), MS_OK);
+  assert_int_equal (routes->version, 8);
+  assert_true (routes->keys_required);
+  assert_int_equal (routes->keys_count, 3);
+  assert_int_equal (ms_routes_key_team (routes, ms_str ("k2")),
+                    ms_id (ms_str ("t1")));
+  assert_int_equal (ms_routes_key_team (routes, ms_str ("k3")), 0);
+  assert_int_equal (ms_routes_key_team (routes, ms_str ("k4")),
+                    ms_id (ms_str ("t2")));
+  ms_routes_destroy (routes);
+  for (unsigned i = 0; i < sizeof unknown / sizeof *unknown; i++)
+    assert_int_equal (plat_decode_teams (ms_str (unknown[i]), &routes),
+                      MS_INVALID);
+}
+
 /* The error message names the missing field.  */
 static void
 test_rejects_invalid_configuration (void **state)
@@ -592,6 +672,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_decodes_configuration),
+    cmocka_unit_test (test_route_is_split_over_any_number_of_services),
+    cmocka_unit_test (test_decodes_teams_of_an_invalid_configuration),
     cmocka_unit_test (test_rejects_invalid_configuration),
     cmocka_unit_test (test_decodes_endpoint),
     cmocka_unit_test (test_rejects_invalid_endpoints),
