A stream does not end with the answer that failed to resume it

Cause: whether an answer may be passed on was judged by its status alone, also after the head of the stream was sent.

Change: once another attempt's head was sent, an answer that is no stream is a failed attempt, whatever its length.

Read: is_held and release of held events (same attempt only), buffered bodies and their end (the two places changed), refusals (never passed on): sound.

Result: the new check of gateway.sh fails on the gateway of before (429 to a resumption) and passes on this one.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -212,11 +212,20 @@
              || r->response_status == HTTP_STATUS_MISDIRECTED_REQUEST);
 }
 
+/* Whether the current attempt resumes a stream, but its response is no
+   stream, so that no part of it may be passed on.  */
+static bool
+fails_to_resume (const struct ms_request *r)
+{
+  return r->head_sent && !r->response_started && !r->stream_response;
+}
+
 /* How many bytes of R's response are held back.  */
 static size_t
 hold_back_limit (const struct ms_request *r)
 {
-  return !r->stream_response && r->response_accepted && !r->not_run
+  return !r->stream_response && !fails_to_resume (r) && r->response_accepted
+                 && !r->not_run
                  && r->response_status < HTTP_STATUS_INTERNAL_SERVER_ERROR
                  && ms_room_scarce (r->gw->room)
              ? MAX_SCARCE_BYTES
@@ -244,6 +253,11 @@
       ms_request_attempt_failed (r, "too_long");
       return;
     }
+  if (too_long && fails_to_resume (r))
+    {
+      ms_request_attempt_failed (r, "resumed_failed");
+      return;
+    }
   buffer_body (r, data, length);
   if (r->stream_response && is_held (r))
     {
@@ -358,9 +372,7 @@
       ms_request_attempt_failed (r, "cut_event");
       return;
     }
-  /* An error cannot be passed on once the head of the stream that this attempt
-     resumes was sent.  */
-  if (r->response_status >= 500 && r->head_sent)
+  if (fails_to_resume (r))
     {
       ms_request_attempt_failed (r, "resumed_failed");
       return;
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -362,6 +362,9 @@
 request 1 '/tail/open/half?n=6&ms=5'
 is "$status" 200 && [ "$code" -ne 0 ]
 verdict "a stream that ends inside an event does not look complete" $?
+request 1 '/events/limited/half?n=6&ms=5'
+is "$status" 200 && [ "$code" -ne 0 ] && ! body_has many
+verdict "a stream whose resumption fails does not look complete" $?
 request 1 '/events/stream?n=1000&ms=10' --max-time 1
 await 5 cancelled "$id"
 verdict "an endpoint's stream is cancelled when the caller disconnects" $?
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -11,6 +11,7 @@
    /stream     N server-sent events, MS milliseconds apart
    /half       such a stream, broken off in its third event unless resumed by
                Last-Event-Id
+   /limited    with /half: resumed, 429 that does not say it was not run
    /open       with /stream or /half: without chunks, ended by closing
    /slow       an answer after MS milliseconds
    /flaky      500 at this endpoint's first run of the attempt ID, then 200
@@ -478,6 +479,14 @@
       free (body);
       return close_without_answer (connection);
     }
+  if (strstr (path, "/limited") && *header_value (connection, "Last-Event-Id"))
+    {
+      send_head (
+          connection, 429,
+          "X-Response-Signature: s\r\nContent-Length: 8\r\n\r\ntoo many");
+      free (body);
+      return 1;
+    }
   if (strstr (path, "/stream") || strstr (path, "/half"))
     {
       free (body);
