After SIGTERM no request is left without an answer at the end of the grace period

Cause: requests of any length were taken for 3 s, also with a shorter grace period; the end of the process was decided by requests in progress alone, and those still in progress got a closed connection.

A connection that has sent something is not idle.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -619,7 +619,8 @@
 
   DL_FOREACH_SAFE (gw->callers, c, next)
   {
-    if (c->request || ms_parser_started (c->parser) || c->pending.length)
+    if (c->request || ms_parser_started (c->parser) || c->pending.length
+        || (!c->closed && ms_socket_has_data (c->socket)))
       open++;
     else
       close_caller (c, false);
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -27,7 +27,7 @@
 void ms_callers_sweep (struct ms_gateway *gw, ms_time now);
 
 /* Close idle connections after SIGTERM.  Return how many stay open because of
-   a request, which may be incomplete.  */
+   a request, which may be incomplete or unread.  */
 unsigned ms_callers_close_idle (struct ms_gateway *gw);
 
 /* Headers and body of CALLER's current request, valid until its response is
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,6 +164,19 @@
 /* Close the callers' port.  Connections that wait there are accepted first. */
 void ms_gateway_stop_listening (struct ms_gateway *gw);
 
+/* Whether a request that arrives now is served although SIGTERM was received:
+   it arrives early enough, or its TIME_LEFT ends before the process does.
+   Always true before SIGTERM.  */
+bool ms_gateway_may_serve (const struct ms_gateway *gw, ms_time time_left);
+
+/* Leave after SIGTERM; call on every tick.  Once no request is in progress,
+   the idle connections of callers are closed, then their port; requests that
+   waited there are answered first.  Near the end of the grace period what is
+   still in progress is ended, so that no caller is left without an answer.
+   Return whether the process is to exit, which waits until callers have taken
+   their answers.  */
+bool ms_gateway_leave (struct ms_gateway *gw);
+
 /* Measure the loop's load, once per tick.  Close the callers' port while
    ms_pressure_shut asks for it, that is, when the load is high and ticks come
    late, so that new callers are refused at once and try another router; open
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -37,12 +37,6 @@
 #define RATE_PERIOD (250 * MS_MSEC)
 #define RATE_WEIGHT 0.25
 
-/* After SIGTERM the process exits at the latest GRACE_MARGIN before the end of
-   the grace period, at which it would be killed, and at the earliest after
-   MIN_LEAVE_TIME, so that callers have learned that it leaves.  */
-#define GRACE_MARGIN (300 * MS_MSEC)
-#define MIN_LEAVE_TIME (4 * MS_SEC)
-
 static const char doc[] = "Route requests of many teams to endpoints, on one "
                           "event loop, with the platform's store.";
 
@@ -81,29 +75,6 @@
     }
 }
 
-/* Whether SIGTERM was received and the process may exit now.  After
-   MIN_LEAVE_TIME, while no request is in progress, also close the idle
-   connections of callers, then their port; requests that waited there are
-   answered before the process exits.  */
-static bool
-may_exit (struct ms_gateway *gw)
-{
-  ms_time grace = (ms_time)(gw->settings->grace_period_s * MS_SEC);
-  ms_time since = gw->now - gw->terminated_at;
-
-  if (!gw->terminated_at)
-    return false;
-  if (since > grace - GRACE_MARGIN)
-    return true;
-  if (since <= MIN_LEAVE_TIME || gw->requests || ms_callers_close_idle (gw))
-    return false;
-  if (gw->ending)
-    return true;
-  gw->ending = true;
-  ms_gateway_stop_listening (gw);
-  return false;
-}
-
 /* Update the mean request rate at the end of a sample and report it to the
    fleet.  */
 static void
@@ -160,7 +131,7 @@
         ms_returns_tick (gw->returns, now);
     }
   update_request_rate (gw);
-  if (may_exit (gw))
+  if (ms_gateway_leave (gw))
     {
       ms_event (now, "stop", "requests=%u", gw->requests_count);
       uv_stop (&gw->loop);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -19,12 +19,6 @@
    would take one more event for wanted.  */
 #define EXPIRY_RESPONSE_GRACE (60 * MS_MSEC)
 
-/* Requests that arrive within ACCEPT_AFTER_SIGTERM of SIGTERM are served
-   however long they may take.  Later ones are served only if their deadline or
-   timeout lies at least EXIT_MARGIN before the end of the grace period.  */
-#define ACCEPT_AFTER_SIGTERM (3 * MS_SEC)
-#define EXIT_MARGIN (600 * MS_MSEC)
-
 /* A request that arrived longer than this ago was read late, so that its
    caller may have left.  */
 #define LATE_READ (50 * MS_MSEC)
@@ -238,22 +232,6 @@
   return r;
 }
 
-/* Whether R may still be served after SIGTERM, if there was one: it arrived
-   soon after the signal, or its deadline or timeout ends it before the process
-   exits.  */
-static bool
-may_still_serve (const struct ms_request *r)
-{
-  const struct ms_gateway *gw = r->gw;
-  ms_time exit_at = gw->terminated_at
-                    + (ms_time)(gw->settings->grace_period_s * MS_SEC)
-                    - EXIT_MARGIN;
-
-  return !gw->terminated_at
-         || gw->now - gw->terminated_at <= ACCEPT_AFTER_SIGTERM
-         || gw->now + ms_request_time_left (r, gw->now) < exit_at;
-}
-
 /* Whether no part of R's prompt is known to crash endpoints, or R is the trial
    of one that is suspected.  */
 static bool
@@ -384,7 +362,7 @@
       return NULL;
     }
   r->suspect = verdict == MS_SUSPECT || r->trial;
-  if (!may_still_serve (r))
+  if (!ms_gateway_may_serve (gw, ms_request_time_left (r, gw->now)))
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
       return NULL;
@@ -470,6 +448,18 @@
   ms_waiting_tick (gw->waiting, now);
 }
 
+void
+ms_requests_end (struct ms_gateway *gw)
+{
+  struct ms_request *r, *next;
+
+  DL_FOREACH_SAFE (gw->requests, r, next)
+  {
+    r->may_have_run = r->may_have_run || (r->upstream && r->sent);
+    ms_request_give_up (r, "leaving");
+  }
+}
+
 static bool
 place_waiting (void *owner)
 {
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -63,4 +63,8 @@
    those that wait.  */
 void ms_requests_tick (struct ms_gateway *gw, ms_time now);
 
+/* End all requests because the process leaves: one that may have run with 502,
+   any other with 503, and one whose response has begun by a reset.  */
+void ms_requests_end (struct ms_gateway *gw);
+
 #endif
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -398,6 +398,16 @@
   return info.tcpi_last_data_recv * MS_MSEC;
 }
 
+bool
+ms_socket_has_data (const struct ms_socket *s)
+{
+  uv_os_fd_t fd;
+  int length = 0;
+
+  return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
+         && ioctl (fd, FIONREAD, &length) == 0 && length > 0;
+}
+
 bool
 ms_socket_paused (const struct ms_socket *s)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -142,6 +142,9 @@
    ms_socket_close has taken effect, which closes it in order all the same.  */
 void ms_socket_reset_at_exit (struct ms_socket *socket);
 
+/* Whether bytes have arrived that were not read yet.  */
+bool ms_socket_has_data (const struct ms_socket *socket);
+
 /* Number of open sockets in the process, without listeners.  */
 unsigned ms_socket_open_count (void);
 
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -127,5 +127,5 @@
     cmocka_unit_test (test_response_without_a_body_has_no_framing),
   };
 
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  return RUN (tests);
 }
