A stream is taken up at the only version known only if the list is confirmed

A stream that had begun at the new version through another router broke, was taken up there and went on at an endpoint of the old one (ORDER).

Cause: "this service has one version" was used without a bound on the age of the list that it came from.

Change: a request that takes up a stream which no router has reported waits for a read of the list that was sent after its arrival, at most 500 ms; one read serves all that wait. If the store does not answer, the stream goes on only if half of the routers were heard meanwhile; else the answer is 503. A version is noted when its first entry arrives, not with the next digest.

Read and found sound: keys, missing routes and leaving endpoints (bounded by the age of the read), resumption within one answer (the version is the router's own). Suspected: a stream that moved between versions before its first event while this router was cut off. The soak does not take streams up.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -378,6 +378,22 @@
   return router->heard && now - router->heard <= MS_ROUTER_SILENT_TIME;
 }
 
+bool
+ms_fleet_heard_since (const struct ms_fleet *fleet, ms_time since)
+{
+  unsigned alive = 0;
+  unsigned heard = 0;
+
+  for (unsigned i = 0; i < fleet->count; i++)
+    {
+      const struct ms_fleet_router *r = &fleet->routers[i];
+
+      alive += r->heard > since || ms_fleet_alive (r, since);
+      heard += r->heard > since;
+    }
+  return heard && heard * 2 >= alive;
+}
+
 unsigned
 ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -256,6 +256,10 @@
    digest, or zone sums that arrived name it as ready.  */
 bool ms_fleet_alive (const struct ms_fleet_router *router, ms_time now);
 
+/* Return whether at least half of the other routers that were alive at SINCE,
+   or are now, were heard later than that.  False if there is none.  */
+bool ms_fleet_heard_since (const struct ms_fleet *fleet, ms_time since);
+
 /* Return the number of live routers, this one included.  */
 unsigned ms_fleet_alive_count (const struct ms_fleet *fleet, ms_time now);
 
--- a/src/fleet/streams.c
+++ b/src/fleet/streams.c
@@ -323,6 +323,14 @@
   return s ? s->version : only_version (streams, services, count, now);
 }
 
+bool
+ms_streams_reported (const struct ms_streams *streams, uint64_t stream)
+{
+  unsigned moves;
+
+  return last_report (streams, stream, &moves) != NULL;
+}
+
 bool
 ms_streams_take_up (struct ms_streams *streams, uint64_t stream)
 {
--- a/src/fleet/streams.h
+++ b/src/fleet/streams.h
@@ -73,6 +73,12 @@
                              const uint64_t *services, unsigned count,
                              ms_time now);
 
+/* Return whether a router has reported the version of STREAM.  If not,
+   ms_streams_version relies on the list of endpoints: its answer is right only
+   if this router knows all versions that were listed before the stream began.
+ */
+bool ms_streams_reported (const struct ms_streams *streams, uint64_t stream);
+
 /* A caller takes STREAM up here.  Return whether the stream is known to have
    been let in and was not taken up here before.  */
 bool ms_streams_take_up (struct ms_streams *streams, uint64_t stream);
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -208,6 +208,8 @@
     ms_event (gw->now, "endpoint", "endpoint=%s leaving=%d cold_ms=%lld",
               entry.id.data, entry.leaving,
               (long long)(entry.cold_for / MS_MSEC));
+  /* At once, as a stream may be taken up before the next digest.  */
+  ms_streams_note_version (gw->streams, entry.service, entry.version, gw->now);
   ms_rollout_driver_note_endpoint (gw->rollout_driver,
                                    ms_place_put (gw->place, &entry, gw->now));
 }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -112,7 +112,12 @@
      the one that the caller names; 0 if there is none.  */
   uint64_t stream;
   uint32_t version; /* That began the stream; 0 until an event is passed on. */
-  bool moved;       /* It was reported at another version before.  */
+  /* Of a stream that is taken up: the services of its route.  */
+  uint64_t *services;
+  unsigned services_count;
+  /* Until when its version may wait to be confirmed; 0 if it does not.  */
+  ms_time confirm_until;
+  bool moved;              /* It was reported at another version before.  */
   uint32_t sent_version;   /* Of the endpoint when it was sent there.  */
   uint32_t failed_version; /* Of the endpoint that last failed to answer it; 0
                               if none did.  */
@@ -170,6 +175,23 @@
 /* The same, but only once they need not be held back any more.  */
 void ms_request_release_stored (struct ms_request *request);
 
+/* Streams that are taken up (resume.c).  */
+
+/* If the request, whose head is HEAD, may begin or take up a stream that can
+   be resumed, note which one.  Find the version that began one that is taken
+   up, or set confirm_until if that has to wait.  */
+void ms_request_identify_stream (struct ms_request *request,
+                                 const struct ms_head *head);
+
+/* Set the version that began the stream which the request takes up, 0 if it is
+   not known, and the service that has it.  Return false if that has to wait
+   until the list of endpoints is confirmed.  */
+bool ms_request_find_version (struct ms_request *request);
+
+/* Start the request, which waits for that, if it can be; else give it up once
+   its time to wait is over.  Call on every tick.  */
+void ms_request_await_version (struct ms_request *request);
+
 /* Versions in rollouts (version.c).  */
 
 /* Choose an endpoint among those of the versions that the request may be sent
--- a/src/gateway/outcome.c
+++ b/src/gateway/outcome.c
@@ -113,6 +113,7 @@
   gw->requests_count--;
   gw->held_back -= r->unsent_capacity;
   free (r->unsent_body);
+  free (r->services);
   free (r);
 }
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -150,34 +150,6 @@
   r->guarded[r->guarded_count++] = r->fingerprint;
 }
 
-/* If R is a stream that may be resumed, note which one it takes up, if it
-   does, the version that began it, and which of the route's services has that
-   version.  */
-static void
-identify_stream (struct ms_request *r, const struct ms_head *head)
-{
-  struct ms_str resumes = ms_head_find (head, PLAT_RESUMES);
-  uint64_t *services;
-
-  if (r->route.repeat != MS_STREAMING || !r->route.resumable)
-    return;
-  r->takes_up = ms_head_find (head, PLAT_RESUME_AFTER).length > 0;
-  if (!r->takes_up)
-    resumes = r->full_id;
-  r->stream = resumes.length ? ms_id (resumes) : 0;
-  if (!r->takes_up)
-    return;
-  services = ms_new_array (r->route.splits_count, sizeof *services);
-  for (unsigned i = 0; i < r->route.splits_count; i++)
-    services[i] = r->route.splits[i].service;
-  r->version = ms_streams_version (r->gw->streams, r->stream, services,
-                                   r->route.splits_count, r->gw->now);
-  for (unsigned i = 0; i < r->route.splits_count; i++)
-    if (ms_place_has_version (r->gw->place, services[i], r->version))
-      r->service = services[i];
-  free (services);
-}
-
 static struct ms_request *
 create_request (struct ms_gateway *gw, struct ms_caller *caller,
                 const struct ms_route *route, uint64_t team)
@@ -213,9 +185,6 @@
   plat_decode_prompt (head, &r->prompt);
   r->cost = r->prompt.tokens + OUTPUT_TOKEN_COST * r->prompt.output;
   r->fingerprint = request_fingerprint (r);
-  identify_stream (r, head);
-  r->route.splits = NULL;
-  r->route.splits_count = 0;
   collect_guarded (r);
   r->first_byte_target = route->target_latency ? route->target_latency
                                                : DEFAULT_FIRST_BYTE_TARGET;
@@ -227,6 +196,9 @@
     = entry && entry->has_priority ? entry->priority : route->priority,
     .give_up_at = r->arrived + (wait < MAX_WAIT ? wait : MAX_WAIT),
   };
+  ms_request_identify_stream (r, head);
+  r->route.splits = NULL;
+  r->route.splits_count = 0;
   DL_APPEND (gw->requests, r);
   gw->requests_count++;
   return r;
@@ -367,7 +339,7 @@
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE, "leaving");
       return NULL;
     }
-  if (r->takes_up && !r->version)
+  if (r->takes_up && !r->version && !r->confirm_until)
     {
       ms_request_refuse (r, HTTP_STATUS_SERVICE_UNAVAILABLE,
                          "version_unknown");
@@ -387,6 +359,11 @@
   ms_place_arrived (gw->place, r->service, r->prompt.output,
                     ms_request_time_left (r, gw->now) - r->first_byte_target);
   ms_place_count_request (gw->place, r->service, gw->now);
+  if (r->confirm_until)
+    {
+      gw->starting_request = NULL;
+      return r;
+    }
   ms_request_dispatch (r);
   if (gw->starting_request != r)
     return NULL; /* It has ended and is freed.  */
@@ -445,6 +422,11 @@
     ms_request_release_stored (r);
     expire_request (r, now);
   }
+  DL_FOREACH_SAFE (gw->requests, r, next)
+  {
+    if (r->confirm_until)
+      ms_request_await_version (r);
+  }
   ms_waiting_tick (gw->waiting, now);
 }
 
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -35,6 +35,11 @@
   ms_time next_call_at;     /* No read starts before this time.  */
   unsigned failures;        /* Failed reads in a row.  */
   ms_time call_sent_at;     /* When the last read of changes was sent.  */
+
+  /* Reads that confirm the records.  */
+  struct ms_exchange *confirm_exchange;
+  uint64_t confirm_offset; /* Where the last one starts.  */
+  ms_time next_confirm_at; /* None starts before this time.  */
 };
 
 struct ms_topic *
@@ -46,6 +51,7 @@
   t->options = *options;
   t->clock = clock;
   t->exchange = ms_exchange_create (loop, clock);
+  t->confirm_exchange = ms_exchange_create (loop, clock);
   t->replica = ms_replica_create (&options->replica);
   return t;
 }
@@ -56,6 +62,7 @@
   if (!t)
     return;
   ms_exchange_destroy (t->exchange);
+  ms_exchange_destroy (t->confirm_exchange);
   ms_replica_destroy (t->replica);
   free (t);
 }
@@ -239,6 +246,29 @@
   read_succeeded (t, sent_at);
 }
 
+/* A read that confirms the records has ended.  Whatever is unusual is left to
+   the reads of ms_topic_tick.  */
+static void
+on_confirmed (void *context, enum ms_status status, unsigned code,
+              struct ms_str body, ms_time sent_at)
+{
+  struct ms_topic *t = context;
+  uint64_t next;
+  uint64_t end;
+
+  t->next_confirm_at = ms_now (t->clock) + MIN_RETRY_DELAY;
+  if (status != MS_OK || code != 200
+      || ms_exchange_era (t->confirm_exchange) != ms_replica_era (t->replica)
+      || t->confirm_offset != ms_replica_next (t->replica))
+    return;
+  t->call_sent_at = sent_at;
+  if (plat_decode_read (body, t->confirm_offset, apply_change, t, &next, &end)
+      != MS_OK)
+    return;
+  ms_replica_advance (t->replica, next, end, sent_at);
+  t->next_confirm_at = 0;
+}
+
 /* Whether to read a snapshot instead of the changes.  */
 static bool
 needs_snapshot (const struct ms_topic *t)
@@ -274,6 +304,21 @@
       t->options.wait_ms * MS_MSEC + RESPONSE_GRACE, on_changes_read, t);
 }
 
+void
+ms_topic_confirm (struct ms_topic *t)
+{
+  char path[512];
+
+  if (ms_exchange_busy (t->confirm_exchange)
+      || ms_now (t->clock) < t->next_confirm_at || needs_snapshot (t))
+    return;
+  t->confirm_offset = ms_replica_next (t->replica);
+  plat_read_path (path, sizeof path, t->options.replica.name,
+                  t->confirm_offset, 0);
+  ms_exchange_call (t->confirm_exchange, &t->options.store, "GET", path,
+                    (struct ms_str){ "", 0 }, RESPONSE_GRACE, on_confirmed, t);
+}
+
 ms_time
 ms_topic_read_at (const struct ms_topic *t)
 {
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -38,6 +38,11 @@
    tick.  */
 void ms_topic_tick (struct ms_topic *topic, bool direct, ms_time now);
 
+/* Read the store at once, beside the reads that ms_topic_tick starts, unless
+   such a read is in progress: the records are confirmed sooner that way.  Does
+   nothing before a snapshot was applied.  */
+void ms_topic_confirm (struct ms_topic *topic);
+
 /* The replica, owned by TOPIC; peers may bring it newer records.  */
 struct ms_replica *ms_topic_replica (struct ms_topic *topic);
 
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -52,11 +52,11 @@
 }
 
 static struct ms_gateway_settings *
-create_settings (unsigned memory_mb)
+create_settings (unsigned memory_mb, const char *store_address)
 {
   struct ms_gateway_settings *s = ms_new (sizeof *s);
 
-  s->store_address = "127.0.0.1:1";
+  s->store_address = (char *)store_address;
   s->file_descriptors = 2000;
   s->memory_mb = memory_mb;
   s->config_apply_ms = 2000;
@@ -95,6 +95,12 @@
 
 struct fixture *
 fixture_create (unsigned memory_mb)
+{
+  return fixture_create_with_store (memory_mb, "127.0.0.1:1");
+}
+
+struct fixture *
+fixture_create_with_store (unsigned memory_mb, const char *store_address)
 {
   struct fixture *f = ms_new (sizeof *f);
   struct ms_gateway *gw = ms_new (sizeof *gw);
@@ -103,7 +109,7 @@
   signal (SIGPIPE, SIG_IGN);
   f->gw = gw;
   f->now.tv_sec = START_S;
-  gw->settings = create_settings (memory_mb);
+  gw->settings = create_settings (memory_mb, store_address);
   gw->clock = (struct ms_clock){ .now = read_clock, .context = f };
   uv_loop_init (&gw->loop);
   ms_gateway_update_time (gw);
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -30,6 +30,10 @@
 
 /* Start a gateway that may use MEMORY_MB.  */
 struct fixture *fixture_create (unsigned memory_mb);
+
+/* The same with the store at STORE_ADDRESS, which stays in place.  */
+struct fixture *fixture_create_with_store (unsigned memory_mb,
+                                           const char *store_address);
 void fixture_destroy (struct fixture *fixture);
 
 /* Move the gateway's clock on by MS.  */
