--- a/src/gateway/leave.c
+++ b/src/gateway/leave.c
@@ -8,7 +8,7 @@
    served only if their deadline or timeout lies at least ACCEPT_MARGIN before
    the end of the grace period.  */
 #define ACCEPT_TIME (3 * MS_SEC)
-#define ACCEPT_PERCENT 37
+#define ACCEPT_PERCENT 38
 #define ACCEPT_MARGIN (600 * MS_MSEC)
 
 /* The process exits at the earliest after MIN_LEAVE_TIME, so that callers have
