Keys that a refused configuration took away do not come back with an older one

Cause: after the teams of a refused configuration were put into force, the table kept the version of the routes, so that a configuration between the two, as after the store came back from an older copy, would have been applied with its keys. Change: the table takes the version of the newest configuration that is in force in part.

--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -97,12 +97,19 @@
       ms_event (gw->now, "keys_unknown", "error=\"%s\"", ms_last_message ());
       return;
     }
-  if (!is_older_config (gw, refused->version))
+  if (!refused->version || !is_older_config (gw, refused->version))
     {
       gw->config_state = MS_CONFIG_TEAMS_ONLY;
       if (gw->routes)
-        ms_routes_swap_teams (gw->routes, refused);
-      ms_event (gw->now, "configuration_teams", "teams=%u keys=%u",
+        {
+          ms_routes_swap_teams (gw->routes, refused);
+          /* Older ones must not bring back what it took away.  */
+          if (refused->version)
+            gw->routes->version = refused->version;
+        }
+      ms_event (gw->now, "configuration_teams",
+                "version=%llu teams=%u keys=%u",
+                (unsigned long long)refused->version,
                 gw->routes ? gw->routes->teams_count : 0,
                 gw->routes ? gw->routes->keys_count : 0);
     }
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -792,6 +792,10 @@
 "tenants":[{"name":"t1","api_keys":["k1"]}]}'
 await 3 taken_away k20
 verdict "a key is taken away by a configuration whose routes are invalid" $?
+publish_config 22 '"k1", "k20"'
+sleep 1
+taken_away k20
+verdict "an older configuration does not bring that key back" $?
 KEY=k1
 all_serve
 verdict "the other keys hold with the routes of before" $?
