An answer that only a connection ends is passed on as such

Change: such an answer ends with the connection, as before; that is set to be reset by the kernel until the router has closed it, for all callers, so that a killed router still cannot make it look complete.

--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -46,9 +46,9 @@
   MS_FRAMED_NONE, /* There is no body.  */
   MS_FRAMED_LENGTH,
   MS_FRAMED_CHUNKS,
-  MS_FRAMED_CLOSE /* By closing the connection, for callers that do not know
-                     chunks.  Until then the kernel resets the connection if
-                     the process ends.  */
+  MS_FRAMED_CLOSE /* By closing the connection.  Until then the kernel resets
+                     the connection if the process ends, so that a body that is
+                     cut off does not look complete.  */
 };
 
 /* Whether the caller has closed its connection, even if the event loop has not
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -77,20 +77,22 @@
 }
 
 /* Choose how to mark the end of the response body to R's caller; HEAD is that
-   of the endpoint's response.  The caller must be able to tell a body that is
-   cut off from a whole one, also where the router's process ends, after which
-   the kernel closes the connection in order.  */
+   of the endpoint's response.  An end that only the endpoint's connection
+   tells is passed on as such: the endpoint may have crashed, so chunks would
+   say more than is known.  */
 static enum ms_framing
 choose_framing (const struct ms_request *r, const struct ms_head *head)
 {
+  bool takes_chunks = ms_caller_head (r->caller)->takes_chunks;
+
   if (is_bodiless (r, head))
     return MS_FRAMED_NONE;
-  /* A stream may be resumed at another endpoint, whose part has another
-     length.  */
   if (head->has_length && !r->stream_response)
     return MS_FRAMED_LENGTH;
-  return ms_caller_head (r->caller)->takes_chunks ? MS_FRAMED_CHUNKS
-                                                  : MS_FRAMED_CLOSE;
+  /* A stream may be resumed at another endpoint, whose part has another
+     length.  */
+  return (head->has_length || head->chunked) && takes_chunks ? MS_FRAMED_CHUNKS
+                                                             : MS_FRAMED_CLOSE;
 }
 
 /* Send the response head to the caller, unless an earlier attempt did.  */
