A reset behind unread data is no orderly end of a connection

Cause: libuv reports POLLHUP after a partial read as the end of the stream; a reset that arrives behind data in one iteration of the loop is such a case. It takes a router that is busy or stood still for a moment.

Change: at the end of a stream the socket is asked for its error; only none, or EPIPE (a reset behind an orderly end), is an orderly end. This serves callers, endpoints, the store and peers alike.

Result: one test of test_socket and one of test_framing fail before, all pass now.

--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -1,5 +1,6 @@
 #include "gateway/socket.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -101,6 +102,21 @@
   *buffer = uv_buf_init (read_buffer, sizeof read_buffer);
 }
 
+/* Whether the other side of S has closed in order.  libuv reports a reset as
+   the end of the stream if data arrived before it in the same iteration of the
+   loop.  A reset behind an orderly end is EPIPE.  */
+static bool
+has_ended_in_order (const struct ms_socket *s)
+{
+  socklen_t length = sizeof (int);
+  uv_os_fd_t fd;
+  int error = 0;
+
+  return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
+         && getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) == 0
+         && (!error || error == EPIPE);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -115,7 +131,7 @@
     }
   s->reading = false;
   uv_read_stop (stream);
-  s->events->ended (s->owner, length == UV_EOF);
+  s->events->ended (s->owner, length == UV_EOF && has_ended_in_order (s));
 }
 
 void
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -108,6 +108,28 @@
   fixture_destroy (f);
 }
 
+/* A reset that came behind data looked like the end of the answer.  */
+static void
+test_answer_that_is_reset_behind_data_is_not_complete (void **state)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  struct fixture *f = fixture_create (MEMORY_MB);
+  int caller = fixture_connect_caller (f);
+  int run = start_run (f, caller, "GET /events/x HTTP/1.1");
+  char text[1024] = "";
+
+  (void)state;
+  send (run, events_head, sizeof events_head - 1, MSG_NOSIGNAL);
+  setsockopt (run, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (run);
+  receive_until (f, caller, text, sizeof text, "data: p");
+  while (fixture_receive (f, caller, text, sizeof text))
+    ;
+  assert_int_not_equal (recv (caller, text, sizeof text, 0), 0);
+  close (caller);
+  fixture_destroy (f);
+}
+
 static void
 test_caller_that_knows_no_chunks_gets_none (void **state)
 {
@@ -165,6 +187,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_answer_without_a_length_is_ended_by_closing),
+    cmocka_unit_test (test_answer_that_is_reset_behind_data_is_not_complete),
     cmocka_unit_test (test_caller_that_knows_no_chunks_gets_none),
     cmocka_unit_test (test_response_without_a_body_has_no_framing),
   };
--- a/tests/test_socket.c
+++ b/tests/test_socket.c
@@ -28,6 +28,8 @@
   int accepted; /* The other side.  */
   bool connected;
   bool ended;
+  bool orderly;    /* How it ended.  */
+  size_t received; /* Bytes.  */
 };
 
 static void
@@ -42,9 +44,8 @@
 static void
 on_read (void *owner, const char *data, size_t length)
 {
-  (void)owner;
   (void)data;
-  (void)length;
+  ((struct side *)owner)->received += length;
 }
 
 static void
@@ -52,7 +53,7 @@
 {
   struct side *side = owner;
 
-  assert_false (orderly);
+  side->orderly = orderly;
   side->ended = true;
   ms_socket_reset (side->socket);
 }
@@ -224,6 +225,56 @@
   destroy_side (side);
 }
 
+/* A reset behind data that was not read yet was taken for an orderly end,
+   which completes a response without a length.  */
+static void
+test_reset_behind_data_is_no_orderly_end (void **state)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  (void)state;
+  for (unsigned with_data = 0; with_data < 2; with_data++)
+    for (unsigned orderly = 0; orderly < 2; orderly++)
+      {
+        struct side *side = connect_side (false);
+        size_t length = with_data ? 1000 : 0;
+        static const char data[1000];
+
+        assert_int_equal (send (side->accepted, data, length, 0), length);
+        if (!orderly)
+          setsockopt (side->accepted, SOL_SOCKET, SO_LINGER, &reset,
+                      sizeof reset);
+        close (side->accepted);
+        for (unsigned i = 0; i < 1000 && !side->ended; i++)
+          run_shortly (side);
+        assert_true (side->ended);
+        assert_int_equal (side->orderly, orderly);
+        assert_int_equal (side->received, length);
+        side->accepted = -1;
+        destroy_side (side);
+      }
+}
+
+/* The other side closed in order and then got something more from here.  */
+static void
+test_reset_behind_an_orderly_end (void **state)
+{
+  struct side *side = connect_side (false);
+  uv_buf_t buffer = uv_buf_init ((char[]){ "x" }, 1);
+
+  (void)state;
+  assert_int_equal (send (side->accepted, "data", 4, 0), 4);
+  close (side->accepted);
+  side->accepted = -1;
+  ms_socket_write (side->socket, &buffer, 1);
+  for (unsigned i = 0; i < 1000 && !side->ended; i++)
+    run_shortly (side);
+  assert_true (side->ended);
+  assert_true (side->orderly);
+  assert_int_equal (side->received, 4);
+  destroy_side (side);
+}
+
 static bool
 update (struct ms_ack_watch *watch, bool unanswered, ms_time age, ms_time now)
 {
@@ -256,6 +307,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_other_side_that_does_not_read_for_a_while),
     cmocka_unit_test (test_other_side_that_has_vanished),
+    cmocka_unit_test (test_reset_behind_data_is_no_orderly_end),
+    cmocka_unit_test (test_reset_behind_an_orderly_end),
     cmocka_unit_test (test_closed_connection_does_not_linger),
     cmocka_unit_test (test_watch_counts_from_the_last_acknowledgement),
   };
