No memmove of an empty buffer

Cause: a response without a body has no buffer, and memmove must not get a null pointer, even with length 0; the sanitizer says so (the review saw it, too). The new tests of framing and of planned stops send such responses, so that check-asan failed on (test_framing and test_leave). Change: nothing is forwarded from an empty buffer.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -112,6 +112,8 @@
 static void
 forward_buffered (struct ms_request *r, size_t length)
 {
+  if (!length)
+    return;
   ms_caller_append_body (r->caller, r->unsent_body, length);
   r->bytes_forwarded += length;
   memmove (r->unsent_body, r->unsent_body + length, r->unsent_length - length);
