Review, case 8: 250 requests a second

Cause: at 210 a second the cold runner got just enough of them for a second above the bound; the case should not hang on that.

--- a/review/kit-2/case-8.c
+++ b/review/kit-2/case-8.c
@@ -9,7 +9,7 @@
 
 #define GATEWAYS 9
 #define RUNNERS 6
-#define REQUESTS_PER_S 210
+#define REQUESTS_PER_S 250
 #define SECONDS 12
 #define DEADLINE_MS 3000
 #define EVENTS 4
