An endpoint's status promises "not run" only where it states so

Cause: every complete response that bears the request's id was passed on with its status. The same held for 408 that states "not run" when an earlier attempt may have run.

Change: such a response counts as an error. It is retried if that is safe, else the caller gets 502 from the router itself, without the endpoint's signature; nothing of it is passed on before its end. Read and found sound: ms_request_give_up, expire_request, ms_requests_end, refusals that state "not run", failed connections.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -224,12 +224,23 @@
   return r->head_sent && !r->response_started && !r->stream_response;
 }
 
+/* Whether the response may not be passed on because its status promises that
+   the request has not run and never will, but the endpoint does not state
+   that, or an earlier attempt may have run.  */
+static bool
+is_false_promise (const struct ms_request *r)
+{
+  return ms_status_promises_not_run (r->response_status)
+         && (!r->not_run || r->may_have_run);
+}
+
 /* Whether no part of R's response may be passed on before it is complete, if
    at all: another attempt's may replace it.  */
 static bool
 is_passed_on_whole (const struct ms_request *r)
 {
   return !r->response_accepted || is_refusal (r) || fails_to_resume (r)
+         || is_false_promise (r)
          || r->response_status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
 }
 
@@ -325,9 +336,9 @@
              : MS_END_ERROR;
 }
 
-/* Whether R, which got a 5xx status, is sent to another endpoint; if so, that
-   is taken from the retry budget.  The response is passed on if no other
-   endpoint can get the request.  */
+/* Whether R, whose response is an error, is sent to another endpoint; if so,
+   that is taken from the retry budget.  If no other endpoint can get the
+   request, the response is passed on, or replaced if it is a false promise. */
 static bool
 retries_error (struct ms_request *r)
 {
@@ -356,6 +367,30 @@
   ms_caller_end_response (caller);
 }
 
+/* Retry R, whose complete response is an error, if that is safe and allowed;
+   else pass the response on, or end R with 502 if it is a false promise.  */
+static void
+handle_error (struct ms_request *r)
+{
+  bool retries = retries_error (r);
+  enum ms_place_end end;
+
+  if (!retries && !is_false_promise (r))
+    {
+      complete_response (r);
+      return;
+    }
+  end = response_end (r);
+  if (end == MS_END_ERROR)
+    r->failed_at = r->endpoint;
+  ms_request_end_attempt (r, end);
+  r->may_have_run = true;
+  if (retries)
+    ms_request_dispatch (r);
+  else
+    ms_request_give_up (r, "false_promise");
+}
+
 void
 ms_request_response_complete (struct ms_request *r)
 {
@@ -383,17 +418,8 @@
       ms_request_attempt_failed (r, "resumed_failed");
       return;
     }
-  /* Retry a server error if that is safe and allowed; else pass it on.  */
-  if (r->response_status >= 500 && retries_error (r))
-    {
-      enum ms_place_end end = response_end (r);
-
-      if (end == MS_END_ERROR)
-        r->failed_at = r->endpoint;
-      ms_request_end_attempt (r, end);
-      r->may_have_run = true;
-      ms_request_dispatch (r);
-      return;
-    }
-  complete_response (r);
+  if (r->response_status >= 500 || is_false_promise (r))
+    handle_error (r);
+  else
+    complete_response (r);
 }
--- a/src/wire/message.c
+++ b/src/wire/message.c
@@ -39,6 +39,15 @@
   struct ms_head head;
 };
 
+bool
+ms_status_promises_not_run (unsigned status)
+{
+  return status == HTTP_STATUS_REQUEST_TIMEOUT
+         || status == HTTP_STATUS_MISDIRECTED_REQUEST
+         || status == HTTP_STATUS_TOO_MANY_REQUESTS
+         || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
 bool
 ms_header_is (struct ms_str name, const char *wanted)
 {
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -38,6 +38,10 @@
   bool keep_alive;   /* The connection stays open after the message.  */
 };
 
+/* Whether a response with STATUS promises its caller that the request has not
+   run and never will, so that it may be sent again: 408, 421, 429 and 503. */
+bool ms_status_promises_not_run (unsigned status);
+
 /* The value of the first header called NAME, without regard to case; an empty
    string with data NULL if there is none.  */
 struct ms_str ms_head_find (const struct ms_head *head, const char *name);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -266,6 +266,9 @@
 is "$status" 500 && head_has '^X-Response-Signature: s' \
   && is "$(run_count $id)" 1
 verdict "the failure of a non-idempotent request is passed on, not retried" $?
+request 1 /once/promise -X POST -d x
+is "$status" 502 && is "$(run_count $id)" 1 && ! head_has '^X-Response-Signature:'
+verdict "a 503 of an endpoint that does not state that the request was not run gets 502" $?
 request 1 /any/unsigned
 is "$status" 502
 verdict "a successful answer without the endpoint's signature gets 502" $?
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -30,6 +30,10 @@
 #define MAX_LATE_CRASHES 3
 #define MAX_CRASHES 1024
 
+/* One request in so many, unless it is a stream, is answered with 503 after
+   its run.  */
+#define PROMISE_SHARE 16
+
 /* One stream in so many has neither a length nor chunks.  */
 #define UNFRAMED_SHARE 3
 
@@ -59,6 +63,7 @@
   enum route route;
   unsigned gateway; /* To which it was sent.  */
   bool harmful;     /* With a part that crashes endpoints.  */
+  bool promised;    /* The endpoint answers 503 after the run.  */
   bool unframed;   /* The end of the connection ends the endpoint's answer.  */
   bool broken_off; /* An endpoint may have ended while it ran this.  */
   bool second_key;
@@ -179,8 +184,8 @@
     snprintf (url + length, sizeof url - length, "/events%s/stream?n=%u&ms=10",
               r->unframed ? "/open" : "", events);
   else
-    snprintf (url + length, sizeof url - length, "/%s/slow?ms=%d&q=%s",
-              route_names[r->route],
+    snprintf (url + length, sizeof url - length, "/%s/slow%s?ms=%d&q=%s",
+              route_names[r->route], r->promised ? "/promise" : "",
               r->route == ROUTE_MOVED ? MOVED_RUN_MS : RUN_MS, r->id);
   curl_easy_reset (curl);
   curl_easy_setopt (curl, CURLOPT_URL, url);
@@ -223,6 +228,8 @@
         r->route = ROUTE_MOVED;
       r->unframed = r->route == ROUTE_EVENTS
                     && c->requests_count % UNFRAMED_SHARE == 0;
+      r->promised = (r->route == ROUTE_ONCE || r->route == ROUTE_ANY)
+                    && c->requests_count % PROMISE_SHARE == 0;
       r->gateway = c->gateway;
       r->second_key = ms_random_below (&c->random, 4) == 0;
       r->harmful = ms_random_below (&c->random, HARMFUL_SHARE) == 0
@@ -432,7 +439,7 @@
 /* The name of the rule that R breaks, or NULL:
 
    TWICE    a non-idempotent request ran more than once
-   REFUSED  a non-idempotent request was refused, although it ran
+   REFUSED  a request was refused as not run, although it ran
    MIXED    an answer is not the full answer to its request, or came although
             no endpoint ran the request
    BUDGET   a request ran more often than its route allows
@@ -445,8 +452,7 @@
 {
   if (r->route == ROUTE_ONCE && r->runs > 1)
     return "TWICE";
-  if (r->route == ROUTE_ONCE && r->runs
-      && (r->status == 503 || r->status == 429))
+  if (r->runs && (r->status == 503 || r->status == 429))
     return "REFUSED";
   /* The kernel closes an ended endpoint's connections in order.  */
   if (r->status == 200 && !r->complete && !(r->unframed && r->broken_off))
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -2,6 +2,7 @@
    path of a request selects what the endpoint does; it may contain:
 
    /full       503 with X-Not-Executed, not run
+   /promise    run, then 503 without X-Not-Executed
    /crash      run, then the connection closes without an answer
    /unsigned   200 without X-Response-Signature
    /unframed   an answer without Content-Length, ended by closing
@@ -507,6 +508,9 @@
   else if (strstr (path, "/noid"))
     mg_printf (connection, "HTTP/1.1 200 -\r\nX-Response-Signature: s\r\n"
                            "Content-Length: 2\r\n\r\nno");
+  else if (strstr (path, "/promise"))
+    send_head (connection, 503,
+               "X-Response-Signature: s\r\nContent-Length: 4\r\n\r\nfull");
   else if (strstr (path, "/unsigned"))
     send_head (connection, 200, "Content-Length: 2\r\n\r\nno");
   else if (strstr (path, "/unframed"))
--- a/tests/support/gateway_fixture.c
+++ b/tests/support/gateway_fixture.c
@@ -69,28 +69,27 @@
   return s;
 }
 
-/* Listen as the endpoint and put it into the gateway's list.  */
-static void
-add_endpoint (struct fixture *f)
+int
+fixture_add_endpoint (struct fixture *f, const char *name)
 {
   struct ms_endpoint_entry entry = { .slots = 1000, .version = 1 };
   socklen_t length = sizeof entry.address;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
 
-  f->listener = socket (AF_INET, SOCK_STREAM, 0);
-  assert_true (f->listener >= 0);
+  assert_true (listener >= 0);
   entry.address.sin_family = AF_INET;
   entry.address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  assert_int_equal (bind (f->listener, (struct sockaddr *)&entry.address,
-                          sizeof entry.address),
-                    0);
-  assert_int_equal (listen (f->listener, 1024), 0);
-  set_nonblocking (f->listener);
   assert_int_equal (
-      getsockname (f->listener, (struct sockaddr *)&entry.address, &length),
+      bind (listener, (struct sockaddr *)&entry.address, sizeof entry.address),
       0);
-  entry.id = ms_name ("e0");
+  assert_int_equal (listen (listener, 1024), 0);
+  set_nonblocking (listener);
+  assert_int_equal (
+      getsockname (listener, (struct sockaddr *)&entry.address, &length), 0);
+  entry.id = ms_name (name);
   entry.service = ms_id (ms_str ("app"));
   ms_place_put (f->gw->place, &entry, f->gw->now);
+  return listener;
 }
 
 struct fixture *
@@ -118,7 +117,7 @@
   assert_int_equal (plat_decode_routes (ms_str (configuration), &gw->routes),
                     MS_OK);
   ms_place_configure (gw->place, gw->routes);
-  add_endpoint (f);
+  f->listener = fixture_add_endpoint (f, "e0");
   gw->caller_address.sin_family = AF_INET;
   gw->caller_address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   ms_gateway_listen (gw);
@@ -290,13 +289,27 @@
 
 int
 fixture_accept (struct fixture *f)
+{
+  unsigned which;
+
+  return fixture_accept_among (f, &f->listener, 1, &which);
+}
+
+int
+fixture_accept_among (struct fixture *f, const int *listeners, unsigned count,
+                      unsigned *which)
 {
   int fd = -1;
 
   for (unsigned i = 0; i < FIXTURE_WAIT_MS && fd < 0; i++)
     {
       run_shortly (f);
-      fd = accept (f->listener, NULL, NULL);
+      for (*which = 0; *which < count; ++*which)
+        {
+          fd = accept (listeners[*which], NULL, NULL);
+          if (fd >= 0)
+            break;
+        }
     }
   if (fd >= 0)
     set_nonblocking (fd);
@@ -305,9 +318,18 @@
 
 int
 fixture_accept_request (struct fixture *f)
+{
+  unsigned which;
+
+  return fixture_accept_request_among (f, &f->listener, 1, &which);
+}
+
+int
+fixture_accept_request_among (struct fixture *f, const int *listeners,
+                              unsigned count, unsigned *which)
 {
   char head[4096] = "";
-  int fd = fixture_accept (f);
+  int fd = fixture_accept_among (f, listeners, count, which);
 
   if (fd < 0)
     return -1;
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -58,14 +58,30 @@
 void fixture_send (struct fixture *fixture, int fd, const char *data,
                    size_t length);
 
+/* Listen as another endpoint of the same service, called NAME, and put it into
+   the gateway's list.  Return the listening socket, which the caller closes.
+ */
+int fixture_add_endpoint (struct fixture *fixture, const char *name);
+
 /* Run the gateway until it has connected to the endpoint, and return the
    endpoint's side of the connection; -1 if it does not connect.  */
 int fixture_accept (struct fixture *fixture);
 
+/* The same for any of the COUNT endpoints that listen at LISTENERS; *WHICH is
+   set to the index of the one that it connects to.  */
+int fixture_accept_among (struct fixture *fixture, const int *listeners,
+                          unsigned count, unsigned *which);
+
 /* Run the gateway until the endpoint has received a whole head, and return the
    endpoint's side of the connection; -1 if none arrives.  */
 int fixture_accept_request (struct fixture *fixture);
 
+/* The same for any of the COUNT endpoints that listen at LISTENERS; *WHICH is
+   set to the index of the one that receives it.  */
+int fixture_accept_request_among (struct fixture *fixture,
+                                  const int *listeners, unsigned count,
+                                  unsigned *which);
+
 /* The endpoint begins a stream on FD and sends its first event.  */
 void fixture_begin_stream (struct fixture *fixture, int fd);
 
