The product's own interface promises "not run" only for what has not run

What callers saw: 503 for a request whose first attempt may have run, when the grants of the next one expired; and an endpoint's 408 or 421, after a run, as it was.

Cause: the status of a request that ends without a response came from its reason alone, whatever its outcome. Endpoints of this interface do not state whether they ran a request; 503 and 429 were taken as such failures, 408 and 421 were not.

Change: the status of an outcome other than "not run" is never one that promises that; the function moves to src/http, where it can be tested. 408 and 421 of endpoints are treated as 503 and 429.

--- a/src/router/answer.c
+++ b/src/router/answer.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "http/status.h"
+
 void
 ms_answer_problem (struct mg_connection *connection, const char *request_id,
                    int code, enum ms_outcome outcome, const char *reason,
@@ -36,32 +38,6 @@
   mg_write (connection, body, (size_t)length);
 }
 
-/* The HTTP status for a request that ended for REASON without a response,
-   whatever its outcome.  */
-static int
-http_status (enum ms_reason reason)
-{
-  switch (reason)
-    {
-    case MS_REASON_UNKNOWN_TEAM:
-      return 403;
-    case MS_REASON_UNKNOWN_SERVICE:
-      return 404;
-    case MS_REASON_QUEUE_FULL:
-      return 429;
-    case MS_REASON_QUARANTINED:
-      return 422;
-    case MS_REASON_REPEATED:
-      return 409;
-    case MS_REASON_ENDPOINT:
-      return 502;
-    case MS_REASON_DEADLINE:
-      return 504;
-    default:
-      return 503;
-    }
-}
-
 static void
 send_response (struct mg_connection *connection,
                const struct ms_parsed_request *parsed,
@@ -96,7 +72,7 @@
 
 /* A request whose idempotency key was used before by one that was answered
    gets status 200 and a problem document, since there is no response to send
-   again; if the earlier one was not answered, http_status gives 409.  */
+   again; if the earlier one was not answered, ms_http_status gives 409.  */
 void
 ms_answer_call (const struct ms_parsed_request *parsed,
                 const struct ms_call *call,
@@ -113,6 +89,7 @@
     send_response (connection, parsed, response);
   else
     ms_answer_problem (connection, parsed->inbound.request_id,
-                       http_status (call->reason), call->outcome,
-                       ms_reason_name (call->reason), call->retry_after);
+                       (int)ms_http_status (call->outcome, call->reason),
+                       call->outcome, ms_reason_name (call->reason),
+                       call->retry_after);
 }
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "wire/message.h"
+
 /* An attempt whose buffered body would exceed this ends as if the connection
    had been reset.  */
 #define MAX_BUFFERED_BYTES (16u << 20)
@@ -243,17 +245,18 @@
   curl_easy_setopt (curl, CURLOPT_XFERINFODATA, transfer);
 }
 
-/* Classify the end of a transfer.  Statuses 503 and 429 count as a refusal by
-   an overloaded endpoint.  The pre-transfer time is 0 until curl is about to
-   send the request, so that 0 shows that no byte of it was sent, also if the
-   transfer was cancelled.  */
+/* Classify the end of a transfer.  A status that promises that the request has
+   not run counts as a refusal by an overloaded endpoint, and is not passed on:
+   endpoints of this interface do not state whether they ran a request.  The
+   pre-transfer time is 0 until curl is about to send the request, so that 0
+   shows that no byte of it was sent, also if the transfer was cancelled.  */
 static enum ms_result
 attempt_result (CURL *curl, CURLcode code, const struct transfer *transfer)
 {
   double pretransfer_s = 0;
 
   if (code == CURLE_OK
-      && (transfer->response->code == 503 || transfer->response->code == 429))
+      && ms_status_promises_not_run ((unsigned)transfer->response->code))
     return MS_RESULT_OVERLOADED;
   if (code == CURLE_OK)
     return MS_RESULT_OK;
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -93,6 +93,14 @@
 [ "$(grep -c '"whole cost=5 first":1' "$DIR/runs")" = 1 ]
 verdict "a request repeated with its key through another router runs once" $?
 
+# The endpoints run these requests and then answer with a status that promises
+# that they have not.
+for status in 408 421 429 503; do
+  [ "$(status_of -H 'Monsoonspur-Team: silo-01' -d "plain status=$status" \
+    "$service/silo-mando/run")" = 502 ]
+  verdict "a promise that a request which ran has not run is replaced ($status)" $?
+done
+
 # The argument takes the availability zone salto out of service.
 "$BUILD/example-litoral" salto >"$DIR/out.yaml"
 generation=$(publish "$DIR/out.yaml" \
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -3,7 +3,8 @@
 
    POST /...   runs a request; "cost=N" in the body gives its cost units (10
                by default), "stream" asks for server-sent events, one per cost
-               unit, and "crash" ends the process
+               unit, "status=N" for the status N after the run, and "crash"
+               ends the process
    GET /load   the number of running requests, an id of this start of the
                process, and the number of requests refused for overload
    GET /ledger how often each body was run
@@ -95,6 +96,15 @@
   return served < options.cold_requests;
 }
 
+static void
+answer_status (struct mg_connection *connection, long status)
+{
+  mg_printf (connection,
+             "HTTP/1.1 %ld -\r\nContent-Length: 0\r\n"
+             "Connection: close\r\n\r\n",
+             status);
+}
+
 static void
 answer_stream (struct mg_connection *connection, long cost)
 {
@@ -153,7 +163,10 @@
       return 503;
     }
   record_run (body);
-  if (strstr (body, "stream"))
+  field = strstr (body, "status=");
+  if (field)
+    answer_status (connection, strtol (field + 7, NULL, 10));
+  else if (strstr (body, "stream"))
     answer_stream (connection, cost);
   else
     answer_whole (connection, cost, body);
