Any number of sends is counted for the limit of cold endpoints

Cause: the times of sends stood in a ring of eight places. Each request takes two, when it is placed and when it is sent, and clears one, so that at most four were counted. A router's share is five or more with up to four routers.

Change: the times are a set that grows while all of them count. Its size is bounded by what the router sends in 1.1 s.

--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -1,5 +1,10 @@
 #include "place/internal.h"
 
+#include <limits.h>
+#include <stdlib.h>
+
+#include "base/alloc.h"
+
 /* Rate limit of cold endpoints.  An endpoint that has just started can take
    only a limited number of requests in any second from all routers together,
    and each router may send its share of that bound.  */
@@ -16,10 +21,8 @@
    was first listed: its caches fill.  */
 #define WARM_UP_TIME (1 * MS_SEC)
 
-/* Sends that are remembered for each endpoint.  More sends could not be
-   counted, so a router sends no more than this in a window.  */
-#define COLD_SENDS_SIZE                                                       \
-  (sizeof ((struct ms_endpoint_state *)0)->cold_sends / sizeof (ms_time))
+/* Times that are allocated for an endpoint at first.  */
+#define INITIAL_SPACE 4
 
 /* Return how many requests this router may send to the cold ENDPOINT in each
    COLD_WINDOW, where its service allows RATE per second.  If there are more
@@ -40,12 +43,19 @@
   if (!routers)
     return 0;
   if (bound >= routers)
-    return (unsigned)(bound / routers);
+    return bound / routers < UINT_MAX ? (unsigned)(bound / routers) : UINT_MAX;
   for (unsigned i = 0; i < place->routers_count; i++)
     preceding += ms_id_pair (endpoint->id, place->routers[i]) < own;
   return preceding < (unsigned)bound ? 1 : 0;
 }
 
+/* Return whether a send at TIME counts at NOW.  */
+static bool
+is_recent (ms_time time, ms_time now)
+{
+  return time && now - time < COLD_WINDOW;
+}
+
 bool
 ms_cold_allows (const struct ms_place *place,
                 const struct ms_endpoint_state *endpoint, ms_time now)
@@ -54,18 +64,16 @@
       = place->routes
             ? ms_routes_service (place->routes, endpoint->entry.service)
             : NULL;
+  const struct ms_cold_sends *sends = &endpoint->cold_sends;
   unsigned recent = 0;
-  unsigned quota;
 
   if (now >= endpoint->cold_until && now >= place->all_cold_until)
     return true;
   if (!service || service->cold_rate <= 0)
     return true;
-  quota = own_quota (place, endpoint, service->cold_rate);
-  for (unsigned i = 0; i < COLD_SENDS_SIZE; i++)
-    recent += endpoint->cold_sends[i]
-              && now - endpoint->cold_sends[i] < COLD_WINDOW;
-  return recent < quota && recent < COLD_SENDS_SIZE;
+  for (unsigned i = 0; i < sends->space; i++)
+    recent += is_recent (sends->times[i], now);
+  return recent < own_quota (place, endpoint, service->cold_rate);
 }
 
 bool
@@ -77,20 +85,53 @@
          || now < place->all_cold_until;
 }
 
+/* Return the index of a time that does not count at NOW any more, adding some
+   if all do.  */
+static unsigned
+find_unused (struct ms_cold_sends *sends, ms_time now)
+{
+  unsigned old = sends->space;
+
+  for (unsigned i = 0; i < old; i++)
+    {
+      unsigned at = (sends->next + i) % old;
+
+      if (!is_recent (sends->times[at], now))
+        return at;
+    }
+  sends->space = old ? old * 2 : INITIAL_SPACE;
+  sends->times = ms_resize (sends->times, sends->space, sizeof *sends->times);
+  for (unsigned i = old; i < sends->space; i++)
+    sends->times[i] = 0;
+  return old;
+}
+
 void
 ms_cold_record (struct ms_endpoint_state *endpoint, ms_time now)
 {
-  endpoint->cold_sends[endpoint->cold_next] = now;
-  endpoint->cold_next = (endpoint->cold_next + 1) % COLD_SENDS_SIZE;
+  struct ms_cold_sends *sends = &endpoint->cold_sends;
+  unsigned at = find_unused (sends, now);
+
+  sends->times[at] = now;
+  sends->next = (at + 1) % sends->space;
 }
 
 void
 ms_cold_forget (struct ms_endpoint_state *endpoint, ms_time at)
 {
-  for (unsigned i = 0; i < COLD_SENDS_SIZE; i++)
-    if (endpoint->cold_sends[i] == at)
+  struct ms_cold_sends *sends = &endpoint->cold_sends;
+
+  for (unsigned i = 0; i < sends->space; i++)
+    if (sends->times[i] == at)
       {
-        endpoint->cold_sends[i] = 0;
+        sends->times[i] = 0;
+        sends->next = i;
         return;
       }
 }
+
+void
+ms_cold_destroy (struct ms_endpoint_state *endpoint)
+{
+  free (endpoint->cold_sends.times);
+}
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -357,6 +357,9 @@
 /* Remove one of the sends to ENDPOINT that were recorded at AT, if any.  */
 void ms_cold_forget (struct ms_endpoint_state *endpoint, ms_time at);
 
+/* Free what is remembered of sends to ENDPOINT.  */
+void ms_cold_destroy (struct ms_endpoint_state *endpoint);
+
 /* Forget the limit of requests that E has named.  */
 void ms_rate_reset (struct ms_endpoint_state *e);
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -58,13 +58,20 @@
   set_default (&speed->response_ms, DEFAULT_RESPONSE_MS);
 }
 
+static void
+free_endpoint (struct ms_endpoint_state *e)
+{
+  ms_cold_destroy (e);
+  free (e);
+}
+
 void
 ms_place_destroy (struct ms_place *place)
 {
   if (!place)
     return;
   for (unsigned i = 0; i < place->count; i++)
-    free (place->endpoints[i]);
+    free_endpoint (place->endpoints[i]);
   free (place->endpoints);
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
@@ -183,7 +190,7 @@
       if (e->listed || e->references)
         place->endpoints[kept++] = e;
       else
-        free (e);
+        free_endpoint (e);
     }
   place->count = kept;
 }
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -141,6 +141,15 @@
   ms_time told_at;
 };
 
+/* The times of this router's sends to an endpoint that count for the limit of
+   cold ones, in any order.  */
+struct ms_cold_sends
+{
+  ms_time *times; /* 0: unused.  */
+  unsigned space; /* Elements allocated for times.  */
+  unsigned next;  /* Where a search for an unused one starts.  */
+};
+
 struct ms_endpoint_state
 {
   uint64_t id; /* ms_id of the name in the entry.  */
@@ -156,13 +165,11 @@
   struct ms_load others; /* Reported by the other routers, in total.  */
   ms_time started_at; /* When its start was first listed, to this router.  */
   ms_time cold_until;
-  ms_time cold_sends[8]; /* Ring of the times of the last sends; 0 if there
-                            were fewer.  */
-  unsigned cold_next;    /* Index in cold_sends of the next send.  */
-  unsigned failures;     /* Failures to reach it since its last complete
-                            answer.  */
-  ms_time down_until;    /* No request is sent until then.  */
-  ms_time paused_until;  /* The same, as the endpoint asked for it.  */
+  struct ms_cold_sends cold_sends;
+  unsigned failures;    /* Failures to reach it since its last complete
+                           answer.  */
+  ms_time down_until;   /* No request is sent until then.  */
+  ms_time paused_until; /* The same, as the endpoint asked for it.  */
   struct ms_rate rate;
   struct ms_home_member home;
   bool probing;    /* One request is testing whether it is reachable again.  */
