Any number of availability zones can be evacuated

Change: the array grows.

Result: test_any_number_of_zones_can_be_evacuated failed before and passes.

--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -9,7 +9,6 @@
 /* Fraction of a model endpoint's slots that routers fill at most.  */
 #define MS_SLOT_FILL_FRACTION 0.85
 
-#define MS_MAX_EVACUATED_ZONES 16
 #define MS_MAX_ROUTERS 1024
 
 /* Which prompt parts this router has recently sent to which endpoints, so that
@@ -328,8 +327,9 @@
   struct ms_endpoint_state **endpoints;
   unsigned count;
   unsigned space; /* Elements allocated for endpoints.  */
-  uint64_t evacuated_zones[MS_MAX_EVACUATED_ZONES];
+  uint64_t *evacuated_zones;
   unsigned evacuated_count;
+  unsigned evacuated_space; /* Elements allocated for evacuated_zones.  */
   uint64_t routers[MS_MAX_ROUTERS];
   unsigned routers_count;
   struct ms_random random;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -73,6 +73,7 @@
   for (unsigned i = 0; i < place->count; i++)
     free_endpoint (place->endpoints[i]);
   free (place->endpoints);
+  free (place->evacuated_zones);
   ms_prefix_destroy (place->prefix);
   ms_need_destroy (place);
   ms_speed_destroy (place);
@@ -255,8 +256,15 @@
     return;
   if (out)
     {
-      if (place->evacuated_count < MS_MAX_EVACUATED_ZONES)
-        place->evacuated_zones[place->evacuated_count++] = zone;
+      if (place->evacuated_count == place->evacuated_space)
+        {
+          place->evacuated_space
+              = place->evacuated_space ? place->evacuated_space * 2 : 8;
+          place->evacuated_zones
+              = ms_resize (place->evacuated_zones, place->evacuated_space,
+                           sizeof *place->evacuated_zones);
+        }
+      place->evacuated_zones[place->evacuated_count++] = zone;
       return;
     }
   for (unsigned i = 0; i < place->evacuated_count; i++)
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -526,8 +526,7 @@
 
 /* Evacuate ZONE if OUT, so that its endpoints get no new work; otherwise use
    it again and treat its endpoints as cold for the cold time of their service.
-   At most 16 zones can be evacuated at once; the evacuation of a further one
-   has no effect.  */
+ */
 void ms_place_evacuate (struct ms_place *place, uint64_t zone, bool out,
                         ms_time now);
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -223,6 +223,32 @@
   ms_place_destroy (place);
 }
 
+/* The seventeenth evacuated zone went on getting requests.  */
+static void
+test_any_number_of_zones_can_be_evacuated (void **state)
+{
+  enum
+  {
+    ZONES = 40
+  };
+  struct ms_place *place = create_place ();
+  struct ms_endpoint_state *e[ZONES];
+
+  (void)state;
+  for (unsigned i = 0; i < ZONES; i++)
+    {
+      e[i] = put_endpoint (place, i, MODEL, 100 + i, 0, 0);
+      ms_place_evacuate (place, 100 + i, true, MS_SEC);
+    }
+  for (unsigned i = 0; i < ZONES; i++)
+    assert_false (ms_place_may_send (place, e[i], MS_SEC));
+  for (unsigned i = 0; i < ZONES; i++)
+    ms_place_evacuate (place, 100 + i, false, 2 * MS_SEC);
+  for (unsigned i = 0; i < ZONES; i++)
+    assert_true (ms_place_may_send (place, e[i], 9 * MS_SEC));
+  ms_place_destroy (place);
+}
+
 /* Guards against requests at an endpoint in the pause that it asked for, and
    against all that waited at once after it.  */
 static void
@@ -997,6 +1023,7 @@
     cmocka_unit_test (test_cold_bound_holds_for_twelve_routers),
     cmocka_unit_test (test_cold_bound_holds_for_more_routers_than_requests),
     cmocka_unit_test (test_leaving_and_evacuated_endpoints_get_no_request),
+    cmocka_unit_test (test_any_number_of_zones_can_be_evacuated),
     cmocka_unit_test (
         test_endpoint_gets_no_request_in_the_pause_that_it_asked_for),
     cmocka_unit_test (test_entry_does_not_undo_a_leaving_that_was_said),
