Endpoints are asked whether they are cold while the store is away

Cause: routers learned of cold endpoints by their entries in the store alone. An endpoint says it at once on its health page, which nobody asked for.

--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -6,8 +6,8 @@
 #include "base/alloc.h"
 
 /* Length of the end of a digest that routers of earlier versions do not send:
-   USED, LEVEL, KNOWN_FOR and thirteen empty lists.  */
-#define ADDED_BYTES 64
+   USED, LEVEL, KNOWN_FOR and fourteen empty lists.  */
+#define ADDED_BYTES 68
 
 /* Length of an empty list.  */
 #define EMPTY_LIST_BYTES 4
@@ -19,7 +19,8 @@
 unsent_bytes (const struct fleet_digest *digest)
 {
   const unsigned lengths[]
-      = { digest->returns.returns_len, digest->zone_engines.zone_engines_len,
+      = { digest->colds.colds_len, digest->returns.returns_len,
+          digest->zone_engines.zone_engines_len,
           digest->engine_services.engine_services_len,
           digest->engines.engines_len };
   unsigned count = 0;
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -33,6 +33,7 @@
 #define DIGEST_WAIT_SUMS 6
 #define DIGEST_PACE_SUMS 6
 #define DIGEST_RETURNS 64
+#define DIGEST_COLDS 512
 
 struct digest_load {
 	u_quad_t endpoint;
@@ -256,6 +257,13 @@
 };
 typedef struct digest_return digest_return;
 
+struct digest_cold {
+	u_quad_t endpoint;
+	u_int left;
+	u_int age;
+};
+typedef struct digest_cold digest_cold;
+
 struct fleet_digest {
 	digest_member self;
 	u_int sequence;
@@ -338,6 +346,10 @@
 		u_int returns_len;
 		digest_return *returns_val;
 	} returns;
+	struct {
+		u_int colds_len;
+		digest_cold *colds_val;
+	} colds;
 };
 typedef struct fleet_digest fleet_digest;
 
@@ -365,6 +377,7 @@
 extern  bool_t xdr_digest_engine_service (XDR *, digest_engine_service*);
 extern  bool_t xdr_digest_zone_engines (XDR *, digest_zone_engines*);
 extern  bool_t xdr_digest_return (XDR *, digest_return*);
+extern  bool_t xdr_digest_cold (XDR *, digest_cold*);
 extern  bool_t xdr_fleet_digest (XDR *, fleet_digest*);
 
 #else /* K&R C */
@@ -389,6 +402,7 @@
 extern bool_t xdr_digest_engine_service ();
 extern bool_t xdr_digest_zone_engines ();
 extern bool_t xdr_digest_return ();
+extern bool_t xdr_digest_cold ();
 extern bool_t xdr_fleet_digest ();
 
 #endif /* K&R C */
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -21,6 +21,7 @@
 const DIGEST_WAIT_SUMS = 6;
 const DIGEST_PACE_SUMS = 6;
 const DIGEST_RETURNS = 64;
+const DIGEST_COLDS = 512;
 
 /* Work that the sender has in progress at an endpoint.  */
 struct digest_load
@@ -251,6 +252,14 @@
   unsigned int size; /* Of the promise, in cost units.  */
 };
 
+/* What an endpoint said when the sender asked it.  */
+struct digest_cold
+{
+  unsigned hyper endpoint;
+  unsigned int left; /* Milliseconds for which it stays cold; 0 if it is not. */
+  unsigned int age;  /* Milliseconds since it was asked.  */
+};
+
 struct fleet_digest
 {
   digest_member self;
@@ -284,4 +293,5 @@
   digest_engine_service engine_services<DIGEST_ENGINE_SERVICES>;
   digest_zone_engines zone_engines<DIGEST_ZONES>;
   digest_return returns<DIGEST_RETURNS>;
+  digest_cold colds<DIGEST_COLDS>;
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -667,6 +667,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_digest_cold (XDR *xdrs, digest_cold *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_digest (XDR *xdrs, fleet_digest *objp)
 {
@@ -756,6 +770,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
 			sizeof (digest_return), (xdrproc_t) xdr_digest_return))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
+			sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -840,6 +857,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
 			sizeof (digest_return), (xdrproc_t) xdr_digest_return))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
+			sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -915,5 +935,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->returns.returns_val, (u_int *) &objp->returns.returns_len, DIGEST_RETURNS,
 		sizeof (digest_return), (xdrproc_t) xdr_digest_return))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
+		sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/gateway/beliefs.c
+++ b/src/gateway/beliefs.c
@@ -221,6 +221,18 @@
                                    ms_place_put (gw->place, &entry, gw->now));
 }
 
+ms_time
+ms_gateway_endpoints_doubted_since (const struct ms_gateway *gw, ms_time now)
+{
+  /* The topics are in the same store.  */
+  ms_time suspected_at = ms_topic_suspected_at (gw->endpoint_topic);
+  ms_time other = ms_topic_suspected_at (gw->operator_topic);
+
+  if (!suspected_at || (other && other < suspected_at))
+    suspected_at = other;
+  return ms_topic_doubted_since (gw->endpoint_topic, suspected_at, now);
+}
+
 /* Return the max_age of a topic whose changes must be obeyed in BOUND_MS.  */
 static ms_time
 max_age (double bound_ms)
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -13,8 +13,7 @@
 /* Limit on the names and values of a response's headers.  */
 #define MAX_HEAD_BYTES 16384
 
-/* Far above any response that the gateway asks for; a call whose response
-   exceeds it fails.  */
+/* Far above any response that the gateway asks for.  */
 #define MAX_BODY_BYTES (8u << 20)
 
 struct ms_exchange
@@ -28,7 +27,8 @@
   bool connected;
   bool busy;       /* A call is in progress.  */
   bool keep_alive; /* The connection can be used for another call.  */
-  bool too_large;  /* The response's body exceeds MAX_BODY_BYTES.  */
+  size_t max_body; /* Bytes of a response's body.  */
+  bool too_large;  /* The response's body exceeds that.  */
   unsigned code;   /* Status code of the response.  */
   uint64_t era;    /* Of the store, as of ms_exchange_era.  */
   char *body;
@@ -39,6 +39,8 @@
   ms_time sent_at;
   ms_exchange_done *done;
   void *context;
+  ms_exchange_head *take_head; /* May be NULL.  */
+  void *head_context;
 };
 
 static void
@@ -80,6 +82,8 @@
   x->code = head->status;
   x->era = plat_decode_era (head);
   x->keep_alive = head->keep_alive;
+  if (x->take_head && x->busy)
+    x->take_head (x->head_context, head);
 }
 
 static void
@@ -87,7 +91,7 @@
 {
   struct ms_exchange *x = context;
 
-  x->too_large = x->too_large || x->body_length + length > MAX_BODY_BYTES;
+  x->too_large = x->too_large || x->body_length + length > x->max_body;
   if (x->too_large)
     return;
   if (x->body_length + length > x->body_capacity)
@@ -187,6 +191,7 @@
 
   x->loop = loop;
   x->clock = clock;
+  x->max_body = MAX_BODY_BYTES;
   x->parser = ms_parser_create (false, MAX_HEAD_BYTES, &sink, x);
   uv_timer_init (loop, &x->timer);
   x->timer.data = x;
@@ -214,6 +219,20 @@
   uv_close ((uv_handle_t *)&x->timer, free_exchange);
 }
 
+void
+ms_exchange_on_head (struct ms_exchange *x, ms_exchange_head *take,
+                     void *context)
+{
+  x->take_head = take;
+  x->head_context = context;
+}
+
+void
+ms_exchange_limit_body (struct ms_exchange *x, size_t size)
+{
+  x->max_body = size;
+}
+
 bool
 ms_exchange_busy (const struct ms_exchange *exchange)
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,8 +8,10 @@
 
 #include "base/clock.h"
 #include "base/str.h"
+#include "wire/message.h"
 
-/* An HTTP client for short calls to the store and to other routers: one call
+/* An HTTP client for short calls to the store, to other routers and to
+   endpoints: one call
    at a time, over a connection that is kept while the server stays the same.
    Runs on the event loop's thread.  */
 
@@ -30,6 +32,16 @@
    is not called.  */
 void ms_exchange_destroy (struct ms_exchange *exchange);
 
+/* Let TAKE be called with CONTEXT and the head of each response, before the
+   done function of its call, which may not be called with MS_OK.  */
+typedef void ms_exchange_head (void *context, const struct ms_head *head);
+void ms_exchange_on_head (struct ms_exchange *exchange, ms_exchange_head *take,
+                          void *context);
+
+/* Let calls fail whose response has a body of more than SIZE bytes; 8 MiB
+   otherwise.  */
+void ms_exchange_limit_body (struct ms_exchange *exchange, size_t size);
+
 /* Whether a call is in progress.  */
 bool ms_exchange_busy (const struct ms_exchange *exchange);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,7 @@
 struct ms_caller;
 struct ms_peers;
 struct ms_rollout_driver;
+struct ms_health;
 
 struct ms_gateway
 {
@@ -93,6 +94,7 @@
   struct ms_peers *peers;
   struct ms_rollouts *rollouts;
   struct ms_rollout_driver *rollout_driver;
+  struct ms_health *health;
 
   struct ms_request *requests; /* In progress, oldest first.  */
   struct ms_waiting *waiting;  /* Requests that wait for capacity.  */
@@ -197,4 +199,10 @@
    key which it lacks can be reported to callers as not existing.  */
 bool ms_gateway_config_recent (struct ms_gateway *gw, ms_time now);
 
+/* Since when it is doubted at NOW that the list of endpoints is up to date: it
+   is stale, or reads of the store are overdue or fail and no peer has relayed
+   a later read.  0 if it is not.  */
+ms_time ms_gateway_endpoints_doubted_since (const struct ms_gateway *gw,
+                                            ms_time now);
+
 #endif
--- /dev/null
+++ b/src/gateway/health.h
@@ -0,0 +1,22 @@
+#ifndef GATEWAY_HEALTH_H
+#define GATEWAY_HEALTH_H
+
+#include "gateway/gateway.h"
+
+/* Asks endpoints by their health pages whether they are cold, while it is
+   doubted that the list of endpoints, which says so as well, is up to date:
+   an endpoint may become cold at any moment, and cannot tell the store while
+   that is away.  ms_place_asks decides which endpoints are asked; peers get
+   the answers with digests.  */
+
+struct ms_health;
+
+struct ms_health *ms_health_create (struct ms_gateway *gw);
+
+/* Free HEALTH, which may be NULL.  */
+void ms_health_destroy (struct ms_health *health);
+
+/* Ask the endpoints that are due.  Call on every tick.  */
+void ms_health_tick (struct ms_health *health, ms_time now);
+
+#endif
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -13,6 +13,7 @@
 #include "base/version.h"
 #include "gateway/caller.h"
 #include "gateway/gateway.h"
+#include "gateway/health.h"
 #include "gateway/internal.h"
 #include "gateway/pages.h"
 #include "gateway/peers.h"
@@ -115,6 +116,7 @@
   ms_topic_tick (gw->endpoint_topic, direct, now);
   ms_rollout_driver_tick (gw->rollout_driver, now);
   ms_peers_tick (gw->peers, now);
+  ms_health_tick (gw->health, now);
   ms_gateway_update_shares (gw, now);
   ms_place_tick (gw->place, now);
   ms_requests_tick (gw, now);
@@ -211,6 +213,7 @@
   ms_gateway_follow_store (gw);
   if (ms_peers_create (gw, &gw->peers) != MS_OK)
     fail_start ("peers");
+  gw->health = ms_health_create (gw);
   watch_signal (gw, &gw->terminate, SIGTERM, on_terminate);
   watch_signal (gw, &gw->hang_up, SIGHUP, on_hang_up);
   ms_gateway_listen (gw);
--- a/src/gateway/metrics.c
+++ b/src/gateway/metrics.c
@@ -22,6 +22,7 @@
 static unsigned long long rollout_changes_count;
 static unsigned long long rollout_writes_count;
 static unsigned long long endpoint_pauses_count;
+static unsigned long long endpoint_asks_count;
 static unsigned long long room_ended_count;
 static unsigned long long server_load_counts[2]; /* Index 1: valid.  */
 static struct histogram histograms[MS_LATENCIES];
@@ -73,6 +74,12 @@
   rollout_writes_count++;
 }
 
+void
+ms_metric_endpoint_ask (void)
+{
+  endpoint_asks_count++;
+}
+
 void
 ms_metric_endpoint_pause (void)
 {
@@ -249,6 +256,7 @@
           rollout_writes_count);
   append (&out, "monsoonspur_responses_held_bytes %llu\n",
           gauges->responses_held);
+  append (&out, "monsoonspur_endpoint_asks_total %llu\n", endpoint_asks_count);
   append (&out, "monsoonspur_endpoint_pauses_total %llu\n",
           endpoint_pauses_count);
   append (&out, "monsoonspur_room_ended_total %llu\n", room_ended_count);
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -64,6 +64,9 @@
    figure of it is not believed.  */
 void ms_metric_server_load (bool valid);
 
+/* Count a call of an endpoint's health page.  */
+void ms_metric_endpoint_ask (void);
+
 /* Add TOOK to the histogram of LATENCY.  */
 void ms_metric_latency (enum ms_latency_metric latency, ms_time took);
 
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -233,6 +233,20 @@
     }
 }
 
+/* Take what endpoints said to the sender of DIGEST.  */
+static void
+merge_colds (struct ms_gateway *gw, const struct fleet_digest *digest)
+{
+  for (unsigned i = 0; i < digest->colds.colds_len; i++)
+    {
+      const digest_cold *c = &digest->colds.colds_val[i];
+      const struct ms_cold_report report
+          = { c->endpoint, c->left * MS_MSEC, c->age * MS_MSEC };
+
+      ms_place_merge_cold (gw->place, &report, gw->now);
+    }
+}
+
 /* Merge what the sender of DIGEST knows of streams and their versions.  */
 static void
 merge_streams (struct ms_gateway *gw, const struct fleet_digest *digest)
@@ -296,6 +310,7 @@
     {
       merge_harm (p->gw, &digest);
       merge_returns (p->gw, &digest);
+      merge_colds (p->gw, &digest);
     }
   /* What began a stream stays true, so a notice of it needs no order.  */
   merge_streams (p->gw, &digest);
@@ -322,6 +337,23 @@
   return count;
 }
 
+/* Fill COLDS with what endpoints said to this router and return the number. */
+static unsigned
+collect_colds (const struct ms_gateway *gw, digest_cold *colds, ms_time now)
+{
+  static struct ms_cold_report reports[DIGEST_COLDS];
+  unsigned count
+      = ms_place_report_cold (gw->place, reports, DIGEST_COLDS, now);
+
+  for (unsigned i = 0; i < count; i++)
+    colds[i] = (digest_cold){
+      reports[i].endpoint,
+      (unsigned)fmin ((double)reports[i].cold_for / MS_MSEC, UINT32_MAX),
+      (unsigned)fmin ((double)reports[i].age / MS_MSEC, UINT32_MAX)
+    };
+  return count;
+}
+
 /* This router's loads for a digest; endpoints beyond DIGEST_LOADS are left
    out.  */
 struct load_list
@@ -566,6 +598,7 @@
   digest_stream streams[DIGEST_STREAMS];
   digest_version versions[DIGEST_VERSIONS];
   digest_return returns[DIGEST_RETURNS];
+  static digest_cold colds[DIGEST_COLDS];
   static struct ms_zone_list zones;
   static struct ms_rollout_list rollouts;
   static struct ms_engine_list engines;
@@ -609,6 +642,8 @@
   digest.rollouts.rollouts_len = rollouts.count;
   digest.returns.returns_val = returns;
   digest.returns.returns_len = collect_returns (gw, returns, now);
+  digest.colds.colds_val = colds;
+  digest.colds.colds_len = collect_colds (gw, colds, now);
   if (digest.sequence % MS_ENGINE_DIGESTS == 0)
     {
       ms_engines_fill (gw->place, &engines);
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -16,6 +16,10 @@
 #define MIN_RETRY_DELAY (200 * MS_MSEC)
 #define MAX_RETRY_DELAY (1600 * MS_MSEC)
 
+/* A read that is not answered this long after the time for which the store may
+   hold it open is overdue.  */
+#define OVERDUE_TIME (100 * MS_MSEC)
+
 struct ms_topic
 {
   struct ms_topic_options options;
@@ -35,6 +39,9 @@
   ms_time next_call_at;     /* No read starts before this time.  */
   unsigned failures;        /* Failed reads in a row.  */
   ms_time call_sent_at;     /* When the last read of changes was sent.  */
+  ms_time answer_due;       /* When the read in progress becomes overdue.  */
+  bool overdue;             /* It was at the last tick.  */
+  ms_time suspected_at;     /* As of ms_topic_suspected_at.  */
 
   /* Reads that confirm the records.  */
   struct ms_exchange *confirm_exchange;
@@ -95,6 +102,7 @@
 static void
 read_succeeded (struct ms_topic *t, ms_time sent_at)
 {
+  t->suspected_at = 0;
   if (!t->failures)
     return;
   ms_event (sent_at, "topic_regained", "topic=%s failures=%u",
@@ -124,6 +132,8 @@
               t->options.replica.name, code,
               (long long)((now - ms_replica_read_at (t->replica)) / MS_MSEC));
   t->failures++;
+  if (!t->suspected_at)
+    t->suspected_at = now;
   abandon_snapshot (t);
   t->next_call_at = now + pause;
 }
@@ -228,6 +238,7 @@
       && t->call_offset != ms_replica_next (t->replica))
     {
       /* A peer relayed these changes during the read: discard them.  */
+      t->suspected_at = 0;
       t->next_call_at = now;
       return;
     }
@@ -267,6 +278,7 @@
     return;
   ms_replica_advance (t->replica, next, end, sent_at);
   t->next_confirm_at = 0;
+  t->suspected_at = 0;
 }
 
 /* Whether to read a snapshot instead of the changes.  */
@@ -278,12 +290,25 @@
              && t->call_offset == ms_replica_next (t->replica));
 }
 
+/* Note whether the read in progress is overdue.  It has to be so at two ticks:
+   before the first one, an answer may have waited in the socket.  */
+static void
+check_overdue (struct ms_topic *t, ms_time now)
+{
+  bool overdue = ms_exchange_busy (t->exchange) && now >= t->answer_due;
+
+  if (overdue && t->overdue && !t->suspected_at)
+    t->suspected_at = now;
+  t->overdue = overdue;
+}
+
 void
 ms_topic_tick (struct ms_topic *t, bool direct, ms_time now)
 {
   char path[512];
 
   ms_replica_tick (t->replica, now);
+  check_overdue (t, now);
   if (ms_exchange_busy (t->exchange) || now < t->next_call_at
       || (!direct && !ms_topic_stale (t, now)))
     return;
@@ -291,6 +316,7 @@
     {
       plat_newest_path (path, sizeof path, t->options.replica.name,
                         t->snapshot_open ? t->page_after : "");
+      t->answer_due = now + OVERDUE_TIME;
       ms_exchange_call (t->exchange, &t->options.store, "GET", path,
                         (struct ms_str){ "", 0 }, RESPONSE_GRACE,
                         on_snapshot_page, t);
@@ -299,6 +325,7 @@
   t->call_offset = ms_replica_next (t->replica);
   plat_read_path (path, sizeof path, t->options.replica.name, t->call_offset,
                   t->options.wait_ms);
+  t->answer_due = now + t->options.wait_ms * MS_MSEC + OVERDUE_TIME;
   ms_exchange_call (
       t->exchange, &t->options.store, "GET", path, (struct ms_str){ "", 0 },
       t->options.wait_ms * MS_MSEC + RESPONSE_GRACE, on_changes_read, t);
@@ -336,3 +363,24 @@
 {
   return t->failures > 0;
 }
+
+ms_time
+ms_topic_suspected_at (const struct ms_topic *t)
+{
+  return t->suspected_at;
+}
+
+ms_time
+ms_topic_doubted_since (const struct ms_topic *t, ms_time suspected_at,
+                        ms_time now)
+{
+  ms_time read_at = ms_replica_read_at (t->replica);
+  ms_time stale_at = read_at + t->options.max_age;
+
+  if (!ms_replica_loaded (t->replica))
+    return 0;
+  if (suspected_at && read_at <= suspected_at
+      && (suspected_at < stale_at || now < stale_at))
+    return suspected_at;
+  return now >= stale_at ? stale_at : 0;
+}
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -55,4 +55,15 @@
 /* Whether the last read of the store failed.  */
 bool ms_topic_failing (const struct ms_topic *topic);
 
+/* Since when reads of the store have been overdue or have failed; 0 if the
+   last one did not.  */
+ms_time ms_topic_suspected_at (const struct ms_topic *topic);
+
+/* Since when it is doubted at NOW that the records are up to date, where the
+   store is suspected to be away since SUSPECTED_AT (0: it is not): they are
+   stale, or no peer has relayed a later read.  0 if it is not, or there are no
+   records yet.  */
+ms_time ms_topic_doubted_since (const struct ms_topic *topic,
+                                ms_time suspected_at, ms_time now);
+
 #endif
--- a/src/place/cold.c
+++ b/src/place/cold.c
@@ -24,29 +24,40 @@
 /* Times that are allocated for an endpoint at first.  */
 #define INITIAL_SPACE 4
 
+double
+ms_cold_bound (const struct ms_place *place, double rate)
+{
+  return (rate * place->options.cold_burst_factor + place->options.cold_slack)
+         * USED_FRACTION;
+}
+
+unsigned
+ms_cold_rank (const struct ms_place *place,
+              const struct ms_endpoint_state *endpoint)
+{
+  uint64_t own = ms_id_pair (endpoint->id, place->options.self);
+  unsigned preceding = 0;
+
+  for (unsigned i = 0; i < place->routers_count; i++)
+    preceding += ms_id_pair (endpoint->id, place->routers[i]) < own;
+  return preceding;
+}
+
 /* Return how many requests this router may send to the cold ENDPOINT in each
    COLD_WINDOW, where its service allows RATE per second.  If there are more
-   routers than requests, the routers whose hash with the endpoint's identifier
-   is lowest may send one each; which ones they are differs between
-   endpoints.  */
+   routers than requests, the routers of the lowest ranks may send one each. */
 static unsigned
 own_quota (const struct ms_place *place,
            const struct ms_endpoint_state *endpoint, double rate)
 {
-  double bound
-      = (rate * place->options.cold_burst_factor + place->options.cold_slack)
-        * USED_FRACTION;
+  double bound = ms_cold_bound (place, rate);
   unsigned routers = place->routers_count;
-  uint64_t own = ms_id_pair (endpoint->id, place->options.self);
-  unsigned preceding = 0;
 
   if (!routers)
     return 0;
   if (bound >= routers)
     return bound / routers < UINT_MAX ? (unsigned)(bound / routers) : UINT_MAX;
-  for (unsigned i = 0; i < place->routers_count; i++)
-    preceding += ms_id_pair (endpoint->id, place->routers[i]) < own;
-  return preceding < (unsigned)bound ? 1 : 0;
+  return ms_cold_rank (place, endpoint) < (unsigned)bound ? 1 : 0;
 }
 
 /* Return whether a send at TIME counts at NOW.  */
@@ -56,6 +67,17 @@
   return time && now - time < COLD_WINDOW;
 }
 
+unsigned
+ms_cold_recent (const struct ms_endpoint_state *endpoint, ms_time now)
+{
+  const struct ms_cold_sends *sends = &endpoint->cold_sends;
+  unsigned recent = 0;
+
+  for (unsigned i = 0; i < sends->space; i++)
+    recent += is_recent (sends->times[i], now);
+  return recent;
+}
+
 bool
 ms_cold_allows (const struct ms_place *place,
                 const struct ms_endpoint_state *endpoint, ms_time now)
@@ -64,16 +86,13 @@
       = place->routes
             ? ms_routes_service (place->routes, endpoint->entry.service)
             : NULL;
-  const struct ms_cold_sends *sends = &endpoint->cold_sends;
-  unsigned recent = 0;
 
   if (now >= endpoint->cold_until && now >= place->all_cold_until)
     return true;
   if (!service || service->cold_rate <= 0)
     return true;
-  for (unsigned i = 0; i < sends->space; i++)
-    recent += is_recent (sends->times[i], now);
-  return recent < own_quota (place, endpoint, service->cold_rate);
+  return ms_cold_recent (endpoint, now)
+         < own_quota (place, endpoint, service->cold_rate);
 }
 
 bool
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -351,6 +351,19 @@
 bool ms_cold_allows (const struct ms_place *place,
                      const struct ms_endpoint_state *endpoint, ms_time now);
 
+/* Return how many requests all routers together send to a cold endpoint in a
+   little more than a second, where its service allows RATE per second.  */
+double ms_cold_bound (const struct ms_place *place, double rate);
+
+/* Return how many routers have a lower hash with the identifier of ENDPOINT
+   than this one.  Which ones these are differs between endpoints.  */
+unsigned ms_cold_rank (const struct ms_place *place,
+                       const struct ms_endpoint_state *endpoint);
+
+/* Return how many sends of this router to ENDPOINT count for that limit.  */
+unsigned ms_cold_recent (const struct ms_endpoint_state *endpoint,
+                         ms_time now);
+
 /* Record a send to ENDPOINT, warm or cold, for that limit.  */
 void ms_cold_record (struct ms_endpoint_state *endpoint, ms_time now);
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -145,6 +145,8 @@
   e->slowness = 1;
   e->error_rate = 0;
   e->reported_at = 0;
+  e->cold_told_at = 0;
+  e->cold_asked_at = 0;
   ms_engine_restarted (place, e);
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -166,10 +166,14 @@
   ms_time started_at; /* When its start was first listed, to this router.  */
   ms_time cold_until;
   struct ms_cold_sends cold_sends;
-  unsigned failures;    /* Failures to reach it since its last complete
-                           answer.  */
-  ms_time down_until;   /* No request is sent until then.  */
-  ms_time paused_until; /* The same, as the endpoint asked for it.  */
+  ms_time cold_told_at;  /* When it was asked last whether it is cold, by any
+                            router that got an answer; 0 if never.  */
+  ms_time cold_asked_at; /* When this router asked last and got an answer; 0 if
+                            never.  */
+  unsigned failures;     /* Failures to reach it since its last complete
+                            answer.  */
+  ms_time down_until;    /* No request is sent until then.  */
+  ms_time paused_until;  /* The same, as the endpoint asked for it.  */
   struct ms_rate rate;
   struct ms_home_member home;
   bool probing;    /* One request is testing whether it is reachable again.  */
@@ -724,6 +728,41 @@
                      struct ms_endpoint_state *endpoint, struct ms_load *load,
                      enum ms_place_end end, ms_time now);
 
+/* What an endpoint says of itself: whether it is cold.  The endpoint list says
+   so as well, and is heard at once as long as the store can be read.  Without
+   it, routers ask the endpoints and tell each other the answers.  */
+struct ms_cold_report
+{
+  uint64_t endpoint;
+  ms_time cold_for; /* For how much longer it stays cold; 0 if it is not.  */
+  ms_time age;      /* Time since it was asked.  */
+};
+
+/* Return whether this router is to ask E whether it is cold, while it is
+   doubted since DOUBTED_SINCE that the list is up to date: if it sends E more
+   than its share of what a cold endpoint may get, and no answer that is recent
+   enough is known.  Each endpoint has an order of routers; one asks unless
+   those before it have done so.  */
+bool ms_place_asks (const struct ms_place *place,
+                    const struct ms_endpoint_state *e, ms_time doubted_since,
+                    ms_time now);
+
+/* E, which this router asked at ASKED_AT, says that it stays cold for
+ * COLD_FOR.
+ */
+void ms_place_note_cold (struct ms_endpoint_state *e, ms_time cold_for,
+                         ms_time asked_at, ms_time now);
+
+/* Fill REPORTS, of SIZE, with the recent answers to this router and return
+   their number.  Cold endpoints come first.  */
+unsigned ms_place_report_cold (const struct ms_place *place,
+                               struct ms_cold_report *reports, unsigned size,
+                               ms_time now);
+
+/* Take what another router reports.  */
+void ms_place_merge_cold (struct ms_place *place,
+                          const struct ms_cold_report *report, ms_time now);
+
 /* A request that got a 5xx status from FIRST, for which ms_place_ended was
    called with MS_END_ERROR, now got one from SECOND.  Return whether that is
    due to the request, since both serve a plain service and neither fails much
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -682,6 +682,31 @@
 is "$(cat "$DIR"/suspended* | grep -c .)" 20 \
   && [ "$(cat "$DIR"/suspended* | grep -c 200)" -le 8 ]
 verdict "a gateway that was suspended treats endpoints as cold at once" $?
+# An endpoint that becomes cold while the store is away can say so only on its
+# health page.  It gets 20 requests a second, but for its limit.
+runs_so_far () { get "http://$(engine_address 1)/total"; }
+sleep 3.2
+store_mode down
+for i in $(seq 80); do
+  curl --silent --noproxy '*' --max-time 5 -H 'Host: h' -o /dev/null \
+    "$(caller_url $((i % 3 + 1)))/other/x"
+  sleep 0.04
+done &
+requests=$!
+sleep 1.5
+before=$(runs_so_far)
+get -X PUT "http://$(engine_address 1)/cold?ms=4000" >/dev/null
+sleep 0.7
+known=$(runs_so_far)
+sleep 1
+after=$(runs_so_far)
+wait $requests
+[ "$before" -gt 10 ] && [ $((after - known)) -le 8 ]
+verdict "an endpoint that becomes cold while the store is away is held to its limit" $?
+metrics && grep -q '^monsoonspur_endpoint_asks_total [1-9]' "$DIR/metrics"
+verdict "endpoints are asked whether they are cold while the store is away" $?
+store_mode up
+await 5 other
 list_engine 1 ready a
 
 # Gateway 3 starts again with a store address where nothing listens, so it
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -301,13 +301,16 @@
 }
 
 /* Whether more than COLD_BOUND of the COUNT runs at TIMES, in ascending order,
-   came within one second before COLD_UNTIL.  */
+   came within one second from COLD_FROM to COLD_UNTIL.  */
 static bool
-is_flooded (const long long *times, unsigned count, long long cold_until)
+is_flooded (const long long *times, unsigned count, long long cold_from,
+            long long cold_until)
 {
   unsigned first = 0;
 
-  for (unsigned i = 0; i < count && times[i] < cold_until; i++)
+  while (first < count && times[first] < cold_from)
+    first++;
+  for (unsigned i = first; i < count && times[i] < cold_until; i++)
     {
       while (times[i] - times[first] >= 1000)
         first++;
@@ -363,13 +366,18 @@
    DRAIN     a run later than DRAIN_TIMEOUT_MS after the endpoint left, from a
              gateway in touch with a store that was up when it left, or after
              an answer had told the gateway that it leaves
-   FAILBACK  too many runs at a cold endpoint within one second  */
+   FAILBACK  too many runs at a cold endpoint within one second; at one that
+             became cold while the store was away those by gateways whose
+             process runs  */
 static unsigned
 count_instance_runs (struct request *table,
                      const struct fleet_instance *instance,
-                     bool (*in_touch) (unsigned gateway, long long at_ms))
+                     bool (*in_touch) (unsigned gateway, long long at_ms),
+                     bool (*is_running) (unsigned gateway, long long at_ms))
 {
   static long long times[MAX_RUNS];
+  static long long running_times[MAX_RUNS];
+  unsigned running_count = 0;
   long long told[GATEWAYS] = { 0 };
   unsigned count = 0;
   unsigned breaches = 0;
@@ -389,6 +397,8 @@
           continue;
         }
       HASH_FIND_STR (table, id, r);
+      if (r && running_count < MAX_RUNS && is_running (r->gateway, at))
+        running_times[running_count++] = at;
       if (r && instance->version)
         rollouts_take_run (instance->version, r->gateway, at, r->sent_at);
       if (r && r->harmful && crashes_count < MAX_CRASHES)
@@ -427,7 +437,9 @@
     }
   if (file)
     fclose (file);
-  if (is_flooded (times, count, instance->cold_until_ms))
+  if (is_flooded (times, count, 0, instance->cold_until_ms)
+      || is_flooded (running_times, running_count, instance->cooled_ms,
+                     instance->cooled_until_ms))
     {
       printf ("FAILBACK: more than %.0f requests in a second at %s\n",
               COLD_BOUND, instance->runs);
@@ -472,7 +484,8 @@
 }
 
 unsigned
-callers_check (bool (*in_touch) (unsigned gateway, long long at_ms))
+callers_check (bool (*in_touch) (unsigned gateway, long long at_ms),
+               bool (*is_running) (unsigned gateway, long long at_ms))
 {
   struct request *table = index_requests ();
   unsigned breaches = 0;
@@ -481,7 +494,8 @@
   struct request *r, *next;
 
   for (unsigned i = 0; i < count; i++)
-    breaches += count_instance_runs (table, &instances[i], in_touch);
+    breaches
+        += count_instance_runs (table, &instances[i], in_touch, is_running);
   breaches += crashes_go_on (in_touch);
   HASH_ITER (hh, table, r, next)
   {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -26,9 +26,12 @@
 
 /* Compare the recorded answers with the runs that the endpoints logged.
    IN_TOUCH tells whether a gateway, or for GATEWAYS the store, was undisturbed
-   at a time and for long enough before it.  Prints each
-   breach of a rule and returns their number.  Call it after callers_stop.  */
-unsigned callers_check (bool (*in_touch) (unsigned gateway, long long at_ms));
+   at a time and for long enough before it, IS_RUNNING whether a gateway's
+   process was.  Prints each breach of a rule and returns their number.  Call
+   it after callers_stop.  */
+unsigned callers_check (bool (*in_touch) (unsigned gateway, long long at_ms),
+                        bool (*is_running) (unsigned gateway,
+                                            long long at_ms));
 
 /* Print the number of requests by status.  */
 void callers_print_counts (void);
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -197,7 +197,11 @@
 publish_engine (unsigned i)
 {
   const struct engine *e = &engines[i];
-  long long cold_ms = e->instance->cold_until_ms - fleet_now_ms ();
+  long long cold_until_ms
+      = e->instance->cooled_until_ms > e->instance->cold_until_ms
+            ? e->instance->cooled_until_ms
+            : e->instance->cold_until_ms;
+  long long cold_ms = cold_until_ms - fleet_now_ms ();
   char body[320] = "";
   char version[48] = "";
 
@@ -402,6 +406,21 @@
   set_engine_state (i, ENGINE_READY);
 }
 
+void
+fleet_cool_engine (unsigned i, unsigned ms)
+{
+  struct fleet_instance *instance = engines[i].instance;
+  char url[128];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/cold?ms=%u",
+            options.base + ENGINE_PORT + i, ms);
+  /* It may have crashed by a request.  */
+  if (http_call ("PUT", url, "") != 200)
+    return;
+  instance->cooled_ms = fleet_now_ms ();
+  instance->cooled_until_ms = instance->cooled_ms + ms;
+}
+
 void
 fleet_release_engine (unsigned i, enum leaving leaving)
 {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -83,6 +83,10 @@
    store's list of endpoints follows.  */
 void fleet_restart_engine (unsigned engine);
 
+/* Let ENGINE become cold again for MS, which it says on its health page, and
+   in its entry with the next heartbeat.  */
+void fleet_cool_engine (unsigned engine, unsigned ms);
+
 /* How others learn that an engine leaves.  */
 enum leaving
 {
@@ -139,12 +143,14 @@
 {
   char runs[512];          /* File to which the engine writes its runs.  */
   long long cold_until_ms; /* 0 if it starts warm.  */
-  long long left_ms;       /* When the store knew that it leaves; 0 if it did
-                              not leave.  */
-  long long said_ms;       /* From when on its answers said so; 0 if they did
-                              not.  */
-  long long ended_ms;      /* When it was found ended; 0 while it runs.  */
-  unsigned version;        /* Of an engine of the service "moved"; else 0.  */
+  long long cooled_ms;     /* When it became cold again; 0 if it did not.  */
+  long long cooled_until_ms;
+  long long left_ms;  /* When the store knew that it leaves; 0 if it did
+                         not leave.  */
+  long long said_ms;  /* From when on its answers said so; 0 if they did
+                         not.  */
+  long long ended_ms; /* When it was found ended; 0 while it runs.  */
+  unsigned version;   /* Of an engine of the service "moved"; else 0.  */
   struct fleet_stop stops[MAX_STOPS];
   unsigned stops_count;
 };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -42,6 +42,11 @@
 #define STORE_CUT_MS 3000
 #define STORE_CUT_JITTER_MS 1000
 
+/* Length of an outage of the store in which an engine becomes cold, and the
+   time from its begin, by when gateways have noticed it.  */
+#define COLD_OUTAGE_MS 3500
+#define NOTICE_MS 1000
+
 /* Configurations that a STORE_RESTORE loses.  */
 #define LOST_CONFIGS 4
 
@@ -83,6 +88,7 @@
   HERD_KILL, /* SIGKILL to all gateways, or all but one; a restart of each.  */
   STORE_CUT, /* No connection to the store for all gateways but one.  */
   STORE_RESTORE, /* The store comes back from a copy taken at the start.  */
+  ENGINE_COLD,   /* An engine becomes cold again while the store is down.  */
   FAULT_KINDS
 };
 
@@ -90,7 +96,8 @@
     = { "gateway_stop", "gateway_kill", "gateway_term", "gateway_hup",
         "engine_stop",  "engine_kill",  "engine_link",  "store_link",
         "store_down",   "store_forget", "configure",    "revoke",
-        "release",      "herd_kill",    "store_cut",    "store_restore" };
+        "release",      "herd_kill",    "store_cut",    "store_restore",
+        "engine_cold" };
 
 struct fault
 {
@@ -199,6 +206,50 @@
     }
 }
 
+/* Whether a fault acts on ENGINE or the link to it between FROM_MS and
+   UNTIL_MS.  */
+static bool
+is_engine_disturbed (unsigned engine, long long from_ms, long long until_ms)
+{
+  for (unsigned i = 0; i < faults_count; i++)
+    {
+      const struct fault *f = &faults[i];
+
+      if (f->kind >= ENGINE_STOP && f->kind <= ENGINE_LINK
+          && f->target % ENGINES == engine && f->start_ms < until_ms
+          && f->end_ms > from_ms)
+        return true;
+    }
+  return false;
+}
+
+/* Add outages of the store in which an engine, on which no other fault acts,
+   becomes cold.  */
+static void
+add_colds (struct ms_random *random, unsigned seconds)
+{
+  for (unsigned i = 0;
+       i < 2 * seconds / HERD_PERIOD_S && faults_count + 2 <= MAX_FAULTS; i++)
+    {
+      long long at = FIRST_FAULT_MS
+                     + (long long)ms_random_below (random, seconds * 1000ULL);
+      unsigned engine = (unsigned)ms_random_below (random, ENGINES);
+      struct fault *down = &faults[faults_count];
+      struct fault *cold = down + 1;
+
+      if (is_engine_disturbed (engine, at, at + COLD_OUTAGE_MS))
+        continue;
+      down->kind = STORE_DOWN;
+      down->start_ms = at;
+      down->end_ms = at + COLD_OUTAGE_MS;
+      cold->kind = ENGINE_COLD;
+      cold->target = engine;
+      cold->start_ms = at + NOTICE_MS;
+      cold->end_ms = down->end_ms;
+      faults_count += 2;
+    }
+}
+
 static void
 choose_faults (struct ms_random *random, unsigned seconds)
 {
@@ -229,7 +280,7 @@
   printf ("%6lld %s %u %s\n", f->start_ms, fault_names[f->kind],
           f->target
               % (f->kind == ENGINE_STOP || f->kind == ENGINE_KILL
-                         || f->kind == ENGINE_LINK
+                         || f->kind == ENGINE_LINK || f->kind == ENGINE_COLD
                      ? ENGINES
                      : GATEWAYS),
           f->kind == ENGINE_LINK || f->kind == STORE_LINK
@@ -299,6 +350,9 @@
       for (unsigned i = 0; i < LOST_CONFIGS; i++)
         fleet_publish_config (second_key);
       break;
+    case ENGINE_COLD:
+      fleet_cool_engine (f->target, (unsigned)(f->end_ms - f->start_ms));
+      break;
     case FAULT_KINDS:
       break;
     }
@@ -414,7 +468,7 @@
   return true;
 }
 
-/* For gone_check.  */
+/* For callers_check and gone_check.  */
 static bool
 is_running (unsigned gateway, long long at_ms)
 {
@@ -508,6 +562,7 @@
   choose_faults (&random, a.seconds);
   add_releases (&random, a.seconds);
   add_store_losses (&random, a.seconds);
+  add_colds (&random, a.seconds);
   fleet_start (&a.fleet);
   callers_start (a.seed);
   gone_start (a.seed);
@@ -528,7 +583,7 @@
   breaches += !all_gateways_recover ();
   callers_stop ();
   gone_stop ();
-  breaches += callers_check (in_touch);
+  breaches += callers_check (in_touch, is_running);
   breaches += rollouts_check (in_touch);
   breaches += gone_check (is_running);
   callers_print_counts ();
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -43,6 +43,10 @@
    bad answer of the following kind.  The end of each run follows in FILE.ends:
    ID and the times of begin and end.
 
+   GET /health answers 200 with the endpoint's name and, after PUT
+   /cold?ms=N and for N ms, with how much longer it stays cold; the stand-in
+   takes any number of requests all the same.
+
    PUT /bad?kind=KIND&percent=N&path=TEXT&after_ms=M makes the stand-in one of
    a bad version: from M ms on, N of 100 requests whose path contains TEXT get
    500 after their run (KIND fail), or are answered SLOW_MS later (KIND slow).
@@ -85,6 +89,7 @@
 static atomic_uint turned_away;
 static atomic_long named_limit = -1; /* Below 0: none.  */
 static atomic_long work_time = -1;   /* Likewise.  */
+static _Atomic long long cold_until_ms;
 static FILE *runs_file;
 static FILE *ends_file;
 static bool is_mortal;
@@ -597,6 +602,28 @@
   return 1;
 }
 
+static int
+handle_health (struct mg_connection *connection, void *context)
+{
+  long long left = cold_until_ms - now_ms ();
+
+  (void)context;
+  mg_printf (connection,
+             "HTTP/1.1 200 -\r\nX-Instance-Id: %s\r\nX-Cold-Ms: %lld\r\n"
+             "Content-Length: 0\r\n\r\n",
+             endpoint_name, left > 0 ? left : 0);
+  return 1;
+}
+
+static int
+handle_cold (struct mg_connection *connection, void *context)
+{
+  (void)context;
+  cold_until_ms = now_ms () + query_number (connection, "ms", 0);
+  mg_printf (connection, "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n");
+  return 1;
+}
+
 static int
 send_number (struct mg_connection *connection, unsigned number)
 {
@@ -728,6 +755,7 @@
     { "/turned$", handle_turned },   { "/limit$", handle_limit },
     { "/total$", handle_total },     { "/bad$", handle_bad },
     { "/running$", handle_running }, { "/load$", handle_load },
+    { "/health$", handle_health },   { "/cold$", handle_cold },
     { "/**", handle_request },
   };
   const char *address = "127.0.0.1:0";
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -667,6 +667,47 @@
   assert_int_equal (read.order, 0);
 }
 
+/* Decode the answer of the health page of e0 with STATUS, NAME as
+   X-Instance-Id and COLD as X-Cold-Ms; NULL leaves a header out.  */
+static bool
+decode_health (unsigned status, const char *name, const char *cold,
+               ms_time *cold_for)
+{
+  struct ms_head head = { .status = status };
+
+  if (name)
+    head.headers[head.headers_count++]
+        = (struct ms_header){ ms_str ("X-Instance-Id"), ms_str (name) };
+  if (cold)
+    head.headers[head.headers_count++]
+        = (struct ms_header){ ms_str ("x-cold-ms"), ms_str (cold) };
+  return plat_decode_health (&head, ms_str ("e0"), cold_for);
+}
+
+static void
+test_decodes_health (void **state)
+{
+  ms_time cold_for;
+
+  (void)state;
+  assert_true (decode_health (200, "e0", "2500", &cold_for));
+  assert_int_equal (cold_for, 2500 * MS_MSEC);
+  assert_true (decode_health (200, "e0", NULL, &cold_for));
+  assert_int_equal (cold_for, 0);
+  assert_true (decode_health (503, "e0", "0", &cold_for));
+  assert_int_equal (cold_for, 0);
+  assert_true (decode_health (200, "e0", "1e300", &cold_for));
+  assert_true (cold_for > 0);
+  /* A full endpoint does not say whether it is cold.  */
+  assert_false (decode_health (503, "e0", NULL, &cold_for));
+  assert_false (decode_health (200, "e1", "2500", &cold_for));
+  assert_false (decode_health (200, NULL, "2500", &cold_for));
+  assert_false (decode_health (200, "e0", "-1", &cold_for));
+  assert_false (decode_health (200, "e0", "nan", &cold_for));
+  assert_false (decode_health (200, "e0", "", &cold_for));
+  assert_int_equal (cold_for, 0);
+}
+
 int
 main (void)
 {
@@ -687,6 +728,7 @@
     cmocka_unit_test (test_decodes_pauses),
     cmocka_unit_test (test_decodes_rate_limits),
     cmocka_unit_test (test_decodes_loads),
+    cmocka_unit_test (test_decodes_health),
     cmocka_unit_test (test_loss_of_an_offset),
     cmocka_unit_test (test_offset_of_a_record_may_be_missing),
     cmocka_unit_test (test_decodes_orders),
