One odd entry of a list does not hide the others

Cause: a page of the newest records and the lists of src/backing were decoded as one document, which a key with NUL or other bytes that are not UTF-8, a number out of range or deep nesting makes invalid; a key went unencoded into the path of the next page; a relay of changes named a removed key with NUL, which peers refuse to decode.

Change: the elements of such an array are found without nesting and decoded one by one; keys are encoded in paths; keys that cannot be relayed are not named as removed. src/backing leaves out entries without a name, a service or an address HOST:PORT.

No way was found in which a process ends.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 GATEWAY_DIRS = wire route place admit fleet guard rollout gateway
 GATEWAY_SOURCES = $(foreach d,$(GATEWAY_DIRS),$(wildcard src/$(d)/*.c)) \
 	$(wildcard platform/*.c) src/config/yaml.c \
-	$(patsubst %,src/base/%.c,address alloc clock event file log random status \
-	str switches)
+	$(patsubst %,src/base/%.c,address alloc clock event file json log random \
+	status str switches)
 GATEWAY_OBJECTS = $(GATEWAY_SOURCES:%.c=$(BUILD)/%.o)
 # The gateway without its main program, for the tests of its parts.
 GATEWAY_PARTS = $(patsubst %.c,$(BUILD)/%.o,$(filter-out src/gateway/main.c,\
--- a/src/backing/backing.h
+++ b/src/backing/backing.h
@@ -49,6 +49,19 @@
                            unsigned *count);
 };
 
+/* Decode the body of the list service's answer, JSON TEXT, as FETCH does.
+   Entries that cannot be decoded, lack a name or service, or have an address
+   that is not HOST:PORT are left out.  */
+enum ms_status ms_list_decode (struct ms_str text, struct ms_endpoint **list,
+                               unsigned *count);
+
+/* Decode the body of the log service's answer to a read, JSON TEXT, as READ
+   does.  Records that cannot be decoded are left out.  */
+enum ms_status ms_log_decode (struct ms_str text,
+                              void (*record) (void *, uint64_t, struct ms_str),
+                              void *record_context, uint64_t *first_kept,
+                              uint64_t *next, bool *at_end);
+
 /* Clients that use HTTP and JSON.  URL is the base of the service's paths and
    must stay valid as long as the client.  */
 struct ms_log_client ms_http_log_client (const char *url);
--- a/src/backing/http_log.c
+++ b/src/backing/http_log.c
@@ -1,8 +1,8 @@
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "http/client.h"
 #include "node/effect.h"
 #include "backing/backing.h"
@@ -16,18 +16,26 @@
 const char *const ms_stream_names[]
     = { [MS_STREAM_CONTROL] = "control", [MS_STREAM_ONCE] = "once" };
 
+/* Fail, and clear REPLY, unless its status is 200.  */
+static enum ms_status
+check_code (struct ms_reply *reply)
+{
+  if (reply->code == 200)
+    return MS_OK;
+  ms_reply_clear (reply);
+  return ms_fail (MS_UNAVAILABLE, "log service returned status %ld",
+                  reply->code);
+}
+
 /* Parse the JSON body of REPLY, which is cleared, into *OBJECT.  */
 static enum ms_status
 parse_reply (struct ms_reply *reply, json_t **object)
 {
   json_error_t error;
+  enum ms_status status = check_code (reply);
 
-  if (reply->code != 200)
-    {
-      ms_reply_clear (reply);
-      return ms_fail (MS_UNAVAILABLE, "log service returned status %ld",
-                      reply->code);
-    }
+  if (status != MS_OK)
+    return status;
   *object
       = json_loadb (reply->body ? reply->body : "", reply->length, 0, &error);
   ms_reply_clear (reply);
@@ -43,6 +51,43 @@
   return (uint64_t)json_integer_value (json_object_get (object, key));
 }
 
+/* Receiver of records.  */
+struct receiver
+{
+  void (*record) (void *, uint64_t, struct ms_str);
+  void *context;
+};
+
+static void
+take_record (void *context, const json_t *item)
+{
+  const struct receiver *receiver = context;
+  const json_t *text = json_object_get (item, "data");
+  struct ms_str data = { json_string_value (text), json_string_length (text) };
+
+  if (data.data)
+    receiver->record (receiver->context, integer_field (item, "offset"), data);
+}
+
+enum ms_status
+ms_log_decode (struct ms_str text,
+               void (*record) (void *, uint64_t, struct ms_str),
+               void *record_context, uint64_t *first_kept, uint64_t *next,
+               bool *at_end)
+{
+  struct receiver receiver = { record, record_context };
+  json_t *rest;
+
+  if (!ms_json_elements (text, "records", take_record, &receiver, &rest))
+    return ms_fail (MS_UNAVAILABLE,
+                    "log service: \"records\" is not an array");
+  *first_kept = integer_field (rest, "first");
+  *next = integer_field (rest, "next");
+  *at_end = *next >= integer_field (rest, "end");
+  json_decref (rest);
+  return MS_OK;
+}
+
 static enum ms_status
 read_records (void *context, const char *stream, uint64_t from,
               unsigned wait_ms,
@@ -52,9 +97,6 @@
 {
   char url[URL_BYTES];
   struct ms_reply reply;
-  json_t *object = NULL;
-  json_t *item;
-  size_t i;
   enum ms_status status;
 
   snprintf (url, sizeof url,
@@ -63,23 +105,14 @@
   status
       = ms_http_exchange ("GET", url, NULL, wait_ms + READ_REPLY_MS, &reply);
   if (status == MS_OK)
-    status = parse_reply (&reply, &object);
+    status = check_code (&reply);
   if (status != MS_OK)
     return status;
-  json_array_foreach (json_object_get (object, "records"), i, item)
-  {
-    const json_t *text = json_object_get (item, "data");
-    struct ms_str data
-        = { json_string_value (text), json_string_length (text) };
-
-    if (data.data)
-      record (record_context, integer_field (item, "offset"), data);
-  }
-  *first_kept = integer_field (object, "first");
-  *next = integer_field (object, "next");
-  *at_end = *next >= integer_field (object, "end");
-  json_decref (object);
-  return MS_OK;
+  status = ms_log_decode (
+      (struct ms_str){ reply.body ? reply.body : "", reply.length }, record,
+      record_context, first_kept, next, at_end);
+  ms_reply_clear (&reply);
+  return status;
 }
 
 static enum ms_status
--- a/src/fleet/replica.c
+++ b/src/fleet/replica.c
@@ -167,24 +167,32 @@
   return r ? r->at : MS_NO_OFFSET;
 }
 
-/* Return whether a record of KEY and VALUE can be relayed, which is written as
-   JSON text: such that are not UTF-8, or have a NUL, no router can decode
-   anyway.  */
+/* Return whether TEXT can be written as JSON text that every peer decodes: it
+   is UTF-8 and has no NUL.  */
 static bool
-is_relayable (struct ms_str key, struct ms_str value)
+is_json_text (struct ms_str text)
 {
-  json_t *text;
+  json_t *string;
 
-  if (key.length > MAX_KEY_LENGTH || memchr (key.data, 0, key.length)
-      || (value.length && memchr (value.data, 0, value.length)))
-    return false;
-  text = json_stringn (key.data, key.length);
-  json_decref (text);
-  if (!text)
+  if (text.length && memchr (text.data, 0, text.length))
     return false;
-  text = json_stringn (value.data, value.length);
-  json_decref (text);
-  return text != NULL;
+  string = json_stringn (text.data, text.length);
+  json_decref (string);
+  return string != NULL;
+}
+
+static bool
+is_relayable_key (struct ms_str key)
+{
+  return key.length <= MAX_KEY_LENGTH && is_json_text (key);
+}
+
+/* Return whether a record of KEY and VALUE can be relayed.  Others no router
+   can decode anyway.  */
+static bool
+is_relayable (struct ms_str key, struct ms_str value)
+{
+  return is_relayable_key (key) && is_json_text (value);
 }
 
 /* Set KEY to VALUE in *TABLE, written at AT, which is before OFFSET.  Return
@@ -563,7 +571,8 @@
 
   HASH_ITER (hh, replica->records, changed, next)
   {
-    if (!changed->relayable && !changed->missing && changed->offset > known)
+    if (!changed->relayable && !changed->missing && changed->offset > known
+        && is_relayable_key (record_key (changed)))
       json_array_append_new (keys,
                              json_stringn (changed->key, changed->key_length));
   }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -39,7 +39,7 @@
   struct ms_gateway *gw;
   struct ms_exchange *exchange;
   struct sockaddr_in store;
-  char path[512];
+  char path[PLAT_AFTER_BYTES + 256];
   char record[512];
   bool registered;            /* The store has this router's record.  */
   uint64_t era;               /* The store's, when that record was written.  */
@@ -50,7 +50,7 @@
   struct ms_part_report part; /* Of which the record is written.  */
   struct ms_version_report version; /* The same.  */
   bool versions_found;              /* By the read in progress.  */
-  char after[256];                  /* The next read starts after this key.  */
+  char after[PLAT_AFTER_BYTES];     /* The next read starts after this key.  */
   uint64_t end; /* Offset at which the topic ended when the read began.  */
   struct ms_name gone; /* A router of the last read whose record is to be
                           removed; empty if there is none.  */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -36,7 +36,7 @@
   gw->relay_failed = status != MS_OK || code != 200;
   if (gw->relay_failed)
     return;
-  document = json_loadb (body.data, body.length, 0, NULL);
+  document = json_loadb (body.data, body.length, JSON_ALLOW_NUL, NULL);
   newer = ms_replica_apply (ms_topic_replica (gw->operator_topic),
                             json_object_get (document, "operator"), sent_at,
                             gw->now);
--- a/src/gateway/rollout_states.c
+++ b/src/gateway/rollout_states.c
@@ -27,14 +27,14 @@
   struct ms_gateway *gw;
   struct ms_exchange *exchange;
   struct sockaddr_in store;
-  char path[512];
+  char path[PLAT_AFTER_BYTES + 256];
   char record[1024];
-  bool read;         /* The states were read at least once.  */
-  bool planned;      /* A call is due at NEXT_CALL.  */
-  ms_time next_call; /* No call starts before this time.  */
-  char after[256];   /* The next page starts after this key.  */
-  uint64_t end;      /* Offset at which the topic ended when it was read.  */
-  bool may_write;    /* It was read for a state that is to be written.  */
+  bool read;                    /* The states were read at least once.  */
+  bool planned;                 /* A call is due at NEXT_CALL.  */
+  ms_time next_call;            /* No call starts before this time.  */
+  char after[PLAT_AFTER_BYTES]; /* The next page starts after this key.  */
+  uint64_t end;   /* Offset at which the topic ended when it was read.  */
+  bool may_write; /* It was read for a state that is to be written.  */
   struct ms_rollout_state written; /* The one that is being written.  */
 };
 
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -28,8 +28,8 @@
   struct ms_replica *replica;
 
   /* A snapshot is a read of all current records, in pages.  */
-  bool snapshot_open;       /* Further pages are to be read...  */
-  char page_after[256];     /* ...starting after this key.  */
+  bool snapshot_open;                /* Further pages are to be read...  */
+  char page_after[PLAT_AFTER_BYTES]; /* ...starting after this key.  */
   uint64_t snapshot_end;    /* Offset to read changes from, given with the
                                first page.  */
   uint64_t snapshot_era;    /* Era of the store, given with the first page.  */
@@ -305,7 +305,7 @@
 void
 ms_topic_tick (struct ms_topic *t, bool direct, ms_time now)
 {
-  char path[512];
+  char path[PLAT_AFTER_BYTES + 256];
 
   ms_replica_tick (t->replica, now);
   check_overdue (t, now);
@@ -334,7 +334,7 @@
 void
 ms_topic_confirm (struct ms_topic *t)
 {
-  char path[512];
+  char path[PLAT_AFTER_BYTES + 256];
 
   if (ms_exchange_busy (t->confirm_exchange)
       || ms_now (t->clock) < t->next_confirm_at || needs_snapshot (t))
--- a/tests/fuzz/store.c
+++ b/tests/fuzz/store.c
@@ -33,7 +33,7 @@
 {
   const struct ms_str text = { (const char *)data, size };
   const struct plat_record record = { { "e1", 2 }, text, false, 0 };
-  char after[256];
+  char after[PLAT_AFTER_BYTES];
   uint64_t next;
   uint64_t end;
   bool more;
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -174,6 +174,11 @@
   return status;
 }
 
+/* Kinds of odd entries in the list of endpoints, and how deeply one of them is
+   nested.  */
+#define ODD_ENTRIES 5
+#define ODD_DEPTH 30000
+
 /* Send BODY to the store by PUT, to the path that FORMAT gives.  */
 static void put_store (const char *body, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
@@ -448,11 +453,50 @@
   set_engine_state (i, ENGINE_READY);
 }
 
+/* Write an entry of another writer, which names no endpoint to use: number N
+   of them, in turn.  */
+static void
+publish_odd_entry (unsigned n)
+{
+  static const char fields[]
+      = "\"service\":\"app\",\"zone\":\"a\",\"slots\":32,"
+        "\"state\":\"ready\",\"cold_remaining_ms\":0";
+  static char nested[2 * ODD_DEPTH + 1];
+  char entry[320] = "";
+
+  memset (nested, '[', ODD_DEPTH);
+  memset (nested + ODD_DEPTH, ']', ODD_DEPTH);
+  switch (n % ODD_ENTRIES)
+    {
+    case 0:
+      put_store (nested, "put?topic=keyed.servers&key=odd0");
+      return;
+    case 1:
+      snprintf (entry, sizeof entry,
+                "{%s,\"address\":\"127.0.0.1:1\",\"sequence\":1e%u}", fields,
+                400 + n);
+      break;
+    case 2:
+      snprintf (entry, sizeof entry, "{%s,\"address\":\"127.0.0.1:%u\"}",
+                fields, 70000 + n);
+      break;
+    case 3:
+      snprintf (entry, sizeof entry, "\xff%u", n);
+      break;
+    default: /* The entry is removed.  */
+      break;
+    }
+  put_store (entry, "put?topic=keyed.servers&key=odd%%20%%26%%0A%u",
+             n % ODD_ENTRIES % 4);
+}
+
 void
 fleet_heartbeat (void)
 {
   unsigned i = heartbeats++ % ALL_ENGINES;
 
+  if (i == 0)
+    publish_odd_entry (heartbeats / ALL_ENGINES);
   if (engines[i].instance
       && (engines[i].state != ENGINE_UNLISTED || rewrites_left))
     publish_engine (i);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -241,7 +241,7 @@
 test_decodes_newest_records (void **state)
 {
   struct received received = { 0 };
-  char after[16];
+  char after[PLAT_AFTER_BYTES];
   uint64_t end;
   bool more;
 
@@ -259,12 +259,85 @@
   assert_int_equal (received.offsets[0], 4);
 }
 
+/* One odd item took the whole page away, so that a router which started read
+   no list at all.  */
+static void
+test_odd_items_do_not_hide_the_others (void **state)
+{
+  static const char *const odd[] = {
+    "{\"key\":\"b\\u0000\",\"value\":\"e30=\",\"offset\":5}",
+    "{\"key\":\"b\",\"value\":\"e30=\",\"offset\":1e999}",
+    "{\"key\":\"b\",\"value\":\"e30=\",\"offset\":99999999999999999999}",
+    "{\"key\":\"\xff\",\"value\":\"e30=\",\"offset\":5}",
+    "{\"key\":\"b\",\"value\":\"e30=\",\"more\":[],\"]\":{\"}\":\"\\\"]\"}}",
+    "{\"key\":[],\"value\":\"e30=\"}",
+    "",
+    "nul",
+    "7",
+  };
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof odd / sizeof *odd; i++)
+    {
+      struct received received = { 0 };
+      char after[PLAT_AFTER_BYTES];
+      char text[512];
+      uint64_t end;
+      bool more;
+
+      snprintf (text, sizeof text,
+                "{ \"other\": [1], \"items\" : [\n"
+                "{\"key\":\"a\",\"value\":\"e30=\",\"offset\":4}, %s,\n"
+                "{\"key\":\"c\",\"value\":\"e30=\",\"offset\":6} ],"
+                "\"truncated\":true,\"end\":7}",
+                odd[i]);
+      assert_int_equal (plat_decode_newest (ms_str (text), take, &received,
+                                            &end, &more, after, sizeof after),
+                        MS_OK);
+      assert_int_equal (end, 7);
+      assert_true (more);
+      assert_string_equal (after, "c");
+      assert_in_range (received.count, 2, 3);
+      assert_int_equal (received.offsets[0], 4);
+      assert_int_equal (received.offsets[received.count - 1], 6);
+    }
+}
+
+/* The key at which a page ends stood in the path of the next call as it was.
+ */
+static void
+test_key_is_encoded_in_the_path_of_the_next_page (void **state)
+{
+  struct received received = { 0 };
+  char after[PLAT_AFTER_BYTES];
+  char path[PLAT_AFTER_BYTES + 256];
+  uint64_t end;
+  bool more;
+
+  (void)state;
+  assert_int_equal (
+      plat_decode_newest (
+          ms_str ("{\"items\":[{\"key\":\"a b&c=\\r\\n\\u0000d\","
+                  "\"value\":\"e30=\"}],\"truncated\":true,\"end\":6}"),
+          take, &received, &end, &more, after, sizeof after),
+      MS_OK);
+  plat_newest_path (path, sizeof path, "t", after);
+  assert_string_equal (
+      path, "/log-newest?topic=t&part=0&after=a%20b%26c%3D%0D%0A%00d");
+  /* Without a key there is no next page.  */
+  assert_int_equal (
+      plat_decode_newest (
+          ms_str ("{\"items\":[{}],\"truncated\":true,\"end\":6}"), take,
+          &received, &end, &more, after, sizeof after),
+      MS_INVALID);
+}
+
 /* A store that does not state the offsets of records is read all the same.  */
 static void
 test_offset_of_a_record_may_be_missing (void **state)
 {
   struct received received = { 0 };
-  char after[16];
+  char after[PLAT_AFTER_BYTES];
   uint64_t end;
   bool more;
 
@@ -720,6 +793,8 @@
     cmocka_unit_test (test_rejects_invalid_endpoints),
     cmocka_unit_test (test_decodes_changes),
     cmocka_unit_test (test_decodes_newest_records),
+    cmocka_unit_test (test_odd_items_do_not_hide_the_others),
+    cmocka_unit_test (test_key_is_encoded_in_the_path_of_the_next_page),
     cmocka_unit_test (test_decodes_prompt_headers),
     cmocka_unit_test (test_drops_router_and_connection_headers),
     cmocka_unit_test (test_numbers_out_of_range_are_bounded),
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -705,6 +705,72 @@
   ms_replica_destroy (f.replica);
 }
 
+static void
+count_change (void *context, struct ms_str key, struct ms_str value,
+              bool removed)
+{
+  (void)key;
+  (void)value;
+  (void)removed;
+  ++*(unsigned *)context;
+}
+
+/* A key that a peer cannot decode made every relay of changes unreadable, so
+   that routers without the store stopped following the list.  */
+static void
+test_odd_keys_and_values_do_not_spoil_relays (void **state)
+{
+  static const char odd_key[] = { 'o', '\0', 'd' };
+  static const struct ms_str keys[]
+      = { { odd_key, sizeof odd_key }, { "\xff\xfe", 2 }, { "odd", 3 } };
+  static const struct ms_str values[]
+      = { { "ready", 5 }, { "\xff", 1 }, { odd_key, sizeof odd_key } };
+  unsigned changes[2] = { 0, 0 };
+  struct ms_replica *replicas[2];
+
+  (void)state;
+  for (unsigned i = 0; i < 2; i++)
+    {
+      const struct ms_replica_options options = { .name = "endpoints",
+                                                  .outage = OUTAGE,
+                                                  .keep = KEEP,
+                                                  .rewrite = REWRITE,
+                                                  .changed = count_change,
+                                                  .context = &changes[i] };
+
+      replicas[i] = ms_replica_create (&options);
+      ms_replica_complete (replicas[i], 1, 0, MS_SEC, MS_SEC);
+    }
+  for (unsigned i = 0; i < 9; i++)
+    {
+      ms_time now = 2 * MS_SEC + (ms_time)i * MS_SEC;
+      json_t *relay;
+      char *text;
+
+      ms_replica_change (replicas[0], keys[i / 3], values[i % 3], false,
+                         2 * i + 1, now, now);
+      ms_replica_change (replicas[0], ms_str ("e0"),
+                         ms_str (i % 2 ? "ready" : "draining"), false,
+                         2 * i + 2, now, now);
+      ms_replica_advance (replicas[0], 2 * i + 3, 2 * i + 3, now);
+      relay = ms_replica_encode (replicas[0], ms_replica_next (replicas[1]),
+                                 true, now);
+      text = json_dumps (relay, JSON_COMPACT);
+      json_decref (relay);
+      assert_non_null (text);
+      relay = json_loads (text, 0, NULL);
+      assert_non_null (relay);
+      assert_true (ms_replica_apply (replicas[1], relay, now, now));
+      json_decref (relay);
+      free (text);
+    }
+  assert_int_equal (ms_replica_next (replicas[1]),
+                    ms_replica_next (replicas[0]));
+  assert_true (changes[1] >= 9);
+  for (unsigned i = 0; i < 2; i++)
+    ms_replica_destroy (replicas[i]);
+}
+
 int
 main (void)
 {
@@ -726,6 +792,7 @@
     cmocka_unit_test (test_unreadable_record_is_relayed_as_removed),
     cmocka_unit_test (test_record_that_is_written_again_is_reported),
     cmocka_unit_test (test_offsets_of_an_older_copy_are_no_repeats),
+    cmocka_unit_test (test_odd_keys_and_values_do_not_spoil_relays),
   };
 
   return RUN (tests);
