Control characters in logged texts are replaced

What operators saw: a key of the store with a line end wrote log lines of its own, up to a forged event (seen in the soak with odd entries).

Cause: ms_event wrote texts of others as they were.

Change: control characters in a line become '?'.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -24,6 +24,16 @@
   return true;
 }
 
+/* Replace the control characters in LENGTH bytes of TEXT: texts of others must
+   not write lines of their own.  */
+static void
+replace_controls (char *text, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if ((unsigned char)text[i] < ' ' || text[i] == 0x7f)
+      text[i] = '?';
+}
+
 void
 ms_event (ms_time now, const char *name, const char *format, ...)
 {
@@ -38,6 +48,7 @@
   va_end (args);
   if (length > sizeof line - 2)
     length = sizeof line - 2;
+  replace_controls (line, length);
   line[length++] = '\n';
   if (buffered + length > sizeof buffer)
     ms_event_flush (now);
