Peers are freed once their socket is closed

What was seen: a test that creates and destroys them ended with an assertion of libuv in one run of three.

Cause: ms_peers_destroy freed the memory of a UDP handle whose close was pending.

Change: the memory is freed by the callback of the close.

--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -750,6 +750,12 @@
   return MS_OK;
 }
 
+static void
+free_peers (uv_handle_t *udp)
+{
+  free (udp->data);
+}
+
 void
 ms_peers_destroy (struct ms_peers *p)
 {
@@ -758,6 +764,5 @@
   ms_relay_destroy (p->relay);
   ms_members_destroy (p->members);
   ms_stream_log_destroy (p->stream_log);
-  uv_close ((uv_handle_t *)&p->udp, NULL);
-  free (p);
+  uv_close ((uv_handle_t *)&p->udp, free_peers);
 }
