A stream is resumed only behind a whole event whose id is known

By the same cause an event came twice if the stream broke off behind a long event, or behind one whose id has more than 63 bytes.

Cause: the last event's id that was known served as the place to go on, also if more than that event had been passed on.

Change: an incomplete event is held back up to 1 MiB while there is room (256 KB otherwise), and the id is forgotten once a part of an event, or an event whose id does not fit, is passed on; without an id the caller's connection is reset, so that it can resume by itself.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,8 @@
 # Tests of a gateway within their own process.
 GATEWAY_TESTS = $(BUILD)/test_listen $(BUILD)/test_gone $(BUILD)/test_peers \
 	$(BUILD)/test_socket $(BUILD)/test_room $(BUILD)/test_framing \
-	$(BUILD)/test_leave $(BUILD)/test_resume $(BUILD)/test_promise
+	$(BUILD)/test_leave $(BUILD)/test_resume $(BUILD)/test_promise \
+	$(BUILD)/test_broken_stream
 
 $(GATEWAY_TESTS): $(BUILD)/test_%: $(BUILD)/tests/test_%.o \
 	$(BUILD)/tests/support/gateway_fixture.o $(GATEWAY_PARTS) $(CORE)
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -331,7 +331,7 @@
   ms_request_end_attempt (r, MS_END_BROKEN);
   r->may_have_run = true;
   /* Once part of a response was passed on, only a stream can be continued, and
-     only after an event that has an id.  */
+     only after a whole event and with the id of the last one.  */
   if (ms_request_may_repeat (r) && (!r->head_sent || r->last_event_id.length))
     ms_request_retry (r, true, reason);
   else
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -100,6 +100,7 @@
 
   /* The response to the caller.  */
   bool head_sent;
+  bool mid_event;  /* A part of a stream's event was passed on.  */
   unsigned status; /* 0 until head_sent.  */
   uint64_t bytes_forwarded;
 
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -9,12 +9,16 @@
 #include "gateway/metrics.h"
 #include "gateway/request.h"
 
-/* A response, or the incomplete last event of a stream, is held back up to
-   this size, so that the caller can get another attempt's response or an error
-   if the endpoint breaks off.  Whenever the buffer exceeds this size, its
-   content is passed on.  */
+/* A response is held back up to this size, so that the caller can get another
+   attempt's response or an error if the endpoint breaks off.  Whenever the
+   buffer exceeds this size, its content is passed on.  */
 #define MAX_BUFFERED_BYTES 262144
 
+/* The same for the incomplete last event of a stream, which cannot be resumed
+   once a part of that was passed on; MAX_BUFFERED_BYTES while room is
+   scarce.  */
+#define MAX_EVENT_BYTES 1048576
+
 /* While room is scarce, a whole response is held back only up to this size. */
 #define MAX_SCARCE_BYTES 16384
 
@@ -203,6 +207,7 @@
   record_first_byte (r);
   send_head (r);
   forward_buffered (r, length);
+  r->mid_event = false;
 }
 
 /* Whether the endpoint refused the request, so that another one may take
@@ -244,10 +249,12 @@
          || r->response_status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
 }
 
-/* How many bytes of a response are held back, unless it is a stream.  */
+/* How many bytes of a response are held back.  */
 static size_t
 hold_back_limit (const struct ms_request *r)
 {
+  if (r->stream_response)
+    return ms_room_scarce (r->gw->room) ? MAX_BUFFERED_BYTES : MAX_EVENT_BYTES;
   return ms_room_scarce (r->gw->room) ? MAX_SCARCE_BYTES : MAX_BUFFERED_BYTES;
 }
 
@@ -282,13 +289,16 @@
     }
   else if (r->stream_response)
     forward_events (r);
-  if (is_passed_on_whole (r)
-      || r->unsent_length <= (r->stream_response ? MAX_BUFFERED_BYTES
-                                                 : hold_back_limit (r)))
+  if (is_passed_on_whole (r) || r->unsent_length <= hold_back_limit (r))
     return;
   record_first_byte (r);
   send_head (r);
   forward_buffered (r, r->unsent_length);
+  if (!r->stream_response)
+    return;
+  r->mid_event = true;
+  /* Its id may have been passed on with this part.  */
+  r->last_event_id.length = 0;
 }
 
 void
@@ -408,7 +418,7 @@
   ms_request_release_held (r);
   /* The end of the connection ends a stream without a length, also when the
      endpoint broke it off.  */
-  if (r->stream_response && r->unsent_length)
+  if (r->stream_response && (r->unsent_length || r->mid_event))
     {
       ms_request_attempt_failed (r, "cut_event");
       return;
--- a/src/wire/events.c
+++ b/src/wire/events.c
@@ -1,10 +1,13 @@
 #include "wire/events.h"
 
+#include <stdbool.h>
 #include <string.h>
 
-/* Copy the value of the line into ID if it is an id field that fits.  */
+/* Copy the value of the line into ID if it is an id field.  Set *TOO_LONG
+   instead if it does not fit.  */
 static void
-parse_line (const char *line, size_t length, struct ms_event_id *id)
+parse_line (const char *line, size_t length, struct ms_event_id *id,
+            bool *too_long)
 {
   static const char prefix[] = "id:";
   size_t skip = sizeof prefix - 1;
@@ -15,7 +18,8 @@
     return;
   if (skip < length && line[skip] == ' ')
     skip++;
-  if (length - skip >= sizeof id->data)
+  *too_long = length - skip >= sizeof id->data;
+  if (*too_long)
     return;
   id->length = length - skip;
   memcpy (id->data, line + skip, id->length);
@@ -29,6 +33,7 @@
   struct ms_event_id current = { 0 };
   size_t line = 0;
   size_t complete = 0;
+  bool too_long = false;
 
   *count = 0;
   for (size_t i = 0; i < length; i++)
@@ -41,11 +46,13 @@
         {
           complete = i + 1;
           ++*count;
-          if (current.length)
+          if (too_long)
+            id->length = 0;
+          else if (current.length)
             *id = current;
         }
       else
-        parse_line (data + line, line_length, &current);
+        parse_line (data + line, line_length, &current, &too_long);
       line = i + 1;
     }
   return complete;
