A stream goes on only with a part of its kind, and ends only where that ends

Cause: each signed 200 counted as a part of the stream, and the end of each part as its end.

Change: a part must have the media type of the first one, if both state one. If only the connection tells the end of a part, and the caller is told the end in another way, the part counts as broken off.

--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -18,6 +18,9 @@
    one is cut off there.  */
 #define MS_REQUEST_ID_BYTES 80
 
+/* Size of a media type with its terminating NUL; a longer one is cut off.  */
+#define MS_MEDIA_TYPE_BYTES 64
+
 struct ms_request
 {
   struct ms_gateway *gw;
@@ -100,8 +103,11 @@
 
   /* The response to the caller.  */
   bool head_sent;
-  bool mid_event;  /* A part of a stream's event was passed on.  */
-  unsigned status; /* 0 until head_sent.  */
+  bool ends_by_closing; /* The end of its connection ends it.  */
+  bool mid_event;       /* A part of a stream's event was passed on.  */
+  char media_type[MS_MEDIA_TYPE_BYTES]; /* Of the endpoint's response that
+                                           began it; empty if not stated.  */
+  unsigned status;                      /* 0 until head_sent.  */
   uint64_t bytes_forwarded;
 
   /* Id of the last event passed on; empty if none had one.  A retry resumes
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -1,6 +1,7 @@
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/alloc.h"
 #include "base/event.h"
@@ -22,6 +23,35 @@
 /* While room is scarce, a whole response is held back only up to this size. */
 #define MAX_SCARCE_BYTES 16384
 
+/* Write the media type that HEAD states, without parameters, to TEXT.  */
+static void
+read_media_type (const struct ms_head *head, char text[MS_MEDIA_TYPE_BYTES])
+{
+  struct ms_str value = ms_head_find (head, "Content-Type");
+  size_t length = 0;
+
+  while (length < value.length && length < MS_MEDIA_TYPE_BYTES - 1
+         && value.data[length] != ';' && value.data[length] != ' ')
+    {
+      text[length] = value.data[length];
+      length++;
+    }
+  text[length] = '\0';
+}
+
+/* Whether HEAD may belong to a part of R's stream: its media type is that of
+   the first part, if both state one.  */
+static bool
+continues_stream (const struct ms_request *r, const struct ms_head *head)
+{
+  char type[MS_MEDIA_TYPE_BYTES];
+
+  if (!r->head_sent)
+    return true;
+  read_media_type (head, type);
+  return !*type || !*r->media_type || strcasecmp (type, r->media_type) == 0;
+}
+
 bool
 ms_request_response_head (struct ms_request *r, const struct ms_head *head)
 {
@@ -50,7 +80,7 @@
             || (ms_head_find (head, PLAT_SIGNATURE).data != NULL
                 && !ms_head_find (head, "Content-Encoding").data));
   r->stream_response = r->route.repeat == MS_STREAMING && head->status == 200
-                       && r->response_accepted;
+                       && r->response_accepted && continues_stream (r, head);
   return true;
 }
 
@@ -103,12 +133,16 @@
 static void
 send_head (struct ms_request *r)
 {
+  enum ms_framing framing;
+
   if (r->head_sent)
     return;
+  framing = choose_framing (r, r->response_head);
   r->head_sent = true;
   r->status = r->response_status;
-  ms_caller_start_response (r->caller, r->response_head,
-                            choose_framing (r, r->response_head),
+  r->ends_by_closing = framing == MS_FRAMED_CLOSE;
+  read_media_type (r->response_head, r->media_type);
+  ms_caller_start_response (r->caller, r->response_head, framing,
                             r->response_head->content_length);
 }
 
@@ -333,6 +367,17 @@
     ms_upstream_resume (r->upstream);
 }
 
+/* Whether the end of R's stream, which the caller is told, is not known: only
+   the endpoint's connection tells it, which a crash ends as well.  */
+static bool
+ends_unknown (const struct ms_request *r)
+{
+  const struct ms_head *head = r->response_head;
+
+  return r->stream_response && r->head_sent && !r->ends_by_closing
+         && !head->has_length && !head->chunked;
+}
+
 /* How the current attempt, whose response is complete, has ended.  */
 static enum ms_place_end
 response_end (const struct ms_request *r)
@@ -423,6 +468,11 @@
       ms_request_attempt_failed (r, "cut_event");
       return;
     }
+  if (ends_unknown (r))
+    {
+      ms_request_attempt_failed (r, "end_unknown");
+      return;
+    }
   if (fails_to_resume (r))
     {
       ms_request_attempt_failed (r, "resumed_failed");
--- a/tests/test_broken_stream.c
+++ b/tests/test_broken_stream.c
@@ -15,6 +15,7 @@
 
 #define MEMORY_MB 100
 #define DEADLINE_MS 5000
+#define ERROR_TEXT "no such stream\n\nat all\n\n"
 
 struct broken_test
 {
@@ -156,6 +157,47 @@
   fixture_destroy (t->f);
 }
 
+/* Other operators' callers found the next endpoint's error in their stream. */
+static void
+test_error_for_a_resumption_is_not_passed_on (void **state)
+{
+  static const unsigned statuses[]
+      = { 200, 204, 301, 400, 404, 408, 409, 421, 429, 500, 502, 503 };
+  static const char *const types[]
+      = { "application/json", "text/event-stream" };
+  static const char *const framings[]
+      = { "Content-Length: 24\r\n", "Transfer-Encoding: chunked\r\n",
+          "Connection: close\r\n" };
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof statuses / sizeof *statuses * 2 * 3 * 2; i++)
+    {
+      unsigned status = statuses[i / 12];
+      struct broken_test t;
+      const char *head = i / 6 % 2 ? open_head : chunked_head;
+      char text[512];
+      unsigned first;
+      int run;
+
+      /* 200 of this type is the rest of the stream.  */
+      if (status == 200 && i / 3 % 2)
+        continue;
+      run = begin (&t, head, &first);
+      run = resume (&t, run, first);
+      snprintf (text, sizeof text,
+                "HTTP/1.1 %u -\r\nX-Request-Attempt-Id: t\r\n"
+                "X-Response-Signature: s\r\nContent-Type: %s\r\n%s\r\n%s%s%s",
+                status, types[i / 3 % 2], framings[i % 3],
+                i % 3 == 1 ? "18\r\n" : "", status == 204 ? "" : ERROR_TEXT,
+                i % 3 == 1 ? "\r\n0\r\n\r\n" : "");
+      send_text (&t, run, text);
+      close (run);
+      expect_reset (&t);
+      end (&t);
+    }
+}
+
+/* The same when the resumption has begun before it fails.  */
 static void
 test_resumption_that_breaks_off_is_no_end (void **state)
 {
@@ -180,6 +222,25 @@
     }
 }
 
+/* The end of a connection, which a crash brings as well, ended a stream in
+   chunks whose last part had neither length nor chunks.  */
+static void
+test_end_of_a_connection_does_not_end_a_stream_in_chunks (void **state)
+{
+  struct broken_test t;
+  unsigned first;
+  int run = begin (&t, chunked_head, &first);
+
+  (void)state;
+  run = resume (&t, run, first);
+  send_text (&t, run, open_head);
+  send_event (&t, run, 2, false);
+  receive_until (&t, "id: 2\n");
+  close (run);
+  expect_reset (&t);
+  end (&t);
+}
+
 static void
 test_stream_that_is_resumed_ends_as_its_last_part_does (void **state)
 {
@@ -276,7 +337,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_error_for_a_resumption_is_not_passed_on),
     cmocka_unit_test (test_resumption_that_breaks_off_is_no_end),
+    cmocka_unit_test (
+        test_end_of_a_connection_does_not_end_a_stream_in_chunks),
     cmocka_unit_test (test_stream_that_is_resumed_ends_as_its_last_part_does),
     cmocka_unit_test (
         test_stream_is_not_resumed_within_or_behind_a_long_event),
