The product's own interface passes an endpoint's error on with its status

Cause: the content type alone decided whether a response is a stream, and a stream was given status 200.

Change: only a response with status 200 is a stream.

--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -25,6 +25,7 @@
   struct ms_call *call;
   const struct ms_inbound *inbound;
   struct ms_endpoint_response *response;
+  CURL *curl;
   bool is_stream;
   bool caller_write_failed;
   uint32_t event_count; /* Server-sent events forwarded so far.  */
@@ -157,19 +158,30 @@
   return length;
 }
 
-/* curl's write callback.  The content type shows whether the body is an event
-   stream; that of a buffered body is compared at each piece.  The caller of a
-   stream is sent status 200 whatever the endpoint's status is; forward_request
-   stores the endpoint's status at the end.  */
+/* Whether the response that TRANSFER receives is an event stream: that of an
+   error may have the same content type.  */
+static bool
+begins_stream (const struct transfer *transfer)
+{
+  long status = 0;
+
+  curl_easy_getinfo (transfer->curl, CURLINFO_RESPONSE_CODE, &status);
+  return status == 200
+         && strncasecmp (transfer->response->content_type, "text/event-stream",
+                         17)
+                == 0;
+}
+
+/* curl's write callback.  Whether the body is an event stream is checked at
+   each piece of one that is not; forward_request stores the endpoint's status
+   at the end.  */
 static size_t
 receive_body (char *data, size_t size, size_t count, void *context)
 {
   struct transfer *transfer = context;
 
   if (!transfer->response->code)
-    transfer->is_stream = strncasecmp (transfer->response->content_type,
-                                       "text/event-stream", 17)
-                          == 0;
+    transfer->is_stream = begins_stream (transfer);
   if (transfer->is_stream)
     {
       transfer->response->code = 200;
@@ -286,6 +298,7 @@
     abort ();
   snprintf (url, sizeof url, "http://%s%s", transfer->call->address,
             transfer->inbound->path);
+  transfer->curl = curl;
   set_options (curl, transfer, url, headers,
                (long)((transfer->call->start_by - now) / MS_MSEC) + 1);
   code = curl_easy_perform (curl);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -101,6 +101,10 @@
   verdict "a promise that a request which ran has not run is replaced ($status)" $?
 done
 
+[ "$(status_of -H 'Monsoonspur-Team: silo-01' -d "stream status=500" \
+  "$service/silo-mando/run")" = 500 ]
+verdict "an error in the type of event streams is passed on with its status" $?
+
 # The argument takes the availability zone salto out of service.
 "$BUILD/example-litoral" salto >"$DIR/out.yaml"
 generation=$(publish "$DIR/out.yaml" \
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -3,8 +3,9 @@
 
    POST /...   runs a request; "cost=N" in the body gives its cost units (10
                by default), "stream" asks for server-sent events, one per cost
-               unit, "status=N" for the status N after the run, and "crash"
-               ends the process
+               unit, "status=N" for the status N after the run, with
+               "stream" in the type of event streams, and "crash" ends the
+               process
    GET /load   the number of running requests, an id of this start of the
                process, and the number of requests refused for overload
    GET /ledger how often each body was run
@@ -97,12 +98,12 @@
 }
 
 static void
-answer_status (struct mg_connection *connection, long status)
+answer_status (struct mg_connection *connection, long status, bool is_stream)
 {
   mg_printf (connection,
-             "HTTP/1.1 %ld -\r\nContent-Length: 0\r\n"
-             "Connection: close\r\n\r\n",
-             status);
+             "HTTP/1.1 %ld -\r\nContent-Type: %s\r\nContent-Length: 12\r\n"
+             "Connection: close\r\n\r\ndata: none\n\n",
+             status, is_stream ? "text/event-stream" : "text/plain");
 }
 
 static void
@@ -165,7 +166,8 @@
   record_run (body);
   field = strstr (body, "status=");
   if (field)
-    answer_status (connection, strtol (field + 7, NULL, 10));
+    answer_status (connection, strtol (field + 7, NULL, 10),
+                   strstr (body, "stream") != NULL);
   else if (strstr (body, "stream"))
     answer_stream (connection, cost);
   else
