Routers that start in an outage ask endpoints whether they are cold as well

Cause: until a list was read, nothing was doubted, although reads had failed, so that the list which was read then, from before the endpoint became cold, was believed; and a router that does not know the number of routers yet, whose share is nothing, never asked.

Change: failed reads count before the first list, too, and without a number of routers any request to an endpoint is reason to ask.

--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -378,7 +378,7 @@
   ms_time stale_at = read_at + t->options.max_age;
 
   if (!ms_replica_loaded (t->replica))
-    return 0;
+    return suspected_at;
   if (suspected_at && read_at <= suspected_at
       && (suspected_at < stale_at || now < stale_at))
     return suspected_at;
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -61,8 +61,7 @@
 
 /* Since when it is doubted at NOW that the records are up to date, where the
    store is suspected to be away since SUSPECTED_AT (0: it is not): they are
-   stale, or no peer has relayed a later read.  0 if it is not, or there are no
-   records yet.  */
+   stale, or no peer has relayed a later read.  0 if it is not.  */
 ms_time ms_topic_doubted_since (const struct ms_topic *topic,
                                 ms_time suspected_at, ms_time now);
 
--- a/src/place/asks.c
+++ b/src/place/asks.c
@@ -31,9 +31,11 @@
   if (now < due)
     return false;
   recent = ms_cold_recent (e, now);
+  /* While the number of routers is not known, the share is nothing.  */
   if (!recent
-      || (double)recent * place->routers_count
-             <= ms_cold_bound (place, service->cold_rate))
+      || (place->routers_count
+          && (double)recent * place->routers_count
+                 <= ms_cold_bound (place, service->cold_rate)))
     return false;
   rank = ms_cold_rank (place, e);
   return now
--- a/tests/test_asks.c
+++ b/tests/test_asks.c
@@ -343,6 +343,24 @@
   destroy_world (w);
 }
 
+/* A router that has just started knows neither the others nor whether the
+   list, which it has just read, is from before an outage.  */
+static void
+test_router_that_knows_no_others_asks (void **state)
+{
+  static const struct fleet fleet = { 1, 1, 1, 10 };
+  struct world *w = create_world (&fleet, END, 1);
+
+  (void)state;
+  ms_place_set_routers (w->places[0], (const uint64_t[]){ 0 }, 0);
+  assert_false (
+      ms_place_asks (w->places[0], find_endpoint (w, 0, 0), MS_SEC, MS_SEC));
+  send_request (w, MS_SEC);
+  assert_true (
+      ms_place_asks (w->places[0], find_endpoint (w, 0, 0), MS_SEC, MS_SEC));
+  destroy_world (w);
+}
+
 int
 main (void)
 {
@@ -351,6 +369,7 @@
     cmocka_unit_test (test_few_pages_are_asked_in_fleets_of_any_size),
     cmocka_unit_test (test_endpoints_within_their_cold_limit_are_not_asked),
     cmocka_unit_test (test_another_router_asks_if_the_first_one_does_not),
+    cmocka_unit_test (test_router_that_knows_no_others_asks),
   };
 
   return RUN (tests);
