A request whose id was refused on a connection gets another one

Cause: the id alone tells the answers on a kept connection apart.

Change: a connection remembers the ids refused on it, up to sixteen, behind which it is closed, and is not used for a request with one of them. Read and found sound: copies on idle connections, cut at any byte before, beside or during the next request, and without an id; src/router, whose connections serve one request.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -256,7 +256,7 @@
       r->tried[r->tried_count++] = r->endpoint;
       ms_place_hold (r->endpoint);
     }
-  r->upstream = ms_upstream_open (gw, r->endpoint, r);
+  r->upstream = ms_upstream_open (gw, r->endpoint, r, ms_id (r->full_id));
   if (!r->upstream)
     {
       ms_request_end_attempt (r, MS_END_CANCELLED);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -25,6 +25,11 @@
 /* A connection attempt fails after this time.  */
 #define CONNECT_TIMEOUT (400 * MS_MSEC)
 
+/* Requests that were refused on a connection, by the hashes of their ids.  A
+   connection is closed behind the last of them: an endpoint may write a
+   refusal once more, which only the id tells from that of another request.  */
+#define MAX_REFUSED 16
+
 /* Most bytes of skipped responses that may precede the response to a
    request.  */
 #define MAX_SKIPPED_BYTES 65536
@@ -52,6 +57,9 @@
   bool complete;        /* The response was read to its end.  */
   bool skip; /* This response is 1xx or to another request: ignored.  */
   size_t skipped_bytes; /* Of such responses since the request was sent.  */
+  uint64_t id;          /* Hash of the request's id, once it was lent.  */
+  uint64_t refused[MAX_REFUSED];
+  unsigned refused_count;
   bool parsing; /* Within on_read or on_ended, which free it if closed.  */
   struct ms_upstream *prev, *next;
 };
@@ -209,6 +217,15 @@
     ms_place_note_load (u->endpoint, &report, u->gw->now);
 }
 
+/* The request that U is lent to was refused.  */
+static void
+note_refusal (struct ms_upstream *u)
+{
+  u->refused[u->refused_count++] = u->id;
+  if (u->refused_count == MAX_REFUSED)
+    u->keep_alive = false;
+}
+
 static void
 on_head (void *context, const struct ms_head *head)
 {
@@ -228,6 +245,8 @@
   u->idle_timeout = read_idle_timeout (head);
   if (u->request && !ms_request_response_head (u->request, head))
     u->skip = true;
+  else if (u->request && ms_status_promises_not_run (head->status))
+    note_refusal (u);
 }
 
 static void
@@ -367,8 +386,18 @@
   .drained = on_drained,
 };
 
+/* Whether a request whose id has the hash ID was refused on U.  */
+static bool
+has_refused (const struct ms_upstream *u, uint64_t id)
+{
+  for (unsigned i = 0; i < u->refused_count; i++)
+    if (u->refused[i] == id)
+      return true;
+  return false;
+}
+
 static struct ms_upstream *
-find_idle (struct pool *pool, ms_time now)
+find_idle (struct pool *pool, uint64_t id, ms_time now)
 {
   struct ms_upstream *u;
   struct ms_upstream *best = NULL;
@@ -377,7 +406,7 @@
      endpoint.  */
   DL_FOREACH (pool->connections, u)
   {
-    if (u->state == IDLE && u->expires_at > now
+    if (u->state == IDLE && u->expires_at > now && !has_refused (u, id)
         && (!best || u->expires_at > best->expires_at))
       best = u;
   }
@@ -409,10 +438,11 @@
 
 struct ms_upstream *
 ms_upstream_open (struct ms_gateway *gw, struct ms_endpoint_state *endpoint,
-                  struct ms_request *request)
+                  struct ms_request *request, uint64_t id)
 {
-  struct ms_upstream *u
-      = endpoint->attachment ? find_idle (get_pool (endpoint), gw->now) : NULL;
+  struct ms_upstream *u = endpoint->attachment
+                              ? find_idle (get_pool (endpoint), id, gw->now)
+                              : NULL;
 
   if (u)
     {
@@ -424,6 +454,7 @@
   if (!u)
     return NULL;
   u->request = request;
+  u->id = id;
   u->complete = false;
   u->keep_alive = false;
   u->skip = false;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -18,12 +18,14 @@
 };
 
 /* Return an idle or a new connection to ENDPOINT for REQUEST, or NULL if no
-   socket can be opened.  Unless ms_upstream_connected is true of it, either
-   ms_request_upstream_connected or ms_request_upstream_failed is called later,
-   never before this function returns.  */
+   socket can be opened.  ID is the hash of the request's id; an idle
+   connection on which a request with the same id was refused is not used, as
+   that refusal may come once more.  Unless ms_upstream_connected is true of
+   it, either ms_request_upstream_connected or ms_request_upstream_failed is
+   called later, never before this function returns.  */
 struct ms_upstream *ms_upstream_open (struct ms_gateway *gw,
                                       struct ms_endpoint_state *endpoint,
-                                      struct ms_request *request);
+                                      struct ms_request *request, uint64_t id);
 
 /* Whether a request can be sent on UPSTREAM now.  */
 bool ms_upstream_connected (const struct ms_upstream *upstream);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -105,6 +105,14 @@
   "$service/silo-mando/run")" = 500 ]
 verdict "an error in the type of event streams is passed on with its status" $?
 
+extra=0
+for i in 1 2 3 4 5 6 7 8; do
+  [ "$(status_of -H 'Monsoonspur-Team: silo-01' -d "plain extra $i" \
+    "$service/silo-mando/run")" = 200 ] && extra=$((extra + 1))
+done
+[ $extra -eq 8 ]
+verdict "a refusal that an endpoint writes behind an answer meets no other request" $?
+
 # The argument takes the availability zone salto out of service.
 "$BUILD/example-litoral" salto >"$DIR/out.yaml"
 generation=$(publish "$DIR/out.yaml" \
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -34,6 +34,10 @@
    its run.  */
 #define PROMISE_SHARE 16
 
+/* One stream in so many breaks off in its third event, and one is also
+   answered with an error when it is resumed.  */
+#define BREAK_SHARE 8
+
 /* One stream in so many has neither a length nor chunks.  */
 #define UNFRAMED_SHARE 3
 
@@ -64,6 +68,9 @@
   unsigned gateway; /* To which it was sent.  */
   bool harmful;     /* With a part that crashes endpoints.  */
   bool promised;    /* The endpoint answers 503 after the run.  */
+  bool stale;      /* It writes another request's refusal before the answer. */
+  bool breaks;     /* Its stream breaks off...  */
+  bool unresumed;  /* ...and is not resumed.  */
   bool unframed;   /* The end of the connection ends the endpoint's answer.  */
   bool broken_off; /* An endpoint may have ended while it ran this.  */
   bool second_key;
@@ -181,11 +188,15 @@
   fleet_gateway_url (gateway, url, sizeof url);
   length = (unsigned)strlen (url);
   if (r->route == ROUTE_EVENTS)
-    snprintf (url + length, sizeof url - length, "/events%s/stream?n=%u&ms=10",
-              r->unframed ? "/open" : "", events);
+    snprintf (url + length, sizeof url - length, "/events%s%s/%s?n=%u&ms=10",
+              r->unframed ? "/open" : "", r->unresumed ? "/limited" : "",
+              r->breaks ? "half" : "stream", events);
   else
     snprintf (url + length, sizeof url - length, "/%s/slow%s?ms=%d&q=%s",
-              route_names[r->route], r->promised ? "/promise" : "",
+              route_names[r->route],
+              r->promised ? "/promise"
+              : r->stale  ? "/stale"
+                          : "",
               r->route == ROUTE_MOVED ? MOVED_RUN_MS : RUN_MS, r->id);
   curl_easy_reset (curl);
   curl_easy_setopt (curl, CURLOPT_URL, url);
@@ -230,6 +241,13 @@
                     && c->requests_count % UNFRAMED_SHARE == 0;
       r->promised = (r->route == ROUTE_ONCE || r->route == ROUTE_ANY)
                     && c->requests_count % PROMISE_SHARE == 0;
+      r->stale = (r->route == ROUTE_ONCE || r->route == ROUTE_ANY)
+                 && c->requests_count % PROMISE_SHARE == PROMISE_SHARE / 2;
+      r->unresumed
+          = r->route == ROUTE_EVENTS && c->requests_count % BREAK_SHARE == 0;
+      r->breaks = r->unresumed
+                  || (r->route == ROUTE_EVENTS
+                      && c->requests_count % BREAK_SHARE == BREAK_SHARE / 2);
       r->gateway = c->gateway;
       r->second_key = ms_random_below (&c->random, 4) == 0;
       r->harmful = ms_random_below (&c->random, HARMFUL_SHARE) == 0
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -5,7 +5,7 @@
                by default), "stream" asks for server-sent events, one per cost
                unit, "status=N" for the status N after the run, with
                "stream" in the type of event streams, and "crash" ends the
-               process
+               process; "extra" writes a refusal behind the answer
    GET /load   the number of running requests, an id of this start of the
                process, and the number of requests refused for overload
    GET /ledger how often each body was run
@@ -135,8 +135,11 @@
   mg_printf (connection,
              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
              "Monsoonspur-Cost: %ld\r\nContent-Length: %d\r\n"
-             "Connection: close\r\n\r\n%s",
-             cost, length, text);
+             "Connection: %s\r\n\r\n%s",
+             cost, length, strstr (body, "extra") ? "keep-alive" : "close",
+             text);
+  if (strstr (body, "extra"))
+    mg_printf (connection, "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n");
 }
 
 static int
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -3,6 +3,7 @@
 
    /full       503 with X-Not-Executed, not run
    /promise    run, then 503 without X-Not-Executed
+   /stale      a refusal of another request before the answer
    /crash      run, then the connection closes without an answer
    /unsigned   200 without X-Response-Signature
    /unframed   an answer without Content-Length, ended by closing
@@ -462,6 +463,10 @@
     }
   body = standin_read_body (connection, MAX_BODY_BYTES);
   count = record_run (id);
+  if (strstr (path, "/stale"))
+    mg_printf (connection, "HTTP/1.1 503 -\r\nX-Request-Attempt-Id: other\r\n"
+                           "X-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n"
+                           "full");
   if (is_bad (path, kind, sizeof kind))
     {
       if (strcmp (kind, "fail") == 0)
