--- a/src/fleet/codec.c
+++ b/src/fleet/codec.c
@@ -6,23 +6,24 @@
 #include "base/alloc.h"
 
 /* Length of the end of a digest that routers of earlier versions do not send:
-   USED, LEVEL, KNOWN_FOR and fourteen empty lists.  */
-#define ADDED_BYTES 68
+   USED, LEVEL, KNOWN_FOR, DOUBTED and fourteen empty lists.  */
+#define ADDED_BYTES 72
 
-/* Length of an empty list.  */
+/* Length of an empty list, or of a number.  */
 #define EMPTY_LIST_BYTES 4
 
-/* Return the length of the empty lists at the end of DIGEST that are left out;
-   zeros stand for them when it is decoded.  So parts that are turned off add
+/* Return the length of what is empty or 0 at the end of DIGEST and left out;
+   zeros stand for it when it is decoded.  So parts that are turned off add
    nothing to digests.  */
 static unsigned
 unsent_bytes (const struct fleet_digest *digest)
 {
-  const unsigned lengths[]
-      = { digest->colds.colds_len, digest->returns.returns_len,
-          digest->zone_engines.zone_engines_len,
-          digest->engine_services.engine_services_len,
-          digest->engines.engines_len };
+  const unsigned lengths[] = { digest->doubted,
+                               digest->colds.colds_len,
+                               digest->returns.returns_len,
+                               digest->zone_engines.zone_engines_len,
+                               digest->engine_services.engine_services_len,
+                               digest->engines.engines_len };
   unsigned count = 0;
 
   while (count < sizeof lengths / sizeof *lengths && !lengths[count])
--- a/src/fleet/digest.h
+++ b/src/fleet/digest.h
@@ -350,6 +350,7 @@
 		u_int colds_len;
 		digest_cold *colds_val;
 	} colds;
+	u_int doubted;
 };
 typedef struct fleet_digest fleet_digest;
 
--- a/src/fleet/digest.x
+++ b/src/fleet/digest.x
@@ -294,4 +294,7 @@
   digest_zone_engines zone_engines<DIGEST_ZONES>;
   digest_return returns<DIGEST_RETURNS>;
   digest_cold colds<DIGEST_COLDS>;
+  unsigned int doubted; /* Milliseconds for which the sender has doubted, by its
+                           own reads, that its list of endpoints is up to date;
+                           0 if it does not.  */
 };
--- a/src/fleet/digest_xdr.c
+++ b/src/fleet/digest_xdr.c
@@ -773,6 +773,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
 			sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->doubted))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_digest_member (xdrs, &objp->self))
@@ -860,6 +862,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
 			sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->doubted))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -938,5 +942,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->colds.colds_val, (u_int *) &objp->colds.colds_len, DIGEST_COLDS,
 		sizeof (digest_cold), (xdrproc_t) xdr_digest_cold))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->doubted))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -199,9 +199,10 @@
    key which it lacks can be reported to callers as not existing.  */
 bool ms_gateway_config_recent (struct ms_gateway *gw, ms_time now);
 
-/* Since when it is doubted at NOW that the list of endpoints is up to date: it
-   is stale, or reads of the store are overdue or fail and no peer has relayed
-   a later read.  0 if it is not.  */
+/* Since when this router doubts at NOW that the list of endpoints is up to
+   date: its reads of the store are overdue or fail and no peer has relayed a
+   later read, or nothing has confirmed the list for too long.  0 if it does
+   not.  */
 ms_time ms_gateway_endpoints_doubted_since (const struct ms_gateway *gw,
                                             ms_time now);
 
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -24,6 +24,9 @@
 #define REWRITE_PERIODS 1.25
 #define SHORT_DOUBT (100 * MS_MSEC)
 
+/* How long a peer's doubt counts, so that lost digests do no harm.  */
+#define HEARD_TIME (500 * MS_MSEC)
+
 /* Limit on the body of a health page, which is not used.  */
 #define MAX_BODY_BYTES 16384
 
@@ -44,9 +47,12 @@
 {
   struct ms_gateway *gw;
   struct ask *asks;
-  ms_time doubted_since; /* The list, as far as this router knows, or until
-                            entries are written again; 0: it is not.  */
-  ms_time doubted_at;    /* The last tick in which it was.  */
+  ms_time own_since;     /* As of ms_health_doubted_since.  */
+  ms_time heard_since;   /* The same of a peer, */
+  ms_time heard_at;      /* and when it last said so.  */
+  ms_time doubted_since; /* By either, or until entries are written again; 0:
+                            the list is not doubted.  */
+  ms_time doubted_at;    /* The last tick in which it was by either.  */
 };
 
 struct ms_health *
@@ -165,16 +171,42 @@
                     CALL_TIMEOUT, on_answer, ask);
 }
 
+ms_time
+ms_health_doubted_since (const struct ms_health *health)
+{
+  return health ? health->own_since : 0;
+}
+
+void
+ms_health_note_doubt (struct ms_health *health, ms_time since)
+{
+  if (!health)
+    return;
+  health->heard_since = since;
+  health->heard_at = health->gw->now;
+}
+
 /* Update since when the list is doubted.  */
 static void
 update_doubt (struct ms_health *health, ms_time now)
 {
-  ms_time since = ms_gateway_endpoints_doubted_since (health->gw, now);
+  struct ms_gateway *gw = health->gw;
   ms_time rewrite = (ms_time)(REWRITE_PERIODS * MS_MSEC
-                              * health->gw->settings->endpoint_heartbeat_ms);
-
+                              * gw->settings->endpoint_heartbeat_ms);
+  ms_time read_at = ms_topic_read_at (gw->endpoint_topic);
+  ms_time since = ms_gateway_endpoints_doubted_since (gw, now);
+
+  health->own_since = since;
+  if (now - health->heard_at < HEARD_TIME && read_at <= health->heard_since
+      && (!since || health->heard_since < since))
+    since = health->heard_since;
   if (since)
     {
+      if (!health->doubted_since)
+        ms_event (
+            now, "endpoints_doubted", "since_ms=%lld list_ms=%lld own=%d",
+            (long long)((now - since) / MS_MSEC),
+            (long long)((now - read_at) / MS_MSEC), health->own_since != 0);
       health->doubted_since = since;
       health->doubted_at = now;
     }
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -9,6 +9,7 @@
 #include "base/address.h"
 #include "base/alloc.h"
 #include "base/event.h"
+#include "gateway/health.h"
 #include "gateway/members.h"
 #include "gateway/relay.h"
 #include "gateway/rollouts.h"
@@ -311,6 +312,9 @@
       merge_harm (p->gw, &digest);
       merge_returns (p->gw, &digest);
       merge_colds (p->gw, &digest);
+      if (digest.doubted)
+        ms_health_note_doubt (p->gw->health,
+                              p->gw->now - digest.doubted * MS_MSEC);
     }
   /* What began a stream stays true, so a notice of it needs no order.  */
   merge_streams (p->gw, &digest);
@@ -603,6 +607,7 @@
   static struct ms_rollout_list rollouts;
   static struct ms_engine_list engines;
   struct fleet_digest digest = { 0 };
+  ms_time since;
   bool zone_reader
       = ms_fleet_large (gw->fleet, now) && ms_fleet_sums_zone (gw->fleet, now);
   unsigned count
@@ -642,6 +647,9 @@
   digest.rollouts.rollouts_len = rollouts.count;
   digest.returns.returns_val = returns;
   digest.returns.returns_len = collect_returns (gw, returns, now);
+  since = ms_health_doubted_since (gw->health);
+  if (since)
+    digest.doubted = (unsigned)((now - since) / MS_MSEC) + 1;
   digest.colds.colds_val = colds;
   digest.colds.colds_len = collect_colds (gw, colds, now);
   if (digest.sequence % MS_ENGINE_DIGESTS == 0)
--- a/src/gateway/topic.c
+++ b/src/gateway/topic.c
@@ -375,7 +375,9 @@
                         ms_time now)
 {
   ms_time read_at = ms_replica_read_at (t->replica);
-  ms_time stale_at = read_at + t->options.max_age;
+  /* By then a router that depends on relays has read the store itself.  */
+  ms_time stale_at = read_at + t->options.max_age
+                     + t->options.wait_ms * MS_MSEC + OVERDUE_TIME;
 
   if (!ms_replica_loaded (t->replica))
     return suspected_at;
--- a/src/gateway/topic.h
+++ b/src/gateway/topic.h
@@ -60,8 +60,9 @@
 ms_time ms_topic_suspected_at (const struct ms_topic *topic);
 
 /* Since when it is doubted at NOW that the records are up to date, where the
-   store is suspected to be away since SUSPECTED_AT (0: it is not): they are
-   stale, or no peer has relayed a later read.  0 if it is not.  */
+   store is suspected to be away since SUSPECTED_AT (0: it is not): no peer has
+   relayed a later read, or neither peers nor the store have confirmed the
+   records for much longer than max_age.  0 if it is not.  */
 ms_time ms_topic_doubted_since (const struct ms_topic *topic,
                                 ms_time suspected_at, ms_time now);
 
