Lint of the new code and tests

Cause: make lint had not been run on them: memcpy without a terminator, loops with floating point counters.

Change: as the linter asks; the tests check the same.

--- a/src/base/json.c
+++ b/src/base/json.c
@@ -98,7 +98,8 @@
   json_t *rest;
 
   memcpy (copy, text.data, array.at);
-  memcpy (copy + array.at, "[]", 2);
+  copy[array.at] = '[';
+  copy[array.at + 1] = ']';
   memcpy (copy + array.at + 2, text.data + array.end, behind);
   rest = json_loadb (copy, array.at + 2 + behind, JSON_ALLOW_NUL, NULL);
   free (copy);
--- a/tests/test_broken_stream.c
+++ b/tests/test_broken_stream.c
@@ -131,6 +131,15 @@
   return run;
 }
 
+/* Fill PART with the begin of an event of SIZE bytes and more.  */
+static void
+fill_event (char *part, size_t size)
+{
+  int length = snprintf (part, size, "id: 2\ndata: ");
+
+  memset (part + length, 'x', size - (size_t)length);
+}
+
 /* The caller's connection ends by a reset, without the end of the stream and
    without anything of an error.  */
 static void
@@ -273,8 +282,7 @@
       unsigned first;
       int run = begin (&t, open_head, &first);
 
-      memset (part, 'x', sizeof part);
-      memcpy (part, "id: 2\ndata: ", 12);
+      fill_event (part, sizeof part);
       fixture_send (t.f, run, part, sizeof part);
       receive_all (&t, 'x');
       if (i)
@@ -300,8 +308,7 @@
   int run = begin (&t, open_head, &first);
 
   (void)state;
-  memset (part, 'x', sizeof part);
-  memcpy (part, "id: 2\ndata: ", 12);
+  fill_event (part, sizeof part);
   fixture_send (t.f, run, part, sizeof part);
   run = resume (&t, run, first);
   send_text (&t, run, chunked_head);
@@ -322,9 +329,7 @@
   char event[256];
 
   (void)state;
-  memset (event, '7', sizeof event);
-  memcpy (event, "id: ", 4);
-  memcpy (event + 100, "\ndata: q\n\n", 11);
+  snprintf (event, sizeof event, "id: %0100d\ndata: q\n\n", 7);
   send_text (&t, run, event);
   receive_until (&t, "data: q\n\n");
   break_off (run);
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -18,7 +18,7 @@
 #define BOUND 29 /* Requests in a second.  */
 
 #define RUN_TIME (4 * MS_SEC)
-#define REQUESTS_PER_MS 0.6 /* That all routers have for the endpoint.  */
+#define REQUESTS_PER_S 600 /* That all routers have for the endpoint.  */
 #define ANSWER_TIME (50 * MS_MSEC)
 #define MAX_CONNECT_TIME (400 * MS_MSEC)
 #define MAX_REQUESTS 8192
@@ -173,11 +173,11 @@
 static void
 play (struct world *w, ms_time from, ms_time until)
 {
-  double due = 0;
+  unsigned placed = 0;
 
   for (ms_time now = from; now < until; now += MS_MSEC)
     {
-      for (due += REQUESTS_PER_MS; due >= 1; due--)
+      for (; placed * MS_SEC < (now - from) * REQUESTS_PER_S; placed++)
         place_request (w, now);
       for (unsigned i = 0; i < w->requests_count; i++)
         advance_request (w, &w->requests[i], now);
--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -6,7 +6,7 @@
 #include "base/alloc.h"
 #include "base/json.h"
 
-#define DEPTH 100000
+#define DEPTH ((size_t)100000)
 
 struct taken
 {
