An entry whose key is no name is not an endpoint

And an entry that is sound but for its key was used as an endpoint, which answers 421 or does not answer.

Evidence: gateway.sh with ten such entries, a record a page, and a restart of all gateways.

The stand-in of the store has pages.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -51,6 +51,22 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
+bool
+ms_is_name (struct ms_str text)
+{
+  if (!text.length || text.length >= MS_NAME_BYTES)
+    return false;
+  for (size_t i = 0; i < text.length; i++)
+    {
+      char c = text.data[i];
+
+      if (!(c >= 'a' && c <= 'z') && !(c >= 'A' && c <= 'Z')
+          && !(c >= '0' && c <= '9') && (!c || !strchr ("-._~", c)))
+        return false;
+    }
+  return true;
+}
+
 struct ms_name
 ms_name (const char *text)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -42,4 +42,9 @@
 /* Copy TEXT, cut after MS_NAME_BYTES - 1 bytes.  */
 struct ms_name ms_name (const char *text);
 
+/* Whether TEXT can name an instance or a router: 1 to MS_NAME_BYTES - 1 of the
+   unreserved characters of RFC 3986, which are letters, digits and "-._~".
+   These mean the same in a URL, a header field and a log line.  */
+bool ms_is_name (struct ms_str text);
+
 #endif
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -468,6 +468,37 @@
   && serves 1
 verdict "an unreadable endpoint entry is skipped and logged" $?
 
+# Entries of another writer, sound but for their names, which are encoded here.
+# Each is the last of a page for gateways that start while they stand.
+store_page 1
+for name in f%26a f%2Ba f%23a f%25a f%20a f%3Da f%3Fa f%2Fa f%0Aa f%C3%A9; do
+  store_put keyed.servers $name "$(engine_entry 0 ready)"
+done
+for n in 1 2 3; do
+  stop gateway$n KILL
+done
+for n in 1 2 3; do
+  start_gateway $n
+done
+for n in 1 2 3; do
+  await 20 ready $n
+done
+served=0
+for i in $(seq 30); do
+  serves $((i % 3 + 1)) && served=$((served + 1))
+done
+is $served 30
+verdict "requests are served after a restart beside entries with odd names" $?
+store_page 500
+# lists NUMBER GATEWAY: whether the gateway has this number of endpoints.
+lists ()
+{
+  get "http://$(ip $2):$((BASE + 4))/metrics" \
+    | grep -q "^monsoonspur_endpoints_listed $1$"
+}
+lists 2 1 && lists 2 2 && lists 2 3
+verdict "an entry whose key is no name is not used as an endpoint" $?
+
 # all_run_on NUMBER: whether six requests in a row all run on this endpoint.
 all_run_on ()
 {
@@ -715,6 +746,8 @@
 start_gateway 3 $((BASE + 9))
 await 10 ready 3
 verdict "a gateway without access to the store is ready through its peers" $?
+lists 2 3
+verdict "an entry whose key is no name is not used by relays either" $?
 publish_config 5 '"k1", "k4"'
 relayed () { request 3 /any/x; is "$status" 200; }
 KEY=k4
--- a/tests/gateways.sh
+++ b/tests/gateways.sh
@@ -14,6 +14,9 @@
 # The calls that control the stand-in, such as that of store_put, always work.
 store_mode () { get -X PUT "$(store_url)/mode?to=$1" >/dev/null; }
 
+# store_page ITEMS: the most records of a page of newest records.
+store_page () { get -X PUT "$(store_url)/page?items=$1" >/dev/null; }
+
 copy_store () { get -X PUT "$(store_url)/copy" >/dev/null; }
 restore_store () { get -X PUT "$(store_url)/restore?empty=${1:-}" >/dev/null; }
 
@@ -28,16 +31,19 @@
   list_engine "$1" ready
 }
 
-# list_engine NUMBER STATE [ZONE] [SERVICE]: write an endpoint's entry on the
-# store's list; BORN, if set, is the time of its start, VERSION the version of
-# its software.
-list_engine ()
+# engine_entry NUMBER STATE [ZONE] [SERVICE]: print an endpoint's entry; BORN, if
+# set, is the time of its start, VERSION the version of its software.
+engine_entry ()
 {
-  store_put keyed.servers "e$1" "{\"service\":\"${4:-app}\",\
+  echo "{\"service\":\"${4:-app}\",\
 \"address\":\"$(engine_address "$1")\",\"zone\":\"${3:-a}\",\"slots\":8,\
 \"state\":\"$2\",\"cold_remaining_ms\":0,\"sequence\":1${BORN:+,\"born\":$BORN}${VERSION:+,\"version\":\"$VERSION\"}}"
 }
 
+# list_engine NUMBER ...: write an endpoint's entry, as engine_entry prints it, on
+# the store's list.
+list_engine () { store_put keyed.servers "e$1" "$(engine_entry "$@")"; }
+
 # route NAME KIND TIMEOUT_MS SERVICE ATTEMPTS PUBLIC RESUMABLE: print the JSON
 # of a route for the paths below /NAME/.
 route ()
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -21,6 +21,7 @@
 #define ENGINE_PORT 20
 #define ENGINE_LINK_PORT 35
 #define STORE_LINK_PORT 50
+#define ODD_PORT 55 /* Named by an entry whose key is no name.  */
 #define PORTS_USED 60
 
 #define MAX_START_POLLS 200 /* START_POLL_MS apart.  */
@@ -38,6 +39,7 @@
 
 static struct fleet_options options;
 static struct process store;
+static int odd_listener;
 static struct process gateways[GATEWAYS];
 static long long gateway_starts[GATEWAYS];
 /* What the store's list says of an engine, or nothing.  */
@@ -174,9 +176,12 @@
   return status;
 }
 
+/* The list of endpoints has several pages.  */
+#define PAGE_ITEMS 4
+
 /* Kinds of odd entries in the list of endpoints, and how deeply one of them is
    nested.  */
-#define ODD_ENTRIES 5
+#define ODD_ENTRIES 6
 #define ODD_DEPTH 30000
 
 /* Send BODY to the store by PUT, to the path that FORMAT gives.  */
@@ -483,7 +488,11 @@
     case 3:
       snprintf (entry, sizeof entry, "\xff%u", n);
       break;
-    default: /* The entry is removed.  */
+    case 4:
+      snprintf (entry, sizeof entry, "{%s,\"address\":\"127.0.0.1:%u\"}",
+                fields, options.base + ODD_PORT);
+      break;
+    default: /* An entry is removed.  */
       break;
     }
   put_store (entry, "put?topic=keyed.servers&key=odd%%20%%26%%0A%u",
@@ -744,6 +753,39 @@
   return base;
 }
 
+static void
+listen_at_odd_address (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((uint16_t)(options.base + ODD_PORT));
+  odd_listener
+      = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (odd_listener < 0
+      || bind (odd_listener, (struct sockaddr *)&address, sizeof address)
+      || listen (odd_listener, 64))
+    err (EXIT_FAILURE, "port %u", options.base + ODD_PORT);
+}
+
+unsigned
+fleet_count_misled (void)
+{
+  unsigned count = 0;
+  int fd;
+
+  while ((fd = accept (odd_listener, NULL, NULL)) >= 0)
+    {
+      close (fd);
+      count++;
+    }
+  if (count)
+    printf ("ODD: %u connections to the address of an entry whose key is no "
+            "name\n",
+            count);
+  return count;
+}
+
 void
 fleet_start (const struct fleet_options *start_options)
 {
@@ -765,6 +807,8 @@
         errx (EXIT_FAILURE, "the store does not start");
       pause_ms (START_POLL_MS);
     }
+  put_store ("", "page?items=%u", PAGE_ITEMS);
+  listen_at_odd_address ();
   fleet_publish_config (true);
   for (unsigned i = 0; i < ALL_ENGINES; i++)
     {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -106,6 +106,9 @@
 #define HEARTBEAT_STEP_MS 100
 void fleet_heartbeat (void);
 
+/* Count the connections so far to the address of an odd entry.  */
+unsigned fleet_count_misled (void);
+
 /* Start the engines of PAIR (0 or 1) as ones of VERSION, which answer badly as
    the query BAD of PUT /bad says.  */
 void fleet_start_pair (unsigned pair, unsigned version, const char *bad);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -586,6 +586,7 @@
   breaches += callers_check (in_touch, is_running);
   breaches += rollouts_check (in_touch);
   breaches += gone_check (is_running);
+  breaches += fleet_count_misled () > 0;
   callers_print_counts ();
   fleet_stop ();
   printf ("seed %llu: %u breaches\n", (unsigned long long)a.seed, breaches);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -4,8 +4,9 @@
    GET  /log-read?topic=T&from=N&wait_ms=M
                records of T from offset N on, in binary; waits up to M ms for
                one; 410 if the record at N was dropped or is beyond the end
-   GET  /log-newest?topic=T
-               the newest value of each key of T, in JSON
+   GET  /log-newest?topic=T&after=K
+               the newest value of each key of T behind K, in JSON, in pages
+               in the order of the keys
    POST /log-append?topic=T&at=N
                appends the records of the body, each behind its length in
                4 bytes; with at, only if T ends at offset N, else 412
@@ -17,6 +18,8 @@
 
    PUT  /put?topic=T&key=K
                the body becomes K's value; an empty one removes K
+   PUT  /page?items=N
+               a page of /log-newest has at most N records; 500 at first
    PUT  /mode?to=up|down
                down: the store's own calls, /log-read, /log-newest and
                /log-append, get 503 until the store is up again
@@ -66,6 +69,7 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static bool is_down;
 static unsigned era = 1;
+static unsigned page_items = 500;
 
 /* The topic NAME, created if need be, or the first one if there are too many.
    The caller holds topics_lock.  */
@@ -243,29 +247,67 @@
   return item;
 }
 
+/* Order records by their keys.  */
+static int
+compare_records (const void *a, const void *b)
+{
+  const struct record *x = *(struct record *const *)a;
+  const struct record *y = *(struct record *const *)b;
+  size_t x_length = key_length (x);
+  size_t y_length = key_length (y);
+  int order = memcmp (x->data + 1, y->data + 1,
+                      x_length < y_length ? x_length : y_length);
+
+  return order ? order : (int)x_length - (int)y_length;
+}
+
+/* The page of the newest records of T whose keys are behind AFTER, a record
+   without a value.  The caller holds topics_lock.  */
+static json_t *
+make_page (const struct topic *t, const struct record *after)
+{
+  struct record **found = ms_new_array (t->end + 1, sizeof *found);
+  json_t *items = json_array ();
+  size_t count = 0;
+
+  for (unsigned long i = 0; i < t->end; i++)
+    if (t->records[i].length > 1 + key_length (&t->records[i])
+        && !is_superseded (t, i))
+      {
+        found[count] = &t->records[i];
+        if (compare_records (&found[count], &after) > 0)
+          count++;
+      }
+  qsort (found, count, sizeof *found, compare_records);
+  for (size_t i = 0; i < count && i < page_items; i++)
+    json_array_append_new (
+        items, make_item (found[i], (unsigned long)(found[i] - t->records)));
+  free (found);
+  return json_pack ("{s:o, s:b, s:I}", "items", items, "truncated",
+                    count > page_items, "end", (json_int_t)t->end);
+}
+
 static int
 handle_log_newest (struct mg_connection *connection, void *context)
 {
   char name[64];
-  struct topic *t;
-  json_t *items = json_array ();
+  char after[257] = "";
+  struct record last = { after, 1 };
+  json_t *page;
   char *text;
   int result;
 
   (void)context;
   query_value (connection, "topic", name, sizeof name);
+  query_value (connection, "after", after + 1, sizeof after - 1);
+  after[0] = (char)strlen (after + 1);
   pthread_mutex_lock (&topics_lock);
-  t = find_topic (name);
-  for (unsigned long i = 0; i < t->end; i++)
-    if (t->records[i].length > 1 + key_length (&t->records[i])
-        && !is_superseded (t, i))
-      json_array_append_new (items, make_item (&t->records[i], i));
-  text = json_dumps (json_pack ("{s:o, s:b, s:I}", "items", items, "truncated",
-                                0, "end", (json_int_t)t->end),
-                     JSON_COMPACT);
+  page = make_page (find_topic (name), &last);
+  text = json_dumps (page, JSON_COMPACT);
   result = is_down ? send_response (connection, 503, "", 0)
                    : send_response (connection, 200, text, strlen (text));
   pthread_mutex_unlock (&topics_lock);
+  json_decref (page);
   free (text);
   return result;
 }
@@ -346,6 +388,19 @@
   return send_response (connection, 200, "", 0);
 }
 
+static int
+handle_page (struct mg_connection *connection, void *context)
+{
+  char items[16];
+
+  (void)context;
+  query_value (connection, "items", items, sizeof items);
+  pthread_mutex_lock (&topics_lock);
+  page_items = (unsigned)strtoul (items, NULL, 10);
+  pthread_mutex_unlock (&topics_lock);
+  return send_response (connection, 200, "", 0);
+}
+
 static int
 handle_forget (struct mg_connection *connection, void *context)
 {
@@ -420,6 +475,7 @@
     { "/log-append$", handle_log_append },
     { "/put$", handle_put },
     { "/mode$", handle_mode },
+    { "/page$", handle_page },
     { "/forget$", handle_forget },
     { "/copy$", handle_copy },
     { "/restore$", handle_restore },
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -185,6 +185,37 @@
   assert_int_equal (decode ("[]", &entry), MS_INVALID);
 }
 
+/* A sound record under a key that is no name was used as an endpoint.  */
+static void
+test_rejects_endpoints_whose_key_is_no_name (void **state)
+{
+  static const char *const odd[]
+      = { "",    "a&b", "a+b",  "a#b",   "a%b",      "a b", "a=b",
+          "a?b", "a/b", "a\nb", "a\x7f", "\xc3\xa9", "a:b", "a,b" };
+  char long_name[MS_NAME_BYTES + 1] = "";
+  struct ms_endpoint_entry entry;
+
+  (void)state;
+  memset (long_name, 'a', MS_NAME_BYTES);
+  for (unsigned i = 0; i < sizeof odd / sizeof *odd; i++)
+    assert_int_equal (plat_decode_endpoint (ms_str (odd[i]),
+                                            ms_str (ENTRY ("ready", "")),
+                                            &entry),
+                      MS_INVALID);
+  assert_int_equal (plat_decode_endpoint (ms_str (long_name),
+                                          ms_str (ENTRY ("ready", "")),
+                                          &entry),
+                    MS_INVALID);
+  assert_int_equal (plat_decode_endpoint (ms_str (long_name + 1),
+                                          ms_str (ENTRY ("ready", "")),
+                                          &entry),
+                    MS_OK);
+  assert_int_equal (plat_decode_endpoint (ms_str ("i-7_F.a~"),
+                                          ms_str (ENTRY ("ready", "")),
+                                          &entry),
+                    MS_OK);
+}
+
 struct received
 {
   char keys[4][16];
@@ -791,6 +822,7 @@
     cmocka_unit_test (test_rejects_invalid_configuration),
     cmocka_unit_test (test_decodes_endpoint),
     cmocka_unit_test (test_rejects_invalid_endpoints),
+    cmocka_unit_test (test_rejects_endpoints_whose_key_is_no_name),
     cmocka_unit_test (test_decodes_changes),
     cmocka_unit_test (test_decodes_newest_records),
     cmocka_unit_test (test_odd_items_do_not_hide_the_others),
