A record of the routers' topic counts only under a key of ours

Cause: identifiers in keys were read up to the first character that is no digit: "part/abc x" was the part abc, "part/x" the part 0; any other key named a router, whose record was removed once it was silent.

Change: member_record.c decodes these records without a network, the whole key or nothing, and routers by ms_is_name. Settings whose own name is none are refused, as other routers would ignore it.

--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,8 @@
 GATEWAY_TESTS = $(BUILD)/test_listen $(BUILD)/test_gone $(BUILD)/test_peers \
 	$(BUILD)/test_socket $(BUILD)/test_room $(BUILD)/test_framing \
 	$(BUILD)/test_leave $(BUILD)/test_resume $(BUILD)/test_promise \
-	$(BUILD)/test_broken_stream $(BUILD)/test_refusal
+	$(BUILD)/test_broken_stream $(BUILD)/test_refusal \
+	$(BUILD)/test_member_record
 
 $(GATEWAY_TESTS): $(BUILD)/test_%: $(BUILD)/tests/test_%.o \
 	$(BUILD)/tests/support/gateway_fixture.o $(GATEWAY_PARTS) $(CORE)
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -1,6 +1,5 @@
 #include "gateway/members.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,23 +8,13 @@
 #include "base/alloc.h"
 #include "base/event.h"
 #include "gateway/exchange.h"
+#include "gateway/member_record.h"
 
 /* Time between two reads of the members: for routers that read the store's
    topics themselves, and for those that get them relayed.  */
 #define READ_PERIOD (10 * MS_SEC)
 #define READ_PERIOD_RELAYED (60 * MS_SEC)
 
-/* The topic also has the parts of prompts that are under trial or in
-   quarantine, under this and their identifier.  */
-#define PART_PREFIX "part/"
-
-/* And the versions of the endpoints' software, under this, the hash of the
-   service and that of the version.  */
-#define VERSION_PREFIX "version/"
-
-/* A record of a part with more deaths is not valid.  */
-#define MAX_PART_DEATHS 1000
-
 /* Delay after a failed call, and time limit of a call.  */
 #define RETRY_DELAY (500 * MS_MSEC)
 #define CALL_TIMEOUT (1500 * MS_MSEC)
@@ -64,38 +53,21 @@
   memcpy (m->gone.data, name.data, name.length);
 }
 
-static bool
-has_prefix (struct ms_str text, const char *prefix)
-{
-  size_t length = strlen (prefix);
-
-  return text.length > length && memcmp (text.data, prefix, length) == 0;
-}
-
-/* Learn from the store that the part of prompts that KEY names is under trial
-   or in quarantine, or have the record removed if it no longer is.  */
+/* Learn from the store that a part of prompts is under trial or in quarantine,
+   or have its record removed if it no longer is.  */
 static void
-learn_part (struct ms_members *m, struct ms_str key, const json_t *value)
+learn_part (struct ms_members *m, struct ms_str key,
+            const struct ms_member_record *record)
 {
-  const json_t *at = json_object_get (value, "at");
-  json_int_t deaths = json_integer_value (json_object_get (value, "deaths"));
-  struct ms_part_report report = { 0 };
-  char text[MS_NAME_BYTES];
+  struct ms_part_report report
+      = { .part = record->part, .deaths = record->deaths };
   int64_t now_ms = ms_gateway_unix_us () / 1000;
-  int64_t at_ms = json_integer_value (at);
 
-  if (key.length >= sizeof text || !json_is_integer (at) || deaths <= 0
-      || deaths > MAX_PART_DEATHS)
-    return;
-  snprintf (text, sizeof text, "%.*s", (int)key.length, key.data);
-  report.part = strtoull (text + strlen (PART_PREFIX), NULL, 16);
-  report.deaths = (unsigned)deaths;
   /* Clocks may differ.  */
-  report.age = 0;
-  if (at_ms < now_ms - MS_PART_QUARANTINE_TIME / MS_MSEC)
+  if (record->at_ms < now_ms - MS_PART_QUARANTINE_TIME / MS_MSEC)
     report.age = MS_PART_QUARANTINE_TIME + 1;
-  else if (at_ms < now_ms)
-    report.age = (now_ms - at_ms) * MS_MSEC;
+  else if (record->at_ms < now_ms)
+    report.age = (now_ms - record->at_ms) * MS_MSEC;
   if (report.age > MS_PART_QUARANTINE_TIME
       || ms_part_guard_is_cleared (m->gw->part_guard, &report, m->gw->now))
     {
@@ -106,56 +78,53 @@
   ms_part_guard_set_stored (m->gw->part_guard, &report);
 }
 
-/* Learn from the store of the version that KEY names, or have its record
-   removed if it has left.  */
+/* Learn from the store of a version, or have its record removed if it has
+   left.  */
 static void
-learn_version (struct ms_members *m, struct ms_str key)
+learn_version (struct ms_members *m, struct ms_str key,
+               const struct ms_member_record *record)
 {
-  char text[MS_NAME_BYTES];
-  char *end;
-  uint64_t service;
-  uint32_t version;
-
-  if (key.length >= sizeof text)
-    return;
-  snprintf (text, sizeof text, "%.*s", (int)key.length, key.data);
-  service = strtoull (text + strlen (VERSION_PREFIX), &end, 16);
-  if (*end != '/')
-    return;
-  version = (uint32_t)strtoul (end + 1, NULL, 16);
   m->versions_found = true;
-  if (ms_streams_note_stored (m->gw->streams, service, version, m->gw->now))
+  if (ms_streams_note_stored (m->gw->streams, record->service, record->version,
+                              m->gw->now))
     set_gone (m, key);
 }
 
+/* Learn from the store of a router, or have its record removed if it is
+   gone.  */
+static void
+learn_router (struct ms_members *m, struct ms_str name,
+              const struct ms_member_record *record)
+{
+  uint64_t id = ms_id (name);
+
+  ms_fleet_learn (m->gw->fleet, id, record->incarnation, record->zone,
+                  record->address, m->gw->now);
+  if (ms_fleet_is_gone (m->gw->fleet, id, record->incarnation, m->gw->now))
+    set_gone (m, name);
+}
+
 static void
 learn_member (void *context, const struct plat_record *record)
 {
   struct ms_members *m = context;
-  json_t *value
-      = json_loadb (record->value.data, record->value.length, 0, NULL);
-  const char *ip = json_string_value (json_object_get (value, "ip"));
-  const char *zone = json_string_value (json_object_get (value, "zone"));
-  const json_t *incarnation = json_object_get (value, "incarnation");
-  struct in_addr address;
-
-  if (has_prefix (record->key, PART_PREFIX))
-    learn_part (m, record->key, value);
-  else if (has_prefix (record->key, VERSION_PREFIX))
-    learn_version (m, record->key);
-  else if (ip && zone && json_is_integer (incarnation)
-           && inet_pton (AF_INET, ip, &address) == 1)
+  struct ms_member_record decoded
+      = ms_member_record_decode (record->key, record->value);
+
+  switch (decoded.kind)
     {
-      uint64_t id = ms_id (record->key);
-      uint64_t started = (uint64_t)json_integer_value (incarnation);
-
-      ms_fleet_learn (m->gw->fleet, id, started, ms_id (ms_str (zone)),
-                      address, m->gw->now);
-      if (record->key.length < MS_NAME_BYTES
-          && ms_fleet_is_gone (m->gw->fleet, id, started, m->gw->now))
-        set_gone (m, record->key);
+    case MS_MEMBER_ROUTER:
+      learn_router (m, record->key, &decoded);
+      break;
+    case MS_MEMBER_PART:
+      learn_part (m, record->key, &decoded);
+      break;
+    case MS_MEMBER_VERSION:
+      learn_version (m, record->key, &decoded);
+      break;
+    case MS_MEMBER_NONE:
+      break;
     }
-  json_decref (value);
 }
 
 static void
@@ -265,7 +234,7 @@
   size_t length;
 
   m->part = *report;
-  snprintf (key, sizeof key, PART_PREFIX "%llx",
+  snprintf (key, sizeof key, MS_MEMBER_PART_PREFIX "%llx",
             (unsigned long long)report->part);
   snprintf (value, sizeof value, "{\"deaths\":%u,\"at\":%lld}", report->deaths,
             (long long)((ms_gateway_unix_us () - report->age) / 1000));
@@ -301,7 +270,7 @@
   char key[64];
   size_t length;
 
-  snprintf (key, sizeof key, VERSION_PREFIX "%llx/%x",
+  snprintf (key, sizeof key, MS_MEMBER_VERSION_PREFIX "%llx/%x",
             (unsigned long long)m->version.service, m->version.version);
   length = plat_encode_record (m->record, sizeof m->record, ms_str (key),
                                ms_str ("{}"));
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -172,6 +172,9 @@
                     { "store_address", s->store_address } };
   enum ms_status status = MS_OK;
 
+  if (!ms_is_name (ms_str (s->name)))
+    return ms_fail (MS_INVALID, "%s: line %u: name: \"%s\" is not a name",
+                    path, ms_yaml_key_line (text, "name"), s->name);
   for (size_t i = 0; status == MS_OK && i < 5; i++)
     status
         = check_address (text, path, addresses[i].field, addresses[i].value);
--- a/tests/gateway.sh
+++ b/tests/gateway.sh
@@ -26,6 +26,12 @@
 is $? 1 && grep -q 'wrong.yaml: line 5: caller_address: "nowhere"' \
   "$DIR/message"
 verdict "--check names file, line and field of an invalid address" $?
+sed 's/^name: .*/name: "g 1"/' "$here/settings.yaml" >"$DIR/wrong.yaml"
+"$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
+  2>"$DIR/message"
+is $? 1 && grep -q 'wrong.yaml: line 1: name: "g 1" is not a name' \
+  "$DIR/message"
+verdict "--check names file, line and field of an invalid name" $?
 sed 's/^retry_window_s: .*/retry_window_s: 0/' "$here/settings.yaml" \
   >"$DIR/wrong.yaml"
 "$BUILD/monsoonspur-gateway" --check --settings="$DIR/wrong.yaml" \
@@ -474,6 +480,9 @@
 for name in f%26a f%2Ba f%23a f%25a f%20a f%3Da f%3Fa f%2Fa f%0Aa f%C3%A9; do
   store_put keyed.servers $name "$(engine_entry 0 ready)"
 done
+for name in part/abc%20x part/abd; do
+  store_put keyed.monsoonspur $name "{\"deaths\":9,\"at\":$(date +%s)000}"
+done
 for n in 1 2 3; do
   stop gateway$n KILL
 done
@@ -498,6 +507,10 @@
 }
 lists 2 1 && lists 2 2 && lists 2 3
 verdict "an entry whose key is no name is not used as an endpoint" $?
+await 5 grep -q 'event=part_quarantined part=abd ' "$DIR/gateway1.log" \
+  && ! grep -q ' part=abc ' "$DIR/gateway1.log"
+verdict "a record whose key is no part puts no part into quarantine" $?
+store_put keyed.monsoonspur part/abc%20x ''
 
 # all_run_on NUMBER: whether six requests in a row all run on this endpoint.
 all_run_on ()
