--- a/src/backing/http_list.c
+++ b/src/backing/http_list.c
@@ -27,6 +27,16 @@
   return value ? value : "";
 }
 
+/* Whether the string KEY of OBJECT is a name.  */
+static bool
+has_name (const json_t *object, const char *key)
+{
+  const json_t *value = json_object_get (object, key);
+
+  return ms_is_name ((struct ms_str){ json_string_value (value),
+                                      json_string_length (value) });
+}
+
 /* Whether ADDRESS is HOST:PORT.  */
 static bool
 is_address (const char *address)
@@ -50,7 +60,7 @@
   struct decoded *d = context;
   struct ms_endpoint *endpoint;
 
-  if (!*string_field (item, "name") || !*string_field (item, "service")
+  if (!has_name (item, "name") || !*string_field (item, "service")
       || !is_address (string_field (item, "address")))
     return;
   if (d->count == d->space)
--- a/src/member/record.c
+++ b/src/member/record.c
@@ -72,6 +72,14 @@
   return strtoull (get_text (object, key), NULL, 16);
 }
 
+/* Whether KIND names a router.  */
+static bool
+names_router (enum ms_record_kind kind)
+{
+  return kind == MS_RECORD_JOIN || kind == MS_RECORD_LEAVE
+         || kind == MS_RECORD_EXPIRE;
+}
+
 static void
 copy_address (char *out, const char *text)
 {
@@ -82,6 +90,7 @@
 read_fields (struct ms_record *record, const json_t *object)
 {
   const char *kind = get_text (object, "kind");
+  const json_t *node = json_object_get (object, "node");
   json_t *text = json_object_get (object, "text");
   size_t k = 0;
 
@@ -90,6 +99,11 @@
   if (k == KINDS_COUNT)
     return ms_fail (MS_INVALID, "record kind \"%s\" is not known", kind);
   record->kind = (enum ms_record_kind)k;
+  if (names_router (record->kind)
+      && !ms_is_name ((struct ms_str){ json_string_value (node),
+                                       json_string_length (node) }))
+    return ms_fail (MS_INVALID, "record of kind \"%s\": node is not a name",
+                    kind);
   record->node = ms_name (get_text (object, "node"));
   record->incarnation = get_number (object, "incarnation");
   record->zone = ms_name (get_text (object, "zone"));
--- a/src/router/settings.c
+++ b/src/router/settings.c
@@ -76,6 +76,10 @@
   enum ms_status status
       = check_address (text, path, "caller_address", settings->caller_address);
 
+  if (!ms_is_name (ms_str (settings->name)))
+    return ms_fail (MS_INVALID, "%s: line %u: name: \"%s\" is not a name",
+                    path, ms_yaml_line (text, "", "name", settings->name),
+                    settings->name);
   if (status == MS_OK)
     status
         = check_address (text, path, "peer_address", settings->peer_address);
--- a/tests/test_backing.c
+++ b/tests/test_backing.c
@@ -43,6 +43,8 @@
     "{\"name\":\"b\",\"address\":\"127.0.0.1:7000\"}",
     "{\"service\":\"s\",\"address\":\"127.0.0.1:7000\"}",
   };
+  static const char *const names[]
+      = { "", "a&b", "a+b", "a#b", "a%b", "a b", "a\\nb", "b\\u0000" };
   static const char *const ports[]
       = { "0", "65536", "-1", "99999999999999999999", "", "7000x", " 7000" };
   char entry[128];
@@ -51,6 +53,14 @@
   assert_int_equal (count_endpoints (SOUND), 3);
   for (unsigned i = 0; i < sizeof odd / sizeof *odd; i++)
     assert_int_equal (count_endpoints (odd[i]), 2);
+  for (unsigned i = 0; i < sizeof names / sizeof *names; i++)
+    {
+      snprintf (entry, sizeof entry,
+                "{\"name\":\"%s\",\"service\":\"s\","
+                "\"address\":\"127.0.0.1:7000\"}",
+                names[i]);
+      assert_int_equal (count_endpoints (entry), 2);
+    }
   for (unsigned i = 0; i < sizeof ports / sizeof *ports; i++)
     {
       snprintf (entry, sizeof entry,
