A response whose status is not within 100 to 599 is no answer

Cause: http_parser takes any number of digits up to 999, and a status below 200 was read as that of an interim answer, which the final one would follow. 101 is one of these: what follows it would be of a protocol that nobody asked for.

Evidence: test_answers on a clock that stands still: no answer for 000, nor for 101.

Change: the parser holds a status line against the grammar as it arrives, and fails on 101. It serves endpoints, the store, peers and health pages alike, so that these are bad bytes at once: 502, or a retry where that is safe. Interim answers were and are dropped.

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 	$(BUILD)/test_socket $(BUILD)/test_room $(BUILD)/test_framing \
 	$(BUILD)/test_leave $(BUILD)/test_resume $(BUILD)/test_promise \
 	$(BUILD)/test_broken_stream $(BUILD)/test_refusal \
-	$(BUILD)/test_member_record
+	$(BUILD)/test_member_record $(BUILD)/test_answers
 
 $(GATEWAY_TESTS): $(BUILD)/test_%: $(BUILD)/tests/test_%.o \
 	$(BUILD)/tests/support/gateway_fixture.o $(GATEWAY_PARTS) $(CORE)
--- a/src/wire/message.c
+++ b/src/wire/message.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "base/alloc.h"
+#include "wire/grammar.h"
 
 #define INITIAL_TEXT_BYTES 1024
 
@@ -31,11 +32,12 @@
   struct text_span names[MS_MAX_HEADERS];
   struct text_span values[MS_MAX_HEADERS];
   unsigned headers_count;
-  bool in_value;      /* The last piece was part of a header's value.  */
-  bool started;       /* Part of a message was seen.  */
-  bool head_complete; /* The head is complete.  */
-  bool complete;      /* The whole message is complete.  */
-  bool too_large;     /* The head exceeds a limit.  */
+  size_t status_length; /* Checked bytes of a response's status line.  */
+  bool in_value;        /* The last piece was part of a header's value.  */
+  bool started;         /* Part of a message was seen.  */
+  bool head_complete;   /* The head is complete.  */
+  bool complete;        /* The whole message is complete.  */
+  bool too_large;       /* The head exceeds a limit.  */
   struct ms_head head;
 };
 
@@ -164,6 +166,14 @@
   return (struct ms_str){ span.length ? p->text + span.at : "", span.length };
 }
 
+static bool
+switches_protocols (const http_parser *parser)
+{
+  return parser->type == HTTP_REQUEST
+             ? parser->method == HTTP_CONNECT
+             : parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -188,13 +198,14 @@
   head->keep_alive = http_should_keep_alive (parser) != 0;
   p->head_complete = true;
   p->in_value = true;
+  /* The gateway does not switch protocols: read a request that asks for it
+     like any other, and fail on CONNECT and on a response that switches.  */
+  if (switches_protocols (parser))
+    return -1;
+  parser->upgrade = 0;
   if (p->sink->head)
     p->sink->head (p->context, head);
-  /* The gateway does not switch protocols: read a message that asks for it
-     like any other, and fail on CONNECT.  */
-  parser->upgrade = 0;
-  return parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT ? -1
-                                                                        : 0;
+  return 0;
 }
 
 static int
@@ -263,6 +274,7 @@
   memset (p->names, 0, p->headers_count * sizeof *p->names);
   memset (p->values, 0, p->headers_count * sizeof *p->values);
   p->headers_count = 0;
+  p->status_length = 0;
   p->in_value = false;
   p->started = false;
   p->head_complete = false;
@@ -270,6 +282,24 @@
   p->too_large = false;
 }
 
+/* Check the part of a response's status line that DATA has: http_parser takes
+   any status up to 999, of any number of digits.  */
+static bool
+check_status_line (struct ms_parser *p, const char *data, size_t length)
+{
+  for (size_t i = 0; i < length && p->status_length <= MS_STATUS_LINE_BYTES;
+       i++)
+    {
+      /* Empty lines before it are skipped.  */
+      if (!p->status_length && (data[i] == '\r' || data[i] == '\n'))
+        continue;
+      if (!ms_status_line_takes (p->status_length, data[i]))
+        return false;
+      p->status_length++;
+    }
+  return true;
+}
+
 enum ms_parse
 ms_parser_feed (struct ms_parser *p, const char *data, size_t length,
                 size_t *used)
@@ -280,6 +310,8 @@
   /* http_parser takes 0 bytes as the end of the connection.  */
   if (!length)
     return MS_PARSE_MORE;
+  if (p->parser.type == HTTP_RESPONSE && !check_status_line (p, data, length))
+    return MS_PARSE_BAD;
   *used = http_parser_execute (&p->parser, &callbacks, data, length);
   error = HTTP_PARSER_ERRNO (&p->parser);
   if (p->complete && error == HPE_PAUSED)
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -153,6 +153,51 @@
   ms_parser_destroy (parser);
 }
 
+/* Whatever the pieces in which it arrives.  */
+static void
+test_rejects_status_out_of_range (void **state)
+{
+  static const char *const bad[]
+      = { "000", "099", "600", "00", "2 0", "2000", "-20", "", "20\t" };
+  static const char *const good[]
+      = { "HTTP/1.1 200", "\r\nHTTP/1.0 599 x y", "HTTP/1.1 100 " };
+  char text[64];
+  size_t used;
+
+  (void)state;
+  for (size_t piece = 1; piece < sizeof text; piece += 7)
+    {
+      struct received received = { 0 };
+      struct ms_parser *parser
+          = ms_parser_create (false, 1000, &sink, &received);
+
+      for (unsigned i = 0; i < sizeof bad / sizeof *bad; i++)
+        {
+          enum ms_parse result = MS_PARSE_MORE;
+
+          snprintf (text, sizeof text, "HTTP/1.1 %s -\r\n\r\n", bad[i]);
+          for (size_t at = 0; result == MS_PARSE_MORE && text[at]; at += used)
+            result = ms_parser_feed (parser, text + at,
+                                     strnlen (text + at, piece), &used);
+          assert_int_equal (result, MS_PARSE_BAD);
+          ms_parser_reset (parser);
+        }
+      for (unsigned i = 0; i < sizeof good / sizeof *good; i++)
+        {
+          snprintf (text, sizeof text, "%s\r\n\r\n", good[i]);
+          for (size_t at = 0; text[at]; at += used)
+            assert_int_not_equal (ms_parser_feed (parser, text + at,
+                                                  strnlen (text + at, piece),
+                                                  &used),
+                                  MS_PARSE_BAD);
+          assert_true (ms_parser_has_head (parser));
+          ms_parser_reset (parser);
+        }
+      assert_int_equal (received.heads_count, sizeof good / sizeof *good);
+      ms_parser_destroy (parser);
+    }
+}
+
 /* An id counts only once its event is complete.  */
 static void
 test_finds_complete_events (void **state)
@@ -241,6 +286,7 @@
     cmocka_unit_test (test_rejects_ambiguous_length),
     cmocka_unit_test (test_limits_head_size),
     cmocka_unit_test (test_close_ends_only_response_without_length),
+    cmocka_unit_test (test_rejects_status_out_of_range),
     cmocka_unit_test (test_finds_complete_events),
     cmocka_unit_test (test_trailers_leave_head_unchanged),
     cmocka_unit_test (test_limits_trailers),
