A field whose name is no token makes a message invalid

Cause: http_parser lets names have spaces. Request heads were checked, their trailers, and responses, were not.

Evidence: test_answers, 16 such lines in six places of an answer and three of a request. Before, one in a head of 200 was passed on, and one in the trailers of a request let that through.

Change: the parser fails on them, so that heads and trailers of endpoints, callers, the store, peers and health pages are read alike. The check in caller.c is gone, as what it refused is refused before. A continued line is joined with a blank as before, which RFC 9112 allows.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -176,19 +176,6 @@
   return data_at < c->sent_at ? data_at : c->sent_at;
 }
 
-/* Whether NAME is a token as RFC 9110 defines it for header names.  */
-static bool
-is_token (struct ms_str name)
-{
-  if (!name.length)
-    return false;
-  for (size_t i = 0; i < name.length; i++)
-    if (name.data[i] <= ' ' || name.data[i] > '~'
-        || strchr ("()<>@,;:\\\"/[]?={}", name.data[i]))
-      return false;
-  return true;
-}
-
 /* The status with which a request with HEAD is refused; 0 if it is valid.  */
 static unsigned
 validate_head (const struct ms_gateway *gw, const struct ms_head *head)
@@ -196,11 +183,7 @@
   unsigned hosts = 0;
 
   for (unsigned i = 0; i < head->headers_count; i++)
-    {
-      if (!is_token (head->headers[i].name))
-        return HTTP_STATUS_BAD_REQUEST;
-      hosts += ms_header_is (head->headers[i].name, "Host");
-    }
+    hosts += ms_header_is (head->headers[i].name, "Host");
   if (hosts != 1 || !head->target.length || head->target.data[0] != '/')
     return HTTP_STATUS_BAD_REQUEST;
   if (head->has_length
--- a/src/wire/grammar.c
+++ b/src/wire/grammar.c
@@ -1,5 +1,7 @@
 #include "wire/grammar.h"
 
+#include <string.h>
+
 static bool
 is_within (char c, char first, char last)
 {
@@ -18,3 +20,13 @@
     return is_within (c, '1', '5');
   return form[at] == '0' ? is_within (c, '0', '9') : c == form[at];
 }
+
+bool
+ms_has_token_bytes (struct ms_str text)
+{
+  for (size_t i = 0; i < text.length; i++)
+    if (!is_within (text.data[i], '!', '~')
+        || strchr ("()<>@,;:\\\"/[]?={}", text.data[i]))
+      return false;
+  return true;
+}
--- a/src/wire/grammar.h
+++ b/src/wire/grammar.h
@@ -17,4 +17,8 @@
    to 599, which a space or the end of the line follows.  */
 bool ms_status_line_takes (size_t at, char c);
 
+/* Whether all bytes of TEXT may stand in a token, such as the name of a field.
+   A token has at least one byte.  */
+bool ms_has_token_bytes (struct ms_str text);
+
 #endif
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -9,8 +9,9 @@
 
 /* Incremental parser of HTTP/1.1 requests and responses.  It bounds the size
    of the head and rejects messages whose length is ambiguous, which could be
-   used to smuggle a second request past the gateway, responses whose status is
-   not within 100 to 599, and those that switch protocols.  */
+   used to smuggle a second request past the gateway, fields whose name is no
+   token, responses whose status is not within 100 to 599, and those that
+   switch protocols.  */
 
 /* Most headers and trailer fields, taken together, of one message; a message
    with more of them is too large.  */
--- a/tests/fuzz/message.c
+++ b/tests/fuzz/message.c
@@ -1,7 +1,8 @@
 /* Fuzzes the parser of requests and responses, as the bytes arrive in pieces.
    The first byte selects requests or responses and the size of the pieces. The
    strings of each head are read at the end of its message, which shows text
-   that was moved meanwhile.  */
+   that was moved meanwhile.  A head with a status or a name that the grammar
+   does not have must not be passed on.  */
 
 #include <stddef.h>
 #include <stdint.h>
@@ -9,6 +10,7 @@
 
 #include "platform.h"
 #include "wire/events.h"
+#include "wire/grammar.h"
 #include "wire/message.h"
 
 #define HEAD_LIMIT 2048
@@ -33,9 +35,14 @@
 {
   struct plat_prompt prompt;
 
+  if (!head->method.length && (head->status < 100 || head->status > 599))
+    __builtin_trap ();
   add (received, head->target);
   for (unsigned i = 0; i < head->headers_count; i++)
     {
+      if (!head->headers[i].name.length
+          || !ms_has_token_bytes (head->headers[i].name))
+        __builtin_trap ();
       add (received, head->headers[i].name);
       add (received, head->headers[i].value);
     }
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -95,6 +95,88 @@
   assert_null (strstr (text, "Link"));
 }
 
+/* Lines whose name is no token, of which a caller's parser may make another
+   name or another length of the body.  */
+static const char *const odd_fields[] = { "X Odd: 1",
+                                          "X-Odd : 1",
+                                          "Content Length: 3",
+                                          "Content-Length : 3",
+                                          "Content-Length\t: 3",
+                                          "Transfer-Encoding : chunked",
+                                          " X-Odd: 1",
+                                          "X-\x01Odd: 1",
+                                          "X-Odd\x7f: 1",
+                                          "X\x0bOdd: 1",
+                                          "X-\xc3\xa9: 1",
+                                          "X(Odd): 1",
+                                          "X\"Odd: 1",
+                                          "X/Odd: 1",
+                                          ": 1",
+                                          "X-Odd" };
+
+#define ODD_FIELDS (sizeof odd_fields / sizeof *odd_fields)
+
+/* Such a line was passed on.  */
+static void
+test_field_name_that_is_no_token_is_no_answer (void **state)
+{
+  static const char *const forms[]
+      = { "HTTP/1.1 200 -\r\n" HEAD "%s\r\nContent-Length: 3\r\n\r\nran",
+          "HTTP/1.1 200 -\r\n%s\r\n" HEAD "Content-Length: 3\r\n\r\nran",
+          "HTTP/1.1 200 -\r\n" HEAD "%s\r\n\r\nran",
+          "HTTP/1.1 100 -\r\n%s\r\n\r\nHTTP/1.1 200 -\r\n" HEAD
+          "Content-Length: 3\r\n\r\nran",
+          "HTTP/1.1 404 -\r\n" HEAD "%s\r\nContent-Length: 3\r\n\r\nran",
+          "HTTP/1.1 200 -\r\n" HEAD "Transfer-Encoding: chunked\r\n\r\n"
+          "3\r\nran\r\n0\r\n%s\r\n\r\n" };
+  char answer[512];
+
+  (void)state;
+  for (unsigned k = 0; k < sizeof forms / sizeof *forms; k++)
+    for (unsigned i = 0; i < ODD_FIELDS; i++)
+      {
+        /* Behind another field it continues that one's value.  */
+        if (odd_fields[i][0] == ' ' && k != 1 && k != 3)
+          continue;
+        snprintf (answer, sizeof answer, forms[k], odd_fields[i]);
+        expect_no_answer (answer);
+      }
+}
+
+/* The same of requests, which must not reach an endpoint.  */
+static void
+test_field_name_that_is_no_token_is_no_request (void **state)
+{
+  static const char *const forms[]
+      = { "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n%s\r\n"
+          "\r\nran",
+          "POST /once/x HTTP/1.1\r\n%s\r\nHost: h\r\nContent-Length: 3\r\n"
+          "\r\nran",
+          "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nran\r\n0\r\n%s\r\n\r\n" };
+
+  (void)state;
+  for (unsigned k = 0; k < sizeof forms / sizeof *forms; k++)
+    for (unsigned i = 0; i < ODD_FIELDS; i++)
+      {
+        struct fixture *f;
+        char request[512];
+        char text[4096] = "";
+        int caller;
+
+        if (odd_fields[i][0] == ' ' && k != 1)
+          continue;
+        f = fixture_create (MEMORY_MB);
+        caller = fixture_connect_caller (f);
+        snprintf (request, sizeof request, forms[k], odd_fields[i]);
+        fixture_send (f, caller, request, strlen (request));
+        fixture_receive (f, caller, text, sizeof text);
+        assert_non_null (strstr (text, "HTTP/1.1 400 "));
+        close (caller);
+        fixture_destroy (f);
+      }
+}
+
 int
 main (void)
 {
@@ -102,6 +184,8 @@
     cmocka_unit_test (test_status_out_of_range_is_no_answer),
     cmocka_unit_test (test_switch_of_protocols_is_no_answer),
     cmocka_unit_test (test_interim_answers_are_dropped),
+    cmocka_unit_test (test_field_name_that_is_no_token_is_no_answer),
+    cmocka_unit_test (test_field_name_that_is_no_token_is_no_request),
   };
 
   return RUN (tests);
