A success that is reset beside its upload is not whole

Cause: a reset that comes behind an orderly end, as when the upload goes on to an endpoint that has closed, was taken for that end. RFC 9112 (8) has such an answer complete unless the connection indicated an error, and it did.

Evidence: test_answers, answers of 1 byte to 600,000 beside an upload of 3 MB, with the gateway run up to twice before the endpoint gives up. A reset at once, and a close with unread bytes, were told as errors already, in all 36 cases; the gateway's own write reports the reset before a read could see an orderly end. A reset behind the end was not.

Change: how a connection ended has three values; a success that only the connection ends is whole if it closed in order and nothing more. Errors are passed on as before. A call to the store or a peer that ends so has failed.

Where the reset comes only after the end was read, the answer is passed on, as before: nothing tells it from a whole one.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -307,12 +307,12 @@
 }
 
 static void
-on_ended (void *owner, bool orderly)
+on_ended (void *owner, enum ms_close how)
 {
   struct ms_caller *c = owner;
   struct ms_request *r = c->request;
 
-  (void)orderly;
+  (void)how;
   if (r)
     ms_request_caller_gone (r);
   else
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -155,10 +155,10 @@
 }
 
 static void
-on_ended (void *owner, bool orderly)
+on_ended (void *owner, enum ms_close how)
 {
   struct ms_exchange *x = owner;
-  bool complete = orderly && x->busy && !x->too_large
+  bool complete = how == MS_CLOSE_ORDERLY && x->busy && !x->too_large
                   && ms_parser_close (x->parser) == MS_PARSE_COMPLETE;
 
   close_connection (x);
--- a/src/gateway/pages.c
+++ b/src/gateway/pages.c
@@ -265,9 +265,9 @@
 }
 
 static void
-on_ended (void *owner, bool orderly)
+on_ended (void *owner, enum ms_close how)
 {
-  (void)orderly;
+  (void)how;
   close_connection (owner);
   free_connection (owner);
 }
--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -102,19 +102,23 @@
   *buffer = uv_buf_init (read_buffer, sizeof read_buffer);
 }
 
-/* Whether the other side of S has closed in order.  libuv reports a reset as
-   the end of the stream if data arrived before it in the same iteration of the
-   loop.  A reset behind an orderly end is EPIPE.  */
-static bool
-has_ended_in_order (const struct ms_socket *s)
+/* How the other side of S, at the end of its stream, has closed.  libuv
+   reports a reset as the end of the stream if data arrived before it in the
+   same iteration of the loop.  */
+static enum ms_close
+read_close (const struct ms_socket *s)
 {
   socklen_t length = sizeof (int);
   uv_os_fd_t fd;
   int error = 0;
 
-  return uv_fileno ((const uv_handle_t *)&s->tcp, &fd) == 0
-         && getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) == 0
-         && (!error || error == EPIPE);
+  if (uv_fileno ((const uv_handle_t *)&s->tcp, &fd)
+      || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length))
+    return MS_CLOSE_BROKEN;
+  /* The kernel reports a reset behind an orderly end as EPIPE.  */
+  return !error           ? MS_CLOSE_ORDERLY
+         : error == EPIPE ? MS_CLOSE_THEN_RESET
+                          : MS_CLOSE_BROKEN;
 }
 
 static void
@@ -131,7 +135,8 @@
     }
   s->reading = false;
   uv_read_stop (stream);
-  s->events->ended (s->owner, length == UV_EOF && has_ended_in_order (s));
+  s->events->ended (s->owner,
+                    length == UV_EOF ? read_close (s) : MS_CLOSE_BROKEN);
 }
 
 void
@@ -324,7 +329,7 @@
       return;
     }
   if (error)
-    s->events->ended (s->owner, false);
+    s->events->ended (s->owner, MS_CLOSE_BROKEN);
   else if (!s->queued_bytes)
     s->events->drained (s->owner);
 }
@@ -534,7 +539,7 @@
   if (ms_ack_watch_update (&s->watch, &state, now))
     {
       if (s->owner)
-        s->events->ended (s->owner, false);
+        s->events->ended (s->owner, MS_CLOSE_BROKEN);
       else
         ms_socket_reset (s);
     }
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -15,6 +15,14 @@
 
 struct ms_socket;
 
+/* How a connection ended.  */
+enum ms_close
+{
+  MS_CLOSE_ORDERLY,
+  MS_CLOSE_THEN_RESET, /* In order; then it got bytes that it did not take.  */
+  MS_CLOSE_BROKEN
+};
+
 struct ms_socket_events
 {
   /* The connection was made: MS_OK, or could not be: MS_UNAVAILABLE.  For
@@ -24,9 +32,9 @@
   /* LENGTH bytes arrived; DATA is valid during the call.  */
   void (*read) (void *owner, const char *data, size_t length);
 
-  /* The other side closed the connection, or with ORDERLY false the connection
-     broke.  The owner then closes the socket.  */
-  void (*ended) (void *owner, bool orderly);
+  /* The other side closed the connection, or it broke.  The owner then closes
+     the socket.  */
+  void (*ended) (void *owner, enum ms_close how);
 
   /* All queued bytes were sent: ms_socket_queued is 0 again.  */
   void (*drained) (void *owner);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -353,8 +353,19 @@
     free_upstream (u);
 }
 
+/* Whether the response that U receives may be complete if its connection ended
+   as HOW says.  An endpoint that did not take the whole request may have given
+   up; what it sent of a success is not known to be whole.  */
+static bool
+may_end_response (const struct ms_upstream *u, enum ms_close how)
+{
+  return how == MS_CLOSE_ORDERLY
+         || (how == MS_CLOSE_THEN_RESET && ms_parser_has_head (u->parser)
+             && ms_parser_head (u->parser)->status >= 300);
+}
+
 static void
-on_ended (void *owner, bool orderly)
+on_ended (void *owner, enum ms_close how)
 {
   struct ms_upstream *u = owner;
 
@@ -364,8 +375,8 @@
   /* A body without a length ends when the endpoint closes.  REST is 1, as the
      connection cannot be reused.  The request is checked again since the
      callbacks of the parser may have ended it.  */
-  if (orderly && u->request && ms_parser_close (u->parser) == MS_PARSE_COMPLETE
-      && u->request)
+  if (may_end_response (u, how) && u->request
+      && ms_parser_close (u->parser) == MS_PARSE_COMPLETE && u->request)
     end_response (u, 1);
   if (u->state != CLOSED)
     fail_upstream (u, MS_UPSTREAM_BROKEN);
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -1,9 +1,12 @@
 #include "check.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "gateway/peers.h"
 #include "support/gateway_fixture.h"
 
 /* Answers of an endpoint that are none by HTTP's grammar.  The gateway's clock
@@ -11,6 +14,7 @@
 
 #define MEMORY_MB 100
 #define DEADLINE_MS 3000
+#define UPLOAD_BYTES 3000000
 #define HEAD "X-Request-Attempt-Id: t\r\nX-Response-Signature: s\r\n"
 
 /* Let the endpoint answer a request with ANSWER, and receive what the caller
@@ -177,6 +181,128 @@
       }
 }
 
+/* How an endpoint gives up a request whose body it has not read.  */
+enum give_up
+{
+  RESET,
+  CLOSE_UNREAD, /* The kernel resets the connection.  */
+  RESET_BEHIND_END,
+  WAYS
+};
+
+static void
+give_up (int run, enum give_up way)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  if (way == RESET_BEHIND_END)
+    shutdown (run, SHUT_WR);
+  if (way != CLOSE_UNREAD)
+    setsockopt (run, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (run);
+}
+
+/* Send a request with a long body, of which the endpoint reads little more
+   than the head, and return its side.  */
+static int
+start_upload (struct fixture *f, int caller)
+{
+  static const char body[UPLOAD_BYTES];
+  char head[256];
+  int length
+      = snprintf (head, sizeof head,
+                  "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                  "X-Request-Attempt-Id: t\r\n"
+                  "X-Deadline-Remaining-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+                  DEADLINE_MS, UPLOAD_BYTES);
+  int run;
+
+  fixture_send (f, caller, head, (size_t)length);
+  fixture_send (f, caller, body, sizeof body);
+  run = fixture_accept_request (f);
+  assert_true (run >= 0);
+  return run;
+}
+
+/* Let the endpoint answer an upload at once with HEAD and SIZE bytes that only
+   the end of the connection ends, and give up in that WAY after STEPS turns of
+   the gateway's loop.  Return how the caller's connection ended: 0 in order,
+   else errno; begin TEXT with what the caller got.  */
+static int
+answer_upload (const char *head, size_t size, enum give_up way, unsigned steps,
+               char text[64])
+{
+  static char part[65536];
+  static char rest[65536];
+  struct fixture *f = fixture_create (MEMORY_MB);
+  int caller = fixture_connect_caller (f);
+  int error = 0;
+  int run;
+
+  /* An endpoint that breaks off is reported to peers.  */
+  assert_int_equal (ms_peers_create (f->gw, &f->gw->peers), MS_OK);
+  run = start_upload (f, caller);
+  send (run, head, strlen (head), MSG_NOSIGNAL);
+  for (size_t sent = 0; sent < size; sent += sizeof part)
+    fixture_send (f, run, part,
+                  size - sent < sizeof part ? size - sent : sizeof part);
+  for (unsigned i = 0; i < steps; i++)
+    fixture_step (f);
+  give_up (run, way);
+  memset (text, 0, 64);
+  assert_true (fixture_receive (f, caller, text, 64));
+  /* The gateway's own answer leaves the connection open.  */
+  while (!strstr (text, "HTTP/1.1 502 "))
+    {
+      rest[0] = '\0';
+      errno = 0;
+      if (!fixture_receive (f, caller, rest, sizeof rest))
+        {
+          error = errno;
+          break;
+        }
+    }
+  ms_peers_destroy (f->gw->peers);
+  close (caller);
+  fixture_destroy (f);
+  return error;
+}
+
+/* What an endpoint had sent of an answer without a length when it gave up was
+   told as the whole answer.  */
+static void
+test_answer_that_is_reset_beside_the_upload_is_not_whole (void **state)
+{
+  static const char head[] = "HTTP/1.1 200 -\r\n" HEAD "\r\n";
+  static const size_t sizes[]
+      = { 1, 1000, 65536 - sizeof head + 1, 65536, 131072, 600000 };
+  char text[64];
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    for (unsigned way = 0; way < WAYS; way++)
+      for (unsigned steps = 0; steps < 3; steps++)
+        {
+          int error
+              = answer_upload (head, sizes[i], (enum give_up)way, steps, text);
+
+          if (!strstr (text, "HTTP/1.1 502 "))
+            assert_int_equal (error, ECONNRESET);
+        }
+}
+
+/* An error needs no more than its status.  */
+static void
+test_error_beside_the_upload_is_passed_on (void **state)
+{
+  char text[64];
+
+  (void)state;
+  answer_upload ("HTTP/1.1 413 -\r\n" HEAD "\r\n", 10, RESET_BEHIND_END, 0,
+                 text);
+  assert_non_null (strstr (text, "HTTP/1.1 413 "));
+}
+
 int
 main (void)
 {
@@ -186,6 +312,9 @@
     cmocka_unit_test (test_interim_answers_are_dropped),
     cmocka_unit_test (test_field_name_that_is_no_token_is_no_answer),
     cmocka_unit_test (test_field_name_that_is_no_token_is_no_request),
+    cmocka_unit_test (
+        test_answer_that_is_reset_beside_the_upload_is_not_whole),
+    cmocka_unit_test (test_error_beside_the_upload_is_passed_on),
   };
 
   return RUN (tests);
--- a/tests/test_socket.c
+++ b/tests/test_socket.c
@@ -28,8 +28,8 @@
   int accepted; /* The other side.  */
   bool connected;
   bool ended;
-  bool orderly;    /* How it ended.  */
-  size_t received; /* Bytes.  */
+  enum ms_close how; /* It ended.  */
+  size_t received;   /* Bytes.  */
 };
 
 static void
@@ -49,11 +49,11 @@
 }
 
 static void
-on_ended (void *owner, bool orderly)
+on_ended (void *owner, enum ms_close how)
 {
   struct side *side = owner;
 
-  side->orderly = orderly;
+  side->how = how;
   side->ended = true;
   ms_socket_reset (side->socket);
 }
@@ -248,7 +248,8 @@
         for (unsigned i = 0; i < 1000 && !side->ended; i++)
           run_shortly (side);
         assert_true (side->ended);
-        assert_int_equal (side->orderly, orderly);
+        assert_int_equal (side->how,
+                          orderly ? MS_CLOSE_ORDERLY : MS_CLOSE_BROKEN);
         assert_int_equal (side->received, length);
         side->accepted = -1;
         destroy_side (side);
@@ -270,7 +271,7 @@
   for (unsigned i = 0; i < 1000 && !side->ended; i++)
     run_shortly (side);
   assert_true (side->ended);
-  assert_true (side->orderly);
+  assert_int_equal (side->how, MS_CLOSE_THEN_RESET);
   assert_int_equal (side->received, 4);
   destroy_side (side);
 }
