Tests of heads that end early, and of resumptions without an answer

In the gateway no such head was told as an answer: test_answers ends four heads in every third place, by closing and by a reset, also behind 100 Continue; it passed on the code as it was. Nothing else changes here.

--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -303,6 +303,56 @@
   assert_non_null (strstr (text, "HTTP/1.1 413 "));
 }
 
+/* A head that ends early, in each place of ANSWER up to its body, by CLOSE. */
+static void
+cut_head (const char *before, const char *head, bool reset)
+{
+  static const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  for (size_t length = strlen (head) - 1; length > 3; length -= 3)
+    {
+      struct fixture *f = fixture_create (MEMORY_MB);
+      int caller = fixture_connect_caller (f);
+      char text[4096] = "";
+      int run;
+
+      assert_int_equal (ms_peers_create (f->gw, &f->gw->peers), MS_OK);
+      fixture_send_request (caller, "/once/x", DEADLINE_MS);
+      run = fixture_accept_request (f);
+      assert_true (run >= 0);
+      fixture_send (f, run, before, strlen (before));
+      fixture_send (f, run, head, length);
+      if (reset)
+        setsockopt (run, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      close (run);
+      assert_true (fixture_receive (f, caller, text, sizeof text));
+      assert_non_null (strstr (text, "HTTP/1.1 502 "));
+      assert_null (strstr (text, "X-Response-Signature"));
+      ms_peers_destroy (f->gw->peers);
+      close (caller);
+      fixture_destroy (f);
+    }
+}
+
+/* An answer whose head had not ended became a 200 with an empty body.  */
+static void
+test_head_that_ends_early_is_no_answer (void **state)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 200 -\r\n" HEAD "\r\n",
+          "HTTP/1.1 200 -\r\n" HEAD "Content-Length: 0\r\n\r\n",
+          "HTTP/1.1 204 -\r\n" HEAD "\r\n",
+          "HTTP/1.1 500 -\r\n" HEAD "Transfer-Encoding: chunked\r\n\r\n" };
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof heads / sizeof *heads; i++)
+    for (unsigned reset = 0; reset < 2; reset++)
+      {
+        cut_head ("", heads[i], reset);
+        cut_head ("HTTP/1.1 100 Continue\r\n\r\n", heads[i], reset);
+      }
+}
+
 int
 main (void)
 {
@@ -315,6 +365,7 @@
     cmocka_unit_test (
         test_answer_that_is_reset_beside_the_upload_is_not_whole),
     cmocka_unit_test (test_error_beside_the_upload_is_passed_on),
+    cmocka_unit_test (test_head_that_ends_early_is_no_answer),
   };
 
   return RUN (tests);
--- a/tests/test_broken_stream.c
+++ b/tests/test_broken_stream.c
@@ -231,6 +231,40 @@
     }
 }
 
+/* The same when no answer comes to the resumption, but its begin, or what is
+   none by the grammar.  */
+static void
+test_resumption_without_an_answer_is_no_end (void **state)
+{
+  static const char *const heads[] = { chunked_head, open_head };
+  static const char *const answers[]
+      = { "",
+          "HTTP/1.1 200",
+          "HTTP/1.1 200 -\r\nX-Request-Attempt-Id: t\r\n",
+          "HTTP/1.1 200 -\r\nX-Request-Attempt-Id: t\r\n"
+          "X-Response-Signature: s\r\n\r",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 -\r\n",
+          "HTTP/1.1 000 -\r\nX-Request-Attempt-Id: t\r\n"
+          "X-Response-Signature: s\r\n\r\nid: 2\ndata: p\n\n",
+          "HTTP/1.1 200 -\r\nX-Request-Attempt-Id: t\r\nX Odd: 1\r\n"
+          "X-Response-Signature: s\r\n\r\nid: 2\ndata: p\n\n" };
+
+  (void)state;
+  for (unsigned i = 0; i < sizeof answers / sizeof *answers * 2; i++)
+    {
+      struct broken_test t;
+      unsigned first;
+      int run = begin (&t, heads[i % 2], &first);
+
+      run = resume (&t, run, first);
+      send_text (&t, run, answers[i / 2]);
+      close (run);
+      expect_reset (&t);
+      assert_null (strstr (t.text, "id: 2"));
+      end (&t);
+    }
+}
+
 /* The end of a connection, which a crash brings as well, ended a stream in
    chunks whose last part had neither length nor chunks.  */
 static void
@@ -344,6 +378,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_error_for_a_resumption_is_not_passed_on),
     cmocka_unit_test (test_resumption_that_breaks_off_is_no_end),
+    cmocka_unit_test (test_resumption_without_an_answer_is_no_end),
     cmocka_unit_test (
         test_end_of_a_connection_does_not_end_a_stream_in_chunks),
     cmocka_unit_test (test_stream_that_is_resumed_ends_as_its_last_part_does),
