The older router holds heads of responses against the grammar

Cause: curl takes a status of three digits, any line with a colon, and a head that ends with its connection.

A continued line is refused, as RFC 9112 (5.2) allows.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,5 +1,6 @@
 #include "base/alloc.h"
 #include "http/client.h"
+#include "http/head.h"
 
 #include <curl/curl.h>
 #include <stdlib.h>
@@ -24,6 +25,16 @@
   return length;
 }
 
+/* curl's header callback; a result other than the length ends the transfer. */
+static size_t
+check_head (char *line, size_t size, size_t count, void *context)
+{
+  size_t length = size * count;
+
+  return ms_head_check_line (context, (struct ms_str){ line, length }) ? length
+                                                                       : 0;
+}
+
 /* CURLOPT_NOSIGNAL keeps curl's timeouts from using SIGALRM, which is not
    safe with threads; the empty proxy overrides the environment's.  */
 static void
@@ -32,6 +43,7 @@
 {
   curl_easy_setopt (curl, CURLOPT_URL, url);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (curl, CURLOPT_PROXY, "");
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
@@ -48,14 +60,19 @@
 perform (CURL *curl, const char *method, const char *url,
          struct ms_reply *reply)
 {
-  CURLcode code = curl_easy_perform (curl);
+  struct ms_head_check head = { 0 };
+  CURLcode code;
 
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, check_head);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, &head);
+  code = curl_easy_perform (curl);
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &reply->code);
-  if (code == CURLE_OK)
+  if (code == CURLE_OK && head.whole)
     return MS_OK;
   ms_reply_clear (reply);
   return ms_fail (MS_UNAVAILABLE, "%s %s: %s", method, url,
-                  curl_easy_strerror (code));
+                  code == CURLE_OK ? "the head of the reply is cut off"
+                                   : curl_easy_strerror (code));
 }
 
 /* Clear REPLY and create a curl handle that sends the request and stores the
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -5,8 +5,9 @@
 
 #include <stddef.h>
 
-/* Blocking HTTP client for short exchanges with the platform, with a router's
-   pages and with the load pages of endpoints.  May be used by any thread.  */
+/* Blocking HTTP/1.1 client for short exchanges with the platform, with a
+   router's pages and with the load pages of endpoints.  May be used by any
+   thread.  */
 
 struct ms_reply
 {
@@ -17,8 +18,8 @@
 
 /* Send a request with METHOD to URL, with BODY unless it is NULL, and wait at
    most TIMEOUT_MS for the whole reply.  MS_OK for every HTTP status; the
-   caller then clears REPLY.  MS_UNAVAILABLE if no whole reply arrived or its
-   body exceeds 64 MiB: the request may or may not have taken effect.  */
+   caller then clears REPLY.  MS_UNAVAILABLE if no whole, valid reply arrived
+   or its body exceeds 64 MiB: the request may or may not have taken effect. */
 enum ms_status ms_http_exchange (const char *method, const char *url,
                                  const char *body, long timeout_ms,
                                  struct ms_reply *reply);
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "http/head.h"
 #include "wire/message.h"
 
 /* An attempt whose buffered body would exceed this ends as if the connection
@@ -26,6 +27,7 @@
   const struct ms_inbound *inbound;
   struct ms_endpoint_response *response;
   CURL *curl;
+  struct ms_head_check head;
   bool is_stream;
   bool caller_write_failed;
   uint32_t event_count; /* Server-sent events forwarded so far.  */
@@ -55,7 +57,8 @@
   return true;
 }
 
-/* curl's header callback: keep the content type and the cost.  */
+/* curl's header callback: keep the content type and the cost.  A result other
+   than the length ends the transfer.  */
 static size_t
 receive_header (char *line, size_t size, size_t count, void *context)
 {
@@ -63,6 +66,8 @@
   size_t length = size * count;
   char value[32];
 
+  if (!ms_head_check_line (&transfer->head, (struct ms_str){ line, length }))
+    return 0;
   header_value (line, length, "Content-Type", transfer->response->content_type,
                 sizeof transfer->response->content_type);
   if (header_value (line, length, "Monsoonspur-Cost", value, sizeof value))
@@ -266,11 +271,12 @@
 attempt_result (CURL *curl, CURLcode code, const struct transfer *transfer)
 {
   double pretransfer_s = 0;
+  bool complete = code == CURLE_OK && transfer->head.whole;
 
-  if (code == CURLE_OK
+  if (complete
       && ms_status_promises_not_run ((unsigned)transfer->response->code))
     return MS_RESULT_OVERLOADED;
-  if (code == CURLE_OK)
+  if (complete)
     return MS_RESULT_OK;
   curl_easy_getinfo (curl, CURLINFO_PRETRANSFER_TIME, &pretransfer_s);
   if (pretransfer_s <= 0)
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -105,6 +105,28 @@
   "$service/silo-mando/run")" = 500 ]
 verdict "an error in the type of event streams is passed on with its status" $?
 
+# The endpoints run these requests and then answer with what is no answer.
+for kind in status interim large switch name control length chunks folded \
+  trailer cut empty continue; do
+  status=$(curl --silent --noproxy '*' --max-time 20 --output "$DIR/odd" \
+    --write-out '%{http_code}' -H 'Monsoonspur-Team: silo-01' \
+    -d "plain odd=$kind" "$service/silo-mando/run")
+  [ "$status" = 502 ] && ! grep -q odd "$DIR/odd"
+  verdict "what is no answer by HTTP's grammar gets 502 ($kind)" $?
+done
+head -c 900000 /dev/zero >"$DIR/upload"
+whole=0
+for i in 1 2 3 4 5 6 7 8; do
+  # A request that broke two connections is not sent again.
+  echo $i >>"$DIR/upload"
+  status=$(curl --silent --noproxy '*' --max-time 20 --output "$DIR/odd" \
+    --write-out '%{http_code}' -H 'Monsoonspur-Team: silo-01' -H 'Expect:' \
+    --data-binary "@$DIR/upload" "$service/silo-mando/early")
+  [ "$status" = 502 ] || whole=$((whole + 1))
+done
+[ $whole -eq 0 ]
+verdict "an answer that is reset beside the upload gets 502" $?
+
 extra=0
 for i in 1 2 3 4 5 6 7 8; do
   [ "$(status_of -H 'Monsoonspur-Team: silo-01' -d "plain extra $i" \
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -5,7 +5,10 @@
                by default), "stream" asks for server-sent events, one per cost
                unit, "status=N" for the status N after the run, with
                "stream" in the type of event streams, and "crash" ends the
-               process; "extra" writes a refusal behind the answer
+               process; "extra" writes a refusal behind the answer;
+               "odd=KIND" one that HTTP's grammar does not have, or a cut one
+   POST /early answers at once, without reading the body, and resets the
+               connection
    GET /load   the number of running requests, an id of this start of the
                process, and the number of requests refused for overload
    GET /ledger how often each body was run
@@ -15,6 +18,7 @@
    than its cold or warm limit are refused with 503 and counted.  */
 
 #include <argp.h>
+#include <arpa/inet.h>
 #include <civetweb.h>
 #include <jansson.h>
 #include <pthread.h>
@@ -24,6 +28,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -142,6 +147,70 @@
     mg_printf (connection, "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n");
 }
 
+/* Answer with what the KIND of a body's "odd=KIND" says.  */
+static void
+answer_odd (struct mg_connection *connection, const char *kind)
+{
+  static const struct
+  {
+    const char *kind;
+    const char *answer;
+  } answers[] = {
+    { "status", "HTTP/1.1 000 -\r\nContent-Length: 3\r\n\r\nodd" },
+    { "interim", "HTTP/1.1 099 -\r\nContent-Length: 3\r\n\r\nodd" },
+    { "large", "HTTP/1.1 600 -\r\nContent-Length: 3\r\n\r\nodd" },
+    { "switch", "HTTP/1.1 101 -\r\nUpgrade: x\r\n\r\nodd" },
+    { "name", "HTTP/1.1 200 -\r\nX Odd: 1\r\nContent-Length: 3\r\n\r\nodd" },
+    { "control",
+      "HTTP/1.1 200 -\r\nX\x01Odd: 1\r\nContent-Length: 3\r\n\r\nodd" },
+    { "length", "HTTP/1.1 200 -\r\nContent-Length : 3\r\n\r\nodd and more" },
+    { "chunks", "HTTP/1.1 200 -\r\nTransfer-Encoding : chunked\r\n\r\n"
+                "3\r\nodd\r\n0\r\n\r\n" },
+    { "folded", "HTTP/1.1 200 -\r\n Content-Length: 3\r\n\r\nodd" },
+    { "trailer", "HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "3\r\nodd\r\n0\r\nX Odd: 1\r\n\r\n" },
+    { "cut", "HTTP/1.1 200 -\r\nContent-Type: text/plain\r\nContent-Le" },
+    { "empty", "HTTP/1.1 200 -\r\n" },
+    { "continue", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 -\r\nX: 1\r\n" },
+  };
+
+  for (size_t i = 0; i < sizeof answers / sizeof *answers; i++)
+    if (strncmp (kind, answers[i].kind, strlen (answers[i].kind)) == 0)
+      mg_write (connection, answers[i].answer, strlen (answers[i].answer));
+  mg_disable_connection_keep_alive (connection);
+}
+
+/* Reset the connection to PORT of this machine.  */
+static void
+reset_connection (int port)
+{
+  static const struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  for (int fd = 3; fd < 1024; fd++)
+    {
+      struct sockaddr_in peer = { 0 };
+      socklen_t length = sizeof peer;
+
+      if (getpeername (fd, (struct sockaddr *)&peer, &length) == 0
+          && peer.sin_family == AF_INET && ntohs (peer.sin_port) == port)
+        connect (fd, &none, sizeof none);
+    }
+}
+
+static int
+handle_early (struct mg_connection *connection, void *context)
+{
+  static const char answer[] = "HTTP/1.1 200 -\r\nContent-Type: text/plain"
+                               "\r\n\r\nodd";
+
+  (void)context;
+  mg_write (connection, answer, sizeof answer - 1);
+  pause_us (10000);
+  reset_connection (mg_get_request_info (connection)->remote_port);
+  mg_disable_connection_keep_alive (connection);
+  return 200;
+}
+
 static int
 handle_run (struct mg_connection *connection, void *context)
 {
@@ -167,8 +236,10 @@
       return 503;
     }
   record_run (body);
-  field = strstr (body, "status=");
+  field = strstr (body, "odd=");
   if (field)
+    answer_odd (connection, field + 4);
+  else if ((field = strstr (body, "status=")))
     answer_status (connection, strtol (field + 7, NULL, 10),
                    strstr (body, "stream") != NULL);
   else if (strstr (body, "stream"))
@@ -213,6 +284,7 @@
   static const struct standin_handler handlers[] = {
     { "/load$", handle_load },
     { "/ledger$", handle_ledger },
+    { "/early$", handle_early },
     { "/**", handle_run },
   };
   static const struct argp_option argp_options[]
