Soak: answers that are none by HTTP's grammar

One request in sixteen that is no stream gets a status 000 or 600, or a field whose name has a blank.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -34,6 +34,12 @@
    its run.  */
 #define PROMISE_SHARE 16
 
+/* One in so many is answered with what is no answer by HTTP's grammar, each
+   time with another of these kinds.  */
+#define ODD_SHARE 16
+static const char *const odd_paths[] = { "/odd0", "/odd1", "/odd2" };
+#define ODD_KINDS (sizeof odd_paths / sizeof *odd_paths)
+
 /* One stream in so many breaks off in its third event, and one is also
    answered with an error when it is resumed.  */
 #define BREAK_SHARE 8
@@ -69,6 +75,7 @@
   bool harmful;     /* With a part that crashes endpoints.  */
   bool promised;    /* The endpoint answers 503 after the run.  */
   bool stale;      /* It writes another request's refusal before the answer. */
+  const char *odd; /* Path of what is no answer; NULL for a proper one.  */
   bool breaks;     /* Its stream breaks off...  */
   bool unresumed;  /* ...and is not resumed.  */
   bool unframed;   /* The end of the connection ends the endpoint's answer.  */
@@ -196,6 +203,7 @@
               route_names[r->route],
               r->promised ? "/promise"
               : r->stale  ? "/stale"
+              : r->odd    ? r->odd
                           : "",
               r->route == ROUTE_MOVED ? MOVED_RUN_MS : RUN_MS, r->id);
   curl_easy_reset (curl);
@@ -243,6 +251,9 @@
                     && c->requests_count % PROMISE_SHARE == 0;
       r->stale = (r->route == ROUTE_ONCE || r->route == ROUTE_ANY)
                  && c->requests_count % PROMISE_SHARE == PROMISE_SHARE / 2;
+      if ((r->route == ROUTE_ONCE || r->route == ROUTE_ANY)
+          && c->requests_count % ODD_SHARE == ODD_SHARE / 4)
+        r->odd = odd_paths[c->requests_count / ODD_SHARE % ODD_KINDS];
       r->unresumed
           = r->route == ROUTE_EVENTS && c->requests_count % BREAK_SHARE == 0;
       r->breaks = r->unresumed
@@ -470,8 +481,8 @@
 
    TWICE    a non-idempotent request ran more than once
    REFUSED  a request was refused as not run, although it ran
-   MIXED    an answer is not the full answer to its request, or came although
-            no endpoint ran the request
+   MIXED    an answer is not the full answer to its request or none by HTTP's
+            grammar, or came although no endpoint ran the request
    BUDGET   a request ran more often than its route allows
    CONFIG   a request with a revoked key ran, or one was refused by a gateway
             in touch though its key was in force
@@ -487,6 +498,8 @@
   /* The kernel closes an ended endpoint's connections in order.  */
   if (r->status == 200 && !r->complete && !(r->unframed && r->broken_off))
     return "MIXED";
+  if (r->status > 599)
+    return "MIXED, no answer";
   if (r->status == 200 && !r->runs)
     return "MIXED, without a run";
   if (r->runs > MAX_ATTEMPTS)
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -4,6 +4,8 @@
    /full       503 with X-Not-Executed, not run
    /promise    run, then 503 without X-Not-Executed
    /stale      a refusal of another request before the answer
+   /odd0       run, then the status 000; /odd1: 600; /odd2: a field whose name
+               has a blank
    /crash      run, then the connection closes without an answer
    /unsigned   200 without X-Response-Signature
    /unframed   an answer without Content-Length, ended by closing
@@ -389,6 +391,20 @@
     }
 }
 
+/* Send what is no answer by HTTP's grammar; PATH says what.  */
+static void
+send_odd (struct mg_connection *connection, const char *path)
+{
+  mg_printf (connection,
+             "HTTP/1.1 %s -\r\nX-Request-Attempt-Id: %s\r\n%s"
+             "X-Response-Signature: s\r\nContent-Length: 3\r\n\r\nodd",
+             strstr (path, "/odd0")   ? "000"
+             : strstr (path, "/odd1") ? "600"
+                                      : "200",
+             header_value (connection, "X-Request-Attempt-Id"),
+             strstr (path, "/odd2") ? "X Odd: 1\r\n" : "");
+}
+
 /* Answer 200 with what arrived: some of the headers, the query, and the length
    and a checksum of the body.  */
 static void
@@ -518,6 +534,8 @@
   else if (strstr (path, "/noid"))
     mg_printf (connection, "HTTP/1.1 200 -\r\nX-Response-Signature: s\r\n"
                            "Content-Length: 2\r\n\r\nno");
+  else if (strstr (path, "/odd"))
+    send_odd (connection, path);
   else if (strstr (path, "/promise"))
     send_head (connection, 503,
                "X-Response-Signature: s\r\nContent-Length: 4\r\n\r\nfull");
