--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -115,17 +115,21 @@
   verdict "what is no answer by HTTP's grammar gets 502 ($kind)" $?
 done
 head -c 900000 /dev/zero >"$DIR/upload"
-whole=0
-for i in 1 2 3 4 5 6 7 8; do
-  # A request that broke two connections is not sent again.
-  echo $i >>"$DIR/upload"
-  status=$(curl --silent --noproxy '*' --max-time 20 --output "$DIR/odd" \
-    --write-out '%{http_code}' -H 'Monsoonspur-Team: silo-01' -H 'Expect:' \
-    --data-binary "@$DIR/upload" "$service/silo-mando/early")
-  [ "$status" = 502 ] || whole=$((whole + 1))
-done
-[ $whole -eq 0 ]
+# refused_uploads PATH: whether all of eight uploads to PATH get 502.
+refused_uploads ()
+{
+  for i in 1 2 3 4 5 6 7 8; do
+    # A request that broke two connections is not sent again.
+    echo "$1 $i" >>"$DIR/upload"
+    [ "$(status_of -H 'Monsoonspur-Team: silo-01' -H 'Expect:' \
+      --data-binary "@$DIR/upload" "$service/silo-mando/$1")" = 502 ] \
+      || return 1
+  done
+}
+refused_uploads early
 verdict "an answer that is reset beside the upload gets 502" $?
+refused_uploads early-end
+verdict "an answer that is reset behind its end beside the upload gets 502" $?
 
 extra=0
 for i in 1 2 3 4 5 6 7 8; do
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -8,7 +8,7 @@
                process; "extra" writes a refusal behind the answer;
                "odd=KIND" one that HTTP's grammar does not have, or a cut one
    POST /early answers at once, without reading the body, and resets the
-               connection
+               connection; POST /early-end closes it in order before that
    GET /load   the number of running requests, an id of this start of the
                process, and the number of requests refused for overload
    GET /ledger how often each body was run
@@ -180,9 +180,10 @@
   mg_disable_connection_keep_alive (connection);
 }
 
-/* Reset the connection to PORT of this machine.  */
+/* Reset the connection to PORT of this machine, if END behind an orderly end
+   of what was sent.  */
 static void
-reset_connection (int port)
+reset_connection (int port, bool end)
 {
   static const struct sockaddr none = { .sa_family = AF_UNSPEC };
 
@@ -193,7 +194,11 @@
 
       if (getpeername (fd, (struct sockaddr *)&peer, &length) == 0
           && peer.sin_family == AF_INET && ntohs (peer.sin_port) == port)
-        (void)connect (fd, &none, sizeof none);
+        {
+          if (end)
+            shutdown (fd, SHUT_WR);
+          (void)connect (fd, &none, sizeof none);
+        }
     }
 }
 
@@ -203,10 +208,12 @@
   static const char answer[] = "HTTP/1.1 200 -\r\nContent-Type: text/plain"
                                "\r\n\r\nodd";
 
+  const struct mg_request_info *info = mg_get_request_info (connection);
+
   (void)context;
   mg_write (connection, answer, sizeof answer - 1);
   pause_us (10000);
-  reset_connection (mg_get_request_info (connection)->remote_port);
+  reset_connection (info->remote_port, strstr (info->local_uri, "-end"));
   mg_disable_connection_keep_alive (connection);
   return 200;
 }
@@ -284,7 +291,7 @@
   static const struct standin_handler handlers[] = {
     { "/load$", handle_load },
     { "/ledger$", handle_ledger },
-    { "/early$", handle_early },
+    { "/early$|/early-end$", handle_early },
     { "/**", handle_run },
   };
   static const struct argp_option argp_options[]
