Review 11: slow readers of streams take nine times what is counted

Cause: each event that the kernel does not take is queued as a block of its own with over 200 bytes beside its data, and only the data counts. The programs of the cases are play.c now, as review/build.sh builds every review/*/case.c with the kit of the first review.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 for folder in review/11 review/12 review/13 review/14 review/15; do
-  [ -f "$folder/case.c" ] || continue
-  gcc -std=gnu11 -O2 -Wall -Wextra -Ireview/kit-3 "$folder/case.c" \
+  [ -f "$folder/play.c" ] || continue
+  gcc -std=gnu11 -O2 -Wall -Wextra -Ireview/kit-3 "$folder/play.c" \
     review/kit-3/kit.c -o "target/review-3/case-${folder#review/}" -pthread
 done
--- a/review/kit-3/kit.c
+++ b/review/kit-3/kit.c
@@ -1187,6 +1187,31 @@
   return kib;
 }
 
+double
+router_metric (struct router *r, const char *name)
+{
+  struct conn c = connect_to (make_address (r->ip, METRICS_PORT), 0);
+  struct message m = { 0 };
+  double value = -1;
+  static const char text[]
+      = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+  if (c.fd < 0)
+    return value;
+  if (send_all (c.fd, text, sizeof text - 1))
+    {
+      char *at;
+
+      read_response (&c, &m, false);
+      at = m.body ? strstr (m.body, name) : NULL;
+      if (at)
+        value = atof (at + strlen (name));
+      free_message (&m);
+    }
+  conn_close (&c);
+  return value;
+}
+
 /* Whether the ports of the routers are free; METRICS_PORT is in the template
    of their settings.  */
 static bool
--- a/review/kit-3/kit.h
+++ b/review/kit-3/kit.h
@@ -127,6 +127,9 @@
 /* Resident memory of its process in KiB; 0 if it does not run.  */
 long router_memory_kib (struct router *r);
 
+/* What its metrics page says of NAME; below 0 if nothing.  */
+double router_metric (struct router *r, const char *name);
+
 /* A client's connection to the callers' port of R; fd below 0 on failure.  If
    RECEIVE_BYTES is above 0, its receive buffer has about that size, and its
    segments are small.  */
